--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+SEED ?= 1
+
+.PHONY: setup demo test lint check-generated generate bench soak mutants binary ci
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+demo: setup
+	$(BIN)/python -m lacewinghold demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+generate: setup
+	$(BIN)/python tools/generate_schema.py
+
+check-generated: setup
+	$(BIN)/python tools/generate_schema.py --check
--- /dev/null
+++ b/lacewinghold/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of callers and operators."""
--- /dev/null
+++ b/lacewinghold/api/problems.py
@@ -0,0 +1,51 @@
+"""Problem answers after RFC 9457."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+from starlette.responses import Response
+
+from lacewinghold.util.codec import to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.errors import Failure
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+class Problem(Struct, omit_defaults=True):
+    """The body of a problem answer."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    field: str = ""
+    may_repeat: bool = False
+
+
+def problem_response(failure: Failure) -> Response:
+    """Returns the answer that tells a caller of a failure."""
+    answer = failure.answer
+    problem = Problem(
+        type=f"urn:lacewinghold:error:{failure.kind}",
+        title=answer.title,
+        status=answer.status,
+        detail=failure.detail,
+        field=failure.field,
+        may_repeat=answer.may_repeat,
+    )
+    headers = {}
+    if failure.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(failure.retry_after_s))
+    return Response(to_json(problem), answer.status, headers, media_type=PROBLEM_TYPE)
+
+
+def json_response(
+    value: object, status: int = 200, headers: dict[str, str] | None = None
+) -> Response:
+    """Returns a value as a JSON answer."""
+    return Response(to_json(value), status, headers, media_type="application/json")
--- /dev/null
+++ b/lacewinghold/cmd/__init__.py
@@ -0,0 +1,45 @@
+"""The command line, one module for each command."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from typing import TYPE_CHECKING
+
+from lacewinghold import __version__
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of all commands."""
+    from lacewinghold.cmd import client, demo, serve, settings, stand_in
+
+    parser = argparse.ArgumentParser(
+        prog="lacewinghold", description="A cluster scheduler for unlike workloads."
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    for module in (serve, stand_in, demo, settings, client):
+        module.add_parsers(commands)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs one command.
+
+    :returns: The exit code.
+    """
+    options = build_parser().parse_args(arguments)
+    code: int = options.run(options)
+    return code
+
+
+def fail(message: str, code: int) -> int:
+    """Tells the user what went wrong.
+
+    :returns: ``code``.
+    """
+    print(f"lacewinghold: {message}", file=sys.stderr)
+    return code
--- /dev/null
+++ b/lacewinghold/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, epochs, ledgers and membership, usable without the daemons."""
--- /dev/null
+++ b/lacewinghold/coordination/assignment.py
@@ -0,0 +1,44 @@
+"""Which entry instance should own which shard."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from lacewinghold.ids import InstanceId, ShardId
+
+
+def affinity(shard: ShardId, instance: InstanceId) -> int:
+    """Returns how well an instance suits a shard by rendezvous hashing."""
+    digest = hashlib.blake2b(f"{shard}\0{instance}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def assign(
+    shards: Collection[ShardId], instances: Collection[InstanceId]
+) -> dict[ShardId, InstanceId]:
+    """Spreads shards over instances, none with more than its even share.
+
+    Rendezvous hashing with bounded load: an instance that comes or goes moves
+    few shards besides its own, and all instances compute the same answer.
+
+    :returns: The owner of each shard; empty if there is no instance.
+    """
+    if not instances:
+        return {}
+    bound = -(-len(shards) // len(instances))
+    load: Counter[InstanceId] = Counter()
+    owners = {}
+    for shard in sorted(shards):
+        ranked = sorted(instances, key=lambda instance: affinity(shard, instance))
+        for instance in reversed(ranked):
+            if load[instance] >= bound:
+                continue
+            load[instance] += 1
+            owners[shard] = instance
+            break
+    return owners
--- /dev/null
+++ b/lacewinghold/coordination/keys.py
@@ -0,0 +1,60 @@
+"""Names of the keys in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import InstanceId, SectionName, ShardId
+
+SEQUENCE_DIGITS = 12
+
+
+class Keys:
+    """Key names under one prefix.
+
+    What every entry instance watches lies under ``live``; ledgers, which only
+    their owner reads, lie beside it.
+
+    :param prefix: The cell's prefix, without a trailing slash.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self.live = f"{prefix}/live/"
+        self.instances = f"{self.live}instances/"
+        self.owners = f"{self.live}owners/"
+        self.sections = f"{self.live}sections/"
+        self.audits = f"{prefix}/audit/"
+
+    def instance(self, instance: InstanceId) -> str:
+        """Returns the key of an entry instance's record."""
+        return f"{self.instances}{instance}"
+
+    def owner(self, shard: ShardId) -> str:
+        """Returns the key of a shard's ownership record."""
+        return f"{self.owners}{shard}"
+
+    def section(self, section: SectionName) -> str:
+        """Returns the key of a document section."""
+        return f"{self.sections}{section}"
+
+    def log(self, shard: ShardId) -> str:
+        """Returns the prefix of a shard's log."""
+        return f"{self.prefix}/ledger/{shard}/log/"
+
+    def log_batch(self, shard: ShardId, number: int) -> str:
+        """Returns the key of one batch of a shard's log."""
+        return f"{self.log(shard)}{number:0{SEQUENCE_DIGITS}d}"
+
+    def snapshot(self, shard: ShardId) -> str:
+        """Returns the key of a shard's snapshot."""
+        return f"{self.prefix}/ledger/{shard}/snapshot"
+
+    def idempotency(self, digest: str) -> str:
+        """Returns the key that maps an idempotency digest to a job."""
+        return f"{self.prefix}/idempotency/{digest}"
+
+    def audit(self, ident: str) -> str:
+        """Returns the key of an audit record."""
+        return f"{self.audits}{ident}"
--- /dev/null
+++ b/lacewinghold/coordination/lease.py
@@ -0,0 +1,123 @@
+"""The store lease under which an entry instance acts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import LeaseId, Revision
+from lacewinghold.store.base import Put, Transaction
+from lacewinghold.util.backoff import Backoff
+from lacewinghold.util.codec import to_json
+
+if TYPE_CHECKING:
+    import random
+
+    from lacewinghold.coordination.keys import Keys
+    from lacewinghold.schema.generated.records import InstanceRecord
+    from lacewinghold.schema.generated.settings import LeaseSettings
+    from lacewinghold.store.base import Store
+
+logger = structlog.get_logger(__name__)
+RETRY_FIRST_S = 0.1
+RETRY_LIMIT_S = 2.0
+
+
+class InstanceLease:
+    """Keeps a lease and the instance's record under it.
+
+    The end of the lease is counted on the runtime's clock from before the
+    call that renewed it, so that it ends here before it ends in the store.
+
+    :param record: Written under the lease whenever a lease is opened.
+    :param rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: Keys,
+        settings: LeaseSettings,
+        record: InstanceRecord,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.keys = keys
+        self.settings = settings
+        self.record = record
+        self.lease: LeaseId | None = None
+        self.expires_at = 0.0
+        self.revision = Revision(0)
+        self.generation = 0
+        self.last_contact = 0.0
+        self.backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S, rng)
+
+    def valid(self) -> bool:
+        """Returns whether the lease surely still holds."""
+        return self.lease is not None and anyio.current_time() < self.expires_at
+
+    def check(self) -> Result[None, Failure]:
+        """Returns a failure if the lease has lapsed."""
+        if self.valid():
+            return Ok(None)
+        return Err(Failure(ErrorKind.LEASE_LAPSED, "the store lease has lapsed"))
+
+    async def run(self) -> None:
+        """Opens and renews the lease until cancelled."""
+        while True:
+            renewed = await (self.open() if self.lease is None else self.renew())
+            if renewed:
+                self.backoff.reset()
+                await anyio.sleep(self.settings.renew_s)
+                continue
+            await anyio.sleep(self.backoff.next_delay_s())
+
+    async def open(self) -> bool:
+        """Opens a lease and writes the instance's record under it."""
+        started = anyio.current_time()
+        granted = await self.store.grant_lease(self.settings.ttl_s)
+        if isinstance(granted, Err):
+            return False
+        lease = granted.ok_value
+        key = self.keys.instance(self.record.instance)
+        put = Put(key, to_json(self.record), lease)
+        written = await self.store.commit(Transaction([], [put]))
+        if isinstance(written, Err):
+            return False
+        self.lease = lease
+        self.revision = Revision(written.ok_value.revision)
+        self.extend(started, self.settings.ttl_s)
+        self.generation += 1
+        logger.info("lease opened", lease=lease, generation=self.generation)
+        return True
+
+    async def renew(self) -> bool:
+        """Renews the lease, or forgets it once the store has."""
+        assert self.lease is not None
+        started = anyio.current_time()
+        renewed = await self.store.renew_lease(self.lease)
+        if isinstance(renewed, Err):
+            return False
+        if renewed.ok_value <= 0:
+            logger.warning("lease lapsed", lease=self.lease)
+            self.lease = None
+            return False
+        self.extend(started, renewed.ok_value)
+        return True
+
+    def extend(self, started: float, ttl_s: float) -> None:
+        """Counts the lease from before the call that granted it."""
+        self.last_contact = started
+        self.expires_at = started + ttl_s - self.settings.margin_s
+
+    async def close(self) -> None:
+        """Ends the lease, so that others need not wait for it to lapse."""
+        if self.lease is None:
+            return
+        lease, self.lease = self.lease, None
+        self.expires_at = 0.0
+        await self.store.revoke_lease(lease)
--- /dev/null
+++ b/lacewinghold/coordination/ownership.py
@@ -0,0 +1,158 @@
+"""Taking, proving and letting go of a shard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import Epoch, Revision
+from lacewinghold.invariants import Invariant, require
+from lacewinghold.schema.generated.records import OwnerRecord
+from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.coordination.keys import Keys
+    from lacewinghold.coordination.lease import InstanceLease
+    from lacewinghold.ids import InstanceId, ShardId
+    from lacewinghold.store.base import KeyValue, Store
+
+logger = structlog.get_logger(__name__)
+
+
+class ShardOwnership:
+    """One instance's claim on one shard.
+
+    The store revision of the ownership record is the epoch.
+
+    :param lease: The lease of the claiming instance.
+    """
+
+    def __init__(
+        self, store: Store, keys: Keys, lease: InstanceLease, shard: ShardId
+    ) -> None:
+        self.store = store
+        self.keys = keys
+        self.lease = lease
+        self.shard = shard
+        self.epoch = Epoch(0)
+        self.generation = 0
+        self.previous: OwnerRecord | None = None
+        self.previous_epoch = Epoch(0)
+
+    @property
+    def instance(self) -> InstanceId:
+        """Returns the claiming instance."""
+        return self.lease.record.instance
+
+    def held(self) -> bool:
+        """Returns whether the shard surely is still owned under this lease."""
+        return (
+            self.epoch > 0
+            and self.generation == self.lease.generation
+            and self.lease.valid()
+        )
+
+    def check(self) -> Result[None, Failure]:
+        """Returns a failure unless the shard surely is still owned."""
+        if self.held():
+            return Ok(None)
+        return Err(Failure(ErrorKind.LEASE_LAPSED, f"{self.shard} is not held"))
+
+    async def take(
+        self, known: tuple[OwnerRecord, KeyValue] | None
+    ) -> Result[Epoch, Failure]:
+        """Takes the shard if its last owner let go or its lease has lapsed.
+
+        :param known: The ownership record as last seen.
+        :returns: The new epoch; ``CONFLICT`` if somebody else holds the shard.
+        """
+        generation = self.lease.generation
+        mine = Compare(
+            self.keys.instance(self.instance),
+            CompareTarget.MOD_REVISION,
+            self.lease.revision,
+        )
+        revision = known[1].mod_revision if known else 0
+        key = self.keys.owner(self.shard)
+        compares = [mine, Compare(key, CompareTarget.MOD_REVISION, revision)]
+        if known and known[0].owner is not None and known[0].owner != self.instance:
+            holder = self.keys.instance(known[0].owner)
+            compares.append(Compare(holder, CompareTarget.CREATE_REVISION, 0))
+        record = OwnerRecord(owner=self.instance, lease=self.lease.lease or 0)
+        written = await self.store.commit(
+            Transaction(compares, [Put(key, to_json(record))])
+        )
+        if isinstance(written, Err):
+            if written.err_value.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                return Err(written.err_value)
+            return await self.settle(revision, known, generation)
+        if not written.ok_value.succeeded:
+            return Err(Failure(ErrorKind.CONFLICT, f"{self.shard} is held"))
+        self.accept(Epoch(written.ok_value.revision), known, generation)
+        return Ok(self.epoch)
+
+    async def settle(
+        self,
+        revision: int,
+        known: tuple[OwnerRecord, KeyValue] | None,
+        generation: int,
+    ) -> Result[Epoch, Failure]:
+        """Reads back whether a claim with a lost reply took effect."""
+        reply = await self.store.range(self.keys.owner(self.shard))
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        for item in reply.ok_value.items:
+            record = from_json(item.value, OwnerRecord)
+            if record.owner != self.instance or item.mod_revision <= revision:
+                continue
+            self.accept(Epoch(item.mod_revision), known, generation)
+            return Ok(self.epoch)
+        return Err(Failure(ErrorKind.CONFLICT, f"{self.shard} was not taken"))
+
+    def accept(
+        self,
+        epoch: Epoch,
+        known: tuple[OwnerRecord, KeyValue] | None,
+        generation: int,
+    ) -> None:
+        """Notes a new epoch and whom it follows."""
+        require(Invariant.EPOCH_RISES, epoch > self.epoch, f"{epoch} {self.epoch}")
+        self.previous = known[0] if known else None
+        self.previous_epoch = Epoch(known[1].mod_revision) if known else Epoch(0)
+        self.epoch = epoch
+        self.generation = generation
+        logger.info("shard taken", shard=self.shard, epoch=epoch)
+
+    async def confirm(self) -> Result[bool, Failure]:
+        """Reads whether the epoch still stands after the lease was opened anew.
+
+        :returns: Whether the shard is still owned.
+        """
+        generation = self.lease.generation
+        reply = await self.store.range(self.keys.owner(self.shard))
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        for item in reply.ok_value.items:
+            if item.mod_revision != self.epoch:
+                continue
+            self.generation = generation
+            return Ok(True)
+        return Ok(False)
+
+    async def release(self) -> Result[None, Failure]:
+        """Lets go of the shard, so that another may take it at once."""
+        key = self.keys.owner(self.shard)
+        record = OwnerRecord(owner=None, released=True)
+        compare = Compare(key, CompareTarget.MOD_REVISION, Revision(self.epoch))
+        self.generation = 0
+        written = await self.store.commit(
+            Transaction([compare], [Put(key, to_json(record))])
+        )
+        if isinstance(written, Err):
+            return Err(written.err_value)
+        logger.info("shard released", shard=self.shard, epoch=self.epoch)
+        return Ok(None)
--- /dev/null
+++ b/lacewinghold/document/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document."""
--- /dev/null
+++ b/lacewinghold/ids.py
@@ -0,0 +1,37 @@
+"""Identifiers, one type for each kind of thing."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+RegionId = NewType("RegionId", str)
+DataCentreId = NewType("DataCentreId", str)
+RackId = NewType("RackId", str)
+WorkerId = NewType("WorkerId", str)
+InstanceId = NewType("InstanceId", str)
+ShardId = NewType("ShardId", str)
+TeamId = NewType("TeamId", str)
+ServiceId = NewType("ServiceId", str)
+JobId = NewType("JobId", str)
+TaskId = NewType("TaskId", str)
+RequestId = NewType("RequestId", str)
+SectionName = NewType("SectionName", str)
+LeaseId = NewType("LeaseId", int)
+Epoch = NewType("Epoch", int)
+Revision = NewType("Revision", int)
+Incarnation = NewType("Incarnation", int)
+
+
+def job_shard(job: JobId) -> ShardId:
+    """Returns the shard whose ledger holds a job."""
+    return ShardId(job.rpartition("~")[0])
+
+
+def task_job(task: TaskId) -> JobId:
+    """Returns the job that a task belongs to."""
+    return JobId(task.rpartition("/")[0])
+
+
+def make_task_id(job: JobId, index: int) -> TaskId:
+    """Returns the id of the task at an index of a job, from zero."""
+    return TaskId(f"{job}/{index}")
--- /dev/null
+++ b/lacewinghold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry instances."""
--- /dev/null
+++ b/lacewinghold/peers/base.py
@@ -0,0 +1,35 @@
+"""Interface of the transport between entry instances."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from lacewinghold.errors import Failure
+    from lacewinghold.ids import InstanceId
+
+
+class PeerTransport(ABC):
+    """Carries whole messages between entry instances, unreliably."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    async def run(self) -> None:
+        """Receives until cancelled."""
+
+    @abstractmethod
+    async def receive(self) -> bytes:
+        """Returns the next message for this instance."""
+
+    @abstractmethod
+    async def send(
+        self, peer: InstanceId, address: str, message: bytes
+    ) -> Result[None, Failure]:
+        """Sends a message; ``Ok`` does not mean that it arrived.
+
+        :param address: IP address and port of the peer.
+        """
--- /dev/null
+++ b/lacewinghold/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on where tasks run."""
--- /dev/null
+++ b/lacewinghold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers to the backend servers of standing services."""
--- /dev/null
+++ b/lacewinghold/schema/__init__.py
@@ -0,0 +1,1 @@
+"""JSON Schema of messages, settings and records, and the generated code."""
--- /dev/null
+++ b/lacewinghold/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of shards at work: queues, workers and recovery."""
--- /dev/null
+++ b/lacewinghold/shards/manager.py
@@ -0,0 +1,198 @@
+"""Decides which shards this entry instance takes, keeps and lets go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from result import Err
+
+from lacewinghold.coordination.assignment import assign
+from lacewinghold.coordination.ledger import Ledger
+from lacewinghold.coordination.ownership import ShardOwnership
+from lacewinghold.ids import ShardId
+from lacewinghold.schema.generated.worker import WorkerState
+from lacewinghold.shards.owner import ShardOwner
+
+if TYPE_CHECKING:
+    import random
+
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.coordination.lease import InstanceLease
+    from lacewinghold.coordination.view import LiveView
+    from lacewinghold.ids import DataCentreId, InstanceId
+    from lacewinghold.schema.generated.settings import Settings
+    from lacewinghold.schema.generated.worker import InstanceList, WorkerRecord
+    from lacewinghold.store.base import Store
+    from lacewinghold.util.clock import WallClock
+    from lacewinghold.workers.base import InstanceListSource, WorkerLinks
+
+logger = structlog.get_logger(__name__)
+LIST_INTERVAL_S = 1.0
+TAKE_INTERVAL_S = 0.25
+
+
+def shard_of(record: WorkerRecord, shards_per_rack: int) -> ShardId:
+    """Returns the shard of a worker: its rack, divided by position."""
+    return ShardId(f"{record.rack}.{record.position % shards_per_rack}")
+
+
+class ShardManager:
+    """Owns shards of the instance's data centre.
+
+    :param settings: Settings of the instance.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        lease: InstanceLease,
+        view: LiveView,
+        source: InstanceListSource,
+        links: WorkerLinks,
+        clock: WallClock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.lease = lease
+        self.view = view
+        self.source = source
+        self.links = links
+        self.clock = clock
+        self.rng = rng
+        self.keys = view.keys
+        self.owners: dict[ShardId, ShardOwner] = {}
+        self.scopes: dict[ShardId, anyio.CancelScope] = {}
+        self.workers: dict[ShardId, list[WorkerRecord]] = {}
+        self.listed: InstanceList | None = None
+        self.leaving = False
+
+    @property
+    def data_centre(self) -> DataCentreId:
+        """Returns the instance's data centre."""
+        return self.settings.data_centre
+
+    async def run(self) -> None:
+        """Follows the instance list and the assignment until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follow_list)
+            await self.view.loaded.wait()
+            while True:
+                await self.adjust(tasks)
+                changed = self.view.changed
+                with anyio.move_on_after(TAKE_INTERVAL_S):
+                    await changed.wait()
+
+    async def follow_list(self) -> None:
+        """Reads the instance list at an interval."""
+        while True:
+            reply = await self.source.fetch()
+            if not isinstance(reply, Err):
+                self.apply_list(reply.ok_value)
+            await anyio.sleep(LIST_INTERVAL_S)
+
+    def apply_list(self, listed: InstanceList) -> None:
+        """Groups the data centre's workers into shards."""
+        self.listed = listed
+        shards: dict[ShardId, list[WorkerRecord]] = {}
+        for record in listed.workers:
+            if record.data_centre != self.data_centre:
+                continue
+            if record.state is WorkerState.GONE:
+                continue
+            shard = shard_of(record, self.settings.shards_per_rack)
+            shards.setdefault(shard, []).append(record)
+        self.workers = shards
+        for shard, owner in self.owners.items():
+            if owner.ready.is_set():
+                owner.update_workers(shards.get(shard, []))
+
+    def gone(self, instance: InstanceId) -> bool:
+        """Returns whether the platform says that an entry instance is gone."""
+        return self.listed is not None and instance in self.listed.gone
+
+    def desired(self) -> dict[ShardId, InstanceId]:
+        """Returns the assignment over the data centre's live instances."""
+        instances = [
+            instance
+            for instance, record in self.view.instances().items()
+            if record.data_centre == self.data_centre and not record.leaving
+        ]
+        return assign(self.workers, instances)
+
+    async def adjust(self, tasks: TaskGroup) -> None:
+        """Takes and releases shards as the assignment says."""
+        if not self.lease.valid() or self.leaving:
+            return
+        me = self.lease.record.instance
+        for shard, instance in sorted(self.desired().items()):
+            if shard in self.owners:
+                if instance != me:
+                    await self.release(shard)
+                continue
+            if instance == me and self.available(shard):
+                await self.take(shard, tasks)
+
+    def available(self, shard: ShardId) -> bool:
+        """Returns whether a shard seems to have no live owner."""
+        known = self.view.owner(shard)
+        if known is None or known[0].owner is None:
+            return True
+        return known[0].owner not in self.view.instances()
+
+    async def take(self, shard: ShardId, tasks: TaskGroup) -> None:
+        """Takes a shard and starts to serve it."""
+        ownership = ShardOwnership(self.store, self.keys, self.lease, shard)
+        known = self.view.owner(shard)
+        taken = await ownership.take(known)
+        if isinstance(taken, Err):
+            logger.debug("shard not taken", shard=shard, detail=taken.err_value.detail)
+            return
+        ledger = Ledger(
+            self.store,
+            self.keys,
+            shard,
+            taken.ok_value,
+            self.lease.record.instance,
+            self.rng,
+        )
+        previous = known[0].owner if known else None
+        owner = ShardOwner(
+            ownership,
+            ledger,
+            self.links,
+            self.clock,
+            self.settings.hold_s,
+            lambda: previous is not None and self.gone(previous),
+            self.rng,
+        )
+        self.owners[shard] = owner
+        tasks.start_soon(self.serve, shard, owner)
+
+    async def serve(self, shard: ShardId, owner: ShardOwner) -> None:
+        """Serves a shard until it is released or superseded."""
+        with anyio.CancelScope() as scope:
+            self.scopes[shard] = scope
+            await owner.run(self.workers.get(shard, []))
+        if self.owners.get(shard) is owner:
+            del self.owners[shard]
+        self.scopes.pop(shard, None)
+
+    async def release(self, shard: ShardId) -> None:
+        """Lets go of a shard: stops acting first, then tells the store."""
+        owner = self.owners.pop(shard)
+        owner.stopped = True
+        scope = self.scopes.pop(shard, None)
+        if scope is not None:
+            scope.cancel()
+        await owner.ownership.release()
+
+    async def release_all(self) -> None:
+        """Lets go of all shards."""
+        self.leaving = True
+        for shard in list(self.owners):
+            await self.release(shard)
--- /dev/null
+++ b/lacewinghold/shards/model.py
@@ -0,0 +1,128 @@
+"""Jobs and tasks as the owner of a shard holds them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from lacewinghold.ids import make_task_id
+from lacewinghold.schema.generated.jobs import (
+    JobSpec,
+    JobState,
+    JobView,
+    TaskState,
+    TaskView,
+)
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import JobId, TaskId, WorkerId
+    from lacewinghold.schema.generated.records import JobRecord
+
+ENDED = frozenset(
+    {TaskState.SUCCEEDED, TaskState.FAILED, TaskState.CANCELLED, TaskState.UNKNOWN}
+)
+ON_WORKER = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING})
+
+
+class Task(Struct):
+    """One task of a job.
+
+    ``proved`` is false while a holder of an earlier epoch might still start it.
+    """
+
+    id: TaskId
+    job: Job
+    queued_at: float
+    state: TaskState = TaskState.QUEUED
+    worker: WorkerId | None = None
+    attempts: int = 0
+    not_before: float = 0.0
+    started_at: float | None = None
+    detail: str = ""
+    proved: bool = True
+
+    @property
+    def spec(self) -> JobSpec:
+        """Returns the specification of the task's job."""
+        return self.job.record.spec
+
+    def to_view(self) -> TaskView:
+        """Returns the task as its team sees it."""
+        return TaskView(
+            task=self.id,
+            state=self.state,
+            worker=self.worker,
+            attempts=self.attempts,
+            detail=self.detail,
+        )
+
+
+class Job(Struct):
+    """One accepted job."""
+
+    record: JobRecord
+    tasks: list[Task]
+    cancelled: bool = False
+    reason: str = ""
+    first_started_at: float | None = None
+
+    @property
+    def id(self) -> JobId:
+        """Returns the job's id."""
+        return self.record.job
+
+    def ended(self) -> bool:
+        """Returns whether all tasks have ended."""
+        return all(task.state in ENDED for task in self.tasks)
+
+    def state(self) -> JobState:
+        """Returns the job's state, derived from its tasks."""
+        states = {task.state for task in self.tasks}
+        if not states <= ENDED:
+            if self.cancelled:
+                return JobState.CANCEL_PENDING
+            if self.reason:
+                return JobState.PARKED
+            if states & (ON_WORKER | ENDED):
+                return JobState.RUNNING
+            return JobState.ACCEPTED
+        for task_state, job_state in (
+            (TaskState.UNKNOWN, JobState.UNKNOWN),
+            (TaskState.FAILED, JobState.FAILED),
+            (TaskState.CANCELLED, JobState.CANCELLED),
+        ):
+            if task_state in states:
+                return job_state
+        return JobState.SUCCEEDED
+
+    def to_view(self) -> JobView:
+        """Returns the job as its team sees it."""
+        waited_s = None
+        if self.first_started_at is not None:
+            waited_s = self.first_started_at - self.tasks[0].queued_at
+        spec = self.record.spec
+        return JobView(
+            job=self.id,
+            team=spec.team,
+            name=spec.name,
+            kind=spec.kind,
+            state=self.state(),
+            accepted_at=self.record.accepted_at,
+            waited_s=waited_s,
+            deadline=spec.deadline,
+            tasks=[task.to_view() for task in self.tasks],
+            reason=self.reason,
+        )
+
+
+def make_job(record: JobRecord, queued_at: float) -> Job:
+    """Returns a job with all its tasks queued.
+
+    :param queued_at: The runtime's clock in seconds.
+    """
+    job = Job(record=record, tasks=[])
+    for index in range(record.spec.tasks):
+        task_id = make_task_id(record.job, index)
+        job.tasks.append(Task(id=task_id, job=job, queued_at=queued_at))
+    return job
--- /dev/null
+++ b/lacewinghold/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value store."""
--- /dev/null
+++ b/lacewinghold/store/etcd.py
@@ -0,0 +1,237 @@
+"""The store over etcd's v3 JSON gateway."""
+
+from __future__ import annotations
+
+import base64
+import json
+import math
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import httpx
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure, FailureError
+from lacewinghold.ids import LeaseId, Revision
+from lacewinghold.store.base import (
+    CallKind,
+    Compare,
+    Delete,
+    KeyValue,
+    Put,
+    RangeReply,
+    Store,
+    Transaction,
+    TransactionReply,
+    WatchBatch,
+    prefix_end,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+LEASE_NOT_FOUND = 5
+WATCH_SILENCE_S = 30.0
+
+
+def to_base64(text: str | bytes) -> str:
+    """Returns text or bytes in the gateway's form."""
+    data = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(data).decode()
+
+
+def from_base64(text: str) -> bytes:
+    """Returns the bytes that the gateway's form stands for."""
+    return base64.b64decode(text)
+
+
+def to_key_value(item: dict[str, Any]) -> KeyValue:
+    """Returns a key and its value from the gateway's form."""
+    return KeyValue(
+        key=from_base64(item["key"]).decode(),
+        value=from_base64(item.get("value", "")),
+        create_revision=int(item.get("create_revision", 0)),
+        mod_revision=int(item.get("mod_revision", 0)),
+        lease=int(item.get("lease", 0)),
+    )
+
+
+def to_compare(compare: Compare) -> dict[str, Any]:
+    """Returns a condition in the gateway's form."""
+    field = f"{compare.target.value.lower()}_revision"
+    return {
+        "key": to_base64(compare.key),
+        "target": compare.target.value,
+        "result": "EQUAL",
+        field: str(compare.revision),
+    }
+
+
+def to_operation(operation: Put | Delete) -> dict[str, Any]:
+    """Returns an operation in the gateway's form."""
+    if isinstance(operation, Delete):
+        return {"request_delete_range": {"key": to_base64(operation.key)}}
+    put: dict[str, Any] = {
+        "key": to_base64(operation.key),
+        "value": to_base64(operation.value),
+    }
+    if operation.lease:
+        put["lease"] = str(operation.lease)
+    return {"request_put": put}
+
+
+class EtcdStore(Store):
+    """One client of etcd.
+
+    Endpoints are tried in turn when one cannot be reached; a call is repeated
+    only if it surely was not sent.
+
+    :param endpoints: Base addresses of the gateway.
+    :param timeout_s: Longest wait for an answer in seconds.
+    """
+
+    name = "etcd"
+
+    def __init__(
+        self, client: httpx.AsyncClient, endpoints: Sequence[str], timeout_s: float
+    ) -> None:
+        super().__init__()
+        self.client = client
+        self.endpoints = list(endpoints)
+        self.timeout_s = timeout_s
+
+    async def post(
+        self, kind: CallKind, path: str, body: dict[str, Any]
+    ) -> Result[dict[str, Any], Failure]:
+        """Makes one call, at the first endpoint that can be reached."""
+        failure = Failure(ErrorKind.STORE_UNAVAILABLE, "no endpoint")
+        for endpoint in list(self.endpoints):
+            self.calls[kind] += 1
+            try:
+                response = await self.client.post(
+                    f"{endpoint}/v3/{path}", json=body, timeout=self.timeout_s
+                )
+            except NOT_SENT as error:
+                failure = Failure(ErrorKind.STORE_UNAVAILABLE, repr(error))
+                self.endpoints.append(self.endpoints.pop(0))
+                continue
+            except httpx.HTTPError as error:
+                return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, repr(error)))
+            return to_reply(response)
+        return Err(failure)
+
+    async def range(
+        self, key: str, *, prefix: bool = False
+    ) -> Result[RangeReply, Failure]:
+        body = {"key": to_base64(key)}
+        if prefix:
+            body["range_end"] = to_base64(prefix_end(key))
+        reply = await self.post(CallKind.READ, "kv/range", body)
+        if isinstance(reply, Err):
+            failure = reply.err_value
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, failure.detail))
+        found = reply.ok_value
+        items = [to_key_value(item) for item in found.get("kvs", [])]
+        return Ok(RangeReply(int(found["header"]["revision"]), items))
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[TransactionReply, Failure]:
+        body = {
+            "compare": [to_compare(compare) for compare in transaction.compares],
+            "success": [to_operation(op) for op in transaction.operations],
+        }
+        reply = await self.post(CallKind.WRITE, "kv/txn", body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        found = reply.ok_value
+        revision = int(found["header"]["revision"])
+        return Ok(TransactionReply(bool(found.get("succeeded", False)), revision))
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
+        body = {"TTL": str(math.ceil(ttl_s))}
+        reply = await self.post(CallKind.LEASE, "lease/grant", body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(LeaseId(int(reply.ok_value["ID"])))
+
+    async def renew_lease(self, lease: LeaseId) -> Result[float, Failure]:
+        body = {"ID": str(lease)}
+        reply = await self.post(CallKind.LEASE, "lease/keepalive", body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(float(reply.ok_value.get("result", {}).get("TTL", 0)))
+
+    async def revoke_lease(self, lease: LeaseId) -> Result[None, Failure]:
+        reply = await self.post(CallKind.LEASE, "lease/revoke", {"ID": str(lease)})
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(None)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, after: Revision
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        self.calls[CallKind.WATCH] += 1
+        body = {
+            "create_request": {
+                "key": to_base64(prefix),
+                "range_end": to_base64(prefix_end(prefix)),
+                "start_revision": str(after + 1),
+                "progress_notify": True,
+            }
+        }
+        timeout = httpx.Timeout(self.timeout_s, read=WATCH_SILENCE_S)
+        request = self.client.build_request(
+            "POST", f"{self.endpoints[0]}/v3/watch", json=body, timeout=timeout
+        )
+        try:
+            response = await self.client.send(request, stream=True)
+        except httpx.HTTPError as error:
+            raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, repr(error)))
+        try:
+            yield batches(response)
+        finally:
+            await response.aclose()
+
+
+async def batches(response: httpx.Response) -> AsyncIterator[WatchBatch]:
+    """Yields the batches of a watch, one line each."""
+    try:
+        async for line in response.aiter_lines():
+            result = json.loads(line).get("result", {})
+            if result.get("canceled"):
+                detail = f"the watch was cancelled: {result.get('cancel_reason', '')}"
+                raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+            yield to_batch(result)
+    except (httpx.HTTPError, ValueError) as error:
+        raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, repr(error)))
+
+
+def to_batch(result: dict[str, Any]) -> WatchBatch:
+    """Returns the changes in one message of a watch."""
+    puts = []
+    deletes = []
+    for event in result.get("events", []):
+        if event.get("type") == "DELETE":
+            deletes.append(from_base64(event["kv"]["key"]).decode())
+            continue
+        puts.append(to_key_value(event["kv"]))
+    return WatchBatch(int(result["header"]["revision"]), puts, deletes)
+
+
+def to_reply(response: httpx.Response) -> Result[dict[str, Any], Failure]:
+    """Returns the body of an answer, or what its error means for a write."""
+    try:
+        body = response.json()
+    except ValueError:
+        body = {}
+    if response.status_code == httpx.codes.OK and isinstance(body, dict):
+        return Ok(body)
+    detail = f"status {response.status_code}: {body.get('message', '')}"
+    if body.get("code") == LEASE_NOT_FOUND:
+        return Err(Failure(ErrorKind.LEASE_LAPSED, detail))
+    if response.status_code < httpx.codes.INTERNAL_SERVER_ERROR:
+        return Err(Failure(ErrorKind.INVALID, detail))
+    return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
--- /dev/null
+++ b/lacewinghold/testing/peers.py
@@ -0,0 +1,103 @@
+"""An in-memory network between entry instances, with cuts and latency."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct, field
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.peers.base import PeerTransport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewinghold.ids import InstanceId, RegionId
+
+INBOX_MESSAGES = 10_000
+
+
+class Departure(Struct, frozen=True):
+    """A message on its way."""
+
+    due: float
+    peer: InstanceId
+    message: bytes
+
+
+class MemoryNetwork(Struct):
+    """The network that all transports of a test share.
+
+    :param latency_s: Returns the one-way latency between two instances.
+    :param cut: Ordered pairs that cannot send to each other.
+    """
+
+    latency_s: Callable[[InstanceId, InstanceId], float]
+    nodes: dict[InstanceId, MemoryTransport] = field(default_factory=dict)
+    cut: set[tuple[InstanceId, InstanceId]] = field(default_factory=set)
+    regions: dict[InstanceId, RegionId] = field(default_factory=dict)
+    bytes_between_regions: Counter[tuple[RegionId, RegionId]] = field(
+        default_factory=Counter
+    )
+
+    def count(self, sender: InstanceId, receiver: InstanceId, size: int) -> None:
+        """Counts the bytes that cross between regions."""
+        pair = (self.regions[sender], self.regions[receiver])
+        if pair[0] != pair[1]:
+            self.bytes_between_regions[pair] += size
+
+
+class MemoryTransport(PeerTransport):
+    """One instance's end of the network."""
+
+    name = "memory"
+
+    def __init__(
+        self, network: MemoryNetwork, instance: InstanceId, region: RegionId
+    ) -> None:
+        self.network = network
+        self.instance = instance
+        self.sender, self.inbox = anyio.create_memory_object_stream[bytes](
+            INBOX_MESSAGES
+        )
+        self.departures, self.outbox = anyio.create_memory_object_stream[Departure](
+            INBOX_MESSAGES
+        )
+        network.nodes[instance] = self
+        network.regions[instance] = region
+
+    async def run(self) -> None:
+        """Delivers what this instance sent, each message after its latency."""
+        async with anyio.create_task_group() as tasks:
+            async for departure in self.outbox:
+                tasks.start_soon(self.deliver, departure)
+
+    async def deliver(self, departure: Departure) -> None:
+        """Delivers a message unless the way is cut when it arrives."""
+        await anyio.sleep_until(departure.due)
+        peer = departure.peer
+        target = self.network.nodes.get(peer)
+        if target is None or (self.instance, peer) in self.network.cut:
+            return
+        self.network.count(self.instance, peer, len(departure.message))
+        try:
+            target.sender.send_nowait(departure.message)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            return
+
+    async def receive(self) -> bytes:
+        return await self.inbox.receive()
+
+    async def send(
+        self, peer: InstanceId, address: str, message: bytes
+    ) -> Result[None, Failure]:
+        del address
+        if peer not in self.network.nodes:
+            return Err(Failure(ErrorKind.UNREACHABLE, f"{peer} is down"))
+        latency_s = self.network.latency_s(self.instance, peer)
+        due = anyio.current_time() + latency_s
+        self.departures.send_nowait(Departure(due, peer, message))
+        return Ok(None)
--- /dev/null
+++ b/lacewinghold/testing/stand_in.py
@@ -0,0 +1,128 @@
+"""The platform, workers and backend servers as one HTTP application."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from lacewinghold.api.problems import json_response
+from lacewinghold.ids import SectionName, ServiceId, WorkerId
+from lacewinghold.routing.http import REQUEST_ID_HEADER
+from lacewinghold.schema.generated.document import Section
+from lacewinghold.schema.generated.jobs import Resources
+from lacewinghold.schema.generated.records import SectionRecord
+from lacewinghold.schema.generated.worker import Command, WorkerRecord
+from lacewinghold.store.base import Put, Transaction
+from lacewinghold.testing.gateway import Gateway
+from lacewinghold.testing.store import MemoryStore, StoreState
+from lacewinghold.testing.worker import FakeWorker, MemoryInstanceList
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from starlette.requests import Request
+
+    from lacewinghold.coordination.keys import Keys
+    from lacewinghold.schema.generated.settings import StandInSettings
+
+SERVICE_TIME_S = 0.02
+
+
+class StandIn:
+    """Everything outside of the entry instances.
+
+    :param settings: Checked settings.
+    :param tasks: Task group in which tasks run.
+    """
+
+    def __init__(self, settings: StandInSettings, tasks: TaskGroup) -> None:
+        self.settings = settings
+        self.tasks = tasks
+        self.state = StoreState()
+        self.store = MemoryStore(self.state)
+        self.workers: dict[WorkerId, FakeWorker] = {}
+        self.instance_list = MemoryInstanceList(self.workers)
+        self.make_workers()
+
+    def make_workers(self) -> None:
+        """Makes the workers of all racks."""
+        for rack in self.settings.racks:
+            capacity = Resources(
+                cores=rack.cores,
+                memory_mb=rack.memory_mb,
+                accelerators=rack.accelerators,
+            )
+            for index in range(rack.workers):
+                worker = WorkerId(f"{rack.rack}-w{index}")
+                record = WorkerRecord(
+                    worker=worker,
+                    region=rack.region,
+                    data_centre=rack.data_centre,
+                    rack=rack.rack,
+                    position=index,
+                    capacity=capacity,
+                    slots=rack.slots,
+                    connections=rack.connections,
+                    url=f"http://{self.settings.listen}/workers/{worker}",
+                )
+                self.workers[worker] = FakeWorker(record, self.tasks)
+
+    def load_document(self, keys: Keys, data: bytes) -> None:
+        """Writes the sections of an example document."""
+        puts: list[Put] = []
+        for section in from_json(data, list[Section]):
+            record = SectionRecord(
+                kind=section.kind, owner=section.owner, body=section.body
+            )
+            puts.append(Put(keys.section(SectionName(section.name)), to_json(record)))
+        self.state.apply(Transaction([], [*puts]))
+
+    def app(self) -> Starlette:
+        """Returns the ASGI application."""
+        return Starlette(
+            routes=[
+                *Gateway(self.store).routes(),
+                Route("/instances", self.list_instances),
+                Route("/workers/{worker}/commands", self.command, methods=["POST"]),
+                Route("/workers/{worker}/reports", self.report),
+                Route(
+                    "/workers/{worker}/services/{service}/{path:path}",
+                    self.serve,
+                    methods=["GET", "POST", "PUT", "DELETE", "PATCH"],
+                ),
+            ]
+        )
+
+    async def list_instances(self, request: Request) -> Response:
+        """Returns the instance list."""
+        listed = await self.instance_list.fetch()
+        return json_response(listed.unwrap())
+
+    async def command(self, request: Request) -> Response:
+        """Hands commands to a worker."""
+        worker = self.workers[request.path_params["worker"]]
+        command = from_json(await request.body(), Command)
+        return json_response(worker.handle(command))
+
+    async def report(self, request: Request) -> Response:
+        """Returns a worker's next report."""
+        worker = self.workers[request.path_params["worker"]]
+        after = int(request.query_params["after"])
+        wait_s = float(request.query_params["wait_s"])
+        return json_response(await worker.wait_report(after, wait_s))
+
+    async def serve(self, request: Request) -> Response:
+        """Answers as the backend server of a service."""
+        worker = self.workers[request.path_params["worker"]]
+        service = ServiceId(request.path_params["service"])
+        running = {execution.view.service for execution in worker.running.values()}
+        if service not in running:
+            return Response(status_code=503)
+        body = await request.body()
+        await anyio.sleep(SERVICE_TIME_S)
+        ident = request.headers.get(REQUEST_ID_HEADER, "")
+        return Response(body, headers={REQUEST_ID_HEADER: ident})
--- /dev/null
+++ b/lacewinghold/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without knowledge of the domain."""
--- /dev/null
+++ b/lacewinghold/util/clock.py
@@ -0,0 +1,31 @@
+"""Wall time that follows the runtime's clock."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC, datetime
+
+import anyio
+
+
+class WallClock:
+    """Wall time as an offset of the runtime's monotonic clock.
+
+    :param start: Wall time at construction in seconds since 1970, or ``None``
+        for the system's. Tests pass a fixed one.
+    """
+
+    def __init__(self, start: float | None = None) -> None:
+        self.base = (time.time() if start is None else start) - anyio.current_time()
+
+    def now(self) -> float:
+        """Returns seconds since 1970."""
+        return self.base + anyio.current_time()
+
+    def to_runtime(self, moment: datetime) -> float:
+        """Returns the runtime's clock at a wall time."""
+        return moment.timestamp() - self.base
+
+    def now_text(self) -> str:
+        """Returns the time in RFC 3339 form."""
+        return datetime.fromtimestamp(self.now(), UTC).isoformat()
--- /dev/null
+++ b/lacewinghold/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Links to workers and the platform's instance list."""
--- /dev/null
+++ b/lacewinghold/workers/base.py
@@ -0,0 +1,58 @@
+"""Interfaces to workers and to the platform's instance list."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from lacewinghold.errors import Failure
+    from lacewinghold.schema.generated.worker import (
+        Command,
+        InstanceList,
+        Report,
+        WorkerRecord,
+    )
+
+
+class WorkerLink(ABC):
+    """A connection to one worker."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    async def send(self, command: Command) -> Result[Report, Failure]:
+        """Sends a batch of commands.
+
+        :returns: The worker's state after it, or a failure: ``UNREACHABLE`` if
+            the worker surely did not take it, else ``OUTCOME_UNKNOWN``.
+        """
+
+    @abstractmethod
+    async def poll(self, after: int, wait_s: float) -> Result[Report, Failure]:
+        """Waits for a report with a number above ``after``.
+
+        :param wait_s: Longest wait in seconds; the present report follows then.
+        """
+
+
+class WorkerLinks(ABC):
+    """Opens links to workers."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    def open(self, record: WorkerRecord) -> WorkerLink:
+        """Returns a link to a worker."""
+
+
+class InstanceListSource(ABC):
+    """The platform's lagging list of live and leaving instances."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    async def fetch(self) -> Result[InstanceList, Failure]:
+        """Returns the present list."""
--- /dev/null
+++ b/tests/test_shards/test_whole_path.py
@@ -0,0 +1,83 @@
+"""The whole path on fakes: submit, place, run, finish, ask, cancel."""
+
+from __future__ import annotations
+
+import anyio
+from result import Ok
+
+from lacewinghold.ids import ServiceId, TeamId
+from lacewinghold.invariants import violations
+from lacewinghold.schema.generated.jobs import (
+    JobKind,
+    JobSpec,
+    JobState,
+    Resources,
+)
+from lacewinghold.testing.cell import TERRASVUUR, Cell
+from lacewinghold.testing.clock import run_paused
+
+TEAM = TeamId("operators")
+SHARDS = 6
+
+
+def make_spec(**changes: object) -> JobSpec:
+    fields = {
+        "kind": JobKind.BATCH,
+        "team": TEAM,
+        "tasks": 3,
+        "resources": Resources(cores=2, memory_mb=1024),
+        "expected_run_s": 5.0,
+    }
+    return JobSpec(**{**fields, **changes})
+
+
+async def session(seed):
+    async with anyio.create_task_group() as tasks:
+        cell = Cell(TERRASVUUR, tasks, seed)
+        await cell.start()
+        await cell.wait_ready(SHARDS)
+        await anyio.sleep(1)
+        batch = await cell.any_instance().submit(TEAM, make_spec(), "a")
+        again = await cell.any_instance().submit(TEAM, make_spec(), "a")
+        assert batch == again
+        booking = make_spec(kind=JobKind.SERVICE, tasks=2, service=ServiceId("booking"))
+        service = await cell.any_instance().submit(TEAM, booking, "")
+        together = make_spec(kind=JobKind.ALL_AT_ONCE, tasks=8)
+        gang = await cell.any_instance().submit(TEAM, together, "")
+        await anyio.sleep(2)
+        answer = await cell.any_instance().request(
+            TEAM, ServiceId("booking"), "POST", "/deposits", b"5 euro", 5.0, False
+        )
+        assert isinstance(answer, Ok), answer
+        assert answer.ok_value.body == b"5 euro"
+        victim = next(iter(cell.instances))
+        cell.kill(victim)
+        await anyio.sleep(10)
+        states = {}
+        for name, job in (("batch", batch), ("service", service), ("gang", gang)):
+            view = await cell.any_instance().job(job.ok_value)
+            states[name] = view.ok_value.state
+        cancelled = await cell.any_instance().cancel(service.ok_value, "test")
+        assert isinstance(cancelled, Ok)
+        await anyio.sleep(2)
+        view = await cell.any_instance().job(service.ok_value)
+        states["cancelled"] = view.ok_value.state
+        starts = sum(cell.starts.values())
+        tasks.cancel_scope.cancel()
+    return states, starts
+
+
+def test_whole_path_through_the_death_of_an_instance():
+    states, starts = run_paused(session, 1, seed=1)
+    assert states == {
+        "batch": JobState.SUCCEEDED,
+        "service": JobState.RUNNING,
+        "gang": JobState.SUCCEEDED,
+        "cancelled": JobState.CANCELLED,
+    }
+    assert starts == 13
+    assert not violations
+
+
+def test_same_seed_gives_same_session():
+    assert run_paused(session, 2, seed=2) == run_paused(session, 2, seed=2)
