--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the real code on in-memory fakes, printed against targets."""
--- a/lacewinghold/cmd/demo.py
+++ b/lacewinghold/cmd/demo.py
@@ -72,17 +72,17 @@
             ),
         ]
         for spec in specs:
-            await cell.any_instance().submit(team, spec, "")
+            await cell.any_instance().jobs.submit(team, spec, "")
         await anyio.sleep(2)
         answered = 0
         for number in range(20):
-            reply = await cell.any_instance().request(
+            reply = await cell.any_instance().requests.request(
                 team, booking, "POST", "/", b"x", 5.0, number > 0
             )
             answered += isinstance(reply, Ok)
         cell.kill(next(iter(cell.instances)))
         await anyio.sleep(120)
-        views = (await cell.any_instance().jobs("")).unwrap()
+        views = (await cell.any_instance().jobs.jobs("")).unwrap()
         calls = sum(sum(r.store.calls.values()) for r in cell.instances.values())
         tasks.cancel_scope.cancel()
     return {
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -48,7 +48,7 @@
     """Serves until a signal, then shuts down gracefully; a second one is at once."""
     import httpx
 
-    from lacewinghold.api.app import Api
+    from lacewinghold.api.app import make_app
     from lacewinghold.application import EntryInstance, Ports
     from lacewinghold.peers.nng import NngTransport
     from lacewinghold.routing.http import HttpBackendLinks
@@ -74,7 +74,7 @@
             tasks.start_soon(watch_signals, instance, stop, tasks.cancel_scope)
             tasks.start_soon(instance.run)
             await serve_http(
-                Api(instance).app(),
+                make_app(instance),
                 settings.listen.http,
                 stop.wait,
                 settings.shutdown_limit_s,
--- /dev/null
+++ b/lacewinghold/shards/jobs.py
@@ -0,0 +1,213 @@
+"""Jobs of callers, at whichever entry instance they ask."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import InstanceId, JobId, ShardId, job_shard
+from lacewinghold.schema.generated.jobs import JobSpec, JobView
+from lacewinghold.schema.generated.messages import (
+    JobCancel,
+    JobList,
+    JobQuery,
+    MessageKind,
+    Submit,
+    SubmitReply,
+    Views,
+)
+from lacewinghold.util.codec import from_json, to_json, unpack
+
+if TYPE_CHECKING:
+    import random
+
+    from lacewinghold.ids import TeamId
+    from lacewinghold.peers.links import PeerLinks
+    from lacewinghold.schema.base import PackedStruct
+    from lacewinghold.schema.generated.settings import Settings
+    from lacewinghold.shards.directory import Directory
+
+CALL_TIMEOUT_S = 5.0
+
+
+class JobFront:
+    """Submits, finds and cancels jobs at the owners of their shards.
+
+    :param rng: Spreads jobs over equally near shards.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        directory: Directory,
+        peers: PeerLinks,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.peers = peers
+        self.rng = rng
+        peers.on(MessageKind.SUBMIT, self.on_submit)
+        peers.on(MessageKind.JOB_QUERY, self.on_job_query)
+        peers.on(MessageKind.JOB_CANCEL, self.on_job_cancel)
+        peers.on(MessageKind.JOB_LIST, self.on_job_list)
+
+    def candidate_shards(self, spec: JobSpec) -> list[ShardId]:
+        """Returns the shards that a job's wishes allow, the own data centre first."""
+        where = spec.where
+        found = []
+        for shard, record in self.directory.shard_owners().items():
+            if where and where.region not in (None, record.region):
+                continue
+            if where and where.data_centre not in (None, record.data_centre):
+                continue
+            far = record.data_centre != self.settings.data_centre
+            remote = record.region != self.settings.region
+            found.append((remote, far, self.rng.random(), shard))
+        return [shard for _, _, _, shard in sorted(found)]
+
+    async def submit(
+        self, team: TeamId, spec: JobSpec, idempotency_key: str
+    ) -> Result[JobId, Failure]:
+        """Submits a job to a shard that can run it.
+
+        :param idempotency_key: The caller's key, or the empty string.
+        :returns: The job, durable.
+        """
+        digest = ""
+        if idempotency_key:
+            digest = hashlib.sha256(f"{team}\0{idempotency_key}".encode()).hexdigest()
+        failure = Failure(ErrorKind.NOT_RUN, "no shard has an owner", "", 1.0)
+        for shard in self.candidate_shards(spec):
+            result = await self.submit_to(shard, spec, digest)
+            if isinstance(result, Ok):
+                return result
+            failure = result.err_value
+            if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+                return Err(failure)
+        return Err(failure)
+
+    async def submit_to(
+        self, shard: ShardId, spec: JobSpec, digest: str
+    ) -> Result[JobId, Failure]:
+        """Submits a job to the owner of one shard."""
+        local = self.directory.local_owner(shard)
+        if isinstance(local, Ok):
+            return await local.ok_value.accept(spec, digest)
+        body = Submit(shard, to_json(spec), digest)
+        reply = await self.directory.call_owner(
+            shard, MessageKind.SUBMIT, body, CALL_TIMEOUT_S
+        )
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(unpack(reply.ok_value, SubmitReply).job)
+
+    async def on_submit(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Accepts a job for another entry instance."""
+        message = unpack(body, Submit)
+        local = self.directory.local_owner(message.shard)
+        if isinstance(local, Err):
+            return Err(local.err_value)
+        spec = from_json(message.spec, JobSpec)
+        accepted = await local.ok_value.accept(spec, message.idempotency_digest)
+        if isinstance(accepted, Err):
+            return Err(accepted.err_value)
+        return Ok(SubmitReply(accepted.ok_value, True))
+
+    async def job(self, job_id: JobId) -> Result[JobView, Failure]:
+        """Returns a job."""
+        local = self.directory.local_owner(job_shard(job_id))
+        if isinstance(local, Ok):
+            job = local.ok_value.jobs.get(job_id)
+            if job is None:
+                return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}"))
+            return Ok(job.to_view())
+        shard = job_shard(job_id)
+        body = JobQuery(job_id)
+        reply = await self.directory.call_owner(
+            shard, MessageKind.JOB_QUERY, body, CALL_TIMEOUT_S
+        )
+        return first_view(reply)
+
+    async def on_job_query(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Returns a job to another entry instance."""
+        message = unpack(body, JobQuery)
+        local = self.directory.local_owner(job_shard(message.job))
+        if isinstance(local, Err):
+            return Err(local.err_value)
+        job = local.ok_value.jobs.get(message.job)
+        if job is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {message.job}"))
+        return Ok(Views([to_json(job.to_view())]))
+
+    async def cancel(self, job_id: JobId, actor: str) -> Result[JobView, Failure]:
+        """Cancels a job."""
+        shard = job_shard(job_id)
+        local = self.directory.local_owner(shard)
+        if isinstance(local, Ok):
+            cancelled = await local.ok_value.cancel(job_id)
+            if isinstance(cancelled, Err):
+                return Err(cancelled.err_value)
+            return Ok(cancelled.ok_value.to_view())
+        body = JobCancel(job_id, actor)
+        reply = await self.directory.call_owner(
+            shard, MessageKind.JOB_CANCEL, body, CALL_TIMEOUT_S
+        )
+        return first_view(reply)
+
+    async def on_job_cancel(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Cancels a job for another entry instance."""
+        message = unpack(body, JobCancel)
+        local = self.directory.local_owner(job_shard(message.job))
+        if isinstance(local, Err):
+            return Err(local.err_value)
+        cancelled = await local.ok_value.cancel(message.job)
+        if isinstance(cancelled, Err):
+            return Err(cancelled.err_value)
+        return Ok(Views([to_json(cancelled.ok_value.to_view())]))
+
+    def local_jobs(self, team: str) -> list[JobView]:
+        """Returns a team's jobs in the shards owned here; all if it is empty."""
+        found = []
+        for owner in self.directory.manager.owners.values():
+            for job in owner.jobs.values():
+                if not team or job.record.spec.team == team:
+                    found.append(job.to_view())
+        return found
+
+    async def jobs(self, team: str) -> Result[list[JobView], Failure]:
+        """Returns a team's jobs in all shards; all teams' if it is empty."""
+        found = self.local_jobs(team)
+        owners = {record.instance for record in self.directory.shard_owners().values()}
+        for instance in sorted(owners - {self.peers.instance}):
+            reply = await self.peers.call(
+                instance, MessageKind.JOB_LIST, JobList(team), CALL_TIMEOUT_S
+            )
+            if isinstance(reply, Err):
+                return Err(reply.err_value)
+            for view in unpack(reply.ok_value, Views).views:
+                found.append(from_json(view, JobView))
+        return Ok(sorted(found, key=lambda view: (view.accepted_at, view.job)))
+
+    async def on_job_list(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Returns a team's jobs to another entry instance."""
+        message = unpack(body, JobList)
+        return Ok(Views([to_json(view) for view in self.local_jobs(message.team)]))
+
+
+def first_view(reply: Result[bytes, Failure]) -> Result[JobView, Failure]:
+    """Returns the only job of a reply."""
+    if isinstance(reply, Err):
+        return Err(reply.err_value)
+    return Ok(from_json(unpack(reply.ok_value, Views).views[0], JobView))
--- a/tests/test_shards/test_whole_path.py
+++ b/tests/test_shards/test_whole_path.py
@@ -37,15 +37,15 @@
         await cell.start()
         await cell.wait_ready(SHARDS)
         await anyio.sleep(1)
-        batch = await cell.any_instance().submit(TEAM, make_spec(), "a")
-        again = await cell.any_instance().submit(TEAM, make_spec(), "a")
+        batch = await cell.any_instance().jobs.submit(TEAM, make_spec(), "a")
+        again = await cell.any_instance().jobs.submit(TEAM, make_spec(), "a")
         assert batch == again
         booking = make_spec(kind=JobKind.SERVICE, tasks=2, service=ServiceId("booking"))
-        service = await cell.any_instance().submit(TEAM, booking, "")
+        service = await cell.any_instance().jobs.submit(TEAM, booking, "")
         together = make_spec(kind=JobKind.ALL_AT_ONCE, tasks=8)
-        gang = await cell.any_instance().submit(TEAM, together, "")
+        gang = await cell.any_instance().jobs.submit(TEAM, together, "")
         await anyio.sleep(2)
-        answer = await cell.any_instance().request(
+        answer = await cell.any_instance().requests.request(
             TEAM, ServiceId("booking"), "POST", "/deposits", b"5 euro", 5.0, False
         )
         assert isinstance(answer, Ok), answer
@@ -55,12 +55,12 @@
         await anyio.sleep(10)
         states = {}
         for name, job in (("batch", batch), ("service", service), ("gang", gang)):
-            view = await cell.any_instance().job(job.ok_value)
+            view = await cell.any_instance().jobs.job(job.ok_value)
             states[name] = view.ok_value.state
-        cancelled = await cell.any_instance().cancel(service.ok_value, "test")
+        cancelled = await cell.any_instance().jobs.cancel(service.ok_value, "test")
         assert isinstance(cancelled, Ok)
         await anyio.sleep(2)
-        view = await cell.any_instance().job(service.ok_value)
+        view = await cell.any_instance().jobs.job(service.ok_value)
         states["cancelled"] = view.ok_value.state
         starts = sum(cell.starts.values())
         tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for developers."""
