--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,18 @@
 
 check-generated: setup
 	$(BIN)/python tools/generate_schema.py --check
+
+bench: setup
+	$(BIN)/python -m bench
+
+soak: setup
+	$(BIN)/python -m tools.soak --seed $(SEED)
+
+mutants: setup
+	$(BIN)/python -m tools.mutants
+
+binary: setup
+	$(BIN)/python -m tools.build_binary
+
+ci:
+	bash .ci/run
