--- a/lacewinghold/api/document.py
+++ b/lacewinghold/api/document.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING, Any
 
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 from result import Err, Ok, Result
 
-from lacewinghold.api.common import Handlers, unwrap
+from lacewinghold.api.common import Caller, Handlers, unwrap
 from lacewinghold.api.problems import json_response
+from lacewinghold.document.editor import Edit
 from lacewinghold.errors import ErrorKind, Failure, FailureError
 from lacewinghold.ids import Revision, SectionName, TeamId
+from lacewinghold.schema.generated.document import SectionKind
 from lacewinghold.util.codec import parse_json
 
 if TYPE_CHECKING:
@@ -18,7 +21,7 @@
     from starlette.responses import Response
     from starlette.routing import Route
 
-    from lacewinghold.schema.generated.document import SectionKind
+    from lacewinghold.schema.generated.records import Change
 
 
 MAX_EDIT_BYTES = 2 * 1024 * 1024
@@ -33,11 +36,23 @@
     comment: str = ""
 
 
-class Accepted(Struct):
-    """The answer to an accepted change of the document."""
+class SectionRevert(Struct, forbid_unknown_fields=True):
+    """The body of a revert: the revision whose body is to come back."""
 
-    section: SectionName
     revision: Revision
+    comment: str = ""
+
+
+class HistoryEntry(Struct):
+    """One change as the history shows it."""
+
+    revision: Revision
+    number: int
+    author: TeamId
+    at: float
+    action: str
+    comment: str
+    body: Any | UnsetType = UNSET
 
 
 class DocumentHandlers(Handlers):
@@ -46,10 +61,14 @@
     def routes(self) -> list[Route]:
         """Returns the routes."""
         route = self.route
+        section = "/v1/document/{section}"
         return [
             route("/v1/document", self.document, "GET"),
-            route("/v1/document/{section}", self.get_section, "GET"),
-            route("/v1/document/{section}", self.edit_section, "PUT"),
+            route(section, self.get_section, "GET"),
+            route(section, self.edit_section, "PUT"),
+            route(f"{section}/diff", self.diff, "GET"),
+            route(f"{section}/history", self.history, "GET"),
+            route(f"{section}/revert", self.revert, "POST"),
             route("/v1/audit", self.audit, "GET"),
         ]
 
@@ -69,23 +88,91 @@
         return json_response(section, headers={"ETag": f'"{section.revision}"'})
 
     async def edit_section(self, request: Request) -> Response:
-        """Replaces a section at the revision named by If-Match."""
+        """Replaces a section at the revision named by If-Match.
+
+        With ``dry_run=true`` it only tells what the change would do.
+        """
         caller = self.identify(request)
-        name = SectionName(request.path_params["section"])
-        expected = unwrap(parse_if_match(request.headers.get("if-match")))
         data = await self.body(request, MAX_EDIT_BYTES)
-        edit = unwrap(parse_json(data, SectionEdit))
-        section = self.instance.document.section(name)
-        owner = section.owner if section is not None else edit.owner or caller.team
-        self.require_team(caller, owner)
-        revision = unwrap(
-            await self.instance.editor.edit(
-                name, edit.kind, owner, edit.body, expected, caller.team, edit.comment
-            )
+        sent = unwrap(parse_json(data, SectionEdit))
+        edit = Edit(
+            SectionName(request.path_params["section"]),
+            sent.kind,
+            sent.body,
+            unwrap(parse_if_match(request.headers.get("if-match"))),
+            caller.team,
+            caller.operator,
+            sent.owner,
+            sent.comment,
+            write_name(request, caller),
         )
-        return json_response(
-            Accepted(name, revision), headers={"ETag": f'"{revision}"'}
+        return await self.apply(request, edit)
+
+    async def revert(self, request: Request) -> Response:
+        """Brings an earlier body back as a new change."""
+        caller = self.identify(request)
+        name = SectionName(request.path_params["section"])
+        sent = unwrap(
+            parse_json(await self.body(request, MAX_EDIT_BYTES), SectionRevert)
         )
+        expected = unwrap(parse_if_match(request.headers.get("if-match")))
+        change = await self.find_change(name, sent.revision)
+        record = unwrap(await self.instance.editor.log.body(name, change))
+        edit = Edit(
+            name,
+            SectionKind(record.kind),
+            record.body,
+            expected,
+            caller.team,
+            caller.operator,
+            None,
+            sent.comment or f"back to revision {sent.revision}",
+            write_name(request, caller),
+            "revert",
+        )
+        return await self.apply(request, edit)
+
+    async def apply(self, request: Request, edit: Edit) -> Response:
+        """Makes a change, or only tells what it would do."""
+        editor = self.instance.editor
+        if request.query_params.get("dry_run") == "true":
+            return json_response(unwrap(await editor.preview(edit)))
+        accepted = unwrap(await editor.edit(edit))
+        return json_response(accepted, headers={"ETag": f'"{accepted.revision}"'})
+
+    async def find_change(self, name: SectionName, revision: Revision) -> Change:
+        """Returns the change that led to a revision.
+
+        :raises FailureError: If it is not among the latest changes.
+        """
+        known = unwrap(await self.instance.editor.log.read(name))
+        change = known.by_revision(revision)
+        if change is None:
+            detail = f"revision {revision} is not in the history of {name}"
+            raise FailureError(Failure(ErrorKind.NOT_FOUND, detail))
+        return change
+
+    async def diff(self, request: Request) -> Response:
+        """Returns the differences between two revisions of a section."""
+        self.identify(request)
+        name = SectionName(request.path_params["section"])
+        before = await self.find_change(name, parse_revision(request, "from"))
+        after = await self.find_change(name, parse_revision(request, "to"))
+        compared = await self.instance.editor.compare(name, before, after)
+        return json_response(unwrap(compared))
+
+    async def history(self, request: Request) -> Response:
+        """Returns the latest changes, or one with its body."""
+        self.identify(request)
+        name = SectionName(request.path_params["section"])
+        log = self.instance.editor.log
+        if "revision" in request.query_params:
+            change = await self.find_change(name, parse_revision(request, "revision"))
+            entry = to_entry(change)
+            entry.body = unwrap(await log.body(name, change)).body
+            return json_response(entry)
+        known = unwrap(await log.read(name))
+        return json_response([to_entry(change) for change in known.changes])
 
     async def audit(self, request: Request) -> Response:
         """Returns the audit trail."""
@@ -93,6 +180,38 @@
         return json_response(unwrap(await self.instance.editor.audit()))
 
 
+def to_entry(change: Change) -> HistoryEntry:
+    """Returns a change as the history shows it."""
+    return HistoryEntry(
+        change.revision,
+        change.number,
+        change.author,
+        change.at,
+        change.action,
+        change.comment,
+    )
+
+
+def write_name(request: Request, caller: Caller) -> str:
+    """Returns the name of a write from its Idempotency-Key; empty if none came."""
+    key = request.headers.get("idempotency-key", "")
+    if not key:
+        return ""
+    return hashlib.sha256(f"{caller.team}\0{key}".encode()).hexdigest()[:32]
+
+
+def parse_revision(request: Request, name: str) -> Revision:
+    """Returns a revision from the query.
+
+    :raises FailureError: If it is missing or no number.
+    """
+    text = request.query_params.get(name, "")
+    if not text.isdecimal():
+        detail = f"name a revision as {name}=NUMBER"
+        raise FailureError(Failure(ErrorKind.INVALID, detail, name))
+    return Revision(int(text))
+
+
 def parse_if_match(text: str | None) -> Result[Revision, Failure]:
     """Returns the revision in an If-Match header; 0 for a new section."""
     if text is None:
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -66,7 +66,7 @@
         self.lease = InstanceLease(ports.store, self.keys, settings.lease, record, rng)
         self.view = LiveView(ports.store, self.keys, rng)
         self.document = Document(self.view)
-        self.editor = Editor(ports.store, self.keys, ports.clock)
+        self.editor = Editor(ports.store, self.keys, ports.clock, self.document, rng)
         self.peers = PeerLinks(self.instance, ports.transport, self.address_of)
         self.manager = ShardManager(
             settings,
--- a/lacewinghold/cmd/__init__.py
+++ b/lacewinghold/cmd/__init__.py
@@ -14,14 +14,14 @@
 
 def build_parser() -> argparse.ArgumentParser:
     """Returns the parser of all commands."""
-    from lacewinghold.cmd import client, demo, serve, settings, stand_in
+    from lacewinghold.cmd import client, demo, document, serve, settings, stand_in
 
     parser = argparse.ArgumentParser(
         prog="lacewinghold", description="A cluster scheduler for unlike workloads."
     )
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True)
-    for module in (serve, stand_in, demo, settings, client):
+    for module in (serve, stand_in, demo, settings, client, document):
         module.add_parsers(commands)
     return parser
 
--- a/lacewinghold/cmd/client.py
+++ b/lacewinghold/cmd/client.py
@@ -34,11 +34,6 @@
     add(commands, "workers", "list workers", get("/v1/workers"))
     add(commands, "audit", "show the audit trail", get("/v1/audit"))
     add(commands, "status", "show an entry instance's status", get("/status"))
-    document = add(commands, "document", "show or edit the document", run_document)
-    document.add_argument("action", choices=["get", "edit"])
-    document.add_argument("section", nargs="?")
-    document.add_argument("file", nargs="?", type=Path)
-    document.add_argument("--revision", help="the revision that you saw")
 
 
 def add(commands: Any, name: str, text: str, run: Callable[..., int]) -> Any:
@@ -159,17 +154,3 @@
 def run_cancel(options: argparse.Namespace) -> int:
     """Runs ``cancel``."""
     return call(options, "POST", f"/v1/jobs/{options.job}/cancel")
-
-
-def run_document(options: argparse.Namespace) -> int:
-    """Runs ``document``."""
-    from lacewinghold.cmd import fail
-
-    section = f"/{options.section}" if options.section else ""
-    if options.action == "get":
-        return call(options, "GET", f"/v1/document{section}")
-    if options.file is None or options.revision is None:
-        return fail("edit needs SECTION FILE --revision REVISION", 2)
-    content = options.file.read_bytes()
-    headers = {"If-Match": f'"{options.revision}"'}
-    return call(options, "PUT", f"/v1/document{section}", content, headers)
--- /dev/null
+++ b/lacewinghold/cmd/document.py
@@ -0,0 +1,101 @@
+"""The ``document`` commands: get, edit, diff, history, revert, status."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from lacewinghold.cmd.client import add, call
+
+if TYPE_CHECKING:
+    import argparse
+
+PATH = "/v1/document"
+
+
+def add_parsers(commands: Any) -> None:
+    """Adds the ``document`` commands."""
+    document = commands.add_parser("document", help="the operators' document")
+    actions = document.add_subparsers(dest="action", required=True)
+    get = add(actions, "get", "show all sections, or one", run_get)
+    get.add_argument("section", nargs="?", default="")
+    edit = add(actions, "edit", "replace a section from a JSON file", run_edit)
+    edit.add_argument("section")
+    edit.add_argument("file", type=Path, help="kind, body and comment as JSON")
+    add_change_options(edit)
+    diff = add(actions, "diff", "show what two revisions differ in", run_diff)
+    diff.add_argument("section")
+    diff.add_argument("first", type=int)
+    diff.add_argument("second", type=int)
+    history = add(actions, "history", "list the latest changes", run_history)
+    history.add_argument("section")
+    history.add_argument("--show", type=int, help="show the body of a revision")
+    revert = add(actions, "revert", "bring an earlier body back", run_revert)
+    revert.add_argument("section")
+    revert.add_argument("to", type=int, help="the revision to bring back")
+    revert.add_argument("--comment", default="")
+    add_change_options(revert)
+
+
+def add_change_options(parser: argparse.ArgumentParser) -> None:
+    """Adds what all changes of a section share."""
+    parser.add_argument(
+        "--revision", type=int, required=True, help="the revision that you saw"
+    )
+    parser.add_argument("--dry-run", action="store_true")
+    parser.add_argument(
+        "--idempotency-key", help="name the change, so that a repeat has no effect"
+    )
+
+
+def change_headers(options: argparse.Namespace) -> dict[str, str]:
+    """Returns the headers of a change."""
+    return {
+        "If-Match": f'"{options.revision}"',
+        "Idempotency-Key": options.idempotency_key or secrets.token_hex(16),
+    }
+
+
+def dry_run(options: argparse.Namespace) -> str:
+    """Returns the query of a change."""
+    return "?dry_run=true" if options.dry_run else ""
+
+
+def run_get(options: argparse.Namespace) -> int:
+    """Runs ``document get``."""
+    section = f"/{options.section}" if options.section else ""
+    return call(options, "GET", PATH + section)
+
+
+def run_edit(options: argparse.Namespace) -> int:
+    """Runs ``document edit``."""
+    from lacewinghold.cmd import fail
+
+    try:
+        content = options.file.read_bytes()
+    except OSError as error:
+        return fail(f"{options.file}: {error.strerror}", 2)
+    path = f"{PATH}/{options.section}{dry_run(options)}"
+    return call(options, "PUT", path, content, change_headers(options))
+
+
+def run_revert(options: argparse.Namespace) -> int:
+    """Runs ``document revert``."""
+    body = {"revision": options.to, "comment": options.comment}
+    path = f"{PATH}/{options.section}/revert{dry_run(options)}"
+    content = json.dumps(body).encode()
+    return call(options, "POST", path, content, change_headers(options))
+
+
+def run_diff(options: argparse.Namespace) -> int:
+    """Runs ``document diff``."""
+    query = f"from={options.first}&to={options.second}"
+    return call(options, "GET", f"{PATH}/{options.section}/diff?{query}")
+
+
+def run_history(options: argparse.Namespace) -> int:
+    """Runs ``document history``."""
+    query = "" if options.show is None else f"?revision={options.show}"
+    return call(options, "GET", f"{PATH}/{options.section}/history{query}")
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -25,6 +25,7 @@
         self.instances = f"{self.live}instances/"
         self.owners = f"{self.live}owners/"
         self.sections = f"{self.live}sections/"
+        self.references = f"{self.live}references"
         self.audits = f"{prefix}/audit/"
 
     def instance(self, instance: InstanceId) -> str:
@@ -39,6 +40,14 @@
         """Returns the key of a document section."""
         return f"{self.sections}{section}"
 
+    def changes(self, section: SectionName) -> str:
+        """Returns the key of the index of a section's latest changes."""
+        return f"{self.prefix}/changes/{section}"
+
+    def history(self, section: SectionName, number: int) -> str:
+        """Returns the key of a section as a change left it."""
+        return f"{self.prefix}/history/{section}/{number:0{SEQUENCE_DIGITS}d}"
+
     def log(self, shard: ShardId) -> str:
         """Returns the prefix of a shard's log."""
         return f"{self.prefix}/ledger/{shard}/log/"
--- /dev/null
+++ b/lacewinghold/document/difference.py
@@ -0,0 +1,82 @@
+"""Readable differences between two bodies of a section."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from msgspec import Struct
+
+from lacewinghold.util.codec import to_json
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_DIFFERENCES = 100
+MAX_VALUE_CHARS = 200
+ABSENT = "(absent)"
+
+
+class Difference(Struct, frozen=True):
+    """One place where two bodies differ.
+
+    :param path: JSON path of the place.
+    :param before: The old value as JSON, cut to a readable length.
+    :param after: The new value as JSON, cut to a readable length.
+    """
+
+    path: str
+    before: str
+    after: str
+
+
+def differences(before: Any, after: Any) -> list[Difference]:
+    """Returns where two JSON values differ, the first ones if there are many."""
+    found: list[Difference] = []
+    for difference in compare("$.body", before, after):
+        found.append(difference)
+        if len(found) == MAX_DIFFERENCES:
+            break
+    return found
+
+
+def compare(path: str, before: Any, after: Any) -> Iterator[Difference]:
+    """Yields the differences of two values at a path."""
+    if isinstance(before, dict) and isinstance(after, dict):
+        for name in sorted(before.keys() | after.keys()):
+            old, new = show_missing(before, name), show_missing(after, name)
+            yield from compare(f"{path}.{name}", old, new)
+        return
+    if isinstance(before, list) and isinstance(after, list):
+        for index in range(max(len(before), len(after))):
+            old = before[index] if index < len(before) else Missing()
+            new = after[index] if index < len(after) else Missing()
+            yield from compare(f"{path}[{index}]", old, new)
+        return
+    if before != after:
+        yield Difference(path, show(before), show(after))
+
+
+class Missing:
+    """Stands for a value that one side does not have."""
+
+
+def show_missing(values: dict[str, Any], name: str) -> Any:
+    """Returns a member of an object, or ``Missing``."""
+    return values[name] if name in values else Missing()
+
+
+def show(value: Any) -> str:
+    """Returns a value as short JSON."""
+    if isinstance(value, Missing):
+        return ABSENT
+    text = to_json(value).decode()
+    if len(text) <= MAX_VALUE_CHARS:
+        return text
+    return f"{text[:MAX_VALUE_CHARS]}... ({len(text)} characters)"
+
+
+def describe(found: list[Difference]) -> str:
+    """Returns differences as one line of text."""
+    if not found:
+        return "no difference in the body"
+    return "; ".join(f"{item.path}: {item.before} -> {item.after}" for item in found)
--- a/lacewinghold/document/editor.py
+++ b/lacewinghold/document/editor.py
@@ -2,96 +2,336 @@
 
 from __future__ import annotations
 
+import hashlib
 import secrets
 from typing import TYPE_CHECKING, Any
 
+import anyio
+from msgspec import Struct
 from result import Err, Ok, Result
 
-from lacewinghold.document.sections import check_body
+from lacewinghold.document.changes import ChangeList, ChangeLog, audit_ident
+from lacewinghold.document.checks import check_section, references
+from lacewinghold.document.difference import Difference, describe, differences
+from lacewinghold.document.sections import CELL_SECTION, SECTION_NAME, check_body
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import Revision
-from lacewinghold.schema.generated.records import AuditRecord, SectionRecord
-from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
+from lacewinghold.ids import Revision, SectionName, TeamId
+from lacewinghold.schema.generated.document import Section, SectionKind
+from lacewinghold.schema.generated.records import (
+    AuditRecord,
+    Change,
+    References,
+    SectionRecord,
+)
+from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
+from lacewinghold.util.backoff import Backoff
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
+    import random
+
     from lacewinghold.coordination.keys import Keys
-    from lacewinghold.ids import SectionName, TeamId
-    from lacewinghold.schema.generated.document import SectionKind
+    from lacewinghold.document.sections import Document
     from lacewinghold.store.base import Store
     from lacewinghold.util.clock import WallClock
 
+MAX_ATTEMPTS = 8
+RETRY_FIRST_S = 0.05
+RETRY_LIMIT_S = 1.0
+MAX_COMMENT_CHARS = 1000
+REPEATED_KINDS = frozenset(
+    {ErrorKind.NOT_RUN, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STORE_UNAVAILABLE}
+)
+
+
+class Edit(Struct, frozen=True):
+    """A change that an author asks for.
+
+    :param expected: The revision that the author saw; 0 for a new section.
+    :param operator: Whether the author may change sections of other teams.
+    :param owner: The owning team, or ``None`` to leave it.
+    :param write: Names the write: a repeat under the same name has no effect.
+    :param action: What the audit trail calls it.
+    """
+
+    section: SectionName
+    kind: SectionKind
+    body: Any
+    expected: Revision
+    author: TeamId
+    operator: bool = False
+    owner: TeamId | None = None
+    comment: str = ""
+    write: str = ""
+    action: str = "edit"
+
+    def digest(self) -> str:
+        """Returns the hash by which a repeat is told from another change."""
+        told = [self.kind, self.body, self.expected, self.owner, self.action]
+        return hashlib.sha256(to_json(told)).hexdigest()[:32]
+
+
+class Accepted(Struct, frozen=True):
+    """The answer to an accepted change.
+
+    :param repeated: Whether an earlier call made the change.
+    """
+
+    section: SectionName
+    revision: Revision
+    number: int
+    repeated: bool = False
+
+
+class Preview(Struct, frozen=True):
+    """What a change would do."""
+
+    section: SectionName
+    differences: list[Difference]
+
 
 class Editor:
-    """Writes sections by compare-and-swap, each with its audit record."""
+    """Writes sections by compare-and-swap, each with its audit record.
 
-    def __init__(self, store: Store, keys: Keys, clock: WallClock) -> None:
+    A change, its audit record and its entry in the section's change index are
+    one transaction, so that the index tells after a lost reply whether the
+    change was made, also when others changed the section since.
+
+    :param document: The document as this instance last saw it.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: Keys,
+        clock: WallClock,
+        document: Document,
+        rng: random.Random,
+    ) -> None:
         self.store = store
         self.keys = keys
         self.clock = clock
+        self.document = document
+        self.rng = rng
+        self.log = ChangeLog(store, keys)
 
-    async def edit(
-        self,
-        name: SectionName,
-        kind: SectionKind,
-        owner: TeamId,
-        body: Any,
-        expected: Revision,
-        author: TeamId,
-        comment: str = "",
-    ) -> Result[Revision, Failure]:
+    async def edit(self, edit: Edit) -> Result[Accepted, Failure]:
         """Replaces a section's body.
 
-        :param expected: The revision that the author saw; 0 for a new section.
-        :returns: The new revision; ``PRECONDITION_FAILED`` if somebody else
-            changed the section meanwhile.
+        :returns: ``PRECONDITION_FAILED`` with the differences if somebody else
+            changed the section; ``OUTCOME_UNKNOWN`` only if the store could not
+            be read again in time: a repeat under the same name settles it.
         """
-        checked = check_body(kind, body)
+        if not edit.write:
+            # A write needs a name to be found again after a lost reply.
+            fields = {name: getattr(edit, name) for name in edit.__struct_fields__}
+            edit = Edit(**{**fields, "write": secrets.token_hex(16)})
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S, self.rng)
+        unknown: Failure | None = None
+        failure = Failure(ErrorKind.INTERNAL, "no attempt")
+        for _ in range(MAX_ATTEMPTS):
+            result = await self.attempt(edit)
+            if isinstance(result, Ok):
+                return result
+            failure = result.err_value
+            if failure.kind not in REPEATED_KINDS:
+                return result
+            if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+                unknown = failure
+            await anyio.sleep(backoff.next_delay_s())
+        return Err(unknown or failure)
+
+    async def preview(self, edit: Edit) -> Result[Preview, Failure]:
+        """Checks a change and tells what it would do, without making it."""
+        read = await self.log.read(edit.section)
+        if isinstance(read, Err):
+            return Err(read.err_value)
+        checked = await self.check(edit, read.ok_value)
         if isinstance(checked, Err):
             return Err(checked.err_value)
-        write = secrets.token_hex(8)
-        at = self.clock.now()
-        record = SectionRecord(
-            kind=kind,
+        old = self.document.section(edit.section)
+        before = {} if old is None else old.body
+        return Ok(Preview(edit.section, differences(before, edit.body)))
+
+    async def attempt(self, edit: Edit) -> Result[Accepted, Failure]:
+        """Tries once; a repeat can take effect only if this one does not."""
+        read = await self.log.read(edit.section)
+        if isinstance(read, Err):
+            return Err(read.err_value)
+        known = read.ok_value
+        earlier = known.by_write(edit.write)
+        if earlier is not None:
+            return self.repeat(edit, earlier)
+        checked = await self.check(edit, known)
+        if isinstance(checked, Err):
+            return Err(checked.err_value)
+        transaction, change = self.prepare(edit, checked.ok_value, known)
+        written = await self.store.commit(transaction)
+        if isinstance(written, Err):
+            return Err(written.err_value)
+        if not written.ok_value.succeeded:
+            return Err(Failure(ErrorKind.NOT_RUN, "the document changed meanwhile"))
+        revision = Revision(written.ok_value.revision)
+        return Ok(Accepted(edit.section, revision, change.number))
+
+    def repeat(self, edit: Edit, earlier: Change) -> Result[Accepted, Failure]:
+        """Answers a write that took effect before."""
+        if earlier.digest != edit.digest():
+            detail = "another change was made under this Idempotency-Key"
+            return Err(Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key"))
+        return Ok(Accepted(edit.section, earlier.revision, earlier.number, True))
+
+    async def check(self, edit: Edit, known: ChangeList) -> Result[Section, Failure]:
+        """Checks who, when and what.
+
+        :returns: The section as it shall become.
+        """
+        if len(edit.comment) > MAX_COMMENT_CHARS:
+            detail = f"at most {MAX_COMMENT_CHARS} characters"
+            return Err(Failure(ErrorKind.INVALID, detail, "$.comment"))
+        if SECTION_NAME.fullmatch(edit.section) is None:
+            detail = f"a section's name has the form {SECTION_NAME.pattern}"
+            return Err(Failure(ErrorKind.INVALID, detail, "$.name"))
+        if not self.document.view.loaded.is_set():
+            detail = "the document is not loaded yet"
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        old = self.document.section(edit.section)
+        seen = Revision(0) if old is None else old.revision
+        if max(seen, known.revision) > edit.expected:
+            return Err(await self.describe_conflict(edit, known))
+        if seen < edit.expected:
+            detail = f"revision {edit.expected} of {edit.section} is not here yet"
+            return Err(Failure(ErrorKind.NOT_RUN, detail))
+        if old is not None and not edit.operator and old.owner != edit.author:
+            detail = f"section {edit.section} belongs to {old.owner}"
+            return Err(Failure(ErrorKind.FORBIDDEN, detail))
+        owner = edit.owner or (edit.author if old is None else old.owner)
+        if owner != edit.author and not edit.operator:
+            detail = f"only an operator can name {owner} as owner"
+            return Err(Failure(ErrorKind.FORBIDDEN, detail, "$.owner"))
+        body_checked = check_body(edit.kind, edit.body)
+        if isinstance(body_checked, Err):
+            return Err(body_checked.err_value)
+        section = Section(
+            name=edit.section,
+            kind=edit.kind,
             owner=owner,
-            body=body,
-            author=author,
-            comment=comment,
-            write=write,
-            at=at,
+            revision=edit.expected,
+            body=edit.body,
+        )
+        others = [s for s in self.document.sections() if s.name != edit.section]
+        checked = check_section(section, others)
+        if isinstance(checked, Err):
+            return Err(checked.err_value)
+        return Ok(section)
+
+    def prepare(
+        self, edit: Edit, section: Section, known: ChangeList
+    ) -> tuple[Transaction, Change]:
+        """Returns the transaction that makes a checked change."""
+        now = self.clock.now()
+        old = self.document.section(edit.section)
+        operations: list[Put | Delete] = []
+        if not known.changes and old is not None:
+            known = self.adopt(old, known, operations)
+        number = known.changes[-1].number + 1 if known.changes else 1
+        change = Change(
+            number=number,
+            write=edit.write,
+            digest=edit.digest(),
+            author=edit.author,
+            at=now,
+            action=edit.action,
+            comment=edit.comment,
+        )
+        record = SectionRecord(
+            kind=section.kind,
+            owner=section.owner,
+            body=section.body,
+            author=edit.author,
+            comment=edit.comment,
+            write=edit.write,
+            at=now,
+            number=number,
         )
         audit = AuditRecord(
-            at=at, actor=author, action="edit", subject=name, detail=comment
+            at=now,
+            actor=edit.author,
+            action=edit.action,
+            subject=edit.section,
+            detail=edit.comment,
         )
-        key = self.keys.section(name)
-        transaction = Transaction(
-            [Compare(key, CompareTarget.MOD_REVISION, expected)],
-            [
-                Put(key, to_json(record)),
-                Put(self.keys.audit(f"{at:017.6f}-{write}"), to_json(audit)),
-            ],
+        key = self.keys.section(edit.section)
+        operations += [
+            Put(key, to_json(record)),
+            Put(self.keys.audit(audit_ident(change)), to_json(audit)),
+            *self.log.extend(edit.section, known, change, record),
+        ]
+        if old is None or references(old) != references(section):
+            marker = References(write=edit.write)
+            operations.append(Put(self.keys.references, to_json(marker)))
+        compares = [
+            Compare(key, CompareTarget.MOD_REVISION, edit.expected),
+            self.log.condition(edit.section, known),
+            self.guard(section),
+        ]
+        return Transaction(compares, operations), change
+
+    def adopt(
+        self, old: Section, known: ChangeList, operations: list[Put | Delete]
+    ) -> ChangeList:
+        """Starts the history of a section that was written without one."""
+        record = SectionRecord(kind=old.kind, owner=old.owner, body=old.body)
+        operations.append(self.log.put_body(old.name, 0, record))
+        first = Change(
+            number=0,
+            write="",
+            digest="",
+            author=old.owner,
+            at=0.0,
+            revision=old.revision,
+            action="load",
         )
-        written = await self.store.commit(transaction)
-        if isinstance(written, Err):
-            return await self.settle(key, write, written.err_value)
-        if not written.ok_value.succeeded:
-            detail = f"section {name} is no longer at revision {expected}"
-            return Err(Failure(ErrorKind.PRECONDITION_FAILED, detail))
-        return Ok(Revision(written.ok_value.revision))
-
-    async def settle(
-        self, key: str, write: str, failure: Failure
-    ) -> Result[Revision, Failure]:
-        """Reads back whether a write with a lost reply took effect."""
-        if failure.kind is not ErrorKind.OUTCOME_UNKNOWN:
-            return Err(failure)
-        reply = await self.store.range(key)
-        if isinstance(reply, Err):
-            return Err(failure)
-        for item in reply.ok_value.items:
-            if from_json(item.value, SectionRecord).write == write:
-                return Ok(Revision(item.mod_revision))
-        return Err(failure)
+        return ChangeList(known.mod_revision, [first])
+
+    def guard(self, section: Section) -> Compare:
+        """Returns the condition that what a section was checked against holds."""
+        if section.name == CELL_SECTION:
+            key = self.keys.references
+        else:
+            key = self.keys.section(CELL_SECTION)
+        item = self.document.view.items.get(key)
+        revision = 0 if item is None else item.mod_revision
+        return Compare(key, CompareTarget.MOD_REVISION, revision)
+
+    async def describe_conflict(self, edit: Edit, known: ChangeList) -> Failure:
+        """Returns the refusal that tells an author what changed meanwhile."""
+        name = edit.section
+        text = f"section {name} is no longer at revision {edit.expected}"
+        if not known.changes:
+            return Failure(ErrorKind.PRECONDITION_FAILED, text)
+        last = known.changes[-1]
+        text += f"; {last.author} made revision {last.revision}"
+        if last.comment:
+            text += f" ({last.comment})"
+        seen = known.by_revision(edit.expected)
+        if seen is not None:
+            compared = await self.compare(name, seen, last)
+            if isinstance(compared, Ok):
+                text += f": {describe(compared.ok_value)}"
+        return Failure(ErrorKind.PRECONDITION_FAILED, text)
+
+    async def compare(
+        self, section: SectionName, before: Change, after: Change
+    ) -> Result[list[Difference], Failure]:
+        """Returns the differences between what two changes left."""
+        old = await self.log.body(section, before)
+        if isinstance(old, Err):
+            return Err(old.err_value)
+        new = await self.log.body(section, after)
+        if isinstance(new, Err):
+            return Err(new.err_value)
+        return Ok(differences(old.ok_value.body, new.ok_value.body))
 
     async def audit(self) -> Result[list[AuditRecord], Failure]:
         """Returns the audit trail, oldest first."""
--- a/lacewinghold/document/sections.py
+++ b/lacewinghold/document/sections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
@@ -33,6 +34,8 @@
 }
 CELL_SECTION = SectionName("cell")
 MAX_SECTION_BYTES = 1_000_000
+MAX_CACHED_BYTES = 64 * 1024
+SECTION_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 
 
 def check_body(kind: SectionKind, body: Any) -> Result[None, Failure]:
@@ -63,6 +66,7 @@
 
     def __init__(self, view: LiveView) -> None:
         self.view = view
+        self.parsed: dict[str, Section] = {}
 
     def section(self, name: SectionName) -> Section | None:
         """Returns a section, or ``None`` if there is none of that name."""
@@ -80,6 +84,16 @@
 
     def to_section(self, item: KeyValue) -> Section:
         """Returns the section that a stored item holds."""
+        cached = self.parsed.get(item.key)
+        if cached is not None and cached.revision == item.mod_revision:
+            return cached
+        section = self.parse(item)
+        if len(item.value) <= MAX_CACHED_BYTES:
+            self.parsed[item.key] = section
+        return section
+
+    def parse(self, item: KeyValue) -> Section:
+        """Decodes a stored section."""
         record = from_json(item.value, SectionRecord)
         return Section(
             name=SectionName(item.key.removeprefix(self.view.keys.sections)),
