--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -53,8 +53,12 @@
     def identify(self, request: Request) -> Caller:
         """Returns the caller of a request by its bearer key.
 
-        :raises FailureError: If the key is missing or unknown.
+        :raises FailureError: If the key is missing or unknown, or the known keys
+            are too old.
         """
+        if not self.instance.rules.callers_known():
+            detail = "the keys known here are too old to tell callers apart"
+            raise FailureError(Failure(ErrorKind.NOT_RUN, detail, "", 1.0))
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         found = None
         if scheme.lower() == "bearer":
--- a/lacewinghold/api/document.py
+++ b/lacewinghold/api/document.py
@@ -68,6 +68,7 @@
             route(section, self.edit_section, "PUT"),
             route(f"{section}/diff", self.diff, "GET"),
             route(f"{section}/history", self.history, "GET"),
+            route(f"{section}/status", self.status, "GET"),
             route(f"{section}/revert", self.revert, "POST"),
             route("/v1/audit", self.audit, "GET"),
         ]
@@ -174,6 +175,15 @@
         known = unwrap(await log.read(name))
         return json_response([to_entry(change) for change in known.changes])
 
+    async def status(self, request: Request) -> Response:
+        """Returns where a revision is in force, or the latest one."""
+        self.identify(request)
+        name = SectionName(request.path_params["section"])
+        revision = None
+        if "revision" in request.query_params:
+            revision = parse_revision(request, "revision")
+        return json_response(unwrap(await self.instance.force.status(name, revision)))
+
     async def audit(self, request: Request) -> Response:
         """Returns the audit trail."""
         self.identify(request)
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -11,7 +11,10 @@
 from lacewinghold.coordination.lease import InstanceLease
 from lacewinghold.coordination.view import LiveView
 from lacewinghold.document.editor import Editor
+from lacewinghold.document.force import ForceTracker
+from lacewinghold.document.rules import DocumentRules
 from lacewinghold.document.sections import Document
+from lacewinghold.document.spread import DocumentSpread
 from lacewinghold.ids import InstanceId
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.routing.front import RequestFront
@@ -66,6 +69,7 @@
         self.lease = InstanceLease(ports.store, self.keys, settings.lease, record, rng)
         self.view = LiveView(ports.store, self.keys, rng)
         self.document = Document(self.view)
+        self.rules = DocumentRules(self.view, self.document, self.lease)
         self.editor = Editor(ports.store, self.keys, ports.clock, self.document, rng)
         self.peers = PeerLinks(self.instance, ports.transport, self.address_of)
         self.manager = ShardManager(
@@ -77,6 +81,13 @@
             ports.worker_links,
             ports.clock,
             rng,
+            self.rules,
+        )
+        self.spread = DocumentSpread(
+            settings, self.view, self.rules, self.peers, self.manager.gone, rng
+        )
+        self.force = ForceTracker(
+            self.spread, self.document, self.editor.log, ports.clock
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
@@ -87,6 +98,8 @@
     def address_of(self, instance: InstanceId) -> str | None:
         """Returns the address of a peer, or ``None`` if it is unknown."""
         record = self.view.instances().get(instance)
+        if record is None:
+            record = self.view.roster().get(instance)
         return None if record is None else record.peer
 
     async def run(self) -> None:
@@ -95,6 +108,7 @@
             tasks.start_soon(self.lease.run)
             tasks.start_soon(self.view.run)
             tasks.start_soon(self.peers.run)
+            tasks.start_soon(self.spread.run)
             tasks.start_soon(self.manager.run)
 
     async def shut_down(self) -> None:
--- a/lacewinghold/cmd/document.py
+++ b/lacewinghold/cmd/document.py
@@ -32,6 +32,9 @@
     history = add(actions, "history", "list the latest changes", run_history)
     history.add_argument("section")
     history.add_argument("--show", type=int, help="show the body of a revision")
+    status = add(actions, "status", "show where a change is in force", run_status)
+    status.add_argument("section")
+    status.add_argument("--revision", type=int, help="a change, else the latest")
     revert = add(actions, "revert", "bring an earlier body back", run_revert)
     revert.add_argument("section")
     revert.add_argument("to", type=int, help="the revision to bring back")
@@ -99,3 +102,9 @@
     """Runs ``document history``."""
     query = "" if options.show is None else f"?revision={options.show}"
     return call(options, "GET", f"{PATH}/{options.section}/history{query}")
+
+
+def run_status(options: argparse.Namespace) -> int:
+    """Runs ``document status``."""
+    query = "" if options.revision is None else f"?revision={options.revision}"
+    return call(options, "GET", f"{PATH}/{options.section}/status{query}")
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -26,12 +26,19 @@
         self.owners = f"{self.live}owners/"
         self.sections = f"{self.live}sections/"
         self.references = f"{self.live}references"
+        self.version = f"{self.live}version"
+        self.rule_lease = f"{self.live}rule-lease"
+        self.rosters = f"{self.live}roster/"
         self.audits = f"{prefix}/audit/"
 
     def instance(self, instance: InstanceId) -> str:
         """Returns the key of an entry instance's record."""
         return f"{self.instances}{instance}"
 
+    def roster(self, instance: InstanceId) -> str:
+        """Returns the key that stays as long as an entry instance may act."""
+        return f"{self.rosters}{instance}"
+
     def owner(self, shard: ShardId) -> str:
         """Returns the key of a shard's ownership record."""
         return f"{self.owners}{shard}"
--- a/lacewinghold/coordination/lease.py
+++ b/lacewinghold/coordination/lease.py
@@ -10,7 +10,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import LeaseId, Revision
-from lacewinghold.store.base import Put, Transaction
+from lacewinghold.store.base import Delete, Put, Transaction
 from lacewinghold.util.backoff import Backoff
 from lacewinghold.util.codec import to_json
 
@@ -52,6 +52,7 @@
         self.lease: LeaseId | None = None
         self.expires_at = 0.0
         self.revision = Revision(0)
+        self.registered = Revision(0)
         self.generation = 0
         self.last_contact = 0.0
         self.backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S, rng)
@@ -83,11 +84,15 @@
         if isinstance(granted, Err):
             return False
         lease = granted.ok_value
-        key = self.keys.instance(self.record.instance)
-        put = Put(key, to_json(self.record), lease)
-        written = await self.store.commit(Transaction([], [put]))
+        instance, data = self.record.instance, to_json(self.record)
+        puts: list[Put | Delete] = [
+            Put(self.keys.instance(instance), data, lease),
+            Put(self.keys.roster(instance), data),
+        ]
+        written = await self.store.commit(Transaction([], puts))
         if isinstance(written, Err):
             return False
+        self.registered = Revision(written.ok_value.revision)
         self.lease = lease
         self.revision = Revision(written.ok_value.revision)
         self.extend(started, self.settings.ttl_s)
@@ -120,4 +125,7 @@
             return
         lease, self.lease = self.lease, None
         self.expires_at = 0.0
+        self.registered = Revision(0)
+        leave = Delete(self.keys.roster(self.record.instance))
+        await self.store.commit(Transaction([], [leave]))
         await self.store.revoke_lease(lease)
--- a/lacewinghold/coordination/view.py
+++ b/lacewinghold/coordination/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,6 +11,7 @@
 
 from lacewinghold.errors import FailureError
 from lacewinghold.ids import InstanceId, Revision, ShardId
+from lacewinghold.invariants import Invariant, require
 from lacewinghold.schema.generated.records import InstanceRecord, OwnerRecord
 from lacewinghold.util.backoff import Backoff
 from lacewinghold.util.codec import from_json
@@ -24,6 +26,7 @@
 logger = structlog.get_logger(__name__)
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 2.0
+CATCH_UP_S = 1.0
 
 
 class LiveView:
@@ -43,26 +46,51 @@
         self.listeners: list[Callable[[set[str]], None]] = []
         self.changed = anyio.Event()
         self.loaded = anyio.Event()
+        self.known = anyio.Event()
         self.regressed = False
+        self.heard = Revision(0)
+        self.document_revision = Revision(0)
+        self.read_at = -math.inf
+        self.scope = anyio.CancelScope()
         self.backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S, rng)
 
     async def run(self) -> None:
         """Reads, then watches, and starts over when the watch breaks."""
         while True:
-            if await self.load():
-                self.backoff.reset()
-                await self.follow()
+            self.scope = anyio.CancelScope()
+            with self.scope:
+                if await self.load():
+                    self.backoff.reset()
+                    await self.follow()
             await anyio.sleep(self.backoff.next_delay_s())
 
+    def reload(self) -> None:
+        """Replaces the watch, which may have gone silent, and reads again."""
+        self.scope.cancel()
+
+    def seen(self) -> int:
+        """Returns the highest store revision that was ever seen or heard of."""
+        return max(self.revision, self.heard)
+
+    def hear(self, revision: int) -> bool:
+        """Notes a document version that a peer has.
+
+        :returns: Whether it is above the one here.
+        """
+        self.heard = Revision(max(self.heard, revision))
+        return revision > self.document_revision
+
     async def load(self) -> bool:
         """Reads all live keys."""
+        started = anyio.current_time()
         reply = await self.store.range(self.keys.live, prefix=True)
         if isinstance(reply, Err):
             return False
         found = reply.ok_value
-        if found.revision < self.revision:
+        seen = self.seen()
+        if found.revision < seen:
             self.regressed = True
-            logger.error("store regressed", found=found.revision, seen=self.revision)
+            logger.error("store regressed", found=found.revision, seen=seen)
             return False
         self.regressed = False
         items = {item.key: item for item in found.items}
@@ -71,9 +99,13 @@
             old = self.items.get(key)
             if old is not None and old.mod_revision != item.mod_revision:
                 changed.add(key)
+        for key in changed & items.keys():
+            self.check_rise(items[key])
         self.items = items
         self.advance(found.revision, changed)
+        self.read_at = started
         self.loaded.set()
+        self.known.set()
         return True
 
     async def follow(self) -> None:
@@ -91,13 +123,68 @@
             return
         changed = set()
         for item in batch.puts:
+            if self.has(item.key, item.mod_revision):
+                continue
+            self.check_rise(item)
             self.items[item.key] = item
             changed.add(item.key)
         for key in batch.deletes:
+            if self.has(key, batch.revision):
+                continue
             self.items.pop(key, None)
             changed.add(key)
         self.advance(batch.revision, changed)
 
+    def adopt(self, items: list[KeyValue], revision: int) -> None:
+        """Applies what a peer has before the store tells of it.
+
+        Sections are taken whenever they are newer; the other live keys only as
+        long as the store was never read.
+
+        :param revision: Up to which the peer has seen the live keys.
+        """
+        changed = set()
+        for item in items:
+            section = item.key.startswith(self.keys.sections)
+            if self.loaded.is_set() and not section:
+                continue
+            if self.has(item.key, item.mod_revision):
+                continue
+            self.check_rise(item)
+            self.items[item.key] = item
+            self.hear(item.mod_revision)
+            changed.add(item.key)
+        known = self.revision if self.loaded.is_set() else revision
+        self.advance(max(known, self.revision), changed)
+        self.known.set()
+
+    async def wait_document(self, revision: int) -> bool:
+        """Waits a while for a document version.
+
+        :returns: Whether it is here.
+        """
+        self.hear(revision)
+        with anyio.move_on_after(CATCH_UP_S):
+            while self.document_revision < revision:
+                await self.changed.wait()
+        return self.document_revision >= revision
+
+    def has(self, key: str, revision: int) -> bool:
+        """Returns whether a key is here at a revision or a later one."""
+        item = self.items.get(key)
+        return item is not None and item.mod_revision >= revision
+
+    def check_rise(self, item: KeyValue) -> None:
+        """Checks that a section only rises, and notes the document's version."""
+        if not item.key.startswith(self.keys.sections):
+            return
+        old = self.items.get(item.key)
+        rises = old is None or item.mod_revision > old.mod_revision
+        require(Invariant.VERSION_RISES, rises, item.key)
+        self.document_revision = Revision(
+            max(self.document_revision, item.mod_revision)
+        )
+
     def advance(self, revision: int, changed: set[str]) -> None:
         """Notes the revision and wakes those who wait for changes."""
         self.revision = Revision(max(self.revision, revision))
@@ -118,6 +205,16 @@
             found[record.instance] = record
         return found
 
+    def roster(self) -> dict[InstanceId, InstanceRecord]:
+        """Returns the entry instances that may act, whether or not they answer."""
+        found = {}
+        for key, item in self.items.items():
+            if not key.startswith(self.keys.rosters):
+                continue
+            record = from_json(item.value, InstanceRecord)
+            found[record.instance] = record
+        return found
+
     def owner(self, shard: ShardId) -> tuple[OwnerRecord, KeyValue] | None:
         """Returns a shard's ownership record, or ``None`` if it never had one."""
         item = self.items.get(self.keys.owner(shard))
--- a/lacewinghold/document/changes.py
+++ b/lacewinghold/document/changes.py
@@ -37,11 +37,13 @@
     """The latest changes of a section as one read found them.
 
     :param mod_revision: Store revision of the index; 0 if there is none.
+    :param read_revision: Store revision when it was read.
     :param changes: Oldest first, each with its revision.
     """
 
     mod_revision: int
     changes: list[Change]
+    read_revision: int = 0
 
     @property
     def revision(self) -> Revision:
@@ -76,11 +78,11 @@
         if isinstance(reply, Err):
             return Err(reply.err_value)
         if not reply.ok_value.items:
-            return Ok(ChangeList(0, []))
+            return Ok(ChangeList(0, [], reply.ok_value.revision))
         item = reply.ok_value.items[0]
         changes = from_json(item.value, ChangeIndex).changes
         changes[-1].revision = Revision(item.mod_revision)
-        return Ok(ChangeList(item.mod_revision, changes))
+        return Ok(ChangeList(item.mod_revision, changes, reply.ok_value.revision))
 
     async def body(
         self, section: SectionName, change: Change
--- a/lacewinghold/document/checks.py
+++ b/lacewinghold/document/checks.py
@@ -6,7 +6,11 @@
 
 from result import Err, Ok, Result
 
-from lacewinghold.document.sections import CELL_SECTION
+from lacewinghold.document.sections import (
+    CELL_SECTION,
+    PLACEMENT_SECTION,
+    TIMING_SECTION,
+)
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.schema.generated.document import (
     CellSection,
@@ -20,6 +24,11 @@
 if TYPE_CHECKING:
     from lacewinghold.ids import TeamId
 
+SINGLE_SECTIONS = {
+    SectionKind.CELL: CELL_SECTION,
+    SectionKind.TIMING: TIMING_SECTION,
+    SectionKind.PLACEMENT: PLACEMENT_SECTION,
+}
 MAX_SECTIONS = 1000
 SHARE_ROUNDING = 1e-9
 
@@ -45,8 +54,9 @@
     :param others: All other sections of the document.
     :returns: A failure whose field is the JSON path at fault.
     """
-    if (section.kind is SectionKind.CELL) != (section.name == CELL_SECTION):
-        return invalid(f"only {CELL_SECTION} is of kind cell, and no other", "$.kind")
+    for kind, name in SINGLE_SECTIONS.items():
+        if (section.kind is kind) != (section.name == name):
+            return invalid(f"only section {name} is of kind {kind}", "$.kind")
     if len(others) >= MAX_SECTIONS:
         return invalid(f"at most {MAX_SECTIONS} sections", "$")
     if section.kind is SectionKind.CELL:
--- a/lacewinghold/document/editor.py
+++ b/lacewinghold/document/editor.py
@@ -13,15 +13,26 @@
 from lacewinghold.document.changes import ChangeList, ChangeLog, audit_ident
 from lacewinghold.document.checks import check_section, references
 from lacewinghold.document.difference import Difference, describe, differences
+from lacewinghold.document.rules import (
+    CLOCK_MARGIN_S,
+    longest_rule_lease_s,
+    when_cut_off,
+)
 from lacewinghold.document.sections import CELL_SECTION, SECTION_NAME, check_body
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import Revision, SectionName, TeamId
-from lacewinghold.schema.generated.document import Section, SectionKind
+from lacewinghold.schema.generated.document import (
+    CutOff,
+    Section,
+    SectionKind,
+    TimingSection,
+)
 from lacewinghold.schema.generated.records import (
     AuditRecord,
     Change,
-    References,
+    RuleLeaseRecord,
     SectionRecord,
+    WriteMarker,
 )
 from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
 from lacewinghold.util.backoff import Backoff
@@ -159,6 +170,10 @@
         if isinstance(read, Err):
             return Err(read.err_value)
         known = read.ok_value
+        seen = self.document.view.seen()
+        if known.read_revision < seen:
+            detail = f"the store is at {known.read_revision}, but was at {seen}"
+            return Err(Failure(ErrorKind.STORE_REGRESSED, detail))
         earlier = known.by_write(edit.write)
         if earlier is not None:
             return self.repeat(edit, earlier)
@@ -243,6 +258,7 @@
             at=now,
             action=edit.action,
             comment=edit.comment,
+            refuses=when_cut_off(edit.body) is CutOff.REFUSE,
         )
         record = SectionRecord(
             kind=section.kind,
@@ -267,9 +283,12 @@
             Put(self.keys.audit(audit_ident(change)), to_json(audit)),
             *self.log.extend(edit.section, known, change, record),
         ]
+        marker = to_json(WriteMarker(write=edit.write))
+        operations.append(Put(self.keys.version, marker))
         if old is None or references(old) != references(section):
-            marker = References(write=edit.write)
-            operations.append(Put(self.keys.references, to_json(marker)))
+            operations.append(Put(self.keys.references, marker))
+        if section.kind is SectionKind.TIMING:
+            operations.append(self.put_rule_lease(section, now))
         compares = [
             Compare(key, CompareTarget.MOD_REVISION, edit.expected),
             self.log.condition(edit.section, known),
@@ -277,6 +296,18 @@
         ]
         return Transaction(compares, operations), change
 
+    def put_rule_lease(self, section: Section, now: float) -> Put:
+        """Returns the operation that keeps the longest rule lease in use.
+
+        Instances that do not know a shorter one yet rely on the longer one.
+        """
+        wanted = from_json(to_json(section.body), TimingSection).rule_lease_s
+        longest_s = max(wanted, longest_rule_lease_s(self.document, now))
+        record = RuleLeaseRecord(
+            longest_s=longest_s, until=now + longest_s + CLOCK_MARGIN_S
+        )
+        return Put(self.keys.rule_lease, to_json(record))
+
     def adopt(
         self, old: Section, known: ChangeList, operations: list[Put | Delete]
     ) -> ChangeList:
@@ -291,6 +322,7 @@
             at=0.0,
             revision=old.revision,
             action="load",
+            refuses=when_cut_off(old.body) is CutOff.REFUSE,
         )
         return ChangeList(known.mod_revision, [first])
 
--- /dev/null
+++ b/lacewinghold/document/rules.py
@@ -0,0 +1,161 @@
+"""The rule lease: how long an instance may rely on its document version."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.coordination.rules import RuleGate
+from lacewinghold.document.sections import CELL_SECTION
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.schema.generated.document import CutOff, SectionKind
+from lacewinghold.schema.generated.records import RuleLeaseRecord
+from lacewinghold.util.codec import from_json
+
+if TYPE_CHECKING:
+    from lacewinghold.coordination.lease import InstanceLease
+    from lacewinghold.coordination.view import LiveView
+    from lacewinghold.document.sections import Document
+    from lacewinghold.ids import Revision, ServiceId, TeamId
+
+CLOCK_DRIFT = 0.01
+CLOCK_MARGIN_S = 10.0
+VERSIONS_KEPT = 4096
+UNREGISTERED_LEASE_S = 6.0
+
+
+class Applied(Struct, frozen=True):
+    """When this instance first had a document version.
+
+    :param at: The runtime's clock in seconds.
+    """
+
+    revision: Revision
+    at: float
+
+
+class DocumentRules(RuleGate):
+    """Permits decisions by the document as long as it is surely recent.
+
+    An instance decides only once it is on the roster and has applied the
+    document as of then, so that the roster names all who decide.
+    """
+
+    name = "document"
+
+    def __init__(
+        self, view: LiveView, document: Document, lease: InstanceLease
+    ) -> None:
+        self.view = view
+        self.document = document
+        self.lease = lease
+        self.confirmed_at = -math.inf
+        self.applied: deque[Applied] = deque(maxlen=VERSIONS_KEPT)
+        self.refusals: dict[TeamId, bool] = {}
+        view.listeners.append(self.note_changes)
+
+    def note_changes(self, changed: set[str]) -> None:
+        """Notes when a document version was applied first."""
+        revision = self.view.document_revision
+        if self.applied and self.applied[-1].revision == revision:
+            return
+        self.refusals.clear()
+        self.applied.append(Applied(revision, anyio.current_time()))
+
+    def applied_at(self, revision: Revision) -> float:
+        """Returns when this instance surely had a version, on its own clock."""
+        for entry in self.applied:
+            if entry.revision >= revision:
+                return entry.at
+        return math.inf
+
+    def confirm(self, at: float) -> None:
+        """Notes that the version here was the latest at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def unconfirmed_s(self) -> float:
+        """Returns the seconds since the version here was surely the latest."""
+        confirmed_at = max(self.confirmed_at, self.view.read_at)
+        return anyio.current_time() - confirmed_at
+
+    def lease_left_s(self) -> float:
+        """Returns the seconds left of the rule lease; negative when it is over."""
+        return self.document.timing().rule_lease_s - self.unconfirmed_s()
+
+    def refusing(self, team: TeamId) -> bool:
+        """Returns whether a section that a team's work follows refuses."""
+        if team not in self.refusals:
+            self.refusals[team] = self.find_refusal(team)
+        return self.refusals[team]
+
+    def find_refusal(self, team: TeamId) -> bool:
+        """Looks for a section that refuses a team's work."""
+        for section in self.document.sections():
+            if section.kind is SectionKind.TEAM and section.owner != team:
+                continue
+            if when_cut_off(section.body) is CutOff.REFUSE:
+                return True
+        return False
+
+    def registered(self) -> bool:
+        """Returns whether others know that this instance decides."""
+        return 0 < self.lease.registered <= self.view.revision
+
+    def callers_known(self) -> bool:
+        """Returns whether callers may be told apart by the keys known here."""
+        if not self.registered():
+            return self.unconfirmed_s() <= UNREGISTERED_LEASE_S
+        if self.lease_left_s() > 0:
+            return True
+        cell = self.document.section(CELL_SECTION)
+        return cell is None or when_cut_off(cell.body) is CutOff.GO_ON
+
+    def permit(self, team: TeamId) -> Result[Revision, Failure]:
+        if not self.registered():
+            detail = "this instance has not joined with the store yet"
+            return Err(Failure(ErrorKind.NOT_RUN, detail, "", 1.0))
+        if self.lease_left_s() <= 0 and self.refusing(team):
+            age_s = self.unconfirmed_s()
+            detail = f"the rules were last confirmed {age_s:.0f} s ago"
+            return Err(Failure(ErrorKind.NOT_RUN, detail, "", 1.0))
+        return Ok(self.view.document_revision)
+
+    def allows(self, team: TeamId, revision: Revision) -> bool:
+        if not self.registered() or revision < self.view.document_revision:
+            return False
+        return self.lease_left_s() > 0 or not self.refusing(team)
+
+    def left_s(self, team: TeamId) -> float:
+        return max(0.0, self.lease_left_s()) if self.refusing(team) else math.inf
+
+    def team_of(self, service: ServiceId) -> TeamId | None:
+        found = self.document.cell().services.get(service)
+        return None if found is None else found.team
+
+
+def when_cut_off(body: object) -> CutOff:
+    """Returns what a section says about the time after the rule lease."""
+    if not isinstance(body, dict):
+        return CutOff.GO_ON
+    return CutOff(body.get("when_cut_off", CutOff.GO_ON))
+
+
+def longest_rule_lease_s(document: Document, wall_now: float) -> float:
+    """Returns the longest rule lease that any instance may rely on now.
+
+    :param wall_now: Seconds since 1970; ``CLOCK_MARGIN_S`` covers what clocks of
+        instances differ by.
+    """
+    present_s = document.timing().rule_lease_s
+    item = document.view.items.get(document.view.keys.rule_lease)
+    if item is None:
+        return present_s
+    record = from_json(item.value, RuleLeaseRecord)
+    if wall_now > record.until:
+        return present_s
+    return max(present_s, record.longest_s)
--- a/lacewinghold/document/sections.py
+++ b/lacewinghold/document/sections.py
@@ -33,6 +33,8 @@
     SectionKind.PLACEMENT: PlacementSection,
 }
 CELL_SECTION = SectionName("cell")
+TIMING_SECTION = SectionName("timing")
+PLACEMENT_SECTION = SectionName("placement")
 MAX_SECTION_BYTES = 1_000_000
 MAX_CACHED_BYTES = 64 * 1024
 SECTION_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
@@ -67,6 +69,10 @@
     def __init__(self, view: LiveView) -> None:
         self.view = view
         self.parsed: dict[str, Section] = {}
+        self.cell_at = Revision(0)
+        self.cell_body = CellSection(teams={})
+        self.timing_at = Revision(0)
+        self.timing_body = TimingSection()
 
     def section(self, name: SectionName) -> Section | None:
         """Returns a section, or ``None`` if there is none of that name."""
@@ -108,7 +114,20 @@
         section = self.section(CELL_SECTION)
         if section is None:
             return CellSection(teams={})
-        return from_json(to_json(section.body), CellSection)
+        if self.cell_at != section.revision:
+            self.cell_at = section.revision
+            self.cell_body = from_json(to_json(section.body), CellSection)
+        return self.cell_body
+
+    def timing(self) -> TimingSection:
+        """Returns the times that hold for the whole cell."""
+        section = self.section(TIMING_SECTION)
+        if section is None:
+            return self.timing_body
+        if self.timing_at != section.revision:
+            self.timing_at = section.revision
+            self.timing_body = from_json(to_json(section.body), TimingSection)
+        return self.timing_body
 
     def team_of_key(self, key: str) -> tuple[TeamId, Role] | None:
         """Returns the team that a bearer key belongs to, and its role."""
--- /dev/null
+++ b/lacewinghold/document/spread.py
@@ -0,0 +1,269 @@
+"""Keeps an instance's document the latest: confirmed by the store or by peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+import zstandard
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.document.rules import CLOCK_DRIFT, UNREGISTERED_LEASE_S
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import InstanceId, Revision
+from lacewinghold.schema.generated.messages import (
+    DocumentPull,
+    DocumentQuery,
+    DocumentSections,
+    DocumentState,
+    MessageKind,
+    SectionItem,
+    SectionItems,
+    SectionVersion,
+)
+from lacewinghold.store.base import (
+    Compare,
+    CompareTarget,
+    Delete,
+    KeyValue,
+    Transaction,
+)
+from lacewinghold.util.codec import pack, unpack
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lacewinghold.coordination.view import LiveView
+    from lacewinghold.document.rules import DocumentRules
+    from lacewinghold.peers.links import PeerLinks
+    from lacewinghold.schema.base import PackedStruct
+    from lacewinghold.schema.generated.settings import Settings
+
+logger = structlog.get_logger(__name__)
+CONFIRM_INTERVAL_S = 3.0
+CALL_TIMEOUT_S = 1.0
+PEERS_ASKED = 3
+NEVER_CONFIRMED_S = 1e9
+COMPRESSION_LEVEL = 3
+MAX_PULL_BYTES = 256 * 1024 * 1024
+
+
+class Fed(Struct, frozen=True):
+    """An instance that is not in the store and follows the document from here.
+
+    :param at: The runtime's clock when it last asked.
+    """
+
+    revision: Revision
+    at: float
+
+
+class DocumentSpread:
+    """Confirms the document at an interval and hands it to peers that ask.
+
+    :param removed: Tells whether the platform removed an entry instance.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: LiveView,
+        rules: DocumentRules,
+        peers: PeerLinks,
+        removed: Callable[[InstanceId], bool],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.store = view.store
+        self.keys = view.keys
+        self.rules = rules
+        self.peers = peers
+        self.removed = removed
+        self.rng = rng
+        self.fed: dict[InstanceId, Fed] = {}
+        self.wanted = anyio.Event()
+        peers.revision = lambda: view.document_revision
+        peers.hear = self.hear
+        peers.on(MessageKind.DOCUMENT_STATE, self.on_state)
+        peers.on(MessageKind.DOCUMENT_PULL, self.on_pull)
+
+    def hear(self, revision: int) -> None:
+        """Looks for a version that a peer has and this instance lacks."""
+        if self.view.hear(revision):
+            self.wanted.set()
+
+    async def run(self) -> None:
+        """Confirms the document until cancelled."""
+        while True:
+            self.wanted = anyio.Event()
+            if not await self.confirm_with_store():
+                await self.confirm_with_peers()
+            await self.sweep()
+            with anyio.move_on_after(CONFIRM_INTERVAL_S):
+                await self.wanted.wait()
+
+    async def confirm_with_store(self) -> bool:
+        """Asks the store whether the version here is the latest.
+
+        A watch that does not bring a version that the store has is replaced.
+        """
+        if not self.view.loaded.is_set():
+            return False
+        started = anyio.current_time()
+        reply = await self.store.range(self.keys.version)
+        if isinstance(reply, Err):
+            return False
+        found = reply.ok_value
+        seen = self.view.seen()
+        if found.revision < seen:
+            self.view.regressed = True
+            logger.error("store regressed", found=found.revision, seen=seen)
+            return False
+        latest = found.items[0].mod_revision if found.items else 0
+        if not await self.view.wait_document(latest):
+            logger.warning("watch is silent", latest=latest)
+            self.view.reload()
+            return False
+        self.view.regressed = False
+        self.rules.confirm(started)
+        return True
+
+    def near_peers(self) -> list[InstanceId]:
+        """Returns peers to ask: those of the data centre, else those of settings."""
+        near = []
+        for instance, record in self.view.roster().items():
+            same = record.data_centre == self.settings.data_centre
+            if same and instance != self.peers.instance:
+                near.append(instance)
+        if not near:
+            for address in self.settings.peers:
+                peer = InstanceId(address)
+                self.peers.learned[peer] = address
+                near.append(peer)
+        self.rng.shuffle(near)
+        return near[:PEERS_ASKED]
+
+    async def confirm_with_peers(self) -> None:
+        """Follows the document from peers while the store does not answer."""
+        for peer in self.near_peers():
+            started = anyio.current_time()
+            query = DocumentQuery(
+                self.settings.listen.peer, self.view.document_revision
+            )
+            reply = await self.peers.call(
+                peer, MessageKind.DOCUMENT_STATE, query, CALL_TIMEOUT_S
+            )
+            if isinstance(reply, Err):
+                continue
+            state = unpack(reply.ok_value, DocumentState)
+            behind = state.revision > self.view.document_revision
+            if (behind or not self.view.items) and not await self.pull(peer):
+                continue
+            if state.revision == self.view.document_revision:
+                age_s = state.unconfirmed_s * (1 + CLOCK_DRIFT)
+                self.rules.confirm(started - age_s)
+
+    async def pull(self, peer: InstanceId) -> bool:
+        """Gets the sections that differ from a peer, unless it is behind."""
+        have = []
+        for key, item in self.view.items.items():
+            if key.startswith(self.keys.sections):
+                have.append(SectionVersion(key, item.mod_revision))
+        message = DocumentPull(self.settings.listen.peer, have)
+        reply = await self.peers.call(
+            peer, MessageKind.DOCUMENT_PULL, message, CALL_TIMEOUT_S
+        )
+        if isinstance(reply, Err):
+            return False
+        found = unpack(reply.ok_value, DocumentSections)
+        if found.revision < self.view.document_revision:
+            return False
+        data = zstandard.ZstdDecompressor().decompress(found.sections, MAX_PULL_BYTES)
+        items = []
+        for sent in unpack(data, SectionItems).items:
+            items.append(
+                KeyValue(sent.key, sent.value, sent.create_revision, sent.mod_revision)
+            )
+        self.view.adopt(items, found.live_revision)
+        return True
+
+    def unconfirmed_s(self) -> float:
+        """Returns the age of the version here, in a form that can be sent."""
+        return min(self.rules.unconfirmed_s(), NEVER_CONFIRMED_S)
+
+    def applied(self) -> Revision:
+        """Returns the version that all who decide by this instance's word have."""
+        now = anyio.current_time()
+        revision = self.view.document_revision
+        roster = self.view.roster()
+        for instance, fed in list(self.fed.items()):
+            over = now - fed.at > UNREGISTERED_LEASE_S * (1 + CLOCK_DRIFT)
+            if over or instance in roster:
+                del self.fed[instance]
+                continue
+            revision = min(revision, fed.revision)
+        return revision
+
+    def note_fed(self, sender: InstanceId, address: str, revision: Revision) -> None:
+        """Notes an instance that follows the document from here."""
+        if self.peers.addresses(sender) is not None:
+            return
+        self.peers.learned[sender] = address
+        self.fed[sender] = Fed(revision, anyio.current_time())
+
+    async def on_state(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Tells a peer the version here."""
+        query = unpack(body, DocumentQuery)
+        if not self.view.known.is_set():
+            return Err(Failure(ErrorKind.NOT_FOUND, "no document here yet"))
+        if not query.address:
+            return Ok(DocumentState(self.applied(), self.unconfirmed_s()))
+        self.note_fed(sender, query.address, Revision(query.revision))
+        return Ok(DocumentState(self.view.document_revision, self.unconfirmed_s()))
+
+    async def on_pull(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Hands a peer the live keys that it lacks."""
+        message = unpack(body, DocumentPull)
+        have = {version.key: version.revision for version in message.have}
+        items = []
+        for key, item in self.view.items.items():
+            if have.get(key, 0) >= item.mod_revision:
+                continue
+            if have and not key.startswith(self.keys.sections):
+                continue
+            items.append(
+                SectionItem(key, item.value, item.create_revision, item.mod_revision)
+            )
+        data = zstandard.compress(pack(SectionItems(items)), COMPRESSION_LEVEL)
+        return Ok(
+            DocumentSections(
+                self.view.document_revision,
+                self.unconfirmed_s(),
+                data,
+                self.view.revision,
+            )
+        )
+
+    async def sweep(self) -> None:
+        """Strikes instances off the roster that the platform removed."""
+        live = self.view.instances()
+        if not live or min(live) != self.peers.instance:
+            return
+        for instance in self.view.roster():
+            if instance in live or not self.removed(instance):
+                continue
+            key = self.keys.roster(instance)
+            known = self.view.items[key].mod_revision
+            await self.store.commit(
+                Transaction(
+                    [Compare(key, CompareTarget.MOD_REVISION, known)], [Delete(key)]
+                )
+            )
--- a/lacewinghold/invariants.py
+++ b/lacewinghold/invariants.py
@@ -18,6 +18,7 @@
     LEDGER_FIRST = "no accepted job without a ledger record"
     INTENT_FIRST = "no start that must not be repeated without its intent"
     VERSION_RISES = "document versions only rise"
+    RULE_LEASE = "no start or request under rules older than the rule lease allows"
     SLOTS = "no backend server over its slots"
     WHOLE_ANSWER = "an answer goes to its own request"
 
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -53,6 +53,9 @@
         self.replies: dict[int, Result[bytes, Failure]] = {}
         self.waiting: dict[int, anyio.Event] = {}
         self.bytes_sent: Counter[MessageKind] = Counter()
+        self.learned: dict[InstanceId, str] = {}
+        self.revision: Callable[[], int] = lambda: 0
+        self.hear: Callable[[int], object] = lambda revision: None
 
     def on(self, kind: MessageKind, handler: Handler) -> None:
         """Registers the handler of a kind of request."""
@@ -73,6 +76,7 @@
         except DecodeError as error:
             logger.warning("damaged message", detail=str(error))
             return
+        self.hear(envelope.document_revision)
         if envelope.kind not in (MessageKind.REPLY, MessageKind.FAILURE):
             tasks.start_soon(self.answer, envelope)
             return
@@ -110,10 +114,12 @@
         self, peer: InstanceId, kind: MessageKind, correlation: int, body: bytes
     ) -> Result[None, Failure]:
         """Sends one message."""
-        address = self.addresses(peer)
+        address = self.addresses(peer) or self.learned.get(peer)
         if address is None:
             return Err(Failure(ErrorKind.UNREACHABLE, f"no address of {peer}"))
-        envelope = Envelope(MESSAGE_VERSION, kind, self.instance, correlation, body)
+        envelope = Envelope(
+            MESSAGE_VERSION, kind, self.instance, correlation, body, self.revision()
+        )
         message = pack(envelope)
         self.bytes_sent[kind] += len(message)
         return await self.transport.send(peer, address, message)
--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -10,6 +10,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import InstanceId, RequestId, ShardId
+from lacewinghold.invariants import Invariant, require
 from lacewinghold.routing.router import ShardRouter
 from lacewinghold.schema.generated.messages import (
     MessageKind,
@@ -90,6 +91,7 @@
             timeout_s,
             repeatable,
             digest,
+            self.directory.view.document_revision,
         )
         failure = Failure(ErrorKind.NOT_RUN, f"{service} runs nowhere", "", 1.0)
         for shard in self.request_shards(digest):
@@ -125,7 +127,7 @@
         """Has the owner of one shard serve a request."""
         local = self.directory.local_owner(message.shard)
         if isinstance(local, Ok):
-            return await self.router(local.ok_value).serve(message)
+            return await self.serve(local.ok_value, message)
         reply = await self.directory.call_owner(
             message.shard,
             MessageKind.SERVICE_REQUEST,
@@ -136,6 +138,24 @@
             return Err(reply.err_value)
         return Ok(unpack(reply.ok_value, ServiceAnswer))
 
+    async def serve(
+        self, owner: ShardOwner, message: ServiceRequest
+    ) -> Result[ServiceAnswer, Failure]:
+        """Serves a request at its owner, if the rules permit it there."""
+        if not await self.directory.view.wait_document(message.document_revision):
+            detail = f"version {message.document_revision} is not here yet"
+            return Err(Failure(ErrorKind.NOT_RUN, detail))
+        team_of_service = owner.rules.team_of(message.service)
+        for team in {message.team, team_of_service or message.team}:
+            permit = owner.rules.permit(team)
+            if isinstance(permit, Err):
+                return Err(permit.err_value)
+            message.document_revision = permit.ok_value
+            message.timeout_s = min(message.timeout_s, owner.rules.left_s(team))
+            allowed = owner.rules.allows(team, permit.ok_value)
+            require(Invariant.RULE_LEASE, allowed, message.request)
+        return await self.router(owner).serve(message)
+
     async def on_service_request(
         self, sender: InstanceId, body: bytes
     ) -> Result[PackedStruct, Failure]:
@@ -144,7 +164,7 @@
         local = self.directory.local_owner(message.shard)
         if isinstance(local, Err):
             return Err(local.err_value)
-        served = await self.router(local.ok_value).serve(message)
+        served = await self.serve(local.ok_value, message)
         if isinstance(served, Err):
             return Err(served.err_value)
         return Ok(served.ok_value)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -21,6 +21,7 @@
     from anyio.abc import TaskGroup
 
     from lacewinghold.coordination.lease import InstanceLease
+    from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.coordination.view import LiveView
     from lacewinghold.ids import DataCentreId, InstanceId
     from lacewinghold.schema.generated.settings import Settings
@@ -55,7 +56,9 @@
         links: WorkerLinks,
         clock: WallClock,
         rng: random.Random,
+        rules: RuleGate | None = None,
     ) -> None:
+        self.rules = rules
         self.settings = settings
         self.store = store
         self.lease = lease
@@ -169,6 +172,7 @@
             self.settings.hold_s,
             lambda: previous is not None and self.gone(previous),
             self.rng,
+            self.rules,
         )
         self.owners[shard] = owner
         tasks.start_soon(self.serve, shard, owner)
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.rules import OpenRules
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import JobId, task_job
 from lacewinghold.invariants import Invariant, require
@@ -25,6 +26,7 @@
 
     from lacewinghold.coordination.ledger import Ledger
     from lacewinghold.coordination.ownership import ShardOwnership
+    from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.ids import ShardId, TaskId, WorkerId
     from lacewinghold.schema.generated.jobs import JobSpec
     from lacewinghold.schema.generated.worker import EndedTask, WorkerRecord
@@ -45,6 +47,7 @@
     :param ledger: The shard's ledger under the claim's epoch.
     :param hold_s: How long workers keep tasks of an epoch whose owner is cut off.
     :param holder_gone: Tells whether the platform removed an entry instance.
+    :param rules: Permits starts and requests by the operators' document.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         hold_s: float,
         holder_gone: Callable[[], bool],
         rng: random.Random,
+        rules: RuleGate | None = None,
     ) -> None:
+        self.rules = rules or OpenRules()
         self.ownership = ownership
         self.ledger = ledger
         self.links = links
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -55,6 +55,8 @@
                 continue
             if task.not_before > now or self.start_after(task) > now:
                 continue
+            if isinstance(self.owner.rules.permit(task.spec.team), Err):
+                continue
             ready.append(task)
         ready.sort(key=self.rank)
         return ready
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -6,7 +6,7 @@
 
 import anyio
 import structlog
-from result import Err, Result
+from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import Incarnation
@@ -25,7 +25,7 @@
 from lacewinghold.util.backoff import Backoff
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import TaskId
+    from lacewinghold.ids import Revision, TaskId
     from lacewinghold.shards.model import Task
     from lacewinghold.shards.owner import ShardOwner
     from lacewinghold.workers.base import WorkerLink
@@ -153,11 +153,7 @@
             return False
         if self.owner.ownership.held() and self.stamped_at:
             self.hold_until = self.stamp + self.owner.hold_s
-        starts = list(self.starts.values()) if self.fenced else []
-        for start in starts:
-            start.hold_until = self.hold_until
-            start.not_after = min(self.hold_until, self.stamp + START_WINDOW_S)
-            require(Invariant.VALID_LEASE, self.owner.may_start(), start.task)
+        starts = self.permitted_starts() if self.fenced else []
         command = Command(
             shard=self.owner.shard,
             epoch=self.owner.ownership.epoch,
@@ -171,6 +167,35 @@
         reply = await self.link.send(command)
         return self.apply_reply(command, reply)
 
+    def permitted_starts(self) -> list[Start]:
+        """Stamps the starts that the rules permit now; lets the others wait.
+
+        A start that was sent before is sent again as it was: the worker tells
+        whether it ran.
+        """
+        found = []
+        for start in list(self.starts.values()):
+            task = self.owner.tasks[start.task]
+            permit = self.owner.rules.permit(task.spec.team)
+            if isinstance(permit, Ok):
+                self.stamp_start(start, task, permit.ok_value)
+            elif not start.not_after:
+                del self.starts[start.task]
+                self.owner.release_start(task)
+                continue
+            found.append(start)
+        return found
+
+    def stamp_start(self, start: Start, task: Task, revision: Revision) -> None:
+        """Bounds a start in time and names the rules that it was decided under."""
+        rules, team = self.owner.rules, task.spec.team
+        window_s = min(START_WINDOW_S, rules.left_s(team))
+        start.document_revision = revision
+        start.hold_until = self.hold_until
+        start.not_after = min(self.hold_until, self.stamp + window_s)
+        require(Invariant.VALID_LEASE, self.owner.may_start(), start.task)
+        require(Invariant.RULE_LEASE, rules.allows(team, revision), start.task)
+
     def apply_reply(self, command: Command, reply: Result[Report, Failure]) -> bool:
         """Applies the answer to a command."""
         if isinstance(reply, Err):
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -58,6 +58,7 @@
 BETWEEN_REGIONS_S = 0.03
 WALL_START = 1_800_000_000.0
 WORKERS_PER_RACK = 8
+FIRST_PORT = 7000
 
 
 class CellShape(Struct, frozen=True):
@@ -184,23 +185,37 @@
         for index in range(self.shape.instances):
             self.start_instance(places[index % len(places)], f"entry-{index}")
 
-    def start_instance(self, data_centre: DataCentreId, name: str) -> InstanceId:
-        """Starts one entry instance."""
+    def start_instance(
+        self,
+        data_centre: DataCentreId,
+        name: str,
+        peers: list[str] | None = None,
+        *,
+        store_reachable: bool = True,
+    ) -> InstanceId:
+        """Starts one entry instance.
+
+        :param peers: Peer addresses in its settings.
+        """
         self.boots += 1
+        address = f"127.0.0.1:{FIRST_PORT + self.boots}"
         region = self.shape.data_centres[data_centre]
         settings = Settings(
             instance=InstanceId(name),
             region=region,
             data_centre=data_centre,
-            listen=Listen(http="127.0.0.1:1", peer="127.0.0.1:1"),
+            listen=Listen(http="127.0.0.1:1", peer=address),
             store=StoreSettings(endpoints=["http://memory"]),
             instance_list_url="http://memory",
             hold_s=self.shape.hold_s,
             plaintext=True,
+            peers=peers or [],
         )
         store = MemoryStore(self.state)
+        store.reachable = store_reachable
         boot = f"boot{self.boots}"
         instance_id = InstanceId(f"{name}.{boot}")
+        self.network.addresses[address] = instance_id
         ports = Ports(
             store,
             MemoryTransport(self.network, instance_id, region),
@@ -234,6 +249,17 @@
         running.scope.cancel()
         self.network.nodes.pop(instance_id, None)
 
+    def cut_off(self, instance_id: InstanceId, *, cut: bool) -> None:
+        """Cuts an entry instance off from the store and all peers, or ends it."""
+        self.instances[instance_id].store.reachable = not cut
+        pairs = set()
+        for other in self.network.nodes:
+            pairs |= {(instance_id, other), (other, instance_id)}
+        if cut:
+            self.network.cut |= pairs
+        else:
+            self.network.cut -= pairs
+
     def any_instance(self) -> EntryInstance:
         """Returns a running entry instance, as a balancer would."""
         chosen = self.rng.choice(sorted(self.instances))
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -39,6 +39,7 @@
     nodes: dict[InstanceId, MemoryTransport] = field(default_factory=dict)
     cut: set[tuple[InstanceId, InstanceId]] = field(default_factory=set)
     regions: dict[InstanceId, RegionId] = field(default_factory=dict)
+    addresses: dict[str, InstanceId] = field(default_factory=dict)
     bytes_between_regions: Counter[tuple[RegionId, RegionId]] = field(
         default_factory=Counter
     )
@@ -94,7 +95,7 @@
     async def send(
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
-        del address
+        peer = self.network.addresses.get(address, peer)
         if peer not in self.network.nodes:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer} is down"))
         latency_s = self.network.latency_s(self.instance, peer)
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -62,6 +62,19 @@
         self.history: list[WatchBatch] = []
         self.changed = anyio.Event()
 
+    def copy(self) -> StoreState:
+        """Returns an independent copy, as a backup of now would restore it."""
+        copied = StoreState(self.latency_s)
+        copied.revision = self.revision
+        copied.keys = dict(self.keys)
+        copied.leases = {
+            ident: FakeLease(lease.ttl_s, lease.expires_at, set(lease.keys))
+            for ident, lease in self.leases.items()
+        }
+        copied.next_lease = self.next_lease
+        copied.history = list(self.history)
+        return copied
+
     def expire_leases(self) -> None:
         """Removes the keys of lapsed leases."""
         now = anyio.current_time()
@@ -145,6 +158,7 @@
         super().__init__()
         self.state = state
         self.reachable = True
+        self.watch_silent = False
         self.faults: list[StoreFault] = []
 
     async def enter_call(self, kind: CallKind) -> Failure | None:
@@ -239,6 +253,8 @@
         """Yields the batches under a prefix after a revision, in order."""
         while True:
             changed = self.state.changed
+            if self.watch_silent:
+                await anyio.sleep_forever()
             for batch in list(self.state.history):
                 if batch.revision <= after:
                     continue
--- a/tests/test_document/test_editing.py
+++ b/tests/test_document/test_editing.py
@@ -19,18 +19,16 @@
 from lacewinghold.errors import ErrorKind
 from lacewinghold.schema.generated.document import Section, SectionKind
 from lacewinghold.store.base import CallKind, Delete, Transaction
-from lacewinghold.testing.cell import TERRASVUUR, Cell
-from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.session import run_session
 from lacewinghold.testing.store import StoreFault
 
 TEAMS = {"operators": "operators-key", "counters": "c-key", "routes": "r-key"}
-SHAPE = msgspec.structs.replace(TERRASVUUR, workers_per_data_centre=0, instances=3)
 TIMING = {"kind": SectionKind.TIMING, "author": "operators", "operator": True}
 
 
-def timing(expected, hold_s, write="", section="timing"):
+def timing(expected, hold_s, write=""):
     return Edit(
-        section=section,
+        section="timing",
         body={"hold_s": hold_s},
         expected=expected,
         write=write,
@@ -39,21 +37,6 @@
     )
 
 
-def run_cell(program, seed=1):
-    """Runs a program on a started cell without workers."""
-
-    async def session():
-        async with anyio.create_task_group() as tasks:
-            cell = Cell(SHAPE, tasks, seed, TEAMS)
-            await cell.start()
-            await anyio.sleep(1)
-            result = await program(cell, [r.instance for r in cell.instances.values()])
-            tasks.cancel_scope.cancel()
-        return result
-
-    return run_paused(session, seed=seed)
-
-
 async def accepted(instance, edit):
     result = await instance.editor.edit(edit)
     assert isinstance(result, Ok), result
@@ -84,7 +67,7 @@
         return outcomes
 
     for seed in range(3):
-        outcomes = run_cell(program, seed)
+        outcomes = run_session(program, TEAMS, seed=seed)
         assert sum(isinstance(outcome, Ok) for outcome in outcomes) == 1
         for outcome in outcomes:
             if isinstance(outcome, Ok):
@@ -96,7 +79,8 @@
 def test_burst_of_edits_of_different_sections_all_succeed():
     async def program(cell, instances):
         async def one(index):
-            await accepted(instances[index % 3], timing(0, index, "", f"t{index}"))
+            edit = Edit(f"t{index}", SectionKind.TEAM, {}, 0, "counters")
+            await accepted(instances[index % 3], edit)
 
         async with anyio.create_task_group() as tasks:
             for index in range(50):
@@ -104,7 +88,7 @@
         await anyio.sleep(1)
         return [len(instance.document.sections()) for instance in instances]
 
-    assert run_cell(program) == [51, 51, 51]
+    assert run_session(program, TEAMS) == [51, 51, 51]
 
 
 @pytest.mark.parametrize("later", [False, True])
@@ -139,7 +123,7 @@
         assert other.err_value.kind is ErrorKind.CONFLICT
         return section_changes(cell)
 
-    assert run_cell(program) == (4 if later else 3)
+    assert run_session(program, TEAMS) == (4 if later else 3)
 
 
 def cell_body(**changes):
@@ -194,7 +178,7 @@
         await refused(kind, "rules", {}, owned, "routes")
         return found
 
-    kinds_and_paths = run_cell(program)
+    kinds_and_paths = run_session(program, TEAMS)
     assert kinds_and_paths == [
         (ErrorKind.INVALID, "$.body.teams.operators"),
         (ErrorKind.INVALID, "$.body.services"),
@@ -231,7 +215,7 @@
         return [result.is_ok() for result in results]
 
     for seed in range(8):
-        assert sum(run_cell(program, seed)) == 1
+        assert sum(run_session(program, TEAMS, seed=seed)) == 1
 
 
 def test_history_and_audit_are_bounded_and_in_the_same_transaction():
@@ -251,7 +235,7 @@
         writes = instances[0].ports.store.calls[CallKind.WRITE]
         return bodies, audits, writes
 
-    bodies, audits, writes = run_cell(program)
+    bodies, audits, writes = run_session(program, TEAMS)
     assert bodies == BODIES_KEPT
     assert audits == CHANGES_KEPT
     assert writes <= CHANGES_KEPT + 20 + 3
@@ -272,7 +256,7 @@
         refused = await instances[0].editor.edit(edit)
         return size, refused.err_value.kind
 
-    size, kind = run_cell(program)
+    size, kind = run_session(program, TEAMS)
     assert 800_000 < size < 1_000_000
     assert kind is ErrorKind.TOO_LARGE
 
@@ -288,11 +272,13 @@
                 await anyio.sleep(0.1)
                 body = {"kind": "timing", "body": {"hold_s": hold_s}, "comment": "c"}
                 sent = {"If-Match": f'"{revision}"', **more}
-                return await client.put(f"{base}/t{query}", json=body, headers=sent)
+                return await client.put(
+                    f"{base}/timing{query}", json=body, headers=sent
+                )
 
             dry = await put(5, 0, "?dry_run=true")
             assert dry.json()["differences"][0]["path"] == "$.body.hold_s"
-            assert (await client.get(f"{base}/t")).status_code == 404
+            assert (await client.get(f"{base}/timing")).status_code == 404
             first = (await put(5, 0)).json()["revision"]
             keyed = {"Idempotency-Key": "k"}
             second = (await put(6, first, **keyed)).json()
@@ -305,19 +291,19 @@
             assert stale.status_code == 412
             assert "$.body.hold_s: 5 -> 6" in stale.json()["detail"]
             query = f"from={first}&to={second['revision']}"
-            diff = (await client.get(f"{base}/t/diff?{query}")).json()
+            diff = (await client.get(f"{base}/timing/diff?{query}")).json()
             assert diff == [{"path": "$.body.hold_s", "before": "5", "after": "6"}]
             match = {"If-Match": f'"{second["revision"]}"'}
             back = await client.post(
-                f"{base}/t/revert", json={"revision": first}, headers=match
+                f"{base}/timing/revert", json={"revision": first}, headers=match
             )
             assert back.status_code == 200, back.text
             await anyio.sleep(0.1)
-            assert (await client.get(f"{base}/t")).json()["body"] == {"hold_s": 5}
-            history = (await client.get(f"{base}/t/history")).json()
+            assert (await client.get(f"{base}/timing")).json()["body"] == {"hold_s": 5}
+            history = (await client.get(f"{base}/timing/history")).json()
             return [entry["action"] for entry in history]
 
-    assert run_cell(program) == ["edit", "edit", "revert"]
+    assert run_session(program, TEAMS) == ["edit", "edit", "revert"]
 
 
 def test_examples_pass_their_own_checks():
@@ -342,4 +328,4 @@
         late = await instances[1].editor.edit(edit)
         return late.err_value.detail
 
-    assert "$.body.services.booking: (absent)" in run_cell(program)
+    assert "$.body.services.booking: (absent)" in run_session(program, TEAMS)
