--- a/lacewinghold/coordination/view.py
+++ b/lacewinghold/coordination/view.py
@@ -72,6 +72,24 @@
         """Returns the highest store revision that was ever seen or heard of."""
         return max(self.revision, self.heard)
 
+    def lacks_known(self, items: dict[str, KeyValue]) -> bool:
+        """Returns whether a read lacks a section or version that was seen here.
+
+        A store brought back from a copy may count its revisions past those seen.
+        """
+        for key, known in self.items.items():
+            if not key.startswith(self.keys.sections) and key != self.keys.version:
+                continue
+            item = items.get(key)
+            if item is None or item.mod_revision < known.mod_revision:
+                return True
+        return False
+
+    def note_regressed(self, found: int) -> None:
+        """Notes that the store answered from an older state than was seen."""
+        self.regressed = True
+        logger.error("store regressed", found=found, seen=self.seen())
+
     def hear(self, revision: int) -> bool:
         """Notes a document version that a peer has.
 
@@ -87,13 +105,11 @@
         if isinstance(reply, Err):
             return False
         found = reply.ok_value
-        seen = self.seen()
-        if found.revision < seen:
-            self.regressed = True
-            logger.error("store regressed", found=found.revision, seen=seen)
+        items = {item.key: item for item in found.items}
+        if found.revision < self.seen() or self.lacks_known(items):
+            self.note_regressed(found.revision)
             return False
         self.regressed = False
-        items = {item.key: item for item in found.items}
         changed = set(self.items) ^ set(items)
         for key, item in items.items():
             old = self.items.get(key)
--- a/lacewinghold/document/editor.py
+++ b/lacewinghold/document/editor.py
@@ -171,8 +171,8 @@
             return Err(read.err_value)
         known = read.ok_value
         seen = self.document.view.seen()
-        if known.read_revision < seen:
-            detail = f"the store is at {known.read_revision}, but was at {seen}"
+        if known.read_revision < seen or self.document.view.regressed:
+            detail = f"the store is behind revision {seen}, which was seen"
             return Err(Failure(ErrorKind.STORE_REGRESSED, detail))
         earlier = known.by_write(edit.write)
         if earlier is not None:
--- a/lacewinghold/document/spread.py
+++ b/lacewinghold/document/spread.py
@@ -118,12 +118,12 @@
         if isinstance(reply, Err):
             return False
         found = reply.ok_value
-        seen = self.view.seen()
-        if found.revision < seen:
-            self.view.regressed = True
-            logger.error("store regressed", found=found.revision, seen=seen)
-            return False
         latest = found.items[0].mod_revision if found.items else 0
+        known = self.view.items.get(self.keys.version)
+        behind = known is not None and latest < known.mod_revision
+        if behind or found.revision < self.view.seen():
+            self.view.note_regressed(found.revision)
+            return False
         if not await self.view.wait_document(latest):
             logger.warning("watch is silent", latest=latest)
             self.view.reload()
