--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 SEED ?= 1
+DEPLOYMENT ?= terrasvuur
 
-.PHONY: setup demo test lint check-generated generate bench soak mutants binary ci
+.PHONY: setup demo test lint check-generated generate bench soak mutants binary golden ci
 
 setup: $(VENV)/ready
 
@@ -13,7 +14,7 @@
 	touch $@
 
 demo: setup
-	$(BIN)/python -m lacewinghold demo
+	$(BIN)/python -m lacewinghold demo --deployment $(DEPLOYMENT) --seed $(SEED)
 
 test: setup
 	$(BIN)/python -m pytest
@@ -41,5 +42,8 @@
 binary: setup
 	$(BIN)/python -m tools.build_binary
 
+golden: setup
+	$(BIN)/python -m tools.golden
+
 ci:
 	bash .ci/run
--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -53,8 +53,13 @@
     def identify(self, request: Request) -> Caller:
         """Returns the caller of a request by its bearer key.
 
-        :raises FailureError: If the key is missing or unknown.
+        :raises FailureError: If the key is missing or unknown, or no key can be
+            checked yet.
         """
+        if not self.instance.document.cell().teams:
+            detail = "this entry instance has not read the document yet"
+            failure = Failure(ErrorKind.STORE_UNAVAILABLE, detail, retry_after_s=1.0)
+            raise FailureError(failure)
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         found = None
         if scheme.lower() == "bearer":
--- a/lacewinghold/api/document.py
+++ b/lacewinghold/api/document.py
@@ -11,6 +11,7 @@
 from lacewinghold.api.problems import json_response
 from lacewinghold.errors import ErrorKind, Failure, FailureError
 from lacewinghold.ids import Revision, SectionName, TeamId
+from lacewinghold.schema.generated.document import SectionKind  # noqa: TC001
 from lacewinghold.util.codec import parse_json
 
 if TYPE_CHECKING:
@@ -18,8 +19,6 @@
     from starlette.responses import Response
     from starlette.routing import Route
 
-    from lacewinghold.schema.generated.document import SectionKind
-
 
 MAX_EDIT_BYTES = 2 * 1024 * 1024
 
--- a/lacewinghold/api/state.py
+++ b/lacewinghold/api/state.py
@@ -33,7 +33,7 @@
 
     async def ready(self, request: Request) -> Response:
         """Answers whether this instance should get requests."""
-        ready = self.instance.view.loaded.is_set() and not self.instance.manager.leaving
+        ready = self.instance.ready()
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def status(self, request: Request) -> Response:
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -89,6 +89,18 @@
         record = self.view.instances().get(instance)
         return None if record is None else record.peer
 
+    def ready(self) -> bool:
+        """Returns whether this instance should get requests.
+
+        A lease that lapses in an outage of the store takes no instance away from
+        the balancer, since what needs no store goes on.
+        """
+        return (
+            self.lease.generation > 0
+            and bool(self.document.cell().teams)
+            and not self.manager.leaving
+        )
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -35,6 +35,7 @@
 from lacewinghold.schema.generated.worker import WorkerRecord
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.backend import MemoryBackendLinks
+from lacewinghold.testing.deployment import document_transaction, worker_records
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.testing.worker import (
@@ -52,6 +53,7 @@
 
     from lacewinghold.ids import TaskId
     from lacewinghold.schema.generated.worker import Start
+    from lacewinghold.testing.deployment import Deployment
 
 SAME_DATA_CENTRE_S = 0.0005
 BETWEEN_DATA_CENTRES_S = 0.001
@@ -104,6 +106,8 @@
 
     :param tasks: Task group in which everything runs.
     :param teams: Bearer keys by team; the first team is the operators'.
+    :param deployment: Example whose settings, workers and document to use in
+        place of the shape's.
     """
 
     def __init__(
@@ -113,8 +117,10 @@
         seed: int,
         teams: dict[TeamId, str] | None = None,
         run_time: Callable[[Start], float] | None = None,
+        deployment: Deployment | None = None,
     ) -> None:
         self.shape = shape
+        self.deployment = deployment
         self.tasks = tasks
         self.rng = random.Random(seed)
         self.clock = WallClock(WALL_START)
@@ -125,6 +131,8 @@
         self.workers: dict[WorkerId, FakeWorker] = {}
         self.running_in: Counter[TaskId] = Counter()
         self.starts: Counter[TaskId] = Counter()
+        self.first_started: dict[TaskId, float] = {}
+        self.stores: dict[InstanceId, MemoryStore] = {}
         self.instances: dict[InstanceId, RunningInstance] = {}
         self.network = MemoryNetwork(self.latency_s)
         self.instance_list = MemoryInstanceList(self.workers)
@@ -137,10 +145,37 @@
         """Returns the one-way latency between two instances."""
         first = self.network.regions[sender]
         second = self.network.regions[receiver]
+        if self.deployment is not None:
+            latency = self.deployment.stand_in.latency
+            same_ms = latency.between_data_centres_ms
+            return (same_ms if first == second else latency.between_regions_ms) / 1000
         return BETWEEN_DATA_CENTRES_S if first == second else BETWEEN_REGIONS_S
 
+    def store_latency_s(self, region: RegionId) -> float:
+        """Returns the time that a store call from a region takes."""
+        if self.deployment is None:
+            return self.state.latency_s
+        latency = self.deployment.stand_in.latency
+        if region == self.deployment.stand_in.store_region:
+            return 2 * latency.between_data_centres_ms / 1000
+        return 2 * latency.between_regions_ms / 1000
+
+    def remote_store_bytes(self) -> int:
+        """Returns the bytes of keys and values that crossed to the store's region."""
+        assert self.deployment is not None
+        total = 0
+        for instance, store in self.stores.items():
+            if self.network.regions[instance] != self.deployment.stand_in.store_region:
+                total += store.bytes_moved
+        return total
+
     def make_workers(self) -> None:
         """Makes the workers of all data centres."""
+        if self.deployment is not None:
+            for listed in self.deployment.stand_in.racks:
+                for record in worker_records(listed, "memory:/"):
+                    self.add_worker(record)
+            return
         for data_centre, region in self.shape.data_centres.items():
             for index in range(self.shape.workers_per_data_centre):
                 rack = index // WORKERS_PER_RACK
@@ -153,19 +188,27 @@
                     capacity=self.shape.capacity,
                     url="memory",
                 )
-                self.workers[record.worker] = FakeWorker(
-                    record, self.tasks, self.run_time, self.observe
-                )
+                self.add_worker(record)
+
+    def add_worker(self, record: WorkerRecord) -> None:
+        """Makes one worker."""
+        self.workers[record.worker] = FakeWorker(
+            record, self.tasks, self.run_time, self.observe
+        )
 
     def observe(self, worker: WorkerId, task: TaskId, change: int) -> None:
         """Checks from outside that a task runs in one place."""
         self.running_in[task] += change
         if change > 0:
             self.starts[task] += 1
+            self.first_started.setdefault(task, self.clock.now())
         require(Invariant.ONE_PLACE, self.running_in[task] <= 1, f"{task} on {worker}")
 
     async def load_document(self) -> None:
-        """Writes the section that names the teams."""
+        """Writes the section that names the teams, or the example's document."""
+        if self.deployment is not None:
+            self.state.apply(document_transaction(self.keys, self.deployment.sections))
+            return
         teams: dict[str, Team] = {}
         for index, (team, key) in enumerate(self.teams.items()):
             role = Role.TEAM if index else Role.OPERATOR
@@ -180,13 +223,16 @@
     async def start(self) -> None:
         """Loads the document and starts all entry instances."""
         await self.load_document()
+        if self.deployment is not None:
+            for settings in self.deployment.instances:
+                self.run_settings(settings)
+            return
         places = list(self.shape.data_centres)
         for index in range(self.shape.instances):
             self.start_instance(places[index % len(places)], f"entry-{index}")
 
     def start_instance(self, data_centre: DataCentreId, name: str) -> InstanceId:
-        """Starts one entry instance."""
-        self.boots += 1
+        """Starts one entry instance in a data centre."""
         region = self.shape.data_centres[data_centre]
         settings = Settings(
             instance=InstanceId(name),
@@ -198,12 +244,18 @@
             hold_s=self.shape.hold_s,
             plaintext=True,
         )
-        store = MemoryStore(self.state)
+        return self.run_settings(settings)
+
+    def run_settings(self, settings: Settings) -> InstanceId:
+        """Starts one entry instance with its settings."""
+        self.boots += 1
+        store = MemoryStore(self.state, self.store_latency_s(settings.region))
         boot = f"boot{self.boots}"
-        instance_id = InstanceId(f"{name}.{boot}")
+        instance_id = InstanceId(f"{settings.instance}.{boot}")
+        self.stores[instance_id] = store
         ports = Ports(
             store,
-            MemoryTransport(self.network, instance_id, region),
+            MemoryTransport(self.network, instance_id, settings.region),
             self.instance_list,
             self.worker_links,
             self.backend_links,
--- a/lacewinghold/testing/stand_in.py
+++ b/lacewinghold/testing/stand_in.py
@@ -10,17 +10,15 @@
 from starlette.routing import Route
 
 from lacewinghold.api.problems import json_response
-from lacewinghold.ids import SectionName, ServiceId, WorkerId
+from lacewinghold.ids import ServiceId, WorkerId
 from lacewinghold.routing.http import REQUEST_ID_HEADER
 from lacewinghold.schema.generated.document import Section
-from lacewinghold.schema.generated.jobs import Resources
-from lacewinghold.schema.generated.records import SectionRecord
-from lacewinghold.schema.generated.worker import Command, WorkerRecord
-from lacewinghold.store.base import Put, Transaction
+from lacewinghold.schema.generated.worker import Command
+from lacewinghold.testing.deployment import document_transaction, worker_records
 from lacewinghold.testing.gateway import Gateway
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.testing.worker import FakeWorker, MemoryInstanceList
-from lacewinghold.util.codec import from_json, to_json
+from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -50,36 +48,14 @@
 
     def make_workers(self) -> None:
         """Makes the workers of all racks."""
+        url = f"http://{self.settings.listen}/workers"
         for rack in self.settings.racks:
-            capacity = Resources(
-                cores=rack.cores,
-                memory_mb=rack.memory_mb,
-                accelerators=rack.accelerators,
-            )
-            for index in range(rack.workers):
-                worker = WorkerId(f"{rack.rack}-w{index}")
-                record = WorkerRecord(
-                    worker=worker,
-                    region=rack.region,
-                    data_centre=rack.data_centre,
-                    rack=rack.rack,
-                    position=index,
-                    capacity=capacity,
-                    slots=rack.slots,
-                    connections=rack.connections,
-                    url=f"http://{self.settings.listen}/workers/{worker}",
-                )
-                self.workers[worker] = FakeWorker(record, self.tasks)
+            for record in worker_records(rack, url):
+                self.workers[record.worker] = FakeWorker(record, self.tasks)
 
     def load_document(self, keys: Keys, data: bytes) -> None:
         """Writes the sections of an example document."""
-        puts: list[Put] = []
-        for section in from_json(data, list[Section]):
-            record = SectionRecord(
-                kind=section.kind, owner=section.owner, body=section.body
-            )
-            puts.append(Put(keys.section(SectionName(section.name)), to_json(record)))
-        self.state.apply(Transaction([], [*puts]))
+        self.state.apply(document_transaction(keys, from_json(data, list[Section])))
 
     def app(self) -> Starlette:
         """Returns the ASGI application."""
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -25,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
 WATCH_BUFFER = 10_000
 MAX_OPERATIONS = 128
@@ -137,20 +137,24 @@
     """One client of a fake store; each client can be cut off by itself.
 
     :param state: The shared contents.
+    :param latency_s: Time that each call takes, in seconds, if other than the
+        shared one.
     """
 
     name = "memory"
 
-    def __init__(self, state: StoreState) -> None:
+    def __init__(self, state: StoreState, latency_s: float | None = None) -> None:
         super().__init__()
         self.state = state
+        self.latency_s = latency_s
+        self.bytes_moved = 0
         self.reachable = True
         self.faults: list[StoreFault] = []
 
     async def enter_call(self, kind: CallKind) -> Failure | None:
         """Counts a call, lets its time pass and returns why it fails, if so."""
         self.calls[kind] += 1
-        await anyio.sleep(self.state.latency_s)
+        await anyio.sleep(self.call_s())
         self.state.expire_leases()
         if not self.reachable:
             return Failure(ErrorKind.STORE_UNAVAILABLE, "the store is unreachable")
@@ -159,6 +163,14 @@
             return Failure(ErrorKind.STORE_UNAVAILABLE, "the store is down")
         return None
 
+    def call_s(self) -> float:
+        """Returns the time that a call takes, in seconds."""
+        return self.state.latency_s if self.latency_s is None else self.latency_s
+
+    def count_bytes(self, items: Iterable[KeyValue | Put]) -> None:
+        """Counts the keys and values that a call carries."""
+        self.bytes_moved += sum(len(item.key) + len(item.value) for item in items)
+
     def reply_lost(self) -> bool:
         """Returns whether the reply of the present call is lost."""
         if not self.reachable:
@@ -179,6 +191,7 @@
         else:
             keys = [key] if key in self.state.keys else []
         items = [self.state.keys[k] for k in keys]
+        self.count_bytes(items)
         return Ok(RangeReply(self.state.revision, items))
 
     async def commit(
@@ -187,6 +200,7 @@
         failure = await self.enter_call(CallKind.WRITE)
         if failure is not None:
             return Err(failure)
+        self.count_bytes(op for op in transaction.operations if isinstance(op, Put))
         if len(transaction.operations) > MAX_OPERATIONS:
             return Err(Failure(ErrorKind.TOO_LARGE, "too many operations"))
         for operation in transaction.operations:
@@ -245,10 +259,11 @@
                 after = batch.revision
                 if not self.reachable:
                     break
-                await anyio.sleep(self.state.latency_s)
                 puts = [item for item in batch.puts if item.key.startswith(prefix)]
                 deletes = [key for key in batch.deletes if key.startswith(prefix)]
                 if puts or deletes:
+                    await anyio.sleep(self.call_s() / 2)
+                    self.count_bytes(puts)
                     yield WatchBatch(batch.revision, puts, deletes)
             if not self.reachable:
                 detail = "the watch broke"
