--- a/lacewinghold/api/app.py
+++ b/lacewinghold/api/app.py
@@ -5,11 +5,14 @@
 from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 
 from lacewinghold.api.document import DocumentHandlers
 from lacewinghold.api.jobs import JobHandlers
+from lacewinghold.api.problems import routing_problem
 from lacewinghold.api.services import ServiceHandlers
 from lacewinghold.api.state import StateHandlers
+from lacewinghold.api.workers import WorkerHandlers
 
 if TYPE_CHECKING:
     from lacewinghold.application import EntryInstance
@@ -21,7 +24,9 @@
         routes=[
             *StateHandlers(instance).routes(),
             *JobHandlers(instance).routes(),
+            *WorkerHandlers(instance).routes(),
             *DocumentHandlers(instance).routes(),
             *ServiceHandlers(instance).routes(),
-        ]
+        ],
+        exception_handlers={HTTPException: routing_problem},
     )
--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -4,19 +4,26 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
+import structlog
 from msgspec import Struct
 from result import Err, Result
+from starlette.requests import ClientDisconnect
+from starlette.responses import Response
 from starlette.routing import Route
 
 from lacewinghold.api.problems import problem_response
-from lacewinghold.errors import ErrorKind, Failure, FailureError
+from lacewinghold.errors import (
+    ErrorKind,
+    Failure,
+    FailureError,
+    InvariantViolation,
+)
 from lacewinghold.schema.generated.document import Role
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from starlette.requests import Request
-    from starlette.responses import Response
 
     from lacewinghold.application import EntryInstance
     from lacewinghold.ids import TeamId
@@ -24,6 +31,8 @@
     Endpoint = Callable[[Request], Awaitable[Response]]
 
 T = TypeVar("T")
+logger = structlog.get_logger(__name__)
+MAX_KEY_CHARS = 256
 
 
 class Caller(Struct, frozen=True):
@@ -47,6 +56,17 @@
                 return await endpoint(request)
             except FailureError as error:
                 return problem_response(error.failure)
+            except ClientDisconnect:
+                # Nobody reads this answer.
+                return Response(status_code=400)
+            except InvariantViolation as error:
+                logger.error("invariant violated", path=path, detail=str(error))
+                failure = Failure(ErrorKind.INVARIANT_VIOLATED, str(error))
+                return problem_response(failure)
+            except Exception:
+                logger.exception("request failed", path=path)
+                detail = "see the log of this entry instance"
+                return problem_response(Failure(ErrorKind.INTERNAL, detail))
 
         return Route(path, guarded, methods=list(methods))
 
@@ -66,9 +86,23 @@
             found = self.instance.document.team_of_key(key.strip())
         if found is None:
             detail = "send a known key as 'Authorization: Bearer KEY'"
-            raise FailureError(Failure(ErrorKind.UNAUTHENTICATED, detail))
+            failure = Failure(ErrorKind.UNAUTHENTICATED, detail, "Authorization")
+            raise FailureError(failure)
         return Caller(found[0], found[1] is Role.OPERATOR)
 
+    def idempotency_key(self, request: Request) -> str:
+        """Returns the Idempotency-Key of a request; empty if it has none.
+
+        :raises FailureError: If it is empty, too long or not printable.
+        """
+        key = request.headers.get("idempotency-key")
+        if key is None:
+            return ""
+        if 0 < len(key) <= MAX_KEY_CHARS and key.isascii() and key.isprintable():
+            return key
+        detail = f"send 1 to {MAX_KEY_CHARS} printable ASCII characters"
+        raise FailureError(Failure(ErrorKind.INVALID, detail, "Idempotency-Key"))
+
     async def body(self, request: Request, limit: int) -> bytes:
         """Returns a request's body.
 
--- a/lacewinghold/api/problems.py
+++ b/lacewinghold/api/problems.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
+from starlette.exceptions import HTTPException
 from starlette.responses import Response
 
+from lacewinghold.errors import ANSWERS, ErrorKind, Failure
 from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
-    from lacewinghold.errors import Failure
+    from starlette.requests import Request
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -44,6 +46,20 @@
     return Response(to_json(problem), answer.status, headers, media_type=PROBLEM_TYPE)
 
 
+async def routing_problem(request: Request, error: Exception) -> Response:
+    """Answers a path or method that no handler takes."""
+    kind = ErrorKind.NOT_FOUND
+    headers = None
+    if isinstance(error, HTTPException):
+        headers = error.headers
+        if error.status_code == ANSWERS[ErrorKind.METHOD_NOT_ALLOWED].status:
+            kind = ErrorKind.METHOD_NOT_ALLOWED
+    detail = f"{request.method} {request.url.path}"
+    response = problem_response(Failure(kind, detail, "path"))
+    response.headers.update(headers or {})
+    return response
+
+
 def json_response(
     value: object, status: int = 200, headers: dict[str, str] | None = None
 ) -> Response:
--- a/lacewinghold/api/services.py
+++ b/lacewinghold/api/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -19,6 +20,7 @@
 MAX_REQUEST_BYTES = 8 * 1024 * 1024
 DEFAULT_TIMEOUT_S = 10.0
 MAX_TIMEOUT_S = 600.0
+SERVICE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 
 
 class ServiceHandlers(Handlers):
@@ -44,22 +46,41 @@
         caller = self.identify(request)
         data = await self.body(request, MAX_REQUEST_BYTES)
         timeout_s = unwrap(parse_timeout(request.headers.get("lacewinghold-timeout")))
-        repeatable = request.headers.get("lacewinghold-repeatable", "yes") != "no"
+        service = unwrap(parse_service(request.path_params["service"]))
+        repeatable = unwrap(
+            parse_repeatable(request.headers.get("lacewinghold-repeatable"))
+        )
         answer = unwrap(
             await self.instance.requests.request(
                 caller.team,
-                ServiceId(request.path_params["service"]),
+                service,
                 request.method,
                 request.path_params["path"],
                 data,
                 timeout_s,
                 repeatable,
-                request.headers.get("idempotency-key", ""),
+                self.idempotency_key(request),
             )
         )
         return Response(answer.body, answer.status, {"X-Worker": answer.worker})
 
 
+def parse_service(text: str) -> Result[ServiceId, Failure]:
+    """Returns the service that a path names."""
+    if SERVICE_ID.fullmatch(text) is None:
+        detail = f"a service's name has the form {SERVICE_ID.pattern}"
+        return Err(Failure(ErrorKind.INVALID, detail, "service"))
+    return Ok(ServiceId(text))
+
+
+def parse_repeatable(text: str | None) -> Result[bool, Failure]:
+    """Returns whether a request may be repeated; it may unless it says no."""
+    if text not in (None, "yes", "no"):
+        detail = f"found {text!r}; allowed are yes and no"
+        return Err(Failure(ErrorKind.INVALID, detail, "Lacewinghold-Repeatable"))
+    return Ok(text != "no")
+
+
 def parse_timeout(text: str | None) -> Result[float, Failure]:
     """Returns the caller's timeout in seconds."""
     if text is None:
--- a/lacewinghold/api/state.py
+++ b/lacewinghold/api/state.py
@@ -15,7 +15,7 @@
 
 
 class StateHandlers(Handlers):
-    """Liveness, readiness, status and workers."""
+    """Liveness, readiness and status."""
 
     def routes(self) -> list[Route]:
         """Returns the routes."""
@@ -24,7 +24,6 @@
             route("/live", self.live, "GET"),
             route("/ready", self.ready, "GET"),
             route("/status", self.status, "GET"),
-            route("/v1/workers", self.workers, "GET"),
         ]
 
     async def live(self, request: Request) -> Response:
@@ -59,21 +58,3 @@
                 "invariant_violations": sum(violations.values()),
             }
         )
-
-    async def workers(self, request: Request) -> Response:
-        """Lists the workers of the shards owned here."""
-        self.identify(request)
-        found = []
-        for shard, owner in sorted(self.instance.manager.owners.items()):
-            for worker_id, worker in sorted(owner.workers.items()):
-                found.append(
-                    {
-                        "worker": worker_id,
-                        "shard": shard,
-                        "state": worker.record.state,
-                        "usable": worker.capacity.usable,
-                        "tasks": len(worker.capacity.bookings),
-                        "free": worker.capacity.free,
-                    }
-                )
-        return json_response(found)
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -19,6 +19,7 @@
 from lacewinghold.shards.directory import Directory
 from lacewinghold.shards.jobs import JobFront
 from lacewinghold.shards.manager import ShardManager
+from lacewinghold.shards.workers import WorkerFront
 
 if TYPE_CHECKING:
     import random
@@ -80,6 +81,7 @@
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
+        self.workers = WorkerFront(self.directory, self.peers)
         self.requests = RequestFront(
             settings, self.directory, self.peers, ports.backend_links, rng
         )
--- /dev/null
+++ b/lacewinghold/coordination/audit.py
@@ -0,0 +1,60 @@
+"""Audit records in rings, so that the trail stays bounded without a clean-up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lacewinghold.schema.generated.records import AuditRecord, EntryKind
+from lacewinghold.store.base import Put
+from lacewinghold.util.codec import to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.coordination.keys import Keys
+    from lacewinghold.ids import ShardId
+    from lacewinghold.schema.generated.records import LogEntry
+
+OWNERSHIPS_KEPT = 8
+CANCELS_KEPT = 64
+DRAINS_KEPT = 16
+SUBJECTS_SHOWN = 20
+
+
+def ring_put(keys: Keys, ring: str, number: int, kept: int, record: AuditRecord) -> Put:
+    """Returns the write of a record over the oldest of its ring.
+
+    :param number: Counts the records of the ring.
+    :param kept: Size of the ring.
+    """
+    return Put(keys.audit(f"{ring}-{number % kept}"), to_json(record))
+
+
+def ownership_put(
+    keys: Keys, shard: ShardId, number: int, actor: str, action: str, at: float
+) -> Put:
+    """Returns the audit record of a change of a shard's owner."""
+    record = AuditRecord(at=at, actor=actor, action=action, subject=shard)
+    return ring_put(keys, f"owner-{shard}", number, OWNERSHIPS_KEPT, record)
+
+
+def cancel_puts(
+    keys: Keys, shard: ShardId, number: int, entries: list[LogEntry]
+) -> list[Put]:
+    """Returns the audit record of the cancellations in one batch of a log.
+
+    A wave of cancellations is one record for each store write.
+
+    :param number: Number of the batch.
+    """
+    found = [entry for entry in entries if entry.kind is EntryKind.JOB_CANCELLED]
+    if not found:
+        return []
+    actors = sorted({entry.detail or "unknown" for entry in found})
+    subjects = " ".join(entry.job_id for entry in found[:SUBJECTS_SHOWN])
+    record = AuditRecord(
+        at=found[0].at,
+        actor=" ".join(actors),
+        action="cancel",
+        subject=subjects,
+        detail=f"{len(found)} jobs" if len(found) > 1 else "",
+    )
+    return [ring_put(keys, f"cancel-{shard}", number, CANCELS_KEPT, record)]
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import InstanceId, SectionName, ShardId
+    from lacewinghold.ids import InstanceId, SectionName, ShardId, WorkerId
 
 SEQUENCE_DIGITS = 12
 
@@ -25,6 +25,7 @@
         self.instances = f"{self.live}instances/"
         self.owners = f"{self.live}owners/"
         self.sections = f"{self.live}sections/"
+        self.drains = f"{self.live}drains/"
         self.audits = f"{prefix}/audit/"
 
     def instance(self, instance: InstanceId) -> str:
@@ -39,6 +40,10 @@
         """Returns the key of a document section."""
         return f"{self.sections}{section}"
 
+    def drain(self, worker: WorkerId) -> str:
+        """Returns the key that tells whether a worker is drained."""
+        return f"{self.drains}{worker}"
+
     def log(self, shard: ShardId) -> str:
         """Returns the prefix of a shard's log."""
         return f"{self.prefix}/ledger/{shard}/log/"
--- a/lacewinghold/coordination/ledger.py
+++ b/lacewinghold/coordination/ledger.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.audit import cancel_puts
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import Epoch, JobId, ShardId, TaskId
 from lacewinghold.schema.generated.records import (
@@ -96,6 +97,7 @@
     entries: list[LogEntry]
     digest: str
     job: JobId | None
+    fingerprint: str
     done: anyio.Event
     result: Result[JobId | None, Failure] | None = None
 
@@ -160,18 +162,24 @@
             self.next_number = batch.number + 1
 
     async def append(
-        self, entries: list[LogEntry], digest: str = "", job: JobId | None = None
+        self,
+        entries: list[LogEntry],
+        digest: str = "",
+        job: JobId | None = None,
+        fingerprint: str = "",
     ) -> Result[JobId | None, Failure]:
         """Makes entries durable.
 
         :param digest: If set, the entries are written only if no job with this
             idempotency digest exists.
         :param job: The job that the digest stands for.
-        :returns: ``job``, or the job that already has the digest.
+        :param fingerprint: Hash of what was submitted.
+        :returns: ``job``, or the job that already has the digest; ``CONFLICT`` if
+            that was submitted with another fingerprint.
         """
         if self.closed is not None:
             return Err(self.closed)
-        append = Append(entries, digest, job, anyio.Event())
+        append = Append(entries, digest, job, fingerprint, anyio.Event())
         self.pending.append(append)
         self.wanted.set()
         await append.done.wait()
@@ -213,7 +221,7 @@
                 self.settle(append, Err(reply.err_value))
                 return
             for item in reply.ok_value.items:
-                self.settle(append, Ok(JobId(item.value.decode())))
+                self.settle(append, earlier_job(item.value, append.fingerprint))
                 return
         outcome = await self.write([append])
         if isinstance(outcome, Err):
@@ -245,12 +253,14 @@
             entries=entries,
         )
         operations: list[Put | Delete] = [Put(key, to_json(batch))]
+        operations += cancel_puts(self.keys, self.shard, self.next_number, entries)
         for append in group:
             if not append.digest or append.job is None:
                 continue
             guard = self.keys.idempotency(append.digest)
             compares.append(Compare(guard, CompareTarget.CREATE_REVISION, 0))
-            operations.append(Put(guard, append.job.encode()))
+            value = f"{append.job} {append.fingerprint}"
+            operations.append(Put(guard, value.encode()))
         return Transaction(compares, operations)
 
     async def write(self, group: list[Append]) -> Result[bool, Failure]:
@@ -334,3 +344,16 @@
         written = await self.store.commit(Transaction([compare], operations))
         if isinstance(written, Ok) and written.ok_value.succeeded:
             self.folded_through = through
+
+
+def earlier_job(value: bytes, fingerprint: str) -> Result[JobId | None, Failure]:
+    """Returns the job that an idempotency key stands for.
+
+    :param value: What the store has under the key.
+    :param fingerprint: Hash of what is submitted now.
+    """
+    job, _, known = value.decode().partition(" ")
+    if known == fingerprint:
+        return Ok(JobId(job))
+    detail = "another job was submitted with this key"
+    return Err(Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key"))
--- a/lacewinghold/coordination/ownership.py
+++ b/lacewinghold/coordination/ownership.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.audit import ownership_put
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import Epoch, Revision
 from lacewinghold.invariants import Invariant, require
@@ -40,6 +41,7 @@
         self.shard = shard
         self.epoch = Epoch(0)
         self.generation = 0
+        self.change = 0
         self.previous: OwnerRecord | None = None
         self.previous_epoch = Epoch(0)
 
@@ -63,11 +65,12 @@
         return Err(Failure(ErrorKind.LEASE_LAPSED, f"{self.shard} is not held"))
 
     async def take(
-        self, known: tuple[OwnerRecord, KeyValue] | None
+        self, known: tuple[OwnerRecord, KeyValue] | None, at: float = 0.0
     ) -> Result[Epoch, Failure]:
         """Takes the shard if its last owner let go or its lease has lapsed.
 
         :param known: The ownership record as last seen.
+        :param at: Seconds since 1970, for the audit trail.
         :returns: The new epoch; ``CONFLICT`` if somebody else holds the shard.
         """
         generation = self.lease.generation
@@ -82,9 +85,15 @@
         if known and known[0].owner is not None and known[0].owner != self.instance:
             holder = self.keys.instance(known[0].owner)
             compares.append(Compare(holder, CompareTarget.CREATE_REVISION, 0))
-        record = OwnerRecord(owner=self.instance, lease=self.lease.lease or 0)
+        number = known[0].change + 1 if known else 1
+        record = OwnerRecord(
+            owner=self.instance, lease=self.lease.lease or 0, change=number
+        )
+        audit = ownership_put(
+            self.keys, self.shard, number, self.instance, "take shard", at
+        )
         written = await self.store.commit(
-            Transaction(compares, [Put(key, to_json(record))])
+            Transaction(compares, [Put(key, to_json(record)), audit])
         )
         if isinstance(written, Err):
             if written.err_value.kind is not ErrorKind.OUTCOME_UNKNOWN:
@@ -123,6 +132,7 @@
         require(Invariant.EPOCH_RISES, epoch > self.epoch, f"{epoch} {self.epoch}")
         self.previous = known[0] if known else None
         self.previous_epoch = Epoch(known[1].mod_revision) if known else Epoch(0)
+        self.change = known[0].change + 1 if known else 1
         self.epoch = epoch
         self.generation = generation
         logger.info("shard taken", shard=self.shard, epoch=epoch)
@@ -143,14 +153,21 @@
             return Ok(True)
         return Ok(False)
 
-    async def release(self) -> Result[None, Failure]:
-        """Lets go of the shard, so that another may take it at once."""
+    async def release(self, at: float = 0.0) -> Result[None, Failure]:
+        """Lets go of the shard, so that another may take it at once.
+
+        :param at: Seconds since 1970, for the audit trail.
+        """
         key = self.keys.owner(self.shard)
-        record = OwnerRecord(owner=None, released=True)
+        number = self.change + 1
+        record = OwnerRecord(owner=None, released=True, change=number)
+        audit = ownership_put(
+            self.keys, self.shard, number, self.instance, "release shard", at
+        )
         compare = Compare(key, CompareTarget.MOD_REVISION, Revision(self.epoch))
         self.generation = 0
         written = await self.store.commit(
-            Transaction([compare], [Put(key, to_json(record))])
+            Transaction([compare], [Put(key, to_json(record)), audit])
         )
         if isinstance(written, Err):
             return Err(written.err_value)
--- a/lacewinghold/document/editor.py
+++ b/lacewinghold/document/editor.py
@@ -99,4 +99,5 @@
         if isinstance(reply, Err):
             return Err(reply.err_value)
         items = reply.ok_value.items
-        return Ok([from_json(item.value, AuditRecord) for item in items])
+        records = [from_json(item.value, AuditRecord) for item in items]
+        return Ok(sorted(records, key=lambda record: record.at))
--- a/lacewinghold/errors.py
+++ b/lacewinghold/errors.py
@@ -16,6 +16,7 @@
     CONFLICT = "conflict"
     PRECONDITION_FAILED = "precondition_failed"
     PRECONDITION_REQUIRED = "precondition_required"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     TOO_LARGE = "too_large"
     CANNOT_FIT = "cannot_fit"
     OVERLOADED = "overloaded"
@@ -58,6 +59,7 @@
     ),
     ErrorKind.PRECONDITION_FAILED: Answer(412, 5, False, "It was changed meanwhile"),
     ErrorKind.PRECONDITION_REQUIRED: Answer(428, 2, False, "If-Match is required"),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, 2, False, "The method does not fit"),
     ErrorKind.TOO_LARGE: Answer(413, 2, False, "The request is too large"),
     ErrorKind.CANNOT_FIT: Answer(422, 6, False, "No worker can ever run this"),
     ErrorKind.OVERLOADED: Answer(503, 7, True, "Not run: too much work is waiting"),
--- a/lacewinghold/shards/jobs.py
+++ b/lacewinghold/shards/jobs.py
@@ -125,7 +125,7 @@
         if isinstance(local, Ok):
             job = local.ok_value.jobs.get(job_id)
             if job is None:
-                return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}"))
+                return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}", "job"))
             return Ok(job.to_view())
         shard = job_shard(job_id)
         body = JobQuery(job_id)
@@ -144,7 +144,7 @@
             return Err(local.err_value)
         job = local.ok_value.jobs.get(message.job)
         if job is None:
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {message.job}"))
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {message.job}", "job"))
         return Ok(Views([to_json(job.to_view())]))
 
     async def cancel(self, job_id: JobId, actor: str) -> Result[JobView, Failure]:
@@ -152,7 +152,7 @@
         shard = job_shard(job_id)
         local = self.directory.local_owner(shard)
         if isinstance(local, Ok):
-            cancelled = await local.ok_value.cancel(job_id)
+            cancelled = await local.ok_value.cancel(job_id, actor)
             if isinstance(cancelled, Err):
                 return Err(cancelled.err_value)
             return Ok(cancelled.ok_value.to_view())
@@ -170,7 +170,7 @@
         local = self.directory.local_owner(job_shard(message.job))
         if isinstance(local, Err):
             return Err(local.err_value)
-        cancelled = await local.ok_value.cancel(message.job)
+        cancelled = await local.ok_value.cancel(message.job, message.actor)
         if isinstance(cancelled, Err):
             return Err(cancelled.err_value)
         return Ok(Views([to_json(cancelled.ok_value.to_view())]))
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -13,6 +13,7 @@
 from lacewinghold.coordination.ownership import ShardOwnership
 from lacewinghold.ids import ShardId
 from lacewinghold.schema.generated.worker import WorkerState
+from lacewinghold.shards.drains import Drains
 from lacewinghold.shards.owner import ShardOwner
 
 if TYPE_CHECKING:
@@ -70,6 +71,8 @@
         self.workers: dict[ShardId, list[WorkerRecord]] = {}
         self.listed: InstanceList | None = None
         self.leaving = False
+        self.drains = Drains(store, view, clock)
+        view.listeners.append(self.follow_drains)
 
     @property
     def data_centre(self) -> DataCentreId:
@@ -111,6 +114,14 @@
             if owner.ready.is_set():
                 owner.update_workers(shards.get(shard, []))
 
+    def follow_drains(self, changed: set[str]) -> None:
+        """Tells the owners which workers are drained now."""
+        if not self.drains.changed_by(changed):
+            return
+        drained = self.drains.current()
+        for owner in self.owners.values():
+            owner.set_drained(drained)
+
     def gone(self, instance: InstanceId) -> bool:
         """Returns whether the platform says that an entry instance is gone."""
         return self.listed is not None and instance in self.listed.gone
@@ -148,7 +159,7 @@
         """Takes a shard and starts to serve it."""
         ownership = ShardOwnership(self.store, self.keys, self.lease, shard)
         known = self.view.owner(shard)
-        taken = await ownership.take(known)
+        taken = await ownership.take(known, self.clock.now())
         if isinstance(taken, Err):
             logger.debug("shard not taken", shard=shard, detail=taken.err_value.detail)
             return
@@ -170,6 +181,7 @@
             lambda: previous is not None and self.gone(previous),
             self.rng,
         )
+        owner.set_drained(self.drains.current())
         self.owners[shard] = owner
         tasks.start_soon(self.serve, shard, owner)
 
@@ -189,7 +201,7 @@
         scope = self.scopes.pop(shard, None)
         if scope is not None:
             scope.cancel()
-        await owner.ownership.release()
+        await owner.ownership.release(self.clock.now())
 
     async def release_all(self) -> None:
         """Lets go of all shards."""
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import secrets
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 from lacewinghold.shards.model import ENDED, ON_WORKER, Job, Task, make_job
 from lacewinghold.shards.placer import Placer
 from lacewinghold.shards.worker_task import WorkerTask
+from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
     import random
@@ -67,6 +69,7 @@
         self.jobs: dict[JobId, Job] = {}
         self.tasks: dict[TaskId, Task] = {}
         self.workers: dict[WorkerId, WorkerTask] = {}
+        self.drained: frozenset[WorkerId] = frozenset()
         self.placer = Placer(self)
         self.waits: list[float] = []
         self.unrecorded: dict[TaskId, LogEntry] = {}
@@ -144,6 +147,13 @@
             self.workers.pop(worker_id).remove()
         self.placer.wake()
 
+    def set_drained(self, drained: frozenset[WorkerId]) -> None:
+        """Follows which workers operators have drained."""
+        self.drained = drained
+        for worker in self.workers.values():
+            worker.refresh_usable()
+        self.placer.wake()
+
     async def prove_free(self) -> None:
         """Waits until no earlier holder can start a task, then queues the rest."""
         hold_s = self.hold_s * (1 + 2 * CLOCK_DRIFT) + HOLD_MARGIN_S
@@ -219,7 +229,8 @@
             job=job_id, spec=spec, accepted_at=at, idempotency_digest=digest
         )
         entry = LogEntry(kind=EntryKind.JOB_ACCEPTED, at=at, job=record)
-        written = await self.ledger.append([entry], digest, job_id)
+        fingerprint = hashlib.sha256(to_json(spec)).hexdigest()[:32]
+        written = await self.ledger.append([entry], digest, job_id, fingerprint)
         if isinstance(written, Err):
             return Err(written.err_value)
         if written.ok_value != job_id:
@@ -236,18 +247,22 @@
             self.tasks[task.id] = task
         self.placer.wake()
 
-    async def cancel(self, job_id: JobId) -> Result[Job, Failure]:
+    async def cancel(self, job_id: JobId, actor: str) -> Result[Job, Failure]:
         """Cancels a job; its running tasks are stopped.
 
+        :param actor: Who cancels it, for the audit trail.
         :returns: The job; it is ``cancel_pending`` until every task has ended.
         """
         job = self.jobs.get(job_id)
         if job is None:
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}"))
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}", "job"))
         if job.ended() or job.cancelled:
             return Ok(job)
         entry = LogEntry(
-            kind=EntryKind.JOB_CANCELLED, at=self.clock.now(), job_id=job_id
+            kind=EntryKind.JOB_CANCELLED,
+            at=self.clock.now(),
+            job_id=job_id,
+            detail=actor,
         )
         written = await self.ledger.append([entry])
         if isinstance(written, Err):
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -79,7 +79,11 @@
 
     def refresh_usable(self) -> None:
         """Decides whether new tasks may be placed here."""
-        self.capacity.usable = self.fenced and self.record.state is WorkerState.LIVE
+        self.capacity.usable = (
+            self.fenced
+            and self.record.state is WorkerState.LIVE
+            and self.record.worker not in self.owner.drained
+        )
 
     def remove(self) -> None:
         """Ends the service of a worker that the platform removed."""
