--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -19,6 +19,7 @@
 from lacewinghold.shards.directory import Directory
 from lacewinghold.shards.jobs import JobFront
 from lacewinghold.shards.manager import ShardManager
+from lacewinghold.shards.workers import WorkerFront
 
 if TYPE_CHECKING:
     import random
@@ -80,6 +81,7 @@
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
+        self.workers = WorkerFront(self.directory, self.peers)
         self.requests = RequestFront(
             settings, self.directory, self.peers, ports.backend_links, rng
         )
@@ -89,6 +91,18 @@
         record = self.view.instances().get(instance)
         return None if record is None else record.peer
 
+    def ready(self) -> bool:
+        """Returns whether this instance should get requests.
+
+        A lease that lapses in an outage of the store takes no instance away from
+        the balancer, since what needs no store goes on.
+        """
+        return (
+            self.lease.generation > 0
+            and bool(self.document.cell().teams)
+            and not self.manager.leaving
+        )
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
