--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -15,6 +15,9 @@
 from lacewinghold.ids import InstanceId
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.routing.front import RequestFront
+from lacewinghold.routing.once import OnceRequests
+from lacewinghold.routing.records import RequestRecords
+from lacewinghold.routing.rules import ServiceRules
 from lacewinghold.schema.generated.records import InstanceRecord
 from lacewinghold.shards.directory import Directory
 from lacewinghold.shards.jobs import JobFront
@@ -80,8 +83,21 @@
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
+        once = OnceRequests(
+            self.instance,
+            RequestRecords(ports.store, self.keys),
+            self.view,
+            self.peers,
+            ports.clock,
+        )
         self.requests = RequestFront(
-            settings, self.directory, self.peers, ports.backend_links, rng
+            settings,
+            self.directory,
+            self.peers,
+            ports.backend_links,
+            ServiceRules(self.document),
+            once,
+            rng,
         )
 
     def address_of(self, instance: InstanceId) -> str | None:
@@ -96,8 +112,10 @@
             tasks.start_soon(self.view.run)
             tasks.start_soon(self.peers.run)
             tasks.start_soon(self.manager.run)
+            tasks.start_soon(self.requests.run)
 
     async def shut_down(self) -> None:
-        """Hands shards over and ends the lease."""
+        """Hands shards over, finishes requests in progress and ends the lease."""
         await self.manager.release_all()
+        await self.requests.drain(self.settings.shutdown_limit_s)
         await self.lease.close()
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     import argparse
 
+    import httpx
+
     from lacewinghold.application import EntryInstance
     from lacewinghold.schema.generated.settings import Settings
 
@@ -65,7 +67,7 @@
             NngTransport(settings.listen.peer),
             HttpInstanceList(client, settings.instance_list_url),
             HttpWorkerLinks(client),
-            HttpBackendLinks(client),
+            HttpBackendLinks(open_backend_client),
             WallClock(),
         )
         instance = EntryInstance(settings, ports, secrets.token_hex(4), random.Random())
@@ -85,6 +87,13 @@
     logger.info("stopped", instance=instance.instance)
 
 
+def open_backend_client(limits: httpx.Limits) -> httpx.AsyncClient:
+    """Returns a client for one backend server."""
+    import httpx
+
+    return httpx.AsyncClient(limits=limits, trust_env=False)
+
+
 async def watch_signals(
     instance: EntryInstance, stop: anyio.Event, scope: anyio.CancelScope
 ) -> None:
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -55,6 +55,10 @@
         """Returns the key that maps an idempotency digest to a job."""
         return f"{self.prefix}/idempotency/{digest}"
 
+    def request(self, digest: str) -> str:
+        """Returns the key of a request that must not be repeated."""
+        return f"{self.prefix}/requests/{digest}"
+
     def audit(self, ident: str) -> str:
         """Returns the key of an audit record."""
         return f"{self.audits}{ident}"
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -33,6 +33,7 @@
 
 logger = structlog.get_logger(__name__)
 MESSAGE_VERSION = 1
+NO_REPLY = 0
 
 
 class PeerLinks:
@@ -104,7 +105,8 @@
                     failure.retry_after_s or 0.0,
                 )
             )
-        await self.send(envelope.sender, kind, envelope.correlation, body)
+        if envelope.correlation != NO_REPLY:
+            await self.send(envelope.sender, kind, envelope.correlation, body)
 
     async def send(
         self, peer: InstanceId, kind: MessageKind, correlation: int, body: bytes
@@ -118,6 +120,12 @@
         self.bytes_sent[kind] += len(message)
         return await self.transport.send(peer, address, message)
 
+    async def notify(
+        self, peer: InstanceId, kind: MessageKind, body: PackedStruct
+    ) -> Result[None, Failure]:
+        """Sends a message that gets no reply; it may be lost."""
+        return await self.send(peer, kind, NO_REPLY, pack(body))
+
     async def call(
         self,
         peer: InstanceId,
--- a/lacewinghold/routing/base.py
+++ b/lacewinghold/routing/base.py
@@ -11,27 +11,38 @@
     from result import Result
 
     from lacewinghold.errors import Failure
-    from lacewinghold.ids import RequestId, ServiceId
-    from lacewinghold.schema.generated.worker import WorkerRecord
+    from lacewinghold.ids import AttemptId, Epoch, Incarnation, ServiceId
+    from lacewinghold.routing.outcomes import Unanswered
+    from lacewinghold.schema.generated.worker import Probe, ProbeReply, WorkerRecord
 
 
 class BackendRequest(Struct, frozen=True):
-    """One request as a backend server gets it."""
+    """One attempt of a request as a backend server gets it.
 
-    request: RequestId
+    :param epoch: Epoch of the sending owner; a lower one than the server has
+        seen is refused.
+    :param incarnation: Incarnation of the server that the owner has fenced.
+    """
+
+    attempt: AttemptId
     service: ServiceId
     method: str
     path: str
     body: bytes
-    repeatable: bool
+    epoch: Epoch
+    incarnation: Incarnation
+    timeout_s: float
+    content_type: str = ""
 
 
 class BackendAnswer(Struct, frozen=True):
-    """A whole answer, with the id of the request that it belongs to."""
+    """A whole answer, with the id of the attempt that it belongs to."""
 
-    request: RequestId
+    attempt: AttemptId
     status: int
     body: bytes
+    leaving: bool = False
+    content_type: str = ""
 
 
 class BackendLinks(ABC):
@@ -42,9 +53,15 @@
     @abstractmethod
     async def exchange(
         self, worker: WorkerRecord, request: BackendRequest
-    ) -> Result[BackendAnswer, Failure]:
-        """Sends a request and waits for the whole answer.
+    ) -> Result[BackendAnswer, Unanswered]:
+        """Sends an attempt and waits for the whole answer."""
 
-        :returns: The answer, or a failure: ``NOT_RUN`` if the request surely did
-            not reach the backend server, else ``OUTCOME_UNKNOWN``.
-        """
+    @abstractmethod
+    async def probe(
+        self, worker: WorkerRecord, probe: Probe
+    ) -> Result[ProbeReply, Failure]:
+        """Fences a backend server and asks what runs there."""
+
+    async def close(self, worker: WorkerRecord) -> None:
+        """Closes the connections to a backend server."""
+        del worker
--- a/lacewinghold/routing/http.py
+++ b/lacewinghold/routing/http.py
@@ -2,49 +2,171 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import httpx
+from msgspec import MsgspecError, Struct
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import RequestId
+from lacewinghold.ids import AttemptId
 from lacewinghold.routing.base import BackendAnswer, BackendLinks
+from lacewinghold.routing.outcomes import Observation, Unanswered
+from lacewinghold.schema.generated.worker import ProbeReply
+from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewinghold.ids import WorkerId
     from lacewinghold.routing.base import BackendRequest
-    from lacewinghold.schema.generated.worker import WorkerRecord
+    from lacewinghold.schema.generated.worker import Probe, WorkerRecord
 
 REQUEST_ID_HEADER = "x-request-id"
-NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+EPOCH_HEADER = "x-epoch"
+INCARNATION_HEADER = "x-incarnation"
+TIMEOUT_HEADER = "x-timeout-s"
+REFUSAL_HEADER = "x-not-run"
+LEAVING_HEADER = "x-leaving"
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 10.0
+PROBE_CONNECTIONS = 1
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+REFUSALS = {
+    "leaving": Observation.BACKEND_LEAVING,
+    "epoch": Observation.BACKEND_REFUSED,
+    "incarnation": Observation.BACKEND_REFUSED,
+    "absent": Observation.REFUSED,
+    "settled": Observation.BACKEND_REFUSED,
+}
+ERRORS: tuple[tuple[type[httpx.HTTPError], Observation], ...] = (
+    (httpx.ConnectTimeout, Observation.CONNECT_TIMEOUT),
+    (httpx.PoolTimeout, Observation.CONNECT_TIMEOUT),
+    (httpx.ConnectError, Observation.REFUSED),
+)
+
+
+class Progress(Struct):
+    """How far an exchange has come."""
+
+    sending: bool = False
+    answering: bool = False
+
+    async def trace(self, event: str, details: dict[str, Any]) -> None:
+        """Notes the steps that the HTTP library reports."""
+        del details
+        if event.endswith("send_request_headers.started"):
+            self.sending = True
 
 
 class HttpBackendLinks(BackendLinks):
-    """Backend servers behind HTTP; they return the request's id in a header."""
+    """Backend servers behind HTTP; they return the attempt's id in a header.
+
+    Each backend server has a connection pool of its own, as large as its slots
+    and the probe need, so that its limit of connections holds.
+
+    :param make_client: Returns a client with the given limits.
+    """
 
     name = "http"
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self.client = client
+    def __init__(
+        self, make_client: Callable[[httpx.Limits], httpx.AsyncClient]
+    ) -> None:
+        self.make_client = make_client
+        self.clients: dict[WorkerId, httpx.AsyncClient] = {}
+
+    def client(self, worker: WorkerRecord) -> httpx.AsyncClient:
+        """Returns the client of one backend server."""
+        client = self.clients.get(worker.worker)
+        if client is None:
+            most = min(worker.connections, worker.slots + PROBE_CONNECTIONS)
+            limits = httpx.Limits(
+                max_connections=most,
+                max_keepalive_connections=most,
+                keepalive_expiry=IDLE_LIMIT_S,
+            )
+            client = self.make_client(limits)
+            self.clients[worker.worker] = client
+        return client
 
     async def exchange(
         self, worker: WorkerRecord, request: BackendRequest
-    ) -> Result[BackendAnswer, Failure]:
+    ) -> Result[BackendAnswer, Unanswered]:
         url = f"{worker.url}/services/{request.service}/{request.path.lstrip('/')}"
+        headers = {
+            REQUEST_ID_HEADER: request.attempt,
+            EPOCH_HEADER: str(request.epoch),
+            INCARNATION_HEADER: str(request.incarnation),
+            TIMEOUT_HEADER: f"{request.timeout_s:.3f}",
+        }
+        if request.content_type:
+            headers["content-type"] = request.content_type
+        timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S)
+        body = bytearray()
+        progress = Progress()
         try:
-            response = await self.client.request(
+            async with self.client(worker).stream(
                 request.method,
                 url,
                 content=request.body,
-                headers={REQUEST_ID_HEADER: request.request},
-                timeout=None,
-            )
-        except NOT_SENT as error:
-            return Err(Failure(ErrorKind.NOT_RUN, str(error)))
+                headers=headers,
+                timeout=timeout,
+                extensions={"trace": progress.trace},
+            ) as response:
+                progress.answering = True
+                async for chunk in response.aiter_bytes():
+                    body += chunk
+                    if len(body) > MAX_ANSWER_BYTES:
+                        return Err(Unanswered(Observation.ANSWER_TOO_LARGE))
         except httpx.HTTPError as error:
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, repr(error)))
-        echoed = RequestId(response.headers.get(REQUEST_ID_HEADER, ""))
-        if echoed != request.request:
-            detail = "the answer belongs to another request"
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
-        return Ok(BackendAnswer(echoed, response.status_code, response.content))
+            return Err(Unanswered(observe(error, progress), repr(error)))
+        return to_answer(request, response, bytes(body))
+
+    async def probe(
+        self, worker: WorkerRecord, probe: Probe
+    ) -> Result[ProbeReply, Failure]:
+        try:
+            response = await self.client(worker).post(
+                f"{worker.url}/requests/probe",
+                content=to_json(probe),
+                timeout=PROBE_TIMEOUT_S,
+            )
+            response.raise_for_status()
+            return Ok(from_json(response.content, ProbeReply))
+        except (httpx.HTTPError, MsgspecError) as error:
+            return Err(Failure(ErrorKind.UNREACHABLE, repr(error)))
+
+    async def close(self, worker: WorkerRecord) -> None:
+        client = self.clients.pop(worker.worker, None)
+        if client is not None:
+            await client.aclose()
+
+
+def observe(error: httpx.HTTPError, progress: Progress) -> Observation:
+    """Returns what an error of the client shows."""
+    for kind, observation in ERRORS:
+        if isinstance(error, kind):
+            return observation
+    if progress.answering:
+        return Observation.HALF_ANSWER
+    if progress.sending:
+        return Observation.RESET_AFTER_SEND
+    return Observation.RESET_BEFORE_SEND
+
+
+def to_answer(
+    request: BackendRequest, response: httpx.Response, body: bytes
+) -> Result[BackendAnswer, Unanswered]:
+    """Returns a response as an answer or a refusal."""
+    echoed = AttemptId(response.headers.get(REQUEST_ID_HEADER, ""))
+    if echoed != request.attempt:
+        return Err(Unanswered(Observation.WRONG_ANSWER, echoed))
+    refusal = REFUSALS.get(response.headers.get(REFUSAL_HEADER, ""))
+    if refusal is not None:
+        return Err(Unanswered(refusal))
+    leaving = LEAVING_HEADER in response.headers
+    content_type = response.headers.get("content-type", "")
+    return Ok(BackendAnswer(echoed, response.status_code, body, leaving, content_type))
--- /dev/null
+++ b/lacewinghold/routing/loads.py
@@ -0,0 +1,107 @@
+"""Chooses the shard for a request by distance, queue and latency."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    import random
+
+    from lacewinghold.ids import ServiceId, ShardId
+    from lacewinghold.routing.rules import ServiceRules
+    from lacewinghold.schema.generated.messages import ServiceLoad, ServiceRequest
+    from lacewinghold.schema.generated.records import InstanceRecord
+    from lacewinghold.schema.generated.settings import Settings
+
+LOAD_LIFETIME_S = 5.0
+LINK_ROUND_TRIP_S = 0.1
+
+
+class KnownLoad(Struct):
+    """A load and when it was heard."""
+
+    load: ServiceLoad
+    heard_at: float
+    sent: int = 0
+
+
+class LoadTable:
+    """The loads of the shards of all entry instances, as last heard.
+
+    :param rng: Spreads requests over equally good shards.
+    """
+
+    def __init__(
+        self, settings: Settings, rules: ServiceRules, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.rules = rules
+        self.rng = rng
+        self.loads: dict[tuple[ShardId, ServiceId], KnownLoad] = {}
+
+    def note(self, loads: list[ServiceLoad]) -> None:
+        """Takes loads that were measured just now."""
+        now = anyio.current_time()
+        for load in loads:
+            self.loads[(load.shard, load.service)] = KnownLoad(load, now)
+
+    def known(self, shard: ShardId, service: ServiceId) -> KnownLoad | None:
+        """Returns a load unless it is out of date."""
+        found = self.loads.get((shard, service))
+        if found is None or anyio.current_time() - found.heard_at > LOAD_LIFETIME_S:
+            return None
+        return found
+
+    def choose(
+        self,
+        message: ServiceRequest,
+        owners: dict[ShardId, InstanceRecord],
+        avoid: set[ShardId],
+    ) -> ShardId | None:
+        """Returns the shard to try next, or ``None`` if none is left.
+
+        The own data centre goes first, then the region, then the other region
+        if the service's rule and the deadline allow it. A shard whose queue
+        would take longer than the deadline goes after all others of its region.
+        """
+        best = None
+        served = {
+            shard for shard, name in self.loads if name == message.service
+        } & owners.keys()
+        for shard, record in owners.items():
+            if shard in avoid:
+                continue
+            remote = record.region != self.settings.region
+            if remote and not self.may_cross(message):
+                continue
+            if served and shard not in served:
+                continue
+            far = record.data_centre != self.settings.data_centre
+            known = self.known(shard, message.service)
+            wait_s = 0.0 if known is None else expected_wait_s(known)
+            late = wait_s > message.timeout_s
+            unserved = known is None or known.load.slots == 0
+            rank = (remote, unserved, late, far, wait_s, self.rng.random(), shard)
+            if best is None or rank < best:
+                best = rank
+        if best is None:
+            return None
+        chosen = self.known(best[-1], message.service)
+        if chosen is not None:
+            chosen.sent += 1
+        return best[-1]
+
+    def may_cross(self, message: ServiceRequest) -> bool:
+        """Returns whether a request may use the link between regions."""
+        rule = self.rules.rule(message.service)
+        return rule.cross_region and message.timeout_s > 2 * LINK_ROUND_TRIP_S
+
+
+def expected_wait_s(known: KnownLoad) -> float:
+    """Returns how long a request sent now would take at a shard."""
+    load = known.load
+    ahead = load.queued + load.used + known.sent
+    return load.latency_s * (1 + ahead / max(1, load.slots))
--- /dev/null
+++ b/lacewinghold/routing/outcomes.py
@@ -0,0 +1,126 @@
+"""What follows from each way in which a request can go without an answer."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+from lacewinghold.errors import ErrorKind, Failure
+
+
+class Observation(StrEnum):
+    """What was seen of an attempt that brought no whole answer."""
+
+    REFUSED = "connection refused"
+    CONNECT_TIMEOUT = "no connection in time"
+    RESET_BEFORE_SEND = "connection reset before the first byte was sent"
+    RESET_AFTER_SEND = "connection reset after the first byte was sent"
+    HALF_ANSWER = "connection closed within the answer"
+    WRONG_ANSWER = "answer for another request"
+    ANSWER_TOO_LARGE = "answer over the size limit"
+    SILENT = "connection silent after the request"
+    SILENT_UNSEEN = "connection silent and the request refused from now on"
+    BACKEND_LEAVING = "backend server leaving"
+    BACKEND_REFUSED = "backend server refused a stale epoch or incarnation"
+    BACKEND_GONE = "backend server removed by the platform"
+    NO_BACKEND = "no backend server left to try"
+    TIMEOUT_QUEUED = "time out in the queue"
+    TIMEOUT_SENT = "time out after the request was sent"
+    CALLER_LEFT_QUEUED = "caller left while the request was queued"
+    CALLER_LEFT_SENT = "caller left after the request was sent"
+    FORWARD_NOT_SENT = "entry instance unreachable"
+    FORWARD_LOST = "entry instance died after the request was forwarded"
+    OWNER_CHANGED = "shard without an owner that may send"
+    SHED = "queue too long"
+    STORE_DOWN = "intent not written"
+
+
+class Verdict(StrEnum):
+    """What to do after an observation."""
+
+    RETRY = "retry"
+    NOT_RUN = "not run"
+    UNKNOWN = "outcome unknown"
+
+
+class Rule(Struct, frozen=True):
+    """One row of the table.
+
+    :param may_have_run: Whether a backend server may have run the request.
+    :param repeatable: Verdict for a request that may be repeated.
+    :param once: Verdict for a request that must not be repeated.
+    """
+
+    may_have_run: bool
+    repeatable: Verdict
+    once: Verdict
+
+
+SURELY_NOT_RUN = Rule(False, Verdict.RETRY, Verdict.RETRY)
+ENDED_NOT_RUN = Rule(False, Verdict.NOT_RUN, Verdict.NOT_RUN)
+PERHAPS_RUN = Rule(True, Verdict.RETRY, Verdict.UNKNOWN)
+ENDED_UNKNOWN = Rule(True, Verdict.UNKNOWN, Verdict.UNKNOWN)
+
+RULES: dict[Observation, Rule] = {
+    Observation.REFUSED: SURELY_NOT_RUN,
+    Observation.CONNECT_TIMEOUT: SURELY_NOT_RUN,
+    Observation.RESET_BEFORE_SEND: SURELY_NOT_RUN,
+    Observation.RESET_AFTER_SEND: PERHAPS_RUN,
+    Observation.HALF_ANSWER: PERHAPS_RUN,
+    Observation.WRONG_ANSWER: PERHAPS_RUN,
+    Observation.ANSWER_TOO_LARGE: ENDED_UNKNOWN,
+    Observation.SILENT: PERHAPS_RUN,
+    Observation.SILENT_UNSEEN: SURELY_NOT_RUN,
+    Observation.BACKEND_LEAVING: SURELY_NOT_RUN,
+    Observation.BACKEND_REFUSED: SURELY_NOT_RUN,
+    Observation.BACKEND_GONE: PERHAPS_RUN,
+    Observation.NO_BACKEND: ENDED_NOT_RUN,
+    Observation.TIMEOUT_QUEUED: ENDED_NOT_RUN,
+    Observation.TIMEOUT_SENT: ENDED_UNKNOWN,
+    Observation.CALLER_LEFT_QUEUED: ENDED_NOT_RUN,
+    Observation.CALLER_LEFT_SENT: ENDED_UNKNOWN,
+    Observation.FORWARD_NOT_SENT: SURELY_NOT_RUN,
+    Observation.FORWARD_LOST: PERHAPS_RUN,
+    Observation.OWNER_CHANGED: SURELY_NOT_RUN,
+    Observation.SHED: ENDED_NOT_RUN,
+    Observation.STORE_DOWN: ENDED_NOT_RUN,
+}
+
+NOT_RUN_KINDS: dict[Observation, ErrorKind] = {
+    Observation.TIMEOUT_QUEUED: ErrorKind.DEADLINE_EXCEEDED,
+    Observation.FORWARD_NOT_SENT: ErrorKind.UNREACHABLE,
+    Observation.OWNER_CHANGED: ErrorKind.NOT_OWNER,
+    Observation.SHED: ErrorKind.OVERLOADED,
+}
+
+
+class Unanswered(Struct, frozen=True):
+    """An attempt without a whole answer."""
+
+    observation: Observation
+    detail: str = ""
+
+
+def decide(observation: Observation, *, repeatable: bool) -> Verdict:
+    """Returns the table's verdict."""
+    rule = RULES[observation]
+    return rule.repeatable if repeatable else rule.once
+
+
+def to_failure(
+    observation: Observation,
+    detail: str = "",
+    *,
+    may_have_run: bool = False,
+    retry_after_s: float | None = None,
+) -> Failure:
+    """Returns what a caller is told when no further attempt is made.
+
+    :param may_have_run: Whether an earlier attempt of the request may have run.
+    """
+    text = f"{observation}: {detail}" if detail else str(observation)
+    if may_have_run or RULES[observation].may_have_run:
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, text)
+    kind = NOT_RUN_KINDS.get(observation, ErrorKind.NOT_RUN)
+    return Failure(kind, text, "", retry_after_s)
--- /dev/null
+++ b/lacewinghold/routing/records.py
@@ -0,0 +1,190 @@
+"""Records of requests that must not be repeated, by group commit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct, field
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import LeaseId, Revision
+from lacewinghold.schema.generated.records import RequestRecord
+from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.coordination.keys import Keys
+    from lacewinghold.store.base import Store
+
+MAX_GROUP_WRITES = 50
+MAX_GROUP_BYTES = 500_000
+RETENTION_S = 900.0
+RETRY_S = 0.1
+
+
+class StoredRecord(Struct, frozen=True):
+    """A record and the store's revision of it."""
+
+    record: RequestRecord
+    revision: Revision
+
+
+class PendingWrite(Struct, eq=False):
+    """A record that waits for the next write.
+
+    :param expected: Revision that the key must have, zero if it must be absent.
+    """
+
+    key: str
+    record: RequestRecord
+    data: bytes
+    expected: Revision
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: Result[Revision, Failure] | None = None
+
+    def settle(self, result: Result[Revision, Failure]) -> None:
+        """Gives the writer its result."""
+        self.result = result
+        self.done.set()
+
+
+class RequestRecords:
+    """One store key for each request, removed by the platform after a while.
+
+    Each write names the revision that it replaces, so that of two entry
+    instances only one can claim a request.
+    """
+
+    def __init__(self, store: Store, keys: Keys) -> None:
+        self.store = store
+        self.keys = keys
+        self.pending: list[PendingWrite] = []
+        self.wanted = anyio.Event()
+        self.lease = LeaseId(0)
+        self.lease_opened_at = 0.0
+
+    async def read(self, digest: str) -> Result[StoredRecord | None, Failure]:
+        """Returns the record of a request."""
+        reply = await self.store.range(self.keys.request(digest))
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        for item in reply.ok_value.items:
+            record = from_json(item.value, RequestRecord)
+            return Ok(StoredRecord(record, Revision(item.mod_revision)))
+        return Ok(None)
+
+    async def write(
+        self, digest: str, record: RequestRecord, expected: Revision
+    ) -> Result[Revision, Failure]:
+        """Writes a record in place of one revision.
+
+        :param expected: Revision to replace, zero if there must be none.
+        :returns: The new revision; ``CONFLICT`` if another one is there,
+            ``STORE_UNAVAILABLE`` if surely nothing was written.
+        """
+        key = self.keys.request(digest)
+        pending = PendingWrite(key, record, to_json(record), expected)
+        self.pending.append(pending)
+        self.wanted.set()
+        try:
+            await pending.done.wait()
+        finally:
+            if pending in self.pending:
+                self.pending.remove(pending)
+        assert pending.result is not None
+        return pending.result
+
+    async def run(self) -> None:
+        """Writes what is pending, one store write at a time."""
+        while True:
+            if not self.pending:
+                self.wanted = anyio.Event()
+                await self.wanted.wait()
+            group = self.next_group()
+            lease = await self.current_lease()
+            if isinstance(lease, Err):
+                for pending in group:
+                    pending.settle(Err(lease.err_value))
+                continue
+            await self.write_group(group)
+
+    def next_group(self) -> list[PendingWrite]:
+        """Takes the next writes, each key at most once."""
+        group: list[PendingWrite] = []
+        keys: set[str] = set()
+        size = 0
+        for pending in list(self.pending):
+            if len(group) >= MAX_GROUP_WRITES or size >= MAX_GROUP_BYTES:
+                break
+            if pending.key in keys:
+                continue
+            keys.add(pending.key)
+            size += len(pending.data)
+            group.append(pending)
+            self.pending.remove(pending)
+        return group
+
+    async def current_lease(self) -> Result[None, Failure]:
+        """Opens the lease that removes the records, a new one at an interval."""
+        now = anyio.current_time()
+        if self.lease and now - self.lease_opened_at < RETENTION_S:
+            return Ok(None)
+        granted = await self.store.grant_lease(2 * RETENTION_S)
+        if isinstance(granted, Err):
+            detail = granted.err_value.detail
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        self.lease = granted.ok_value
+        self.lease_opened_at = now
+        return Ok(None)
+
+    async def write_group(self, group: list[PendingWrite]) -> None:
+        """Writes a group, one by one where a condition fails."""
+        compares = []
+        operations = []
+        for pending in group:
+            compares.append(
+                Compare(pending.key, CompareTarget.MOD_REVISION, pending.expected)
+            )
+            operations.append(Put(pending.key, pending.data, self.lease))
+        written = await self.store.commit(Transaction(compares, [*operations]))
+        if isinstance(written, Ok) and written.ok_value.succeeded:
+            for pending in group:
+                pending.settle(Ok(Revision(written.ok_value.revision)))
+            return
+        if isinstance(written, Ok) and len(group) > 1:
+            for pending in group:
+                await self.write_group([pending])
+            return
+        if isinstance(written, Err):
+            kind = written.err_value.kind
+            if kind is ErrorKind.LEASE_LAPSED:
+                self.lease = LeaseId(0)
+            if kind is not ErrorKind.OUTCOME_UNKNOWN:
+                for pending in group:
+                    detail = written.err_value.detail
+                    failure = Failure(ErrorKind.STORE_UNAVAILABLE, detail)
+                    pending.settle(Err(failure))
+                return
+            await anyio.sleep(RETRY_S)
+        for pending in group:
+            await self.read_back(pending)
+
+    async def read_back(self, pending: PendingWrite) -> None:
+        """Finds out whether a write took effect; queues it again if it did not."""
+        reply = await self.store.range(pending.key)
+        if isinstance(reply, Err):
+            detail = reply.err_value.detail
+            pending.settle(Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail)))
+            return
+        revision = Revision(0)
+        for item in reply.ok_value.items:
+            revision = Revision(item.mod_revision)
+            if item.value == pending.data:
+                pending.settle(Ok(revision))
+                return
+        if revision == pending.expected:
+            self.pending.append(pending)
+            return
+        pending.settle(Err(Failure(ErrorKind.CONFLICT, "the key was written")))
--- a/lacewinghold/testing/backend.py
+++ b/lacewinghold/testing/backend.py
@@ -1,61 +1,245 @@
-"""Fake backend servers that count what ran."""
+"""Fake backend servers that count what ran and go wrong on demand."""
 
 from __future__ import annotations
 
 from collections import Counter
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import anyio
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import AttemptId, Epoch, Incarnation, RequestId
+from lacewinghold.invariants import Invariant, require
 from lacewinghold.routing.base import BackendAnswer, BackendLinks
+from lacewinghold.routing.http import REFUSALS
+from lacewinghold.routing.outcomes import Observation, Unanswered
+from lacewinghold.schema.generated.worker import ProbeReply, WorkerState
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import RequestId, WorkerId
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.ids import WorkerId
     from lacewinghold.routing.base import BackendRequest
-    from lacewinghold.schema.generated.worker import WorkerRecord
+    from lacewinghold.schema.generated.worker import Probe, WorkerRecord
     from lacewinghold.testing.worker import FakeWorker
 
 SERVICE_TIME_S = 0.02
+LATENCY_S = 0.001
+DELAY_S = 0.7
+
+
+class BackendFault(StrEnum):
+    """How an attempt goes wrong."""
+
+    REFUSED = "refused"
+    RESET_BEFORE_SEND = "reset before the first byte was sent"
+    RESET_UNREAD = "reset after sending, the request was never read"
+    RESET_RUNNING = "reset after sending, the request runs"
+    RESET_DELAYED = "reset after sending, the request arrives later"
+    HALF_ANSWER = "half an answer"
+    WRONG_ANSWER = "answer for another request"
+    SILENT_REQUEST = "the request never arrives"
+    SILENT_ANSWER = "the answer never arrives"
+    SLOW = "the answer takes long"
+
+
+SLOW_S = 4.0
+ENDED_BY_FAULT: dict[BackendFault, Observation] = {
+    BackendFault.RESET_RUNNING: Observation.RESET_AFTER_SEND,
+    BackendFault.HALF_ANSWER: Observation.HALF_ANSWER,
+    BackendFault.WRONG_ANSWER: Observation.WRONG_ANSWER,
+}
+
+
+def request_of(attempt: AttemptId) -> RequestId:
+    """Returns the request that an attempt belongs to."""
+    return RequestId(attempt.partition(".")[0])
+
+
+class FakeBackend(Struct):
+    """What a backend server knows of its requests."""
+
+    worker: FakeWorker
+    epoch: Epoch = Epoch(0)
+    incarnation: Incarnation = Incarnation(0)
+    running: set[AttemptId] = field(default_factory=set)
+    seen: set[AttemptId] = field(default_factory=set)
+    settled: set[AttemptId] = field(default_factory=set)
+    most_running: int = 0
+    leaving: bool = False
+
+    def refresh(self) -> None:
+        """Forgets everything if the worker was restarted."""
+        if self.incarnation == self.worker.incarnation:
+            return
+        self.incarnation = self.worker.incarnation
+        self.epoch = Epoch(0)
+        for known in (self.running, self.seen, self.settled):
+            known.clear()
+
+    def is_leaving(self) -> bool:
+        """Returns whether the server takes no new work."""
+        return self.leaving or self.worker.record.state is WorkerState.LEAVING
+
+    def refusal(
+        self, attempt: AttemptId, service: str, epoch: int, incarnation: int
+    ) -> str:
+        """Returns why an attempt is refused, or the empty string."""
+        self.refresh()
+        services = {run.view.service for run in self.worker.running.values()}
+        if service not in services:
+            return "absent"
+        if self.is_leaving():
+            return "leaving"
+        if incarnation != self.incarnation:
+            return "incarnation"
+        if epoch < self.epoch:
+            return "epoch"
+        return "settled" if attempt in self.settled | self.seen else ""
+
+    def begin(self, attempt: AttemptId) -> None:
+        """Begins an attempt; checks the slots from outside."""
+        self.seen.add(attempt)
+        self.running.add(attempt)
+        self.most_running = max(self.most_running, len(self.running))
+        within = len(self.running) <= self.worker.record.slots
+        require(Invariant.SLOTS, within, self.worker.record.worker)
+
+    def end(self, attempt: AttemptId) -> None:
+        """Ends an attempt."""
+        self.running.discard(attempt)
+
+    def probe(self, probe: Probe) -> ProbeReply:
+        """Fences, settles and tells what runs."""
+        self.refresh()
+        accepted = probe.epoch >= self.epoch
+        unseen = []
+        if accepted:
+            self.epoch = probe.epoch
+            for attempt in probe.settle:
+                self.settled.add(attempt)
+                if attempt not in self.seen:
+                    unseen.append(attempt)
+        return ProbeReply(
+            accepted=accepted,
+            incarnation=self.incarnation,
+            running=sorted(self.running),
+            unseen=unseen,
+            leaving=self.is_leaving(),
+        )
 
 
 class MemoryBackendLinks(BackendLinks):
     """Backend servers on the fake workers of the same process.
 
     :param workers: The fakes by id.
+    :param tasks: Task group in which the servers run requests, whatever becomes
+        of those who sent them.
     """
 
     name = "memory"
 
-    def __init__(self, workers: dict[WorkerId, FakeWorker]) -> None:
+    def __init__(self, workers: dict[WorkerId, FakeWorker], tasks: TaskGroup) -> None:
         self.workers = workers
+        self.tasks = tasks
+        self.backends: dict[WorkerId, FakeBackend] = {}
+        self.faults: list[BackendFault] = []
+        self.service_time_s: dict[WorkerId, float] = {}
+        self.default_time_s = SERVICE_TIME_S
+        self.unreachable: set[WorkerId] = set()
         self.runs: Counter[RequestId] = Counter()
-        self.busy: Counter[WorkerId] = Counter()
-        self.most_busy: Counter[WorkerId] = Counter()
-
-    def serves(self, worker: FakeWorker, request: BackendRequest) -> bool:
-        """Returns whether the service runs on a worker."""
-        return worker.alive and any(
-            execution.view.service == request.service
-            for execution in worker.running.values()
-        )
+        self.arrivals: Counter[WorkerId] = Counter()
+        self.last_arrival: dict[WorkerId, float] = {}
+
+    def backend(self, worker: WorkerId) -> FakeBackend:
+        """Returns the server on a worker."""
+        if worker not in self.backends:
+            self.backends[worker] = FakeBackend(self.workers[worker])
+        return self.backends[worker]
 
     async def exchange(
         self, worker: WorkerRecord, request: BackendRequest
-    ) -> Result[BackendAnswer, Failure]:
+    ) -> Result[BackendAnswer, Unanswered]:
+        fault = self.faults.pop() if self.faults else None
         fake = self.workers[worker.worker]
-        if not self.serves(fake, request):
-            return Err(Failure(ErrorKind.NOT_RUN, "connection refused"))
-        self.runs[request.request] += 1
-        self.busy[worker.worker] += 1
-        self.most_busy[worker.worker] = max(
-            self.most_busy[worker.worker], self.busy[worker.worker]
-        )
-        try:
-            await anyio.sleep(SERVICE_TIME_S)
-        finally:
-            self.busy[worker.worker] -= 1
+        if fault is BackendFault.REFUSED or not fake.alive:
+            return Err(Unanswered(Observation.REFUSED))
+        if fault is BackendFault.RESET_BEFORE_SEND:
+            return Err(Unanswered(Observation.RESET_BEFORE_SEND))
+        await anyio.sleep(LATENCY_S)
+        if fault is BackendFault.RESET_UNREAD:
+            return Err(Unanswered(Observation.RESET_AFTER_SEND))
+        if fault is BackendFault.RESET_DELAYED:
+            self.tasks.start_soon(self.arrive, worker, request, None, DELAY_S)
+            return Err(Unanswered(Observation.RESET_AFTER_SEND))
+        if fault is BackendFault.SILENT_REQUEST or worker.worker in self.unreachable:
+            await anyio.sleep_forever()
+        begun = self.start(worker, request, fault)
+        if isinstance(begun, Unanswered):
+            return Err(begun)
+        if fault is BackendFault.RESET_RUNNING:
+            return Err(Unanswered(Observation.RESET_AFTER_SEND))
+        await begun.wait()
+        await anyio.sleep(LATENCY_S)
+        if fault is BackendFault.SILENT_ANSWER or worker.worker in self.unreachable:
+            await anyio.sleep_forever()
+        if fault in ENDED_BY_FAULT:
+            return Err(Unanswered(ENDED_BY_FAULT[fault]))
         if not fake.alive:
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "connection reset"))
-        return Ok(BackendAnswer(request.request, 200, request.body))
+            return Err(Unanswered(Observation.RESET_AFTER_SEND))
+        return Ok(BackendAnswer(request.attempt, 200, request.body))
+
+    def start(
+        self, worker: WorkerRecord, request: BackendRequest, fault: BackendFault | None
+    ) -> anyio.Event | Unanswered:
+        """Begins an attempt at its server; it runs on by itself."""
+        backend = self.backend(worker.worker)
+        refusal = backend.refusal(
+            request.attempt, request.service, request.epoch, request.incarnation
+        )
+        if refusal:
+            return Unanswered(REFUSALS[refusal], refusal)
+        backend.begin(request.attempt)
+        self.runs[request_of(request.attempt)] += 1
+        self.arrivals[worker.worker] += 1
+        self.last_arrival[worker.worker] = anyio.current_time()
+        run_s = self.service_time_s.get(worker.worker, self.default_time_s)
+        if fault is BackendFault.SLOW:
+            run_s = SLOW_S
+        ended = anyio.Event()
+        self.tasks.start_soon(self.run, backend, request.attempt, run_s, ended)
+        return ended
+
+    async def run(
+        self, backend: FakeBackend, attempt: AttemptId, run_s: float, ended: anyio.Event
+    ) -> None:
+        """Runs an attempt."""
+        await anyio.sleep(run_s)
+        backend.end(attempt)
+        ended.set()
+
+    async def arrive(
+        self,
+        worker: WorkerRecord,
+        request: BackendRequest,
+        fault: BackendFault | None,
+        delay_s: float,
+    ) -> None:
+        """Delivers an attempt late."""
+        await anyio.sleep(delay_s)
+        self.start(worker, request, fault)
+
+    async def probe(
+        self, worker: WorkerRecord, probe: Probe
+    ) -> Result[ProbeReply, Failure]:
+        await anyio.sleep(LATENCY_S)
+        if worker.worker in self.unreachable:
+            await anyio.sleep_forever()
+        if not self.workers[worker.worker].alive:
+            return Err(Failure(ErrorKind.UNREACHABLE, "connection refused"))
+        reply = self.backend(worker.worker).probe(probe)
+        await anyio.sleep(LATENCY_S)
+        return Ok(reply)
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -27,7 +27,9 @@
     Key,
     Role,
     SectionKind,
+    ServiceRule,
     Team,
+    TeamSection,
 )
 from lacewinghold.schema.generated.jobs import Resources
 from lacewinghold.schema.generated.records import SectionRecord
@@ -122,6 +124,7 @@
         self.keys = Keys("/lacewinghold")
         self.teams = teams or {TeamId("operators"): "operators-key"}
         self.run_time = run_time
+        self.rules = {"booking": ServiceRule(cross_region=True)}
         self.workers: dict[WorkerId, FakeWorker] = {}
         self.running_in: Counter[TaskId] = Counter()
         self.starts: Counter[TaskId] = Counter()
@@ -129,7 +132,7 @@
         self.network = MemoryNetwork(self.latency_s)
         self.instance_list = MemoryInstanceList(self.workers)
         self.worker_links = MemoryWorkerLinks(self.workers)
-        self.backend_links = MemoryBackendLinks(self.workers)
+        self.backend_links = MemoryBackendLinks(self.workers, tasks)
         self.boots = 0
         self.make_workers()
 
@@ -165,7 +168,7 @@
         require(Invariant.ONE_PLACE, self.running_in[task] <= 1, f"{task} on {worker}")
 
     async def load_document(self) -> None:
-        """Writes the section that names the teams."""
+        """Writes the sections that name the teams and the rules of services."""
         teams: dict[str, Team] = {}
         for index, (team, key) in enumerate(self.teams.items()):
             role = Role.TEAM if index else Role.OPERATOR
@@ -174,8 +177,16 @@
         record = SectionRecord(
             kind=SectionKind.CELL, owner=operators, body=CellSection(teams=teams)
         )
-        put = Put(self.keys.section(SectionName("cell")), to_json(record))
-        self.state.apply(Transaction([], [put]))
+        services = SectionRecord(
+            kind=SectionKind.TEAM,
+            owner=operators,
+            body=TeamSection(services=self.rules),
+        )
+        puts = [
+            Put(self.keys.section(SectionName("cell")), to_json(record)),
+            Put(self.keys.section(SectionName("services")), to_json(services)),
+        ]
+        self.state.apply(Transaction([], [*puts]))
 
     async def start(self) -> None:
         """Loads the document and starts all entry instances."""
--- a/lacewinghold/testing/stand_in.py
+++ b/lacewinghold/testing/stand_in.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,13 +11,19 @@
 from starlette.routing import Route
 
 from lacewinghold.api.problems import json_response
-from lacewinghold.ids import SectionName, ServiceId, WorkerId
-from lacewinghold.routing.http import REQUEST_ID_HEADER
+from lacewinghold.ids import AttemptId, RequestId, SectionName, ServiceId, WorkerId
+from lacewinghold.routing.http import (
+    EPOCH_HEADER,
+    INCARNATION_HEADER,
+    REFUSAL_HEADER,
+    REQUEST_ID_HEADER,
+)
 from lacewinghold.schema.generated.document import Section
 from lacewinghold.schema.generated.jobs import Resources
 from lacewinghold.schema.generated.records import SectionRecord
-from lacewinghold.schema.generated.worker import Command, WorkerRecord
+from lacewinghold.schema.generated.worker import Command, Probe, WorkerRecord
 from lacewinghold.store.base import Put, Transaction
+from lacewinghold.testing.backend import SERVICE_TIME_S, FakeBackend, request_of
 from lacewinghold.testing.gateway import Gateway
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.testing.worker import FakeWorker, MemoryInstanceList
@@ -29,8 +36,6 @@
     from lacewinghold.coordination.keys import Keys
     from lacewinghold.schema.generated.settings import StandInSettings
 
-SERVICE_TIME_S = 0.02
-
 
 class StandIn:
     """Everything outside of the entry instances.
@@ -46,6 +51,8 @@
         self.store = MemoryStore(self.state)
         self.workers: dict[WorkerId, FakeWorker] = {}
         self.instance_list = MemoryInstanceList(self.workers)
+        self.backends: dict[WorkerId, FakeBackend] = {}
+        self.runs: Counter[RequestId] = Counter()
         self.make_workers()
 
     def make_workers(self) -> None:
@@ -89,6 +96,8 @@
                 Route("/instances", self.list_instances),
                 Route("/workers/{worker}/commands", self.command, methods=["POST"]),
                 Route("/workers/{worker}/reports", self.report),
+                Route("/counts", self.counts),
+                Route("/workers/{worker}/requests/probe", self.probe, methods=["POST"]),
                 Route(
                     "/workers/{worker}/services/{service}/{path:path}",
                     self.serve,
@@ -115,14 +124,52 @@
         wait_s = float(request.query_params["wait_s"])
         return json_response(await worker.wait_report(after, wait_s))
 
+    def backend(self, request: Request) -> FakeBackend:
+        """Returns the backend server that a request names."""
+        worker = WorkerId(request.path_params["worker"])
+        if worker not in self.backends:
+            self.backends[worker] = FakeBackend(self.workers[worker])
+        return self.backends[worker]
+
+    async def probe(self, request: Request) -> Response:
+        """Tells an owner what runs on a backend server."""
+        probe = from_json(await request.body(), Probe)
+        return json_response(self.backend(request).probe(probe))
+
     async def serve(self, request: Request) -> Response:
         """Answers as the backend server of a service."""
-        worker = self.workers[request.path_params["worker"]]
-        service = ServiceId(request.path_params["service"])
-        running = {execution.view.service for execution in worker.running.values()}
-        if service not in running:
-            return Response(status_code=503)
+        backend = self.backend(request)
         body = await request.body()
-        await anyio.sleep(SERVICE_TIME_S)
-        ident = request.headers.get(REQUEST_ID_HEADER, "")
-        return Response(body, headers={REQUEST_ID_HEADER: ident})
+        attempt = AttemptId(request.headers.get(REQUEST_ID_HEADER, ""))
+        headers = {REQUEST_ID_HEADER: attempt}
+        refusal = backend.refusal(
+            attempt,
+            ServiceId(request.path_params["service"]),
+            int(request.headers.get(EPOCH_HEADER, "0")),
+            int(request.headers.get(INCARNATION_HEADER, "0")),
+        )
+        if refusal:
+            return Response(
+                status_code=503, headers={**headers, REFUSAL_HEADER: refusal}
+            )
+        backend.begin(attempt)
+        try:
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(SERVICE_TIME_S)
+        finally:
+            backend.end(attempt)
+        self.runs[request_of(attempt)] += 1
+        return Response(body, headers=headers)
+
+    async def counts(self, request: Request) -> Response:
+        """Tells what the backend servers have counted."""
+        most = [backend.most_running for backend in self.backends.values()]
+        return json_response(
+            {
+                "runs": sum(self.runs.values()),
+                "requests": len(self.runs),
+                "doubled": [key for key, runs in self.runs.items() if runs > 1],
+                "ran": sorted(self.runs),
+                "most_running": max(most, default=0),
+            }
+        )
