--- a/lacewinghold/routing/once.py
+++ b/lacewinghold/routing/once.py
@@ -90,6 +90,7 @@
         self.kept: OrderedDict[str, RequestRecord] = OrderedDict()
         self.kept_bytes = 0
         self.started = anyio.Event()
+        self.stopped = False
         peers.on(MessageKind.REQUEST_QUERY, self.on_request_query)
 
     async def run(self) -> None:
@@ -97,7 +98,10 @@
         async with anyio.create_task_group() as tasks:
             self.tasks: TaskGroup = tasks
             self.started.set()
-            await self.records.run()
+            try:
+                await self.records.run()
+            finally:
+                self.stopped = True
 
     def busy(self) -> bool:
         """Returns whether any request is in progress or its outcome unwritten."""
@@ -139,7 +143,8 @@
                 await running.done.wait()
         finally:
             running.waiters -= 1
-            if not running.waiters and not running.done.is_set():
+            left = not running.waiters and not running.done.is_set()
+            if left and not self.stopped:
                 self.tasks.start_soon(self.front.drop, running.message)
         if running.result is None:
             return Err(to_failure(Observation.TIMEOUT_SENT, "ask again by its key"))
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -4,10 +4,10 @@
 
 import random
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
-from msgspec import Struct
+from msgspec import Struct, field
 
 from lacewinghold.application import EntryInstance, Ports
 from lacewinghold.coordination.keys import Keys
@@ -48,13 +48,14 @@
 from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
     from lacewinghold.ids import TaskId
     from lacewinghold.schema.generated.worker import Start
 
+T = TypeVar("T")
 SAME_DATA_CENTRE_S = 0.0005
 BETWEEN_DATA_CENTRES_S = 0.001
 BETWEEN_REGIONS_S = 0.03
@@ -99,6 +100,20 @@
     instance: EntryInstance
     store: MemoryStore
     scope: anyio.CancelScope
+    calls: set[anyio.CancelScope] = field(default_factory=set)
+
+    async def call(self, operation: Callable[[], Awaitable[T]]) -> T | None:
+        """Calls the instance as a caller over a connection does.
+
+        :returns: ``None`` if the instance was killed meanwhile.
+        """
+        with anyio.CancelScope() as scope:
+            self.calls.add(scope)
+            try:
+                return await operation()
+            finally:
+                self.calls.discard(scope)
+        return None
 
 
 class Cell:
@@ -236,6 +251,8 @@
         """Kills an entry instance at once, without a word to anybody."""
         running = self.instances.pop(instance_id)
         running.scope.cancel()
+        for scope in list(running.calls):
+            scope.cancel()
         self.network.nodes.pop(instance_id, None)
 
     async def shut_down(self, instance_id: InstanceId) -> None:
--- /dev/null
+++ b/tests/test_routing/support.py
@@ -0,0 +1,71 @@
+"""A cell with a booking service for the tests of requests."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+import anyio
+from result import Ok
+
+from lacewinghold.ids import DataCentreId, RegionId, ServiceId, TeamId
+from lacewinghold.schema.generated.jobs import JobKind, JobSpec, Resources
+from lacewinghold.testing.cell import Cell, CellShape
+
+TEAM = TeamId("operators")
+BOOKING = ServiceId("booking")
+GENT, ANTWERPEN, NAMUR = (
+    DataCentreId(name) for name in ("gent-a", "antwerpen-b", "namur-a")
+)
+VLAANDEREN, WALLONIE = RegionId("vlaanderen"), RegionId("wallonie")
+ONE_CENTRE = {GENT: VLAANDEREN}
+THREE_CENTRES = {GENT: VLAANDEREN, ANTWERPEN: VLAANDEREN, NAMUR: WALLONIE}
+BIG = Resources(cores=16, memory_mb=32768)
+
+
+def make_shape(centres=ONE_CENTRE, workers=4, instances=3):
+    return CellShape(centres, BIG, instances=instances, workers_per_data_centre=workers)
+
+
+async def start_service(cell):
+    """Fills all workers with the booking service."""
+    for running in cell.instances.values():
+        for owner in running.instance.manager.owners.values():
+            spec = JobSpec(
+                kind=JobKind.SERVICE,
+                team=TEAM,
+                tasks=len(owner.workers),
+                resources=BIG,
+                service=BOOKING,
+            )
+            accepted = await owner.accept(spec, "")
+            assert isinstance(accepted, Ok), accepted
+
+
+@asynccontextmanager
+async def serving_cell(seed, shape=None):
+    shape = shape or make_shape()
+    async with anyio.create_task_group() as tasks:
+        cell = Cell(shape, tasks, seed)
+        await cell.start()
+        await cell.wait_ready(2 * len(shape.data_centres))
+        await anyio.sleep(1)
+        await start_service(cell)
+        await anyio.sleep(2)
+        yield cell
+        tasks.cancel_scope.cancel()
+
+
+async def ask(
+    cell, body=b"x", *, at=None, timeout_s=5.0, repeatable=True, key="", team=TEAM
+):
+    """Sends a request to any entry instance, or to a given one.
+
+    :returns: ``None`` if the entry instance was killed meanwhile.
+    """
+    running = at or cell.instances[cell.rng.choice(sorted(cell.instances))]
+    requests = running.instance.requests
+    return await running.call(
+        lambda: requests.request(
+            team, BOOKING, "POST", "/deposits", body, timeout_s, repeatable, key
+        )
+    )
--- /dev/null
+++ b/tests/test_routing/test_outcomes.py
@@ -0,0 +1,283 @@
+"""The outcome table, line by line, and each line on the running code."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from result import Err, Ok
+from support import TEAM, ask, serving_cell
+
+from lacewinghold.errors import ErrorKind
+from lacewinghold.invariants import violations
+from lacewinghold.routing.outcomes import RULES, Observation, decide, to_failure
+from lacewinghold.schema.generated.records import RequestState
+from lacewinghold.schema.generated.worker import WorkerState
+from lacewinghold.testing.backend import BackendFault
+from lacewinghold.testing.clock import run_paused
+
+TABLE = """
+connection refused                                 | retry           | retry
+no connection in time                              | retry           | retry
+connection reset before the first byte was sent    | retry           | retry
+connection reset after the first byte was sent     | retry           | outcome unknown
+connection closed within the answer                | retry           | outcome unknown
+answer for another request                         | retry           | outcome unknown
+answer over the size limit                         | outcome unknown | outcome unknown
+connection silent after the request                | retry           | outcome unknown
+connection silent and the request refused from now on | retry        | retry
+backend server leaving                             | retry           | retry
+backend server refused a stale epoch or incarnation | retry          | retry
+backend server removed by the platform             | retry           | outcome unknown
+no backend server left to try                      | not run         | not run
+time out in the queue                              | not run         | not run
+time out after the request was sent                | outcome unknown | outcome unknown
+caller left while the request was queued           | not run         | not run
+caller left after the request was sent             | outcome unknown | outcome unknown
+entry instance unreachable                         | retry           | retry
+entry instance died after the request was forwarded | retry          | outcome unknown
+shard without an owner that may send               | retry           | retry
+queue too long                                     | not run         | not run
+intent not written                                 | not run         | not run
+"""
+ROWS = [[cell.strip() for cell in row.split("|")] for row in TABLE.split("\n") if row]
+
+
+def test_table_has_a_row_for_each_observation():
+    assert [row[0] for row in ROWS] == [str(name) for name in Observation]
+    assert set(RULES) == set(Observation)
+
+
+@pytest.mark.parametrize(("name", "repeatable", "once"), ROWS)
+def test_row(name, repeatable, once):
+    observation = Observation(name)
+    assert decide(observation, repeatable=True) == repeatable
+    assert decide(observation, repeatable=False) == once
+    failure = to_failure(observation)
+    may_have_run = "unknown" in once
+    assert (failure.kind is ErrorKind.OUTCOME_UNKNOWN) == may_have_run
+    assert failure.answer.may_repeat != may_have_run
+    after_an_earlier_run = to_failure(observation, may_have_run=True)
+    assert after_an_earlier_run.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+# How a request that must not be repeated ends, and how often it ran.
+ONCE = {
+    BackendFault.REFUSED: ("answered", 1),
+    BackendFault.RESET_BEFORE_SEND: ("answered", 1),
+    BackendFault.RESET_UNREAD: ("unknown", 0),
+    BackendFault.RESET_RUNNING: ("unknown", 1),
+    BackendFault.RESET_DELAYED: ("unknown", 0),
+    BackendFault.HALF_ANSWER: ("unknown", 1),
+    BackendFault.WRONG_ANSWER: ("unknown", 1),
+    BackendFault.SILENT_REQUEST: ("answered", 1),
+    BackendFault.SILENT_ANSWER: ("unknown", 1),
+    BackendFault.SLOW: ("unknown", 1),
+}
+
+
+async def ask_under_fault(fault, repeatable):
+    async with serving_cell(3) as cell:
+        links = cell.backend_links
+        links.faults = [fault]
+        timeout_s = 3.9 if fault is BackendFault.SLOW else 20.0
+        first = await ask(cell, repeatable=repeatable, key="k", timeout_s=timeout_s)
+        after_first = sum(links.runs.values())
+        repeat = None
+        if not repeatable:
+            await anyio.sleep(3)
+            repeat = await ask(cell, repeatable=False, key="k")
+        found = await cell.any_instance().requests.once.lookup(TEAM, "k")
+        return first, after_first, repeat, sum(links.runs.values()), found
+
+
+@pytest.mark.parametrize("fault", list(BackendFault))
+def test_once_under_fault(fault):
+    first, _, repeat, runs, found = run_paused(ask_under_fault, fault, False, seed=3)
+    state, expected_runs = ONCE[fault]
+    assert runs == expected_runs
+    if state == "answered":
+        assert first.ok_value.body == b"x"
+    else:
+        assert first.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+    if fault is BackendFault.SLOW:
+        # The answer came late and is handed to the caller who asks again.
+        state = "answered"
+    assert found.ok_value.state == RequestState(state)
+    assert isinstance(repeat, Ok) == (state == "answered")
+    if isinstance(repeat, Ok):
+        assert repeat.ok_value.body == b"x"
+    assert not violations
+
+
+@pytest.mark.parametrize("fault", list(BackendFault))
+def test_repeatable_under_fault(fault):
+    first, runs, *_ = run_paused(ask_under_fault, fault, True, seed=4)
+    if fault is BackendFault.SLOW:
+        assert first.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+        return
+    assert first.ok_value.body == b"x"
+    assert 1 <= runs <= 2
+
+
+async def time_out_in_queue():
+    async with serving_cell(5) as cell:
+        cell.backend_links.default_time_s = 30.0
+        late = []
+        async with anyio.create_task_group() as tasks:
+            for _ in range(48):
+                tasks.start_soon(ask, cell)
+            await anyio.sleep(0.5)
+            busy = sum(b.most_running for b in cell.backend_links.backends.values())
+            queued = await ask(cell, repeatable=False, key="q", timeout_s=2.0)
+            late.append(await cell.any_instance().requests.once.lookup(TEAM, "q"))
+        await anyio.sleep(60)
+        cell.backend_links.default_time_s = 0.02
+        return busy, queued, late[0], await ask(cell, repeatable=False, key="q")
+
+
+def test_time_out_in_queue_is_not_run_and_may_be_repeated_with_its_key():
+    busy, queued, found, repeat = run_paused(time_out_in_queue, seed=5)
+    assert busy == 32
+    assert queued.err_value.answer.may_repeat
+    assert found.ok_value.state is RequestState.NOT_RUN
+    assert isinstance(repeat, Ok)
+
+
+async def fill(cell):
+    await ask(cell, timeout_s=2.9)
+
+
+async def caller_leaves(repeatable):
+    async with serving_cell(6) as cell:
+        links = cell.backend_links
+        links.default_time_s = 3.0
+        async with anyio.create_task_group() as tasks:
+            for _ in range(48):
+                tasks.start_soon(fill, cell)
+            await anyio.sleep(0.5)
+            with anyio.move_on_after(0.5):
+                await ask(cell, repeatable=repeatable, key="left")
+        await anyio.sleep(5)
+        queued = sum(
+            len(queue)
+            for running in cell.instances.values()
+            for router in running.instance.requests.routers.values()
+            for queue in router.queues.values()
+        )
+        found = await cell.any_instance().requests.once.lookup(TEAM, "left")
+        return queued, sum(links.runs.values()), found
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_work_of_a_caller_who_left_the_queue_is_dropped(repeatable):
+    queued, runs, found = run_paused(caller_leaves, repeatable, seed=6)
+    assert (queued, runs) == (0, 32)
+    if not repeatable:
+        assert found.ok_value.state is RequestState.NOT_RUN
+
+
+async def leaving_backends():
+    async with serving_cell(7) as cell:
+        *leaving, stays = cell.workers
+        for worker in leaving:
+            # Only the server itself knows: the list lags for good.
+            cell.backend_links.backend(worker).leaving = True
+        answers = [await ask(cell, repeatable=False) for _ in range(30)]
+        return answers, cell.backend_links.arrivals, stays
+
+
+def test_leaving_backend_refuses_and_another_serves():
+    answers, arrivals, stays = run_paused(leaving_backends, seed=7)
+    assert all(isinstance(answer, Ok) for answer in answers)
+    assert dict(arrivals) == {stays: 30}
+
+
+async def store_down():
+    async with serving_cell(8) as cell:
+        entry = next(iter(cell.instances.values()))
+        entry.store.reachable = False
+        refused = await ask(cell, at=entry, repeatable=False, key="k")
+        served = await ask(cell, at=entry)
+        ran = sum(cell.backend_links.runs.values())
+        entry.store.reachable = True
+        return refused, served, ran, await ask(cell, repeatable=False, key="k")
+
+
+def test_store_down_is_not_run_and_repeatable_requests_go_on():
+    refused, served, ran, repeat = run_paused(store_down, seed=8)
+    assert refused.err_value.kind is ErrorKind.NOT_RUN
+    assert isinstance(served, Ok)
+    assert ran == 1
+    assert isinstance(repeat, Ok)
+
+
+async def claimer_dies(seed):
+    async with serving_cell(seed) as cell:
+        links = cell.backend_links
+        links.default_time_s = 2.0
+        name, entry = next(iter(cell.instances.items()))
+        outcomes = []
+
+        async def send():
+            outcomes.append(await ask(cell, at=entry, repeatable=False, key="k"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.5)
+            cell.kill(name)
+            await anyio.sleep(8)
+            repeat = await ask(cell, repeatable=False, key="k")
+            tasks.cancel_scope.cancel()
+        found = await cell.any_instance().requests.once.lookup(TEAM, "k")
+        return repeat, sum(links.runs.values()), found
+
+
+def test_death_of_the_claiming_instance_is_unknown_and_runs_once():
+    repeat, runs, found = run_paused(claimer_dies, 9, seed=9)
+    assert isinstance(repeat, Err)
+    assert repeat.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert runs == 1
+    assert found.ok_value.state is RequestState.UNKNOWN
+
+
+async def repeats_at_once():
+    async with serving_cell(10) as cell:
+        answers = []
+
+        async def send(running):
+            answers.append(await ask(cell, at=running, repeatable=False, key="k"))
+
+        async with anyio.create_task_group() as tasks:
+            for running in list(cell.instances.values()) * 3:
+                tasks.start_soon(send, running)
+        other = await ask(cell, b"another", repeatable=False, key="k")
+        return answers, cell.backend_links.runs, other
+
+
+def test_repeats_at_all_instances_at_once_get_one_answer():
+    answers, runs, other = run_paused(repeats_at_once, seed=10)
+    assert {answer.ok_value.body for answer in answers} == {b"x"}
+    assert len({answer.ok_value.request for answer in answers}) == 1
+    assert list(runs.values()) == [1]
+    assert other.err_value.kind is ErrorKind.CONFLICT
+
+
+async def removed_by_the_platform():
+    async with serving_cell(11) as cell:
+        cell.backend_links.default_time_s = 6.0
+        outcomes = []
+
+        async def send():
+            outcomes.append(await ask(cell, repeatable=False, timeout_s=30.0))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.5)
+            (busy,) = (w for w, n in cell.backend_links.arrivals.items() if n)
+            cell.workers[busy].record.state = WorkerState.GONE
+        return outcomes[0]
+
+
+def test_removed_backend_leaves_the_outcome_unknown():
+    outcome = run_paused(removed_by_the_platform, seed=11)
+    assert outcome.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
