--- /dev/null
+++ b/tests/test_routing/conftest.py
@@ -0,0 +1,12 @@
+"""Starts each test without violations of an earlier one."""
+
+from __future__ import annotations
+
+import pytest
+
+from lacewinghold.invariants import violations
+
+
+@pytest.fixture(autouse=True)
+def _fresh_violations():
+    violations.clear()
