--- a/lacewinghold/api/document.py
+++ b/lacewinghold/api/document.py
@@ -94,13 +94,14 @@
         With ``dry_run=true`` it only tells what the change would do.
         """
         caller = self.identify(request)
+        expected = unwrap(parse_if_match(request.headers.get("if-match")))
         data = await self.body(request, MAX_EDIT_BYTES)
         sent = unwrap(parse_json(data, SectionEdit))
         edit = Edit(
             SectionName(request.path_params["section"]),
             sent.kind,
             sent.body,
-            unwrap(parse_if_match(request.headers.get("if-match"))),
+            expected,
             caller.team,
             caller.operator,
             sent.owner,
@@ -113,10 +114,9 @@
         """Brings an earlier body back as a new change."""
         caller = self.identify(request)
         name = SectionName(request.path_params["section"])
-        sent = unwrap(
-            parse_json(await self.body(request, MAX_EDIT_BYTES), SectionRevert)
-        )
         expected = unwrap(parse_if_match(request.headers.get("if-match")))
+        data = await self.body(request, MAX_EDIT_BYTES)
+        sent = unwrap(parse_json(data, SectionRevert))
         change = await self.find_change(name, sent.revision)
         record = unwrap(await self.instance.editor.log.body(name, change))
         edit = Edit(
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import InstanceId, SectionName, ShardId
+    from lacewinghold.ids import InstanceId, SectionName, ShardId, WorkerId
 
 SEQUENCE_DIGITS = 12
 
@@ -29,6 +29,7 @@
         self.version = f"{self.live}version"
         self.rule_lease = f"{self.live}rule-lease"
         self.rosters = f"{self.live}roster/"
+        self.drains = f"{self.live}drains/"
         self.audits = f"{prefix}/audit/"
 
     def instance(self, instance: InstanceId) -> str:
@@ -55,6 +56,10 @@
         """Returns the key of a section as a change left it."""
         return f"{self.prefix}/history/{section}/{number:0{SEQUENCE_DIGITS}d}"
 
+    def drain(self, worker: WorkerId) -> str:
+        """Returns the key that tells whether a worker is drained."""
+        return f"{self.drains}{worker}"
+
     def log(self, shard: ShardId) -> str:
         """Returns the prefix of a shard's log."""
         return f"{self.prefix}/ledger/{shard}/log/"
@@ -71,6 +76,10 @@
         """Returns the key that maps an idempotency digest to a job."""
         return f"{self.prefix}/idempotency/{digest}"
 
+    def request(self, digest: str) -> str:
+        """Returns the key of a request that must not be repeated."""
+        return f"{self.prefix}/requests/{digest}"
+
     def audit(self, ident: str) -> str:
         """Returns the key of an audit record."""
         return f"{self.audits}{ident}"
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -4,10 +4,10 @@
 
 import random
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
-from msgspec import Struct
+from msgspec import Struct, field
 
 from lacewinghold.application import EntryInstance, Ports
 from lacewinghold.coordination.keys import Keys
@@ -27,7 +27,10 @@
     Key,
     Role,
     SectionKind,
+    Service,
+    ServiceRule,
     Team,
+    TeamSection,
 )
 from lacewinghold.schema.generated.jobs import Resources
 from lacewinghold.schema.generated.records import SectionRecord
@@ -35,6 +38,7 @@
 from lacewinghold.schema.generated.worker import WorkerRecord
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.backend import MemoryBackendLinks
+from lacewinghold.testing.deployment import document_transaction, worker_records
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.testing.worker import (
@@ -46,13 +50,15 @@
 from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
     from lacewinghold.ids import TaskId
     from lacewinghold.schema.generated.worker import Start
+    from lacewinghold.testing.deployment import Deployment
 
+T = TypeVar("T")
 SAME_DATA_CENTRE_S = 0.0005
 BETWEEN_DATA_CENTRES_S = 0.001
 BETWEEN_REGIONS_S = 0.03
@@ -98,6 +104,20 @@
     instance: EntryInstance
     store: MemoryStore
     scope: anyio.CancelScope
+    calls: set[anyio.CancelScope] = field(default_factory=set)
+
+    async def call(self, operation: Callable[[], Awaitable[T]]) -> T | None:
+        """Calls the instance as a caller over a connection does.
+
+        :returns: ``None`` if the instance was killed meanwhile.
+        """
+        with anyio.CancelScope() as scope:
+            self.calls.add(scope)
+            try:
+                return await operation()
+            finally:
+                self.calls.discard(scope)
+        return None
 
 
 class Cell:
@@ -105,6 +125,8 @@
 
     :param tasks: Task group in which everything runs.
     :param teams: Bearer keys by team; the first team is the operators'.
+    :param deployment: Example whose settings, workers and document to use in
+        place of the shape's.
     """
 
     def __init__(
@@ -114,8 +136,10 @@
         seed: int,
         teams: dict[TeamId, str] | None = None,
         run_time: Callable[[Start], float] | None = None,
+        deployment: Deployment | None = None,
     ) -> None:
         self.shape = shape
+        self.deployment = deployment
         self.tasks = tasks
         self.rng = random.Random(seed)
         self.clock = WallClock(WALL_START)
@@ -123,14 +147,17 @@
         self.keys = Keys("/lacewinghold")
         self.teams = teams or {TeamId("operators"): "operators-key"}
         self.run_time = run_time
+        self.rules = {"booking": ServiceRule(cross_region=True)}
         self.workers: dict[WorkerId, FakeWorker] = {}
         self.running_in: Counter[TaskId] = Counter()
         self.starts: Counter[TaskId] = Counter()
+        self.first_started: dict[TaskId, float] = {}
+        self.stores: dict[InstanceId, MemoryStore] = {}
         self.instances: dict[InstanceId, RunningInstance] = {}
         self.network = MemoryNetwork(self.latency_s)
         self.instance_list = MemoryInstanceList(self.workers)
         self.worker_links = MemoryWorkerLinks(self.workers)
-        self.backend_links = MemoryBackendLinks(self.workers)
+        self.backend_links = MemoryBackendLinks(self.workers, tasks)
         self.boots = 0
         self.make_workers()
 
@@ -138,10 +165,37 @@
         """Returns the one-way latency between two instances."""
         first = self.network.regions[sender]
         second = self.network.regions[receiver]
+        if self.deployment is not None:
+            latency = self.deployment.stand_in.latency
+            same_ms = latency.between_data_centres_ms
+            return (same_ms if first == second else latency.between_regions_ms) / 1000
         return BETWEEN_DATA_CENTRES_S if first == second else BETWEEN_REGIONS_S
 
+    def store_latency_s(self, region: RegionId) -> float:
+        """Returns the time that a store call from a region takes."""
+        if self.deployment is None:
+            return self.state.latency_s
+        latency = self.deployment.stand_in.latency
+        if region == self.deployment.stand_in.store_region:
+            return 2 * latency.between_data_centres_ms / 1000
+        return 2 * latency.between_regions_ms / 1000
+
+    def remote_store_bytes(self) -> int:
+        """Returns the bytes of keys and values that crossed to the store's region."""
+        assert self.deployment is not None
+        total = 0
+        for instance, store in self.stores.items():
+            if self.network.regions[instance] != self.deployment.stand_in.store_region:
+                total += store.bytes_moved
+        return total
+
     def make_workers(self) -> None:
         """Makes the workers of all data centres."""
+        if self.deployment is not None:
+            for listed in self.deployment.stand_in.racks:
+                for record in worker_records(listed, "memory:/"):
+                    self.add_worker(record)
+            return
         for data_centre, region in self.shape.data_centres.items():
             for index in range(self.shape.workers_per_data_centre):
                 rack = index // WORKERS_PER_RACK
@@ -154,33 +208,58 @@
                     capacity=self.shape.capacity,
                     url="memory",
                 )
-                self.workers[record.worker] = FakeWorker(
-                    record, self.tasks, self.run_time, self.observe
-                )
+                self.add_worker(record)
+
+    def add_worker(self, record: WorkerRecord) -> None:
+        """Makes one worker."""
+        self.workers[record.worker] = FakeWorker(
+            record, self.tasks, self.run_time, self.observe
+        )
 
     def observe(self, worker: WorkerId, task: TaskId, change: int) -> None:
         """Checks from outside that a task runs in one place."""
         self.running_in[task] += change
         if change > 0:
             self.starts[task] += 1
+            self.first_started.setdefault(task, self.clock.now())
         require(Invariant.ONE_PLACE, self.running_in[task] <= 1, f"{task} on {worker}")
 
     async def load_document(self) -> None:
-        """Writes the section that names the teams."""
+        """Writes the sections of teams and services, or the example's document."""
+        if self.deployment is not None:
+            self.state.apply(document_transaction(self.keys, self.deployment.sections))
+            return
         teams: dict[str, Team] = {}
         for index, (team, key) in enumerate(self.teams.items()):
             role = Role.TEAM if index else Role.OPERATOR
             teams[team] = Team(role=role, keys=[Key(sha256=hash_key(key))])
         operators = next(iter(self.teams))
         record = SectionRecord(
-            kind=SectionKind.CELL, owner=operators, body=CellSection(teams=teams)
+            kind=SectionKind.CELL,
+            owner=operators,
+            body=CellSection(
+                teams=teams,
+                services={name: Service(team=operators) for name in self.rules},
+            ),
         )
-        put = Put(self.keys.section(SectionName("cell")), to_json(record))
-        self.state.apply(Transaction([], [put]))
+        services = SectionRecord(
+            kind=SectionKind.TEAM,
+            owner=operators,
+            body=TeamSection(services=self.rules),
+        )
+        puts = [
+            Put(self.keys.section(SectionName("cell")), to_json(record)),
+            Put(self.keys.section(SectionName("services")), to_json(services)),
+        ]
+        self.state.apply(Transaction([], [*puts]))
 
     async def start(self) -> None:
         """Loads the document and starts all entry instances."""
         await self.load_document()
+        if self.deployment is not None:
+            for settings in self.deployment.instances:
+                self.run_settings(settings)
+            return
         places = list(self.shape.data_centres)
         for index in range(self.shape.instances):
             self.start_instance(places[index % len(places)], f"entry-{index}")
@@ -193,11 +272,10 @@
         *,
         store_reachable: bool = True,
     ) -> InstanceId:
-        """Starts one entry instance.
+        """Starts one entry instance in a data centre.
 
         :param peers: Peer addresses in its settings.
         """
-        self.boots += 1
         address = f"127.0.0.1:{FIRST_PORT + self.boots}"
         region = self.shape.data_centres[data_centre]
         settings = Settings(
@@ -211,14 +289,22 @@
             plaintext=True,
             peers=peers or [],
         )
-        store = MemoryStore(self.state)
-        store.reachable = store_reachable
+        return self.run_settings(settings, store_reachable=store_reachable)
+
+    def run_settings(
+        self, settings: Settings, *, store_reachable: bool = True
+    ) -> InstanceId:
+        """Starts one entry instance with its settings."""
+        self.boots += 1
+        store = MemoryStore(self.state, self.store_latency_s(settings.region))
         boot = f"boot{self.boots}"
-        instance_id = InstanceId(f"{name}.{boot}")
-        self.network.addresses[address] = instance_id
+        instance_id = InstanceId(f"{settings.instance}.{boot}")
+        store.reachable = store_reachable
+        self.stores[instance_id] = store
+        self.network.addresses[settings.listen.peer] = instance_id
         ports = Ports(
             store,
-            MemoryTransport(self.network, instance_id, region),
+            MemoryTransport(self.network, instance_id, settings.region),
             self.instance_list,
             self.worker_links,
             self.backend_links,
@@ -240,6 +326,8 @@
         """Kills an entry instance at once, without a word to anybody."""
         running = self.instances.pop(instance_id)
         running.scope.cancel()
+        for scope in list(running.calls):
+            scope.cancel()
         self.network.nodes.pop(instance_id, None)
 
     async def shut_down(self, instance_id: InstanceId) -> None:
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -95,7 +95,9 @@
     async def send(
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
-        peer = self.network.addresses.get(address, peer)
+        del address
+        # A peer that is known by its address only goes by that name.
+        peer = self.network.addresses.get(peer, peer)
         if peer not in self.network.nodes:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer} is down"))
         latency_s = self.network.latency_s(self.instance, peer)
--- a/tests/test_document/test_never_back.py
+++ b/tests/test_document/test_never_back.py
@@ -14,7 +14,7 @@
     DocumentState,
     MessageKind,
 )
-from lacewinghold.testing.session import run_session
+from lacewinghold.testing.paused import run_session
 
 TEAMS = {"operators": "operators-key", "counters": "c-key", "routes": "r-key"}
 
