--- /dev/null
+++ b/lacewinghold/coordination/compaction.py
@@ -0,0 +1,139 @@
+"""Folds a shard's log into a snapshot and removes what it replaces."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.schema.generated.records import Snapshot
+from lacewinghold.store.base import Delete, Put, Transaction
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.coordination.ledger import Ledger
+    from lacewinghold.coordination.ledger_state import LedgerState
+    from lacewinghold.errors import Failure
+
+logger = structlog.get_logger(__name__)
+MIN_BATCHES = 50
+MAX_BATCHES = 2_000
+DELETES_PER_WRITE = 100
+
+
+class Compactor:
+    """Keeps the log of one ledger short.
+
+    A snapshot is written once the log has grown as large as the last snapshot,
+    so that the bytes written stay within twice those of the log.
+    """
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+        self.folded_through = 0
+        self.log_bytes = 0
+        self.snapshot_bytes = 0
+        self.part_keys: list[str] = []
+        self.garbage: list[str] = []
+
+    async def load(self, state: LedgerState) -> Result[int, Failure]:
+        """Reads the snapshot into a state.
+
+        :returns: The number up to which it folds the log.
+        """
+        ledger = self.ledger
+        head = await ledger.store.range(ledger.keys.snapshot(ledger.shard))
+        if isinstance(head, Err):
+            return Err(head.err_value)
+        self.folded_through = self.log_bytes = self.snapshot_bytes = 0
+        self.part_keys = []
+        self.garbage = []
+        for item in head.ok_value.items:
+            snapshot = from_json(item.value, Snapshot)
+            state.load(snapshot)
+            self.folded_through = snapshot.through
+            self.snapshot_bytes = len(item.value)
+            if snapshot.parts:
+                loaded = await self.load_parts(state)
+                if isinstance(loaded, Err):
+                    return Err(loaded.err_value)
+        return Ok(self.folded_through)
+
+    async def load_parts(self, state: LedgerState) -> Result[None, Failure]:
+        """Reads the further records of a snapshot."""
+        ledger = self.ledger
+        prefix = ledger.keys.snapshot_parts(ledger.shard)
+        reply = await ledger.store.range(prefix, prefix=True)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        for item in reply.ok_value.items:
+            part = from_json(item.value, Snapshot)
+            if part.through != self.folded_through:
+                self.garbage.append(item.key)
+                continue
+            state.load(part)
+            self.part_keys.append(item.key)
+            self.snapshot_bytes += len(item.value)
+        return Ok(None)
+
+    def due(self) -> bool:
+        """Returns whether the log is long enough for a new snapshot."""
+        batches = self.ledger.next_number - 1 - self.folded_through
+        if batches >= MAX_BATCHES:
+            return True
+        return batches >= MIN_BATCHES and self.log_bytes >= self.snapshot_bytes
+
+    async def compact_if_due(self) -> None:
+        """Writes a snapshot if it is due, and removes what it replaced."""
+        if self.due():
+            await self.compact()
+        elif self.garbage:
+            await self.remove_garbage()
+
+    async def compact(self) -> None:
+        """Replaces the log by a snapshot."""
+        ledger = self.ledger
+        through = ledger.next_number - 1
+        for job in ledger.state.prune():
+            ledger.on_dropped(job)
+            if job.idempotency_digest:
+                self.garbage.append(ledger.keys.idempotency(job.idempotency_digest))
+        head, *parts = ledger.state.to_snapshots(through)
+        keys = []
+        size = 0
+        for index, part in enumerate(parts):
+            key = ledger.keys.snapshot_part(ledger.shard, through, index)
+            data = to_json(part)
+            keys.append(key)
+            size += len(data)
+            if not await self.commit([Put(key, data)]):
+                self.garbage += keys
+                return
+        data = to_json(head)
+        if not await self.commit([Put(ledger.keys.snapshot(ledger.shard), data)]):
+            # An unknown outcome is settled by the next snapshot or takeover.
+            return
+        logs = range(self.folded_through + 1, through + 1)
+        self.garbage += [ledger.keys.log_batch(ledger.shard, n) for n in logs]
+        self.garbage += self.part_keys
+        self.part_keys = keys
+        self.folded_through = through
+        self.snapshot_bytes = size + len(data)
+        self.log_bytes = 0
+        logger.info("log folded", shard=ledger.shard, bytes=self.snapshot_bytes)
+        await self.remove_garbage()
+
+    async def commit(self, operations: list[Put | Delete]) -> bool:
+        """Writes under the condition that the epoch still stands."""
+        ledger = self.ledger
+        written = await ledger.store.commit(Transaction([ledger.owned()], operations))
+        return isinstance(written, Ok) and written.ok_value.succeeded
+
+    async def remove_garbage(self) -> None:
+        """Removes replaced records; what fails is tried with the next write."""
+        while self.garbage:
+            keys = self.garbage[:DELETES_PER_WRITE]
+            if not await self.commit([Delete(key) for key in keys]):
+                return
+            del self.garbage[: len(keys)]
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -51,6 +51,15 @@
         """Returns the key of a shard's snapshot."""
         return f"{self.prefix}/ledger/{shard}/snapshot"
 
+    def snapshot_parts(self, shard: ShardId) -> str:
+        """Returns the prefix of the further records of a shard's snapshots."""
+        return f"{self.prefix}/ledger/{shard}/part/"
+
+    def snapshot_part(self, shard: ShardId, through: int, index: int) -> str:
+        """Returns the key of one further record of a snapshot."""
+        number = f"{through:0{SEQUENCE_DIGITS}d}"
+        return f"{self.snapshot_parts(shard)}{number}/{index:04d}"
+
     def idempotency(self, digest: str) -> str:
         """Returns the key that maps an idempotency digest to a job."""
         return f"{self.prefix}/idempotency/{digest}"
--- a/lacewinghold/coordination/ledger.py
+++ b/lacewinghold/coordination/ledger.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
 import structlog
-from msgspec import Struct, field
+from msgspec import Struct
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.compaction import Compactor
+from lacewinghold.coordination.ledger_state import LedgerState
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import Epoch, JobId, ShardId, TaskId
+from lacewinghold.ids import Epoch, JobId, ShardId
 from lacewinghold.schema.generated.records import (
-    EntryKind,
     JobRecord,
     LogBatch,
     LogEntry,
-    Snapshot,
-    TaskOutcome,
 )
 from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
 from lacewinghold.util.backoff import Backoff
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from lacewinghold.coordination.keys import Keys
     from lacewinghold.ids import InstanceId
@@ -32,65 +33,13 @@
 
 logger = structlog.get_logger(__name__)
 MAX_BATCH_APPENDS = 100
-SNAPSHOT_EVERY_BATCHES = 50
+MAX_BATCH_BYTES = 700_000
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 1.0
+REFUSALS = (ErrorKind.INVALID, ErrorKind.TOO_LARGE)
 
 
-class LedgerState(Struct):
-    """What the ledger says of a shard's jobs."""
-
-    jobs: dict[JobId, JobRecord] = field(default_factory=dict)
-    outcomes: dict[TaskId, TaskOutcome] = field(default_factory=dict)
-    cancelled: set[JobId] = field(default_factory=set)
-    intents: set[TaskId] = field(default_factory=set)
-    attempts: dict[TaskId, int] = field(default_factory=dict)
-
-    def fold(self, entry: LogEntry) -> None:
-        """Applies one entry."""
-        match entry.kind:
-            case EntryKind.JOB_ACCEPTED:
-                assert entry.job is not None
-                self.jobs[entry.job.job] = entry.job
-            case EntryKind.TASK_INTENT:
-                self.intents.add(entry.task_id)
-            case EntryKind.TASK_ENDED:
-                assert entry.state is not None
-                self.outcomes[entry.task_id] = TaskOutcome(
-                    task_id=entry.task_id,
-                    state=entry.state,
-                    detail=entry.detail,
-                    at=entry.at,
-                )
-            case EntryKind.TASK_REQUEUED:
-                self.attempts[entry.task_id] = self.attempts.get(entry.task_id, 0) + 1
-            case EntryKind.JOB_CANCELLED:
-                self.cancelled.add(entry.job_id)
-
-    def to_snapshot(self, through: int) -> Snapshot:
-        """Returns the state as a record that folds the log up to a number."""
-        return Snapshot(
-            through=through,
-            jobs=list(self.jobs.values()),
-            outcomes=list(self.outcomes.values()),
-            cancelled=sorted(self.cancelled),
-            intents=sorted(self.intents),
-            attempts={str(task): count for task, count in self.attempts.items()},
-        )
-
-    @classmethod
-    def from_snapshot(cls, snapshot: Snapshot) -> LedgerState:
-        """Returns the state that a snapshot holds."""
-        return cls(
-            jobs={job.job: job for job in snapshot.jobs},
-            outcomes={outcome.task_id: outcome for outcome in snapshot.outcomes},
-            cancelled=set(snapshot.cancelled),
-            intents=set(snapshot.intents),
-            attempts={TaskId(task): n for task, n in snapshot.attempts.items()},
-        )
-
-
-class Append(Struct):
+class Append(Struct, eq=False):
     """Entries of one caller that wait for the next write."""
 
     entries: list[LogEntry]
@@ -126,26 +75,26 @@
         self.writer = writer
         self.state = LedgerState()
         self.next_number = 1
-        self.folded_through = 0
         self.pending: list[Append] = []
+        self.in_flight: list[Append] = []
         self.wanted = anyio.Event()
         self.closed: Failure | None = None
         self.backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S, rng)
+        self.compactor = Compactor(self)
+        self.on_written: Callable[[LogEntry], None] = ignore_entry
+        self.on_dropped: Callable[[JobRecord], None] = ignore_job
 
     async def load(self) -> Result[None, Failure]:
         """Reads the snapshot and the log."""
-        snapshots = await self.store.range(self.keys.snapshot(self.shard))
-        if isinstance(snapshots, Err):
-            return Err(snapshots.err_value)
+        state = LedgerState()
+        through = await self.compactor.load(state)
+        if isinstance(through, Err):
+            return Err(through.err_value)
         log = await self.store.range(self.keys.log(self.shard), prefix=True)
         if isinstance(log, Err):
             return Err(log.err_value)
-        self.state = LedgerState()
-        for item in snapshots.ok_value.items:
-            snapshot = from_json(item.value, Snapshot)
-            self.state = LedgerState.from_snapshot(snapshot)
-            self.folded_through = snapshot.through
-        self.next_number = self.folded_through + 1
+        self.state = state
+        self.next_number = through.ok_value + 1
         self.replay(log.ok_value)
         return Ok(None)
 
@@ -153,43 +102,89 @@
         """Folds the batches that the snapshot does not hold."""
         for item in log.items:
             batch = from_json(item.value, LogBatch)
-            if batch.number <= self.folded_through:
+            if batch.number <= self.compactor.folded_through:
+                self.compactor.garbage.append(item.key)
                 continue
             for entry in batch.entries:
                 self.state.fold(entry)
+            self.compactor.log_bytes += len(item.value)
             self.next_number = batch.number + 1
 
     async def append(
-        self, entries: list[LogEntry], digest: str = "", job: JobId | None = None
+        self,
+        entries: list[LogEntry],
+        digest: str = "",
+        job: JobId | None = None,
+        patience_s: float = math.inf,
     ) -> Result[JobId | None, Failure]:
         """Makes entries durable.
 
+        A caller that is cancelled withdraws its entries unless a write already
+        carries them; then they may still become durable.
+
         :param digest: If set, the entries are written only if no job with this
             idempotency digest exists.
         :param job: The job that the digest stands for.
-        :returns: ``job``, or the job that already has the digest.
+        :param patience_s: Longest wait in seconds.
+        :returns: ``job``, or the job that already has the digest. ``NOT_RUN`` if
+            the entries surely were not written in time, ``OUTCOME_UNKNOWN`` if
+            they may have been.
         """
         if self.closed is not None:
             return Err(self.closed)
         append = Append(entries, digest, job, anyio.Event())
         self.pending.append(append)
         self.wanted.set()
-        await append.done.wait()
-        assert append.result is not None
-        return append.result
+        try:
+            with anyio.move_on_after(patience_s):
+                await append.done.wait()
+        finally:
+            withdrawn = append in self.pending
+            if withdrawn:
+                self.pending.remove(append)
+        if append.result is not None:
+            return append.result
+        if withdrawn:
+            return Err(Failure(ErrorKind.NOT_RUN, "the store did not answer in time"))
+        detail = "the store did not confirm the write in time"
+        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
 
     async def run(self) -> None:
         """Writes what is pending, one store write at a time."""
-        while self.closed is None:
-            if not self.pending:
-                self.wanted = anyio.Event()
-                await self.wanted.wait()
-                continue
-            group = self.pending[:MAX_BATCH_APPENDS]
-            del self.pending[:MAX_BATCH_APPENDS]
-            await self.write_group(group)
-            if self.next_number - 1 - self.folded_through >= SNAPSHOT_EVERY_BATCHES:
-                await self.compact()
+        try:
+            while self.closed is None:
+                if not self.pending:
+                    self.wanted = anyio.Event()
+                    await self.wanted.wait()
+                    continue
+                self.in_flight = self.next_group()
+                await self.write_group(self.in_flight)
+                self.in_flight = []
+                await self.compactor.compact_if_due()
+        finally:
+            self.abandon()
+
+    def next_group(self) -> list[Append]:
+        """Takes the appends of the next write, within the store's limits."""
+        count = min(len(self.pending), MAX_BATCH_APPENDS)
+        while count > 1 and self.batch_size(self.pending[:count]) > MAX_BATCH_BYTES:
+            count //= 2
+        group = self.pending[:count]
+        del self.pending[:count]
+        return group
+
+    def batch_size(self, group: list[Append]) -> int:
+        """Returns the size of a group's record in bytes."""
+        return len(to_json([append.entries for append in group]))
+
+    def abandon(self) -> None:
+        """Answers those who wait when nothing will be written any more."""
+        failure = self.closed or Failure(ErrorKind.NOT_OWNER, f"{self.shard} is let go")
+        self.close(failure)
+        unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, "the owner stopped meanwhile")
+        for append in self.in_flight:
+            if append.result is None:
+                self.settle(append, Err(unknown))
 
     async def write_group(self, group: list[Append]) -> None:
         """Writes a group, alone where an idempotency digest is taken already."""
@@ -229,14 +224,15 @@
         append.result = result
         append.done.set()
 
+    def owned(self) -> Compare:
+        """Returns the condition that the epoch still stands."""
+        key = self.keys.owner(self.shard)
+        return Compare(key, CompareTarget.MOD_REVISION, self.epoch)
+
     def transaction(self, group: list[Append]) -> Transaction:
         """Returns the write that makes a group durable."""
         key = self.keys.log_batch(self.shard, self.next_number)
-        owner = self.keys.owner(self.shard)
-        compares = [
-            Compare(owner, CompareTarget.MOD_REVISION, self.epoch),
-            Compare(key, CompareTarget.CREATE_REVISION, 0),
-        ]
+        compares = [self.owned(), Compare(key, CompareTarget.CREATE_REVISION, 0)]
         entries = [entry for append in group for entry in append.entries]
         batch = LogBatch(
             writer=self.writer,
@@ -264,26 +260,32 @@
         while True:
             written = await self.store.commit(transaction)
             if isinstance(written, Ok) and written.ok_value.succeeded:
-                self.note_written(group)
+                self.note_written(group, transaction)
                 return Ok(True)
             if isinstance(written, Ok):
                 refusal = await self.explain_refusal(uncertain=uncertain)
                 if refusal is None:
-                    self.note_written(group)
+                    self.note_written(group, transaction)
                     return Ok(True)
                 return refusal
             kind = written.err_value.kind
             if kind is ErrorKind.STORE_UNAVAILABLE and not uncertain:
                 return Err(written.err_value)
+            if kind in REFUSALS:
+                return Err(written.err_value)
             uncertain = True
             await anyio.sleep(self.backoff.next_delay_s())
 
-    def note_written(self, group: list[Append]) -> None:
-        """Folds a durable group into the state."""
+    def note_written(self, group: list[Append], transaction: Transaction) -> None:
+        """Folds a durable group into the state and tells the owner."""
         self.next_number += 1
+        first = transaction.operations[0]
+        assert isinstance(first, Put)
+        self.compactor.log_bytes += len(first.value)
         for append in group:
             for entry in append.entries:
                 self.state.fold(entry)
+                self.on_written(entry)
 
     async def explain_refusal(self, *, uncertain: bool) -> Result[bool, Failure] | None:
         """Finds out why a write was refused.
@@ -309,7 +311,9 @@
                 return Ok(False)
         detail = f"{self.shard} has a newer owner"
         self.close(Failure(ErrorKind.NOT_OWNER, detail))
-        return Err(Failure(ErrorKind.NOT_OWNER, detail))
+        # The newer owner may have folded the batch already.
+        kind = ErrorKind.OUTCOME_UNKNOWN if uncertain else ErrorKind.NOT_OWNER
+        return Err(Failure(kind, detail))
 
     def close(self, failure: Failure) -> None:
         """Refuses this and all later appends."""
@@ -319,18 +323,12 @@
             self.settle(append, Err(failure))
         self.pending.clear()
 
-    async def compact(self) -> None:
-        """Replaces the log by a snapshot."""
-        through = self.next_number - 1
-        snapshot = self.state.to_snapshot(through)
-        owner = self.keys.owner(self.shard)
-        compare = Compare(owner, CompareTarget.MOD_REVISION, self.epoch)
-        operations: list[Put | Delete] = [
-            Put(self.keys.snapshot(self.shard), to_json(snapshot))
-        ]
-        first = self.folded_through + 1
-        for number in range(first, min(through, first + MAX_BATCH_APPENDS) + 1):
-            operations.append(Delete(self.keys.log_batch(self.shard, number)))
-        written = await self.store.commit(Transaction([compare], operations))
-        if isinstance(written, Ok) and written.ok_value.succeeded:
-            self.folded_through = through
+
+def ignore_entry(entry: LogEntry) -> None:
+    """Takes no note of a durable entry."""
+    del entry
+
+
+def ignore_job(job: JobRecord) -> None:
+    """Takes no note of a forgotten job."""
+    del job
--- /dev/null
+++ b/lacewinghold/coordination/ledger_state.py
@@ -0,0 +1,171 @@
+"""What a shard's log adds up to, and its snapshot in records of bounded size."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from msgspec import Struct, field
+
+from lacewinghold.ids import JobId, TaskId, WorkerId, make_task_id
+from lacewinghold.schema.generated.records import (
+    EntryKind,
+    JobRecord,
+    LogEntry,
+    Snapshot,
+    TaskIntent,
+    TaskOutcome,
+)
+from lacewinghold.util.codec import to_json
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lacewinghold.schema.generated.worker import WorkerRecord
+
+KEEP_FINISHED_S = 86_400.0
+KEEP_INTENTS_S = 86_400.0
+MAX_FINISHED_JOBS = 1_000
+PART_BYTES = 700_000
+ATTEMPT_BYTES = 80
+
+
+class LedgerState(Struct):
+    """What the ledger says of a shard's jobs.
+
+    :param workers: Workers on which tasks of the shard may have been started.
+    :param latest_at: Wall time of the latest entry.
+    """
+
+    jobs: dict[JobId, JobRecord] = field(default_factory=dict)
+    outcomes: dict[TaskId, TaskOutcome] = field(default_factory=dict)
+    cancelled: set[JobId] = field(default_factory=set)
+    intents: dict[TaskId, float] = field(default_factory=dict)
+    attempts: dict[TaskId, int] = field(default_factory=dict)
+    workers: dict[WorkerId, WorkerRecord] = field(default_factory=dict)
+    latest_at: float = 0.0
+
+    def fold(self, entry: LogEntry) -> None:
+        """Applies one entry."""
+        self.latest_at = max(self.latest_at, entry.at)
+        match entry.kind:
+            case EntryKind.JOB_ACCEPTED:
+                assert entry.job is not None
+                self.jobs[entry.job.job] = entry.job
+            case EntryKind.TASK_INTENT:
+                self.intents[entry.task_id] = entry.at
+            case EntryKind.TASK_ENDED:
+                assert entry.state is not None
+                self.outcomes[entry.task_id] = TaskOutcome(
+                    task_id=entry.task_id,
+                    state=entry.state,
+                    detail=entry.detail,
+                    at=entry.at,
+                )
+            case EntryKind.TASK_REQUEUED:
+                self.attempts[entry.task_id] = self.attempts.get(entry.task_id, 0) + 1
+            case EntryKind.JOB_CANCELLED:
+                self.cancelled.add(entry.job_id)
+            case EntryKind.WORKER_ADDED:
+                assert entry.worker is not None
+                self.workers[entry.worker.worker] = entry.worker
+            case EntryKind.WORKER_REMOVED:
+                assert entry.worker is not None
+                self.workers.pop(entry.worker.worker, None)
+
+    def ended_at(self, job: JobRecord) -> float | None:
+        """Returns when the last task of a job ended, or ``None``."""
+        latest = 0.0
+        for index in range(job.spec.tasks):
+            outcome = self.outcomes.get(make_task_id(job.job, index))
+            if outcome is None:
+                return None
+            latest = max(latest, outcome.at)
+        return latest
+
+    def prune(self) -> list[JobRecord]:
+        """Forgets jobs that ended long ago, and old intents of requests.
+
+        :returns: The forgotten jobs.
+        """
+        finished = []
+        for job in self.jobs.values():
+            ended_at = self.ended_at(job)
+            if ended_at is not None:
+                finished.append((ended_at, job.job))
+        finished.sort()
+        surplus = len(finished) - MAX_FINISHED_JOBS
+        dropped = []
+        for index, (ended_at, job_id) in enumerate(finished):
+            if index >= surplus and ended_at > self.latest_at - KEEP_FINISHED_S:
+                break
+            dropped.append(self.drop(job_id))
+        self.prune_intents()
+        return dropped
+
+    def drop(self, job_id: JobId) -> JobRecord:
+        """Forgets a job and all that is known of its tasks."""
+        job = self.jobs.pop(job_id)
+        self.cancelled.discard(job_id)
+        for index in range(job.spec.tasks):
+            task_id = make_task_id(job_id, index)
+            self.outcomes.pop(task_id, None)
+            self.intents.pop(task_id, None)
+            self.attempts.pop(task_id, None)
+        return job
+
+    def prune_intents(self) -> None:
+        """Forgets old intents that belong to no job."""
+        before = self.latest_at - KEEP_INTENTS_S
+        for task_id, at in list(self.intents.items()):
+            if at < before and TaskId("/") not in task_id:
+                del self.intents[task_id]
+
+    def records(self) -> Iterator[tuple[str, Any, int]]:
+        """Yields the snapshot's field, its next item and the item's size."""
+        for job in self.jobs.values():
+            yield "jobs", job, len(to_json(job))
+        for outcome in self.outcomes.values():
+            yield "outcomes", outcome, len(to_json(outcome))
+        for job_id in self.cancelled:
+            yield "cancelled", job_id, ATTEMPT_BYTES
+        for task_id, at in self.intents.items():
+            yield "intents", TaskIntent(task_id=task_id, at=at), 2 * ATTEMPT_BYTES
+        for worker in self.workers.values():
+            yield "workers", worker, len(to_json(worker))
+
+    def to_snapshots(self, through: int) -> list[Snapshot]:
+        """Returns the state as records that fold the log up to a number.
+
+        :returns: The first record, which counts the others, then the others;
+            each stays below the store's limit.
+        """
+        parts = [Snapshot(through=through)]
+        size = 0
+        for name, item, length in self.records():
+            if size + length > PART_BYTES:
+                parts.append(Snapshot(through=through))
+                size = 0
+            getattr(parts[-1], name).append(item)
+            size += length + 1
+        for task_id, count in self.attempts.items():
+            if size + ATTEMPT_BYTES > PART_BYTES:
+                parts.append(Snapshot(through=through))
+                size = 0
+            parts[-1].attempts[str(task_id)] = count
+            size += ATTEMPT_BYTES
+        parts[0].parts = len(parts) - 1
+        return parts
+
+    def load(self, snapshot: Snapshot) -> None:
+        """Adds what one record of a snapshot holds."""
+        self.jobs.update({job.job: job for job in snapshot.jobs})
+        for outcome in snapshot.outcomes:
+            self.outcomes[outcome.task_id] = outcome
+            self.latest_at = max(self.latest_at, outcome.at)
+        self.cancelled.update(snapshot.cancelled)
+        for intent in snapshot.intents:
+            self.intents[intent.task_id] = intent.at
+        for task, count in snapshot.attempts.items():
+            self.attempts[TaskId(task)] = count
+        for worker in snapshot.workers:
+            self.workers[worker.worker] = worker
--- a/lacewinghold/coordination/ownership.py
+++ b/lacewinghold/coordination/ownership.py
@@ -40,8 +40,7 @@
         self.shard = shard
         self.epoch = Epoch(0)
         self.generation = 0
-        self.previous: OwnerRecord | None = None
-        self.previous_epoch = Epoch(0)
+        self.valid_until = 0.0
 
     @property
     def instance(self) -> InstanceId:
@@ -50,11 +49,19 @@
 
     def held(self) -> bool:
         """Returns whether the shard surely is still owned under this lease."""
-        return (
-            self.epoch > 0
-            and self.generation == self.lease.generation
-            and self.lease.valid()
-        )
+        if self.epoch == 0 or self.generation != self.lease.generation:
+            return False
+        self.valid_until = max(self.valid_until, self.lease.expires_at)
+        return self.lease.valid()
+
+    def hold_end(self, hold_s: float) -> float:
+        """Returns when starts end for an owner that is cut off from the store.
+
+        It is counted from the lease under which the shard was last proved to
+        be owned; a lease that was opened later does not move it.
+        """
+        self.held()
+        return self.valid_until + hold_s
 
     def check(self) -> Result[None, Failure]:
         """Returns a failure unless the shard surely is still owned."""
@@ -89,18 +96,13 @@
         if isinstance(written, Err):
             if written.err_value.kind is not ErrorKind.OUTCOME_UNKNOWN:
                 return Err(written.err_value)
-            return await self.settle(revision, known, generation)
+            return await self.settle(revision, generation)
         if not written.ok_value.succeeded:
             return Err(Failure(ErrorKind.CONFLICT, f"{self.shard} is held"))
-        self.accept(Epoch(written.ok_value.revision), known, generation)
+        self.accept(Epoch(written.ok_value.revision), generation)
         return Ok(self.epoch)
 
-    async def settle(
-        self,
-        revision: int,
-        known: tuple[OwnerRecord, KeyValue] | None,
-        generation: int,
-    ) -> Result[Epoch, Failure]:
+    async def settle(self, revision: int, generation: int) -> Result[Epoch, Failure]:
         """Reads back whether a claim with a lost reply took effect."""
         reply = await self.store.range(self.keys.owner(self.shard))
         if isinstance(reply, Err):
@@ -109,20 +111,13 @@
             record = from_json(item.value, OwnerRecord)
             if record.owner != self.instance or item.mod_revision <= revision:
                 continue
-            self.accept(Epoch(item.mod_revision), known, generation)
+            self.accept(Epoch(item.mod_revision), generation)
             return Ok(self.epoch)
         return Err(Failure(ErrorKind.CONFLICT, f"{self.shard} was not taken"))
 
-    def accept(
-        self,
-        epoch: Epoch,
-        known: tuple[OwnerRecord, KeyValue] | None,
-        generation: int,
-    ) -> None:
-        """Notes a new epoch and whom it follows."""
+    def accept(self, epoch: Epoch, generation: int) -> None:
+        """Notes a new epoch."""
         require(Invariant.EPOCH_RISES, epoch > self.epoch, f"{epoch} {self.epoch}")
-        self.previous = known[0] if known else None
-        self.previous_epoch = Epoch(known[1].mod_revision) if known else Epoch(0)
         self.epoch = epoch
         self.generation = generation
         logger.info("shard taken", shard=self.shard, epoch=epoch)
@@ -143,16 +138,24 @@
             return Ok(True)
         return Ok(False)
 
-    async def release(self) -> Result[None, Failure]:
-        """Lets go of the shard, so that another may take it at once."""
+    async def release(self) -> Result[bool, Failure]:
+        """Lets go of the shard, so that another may take it at once.
+
+        :returns: Whether the record was this epoch's until now; a failure leaves
+            open whether it is released, and the record is to be looked at again.
+        """
+        self.generation = 0
+        return await self.let_go(self.epoch)
+
+    async def let_go(self, epoch: int) -> Result[bool, Failure]:
+        """Releases the ownership record if it is of an epoch."""
         key = self.keys.owner(self.shard)
         record = OwnerRecord(owner=None, released=True)
-        compare = Compare(key, CompareTarget.MOD_REVISION, Revision(self.epoch))
-        self.generation = 0
+        compare = Compare(key, CompareTarget.MOD_REVISION, Revision(epoch))
         written = await self.store.commit(
             Transaction([compare], [Put(key, to_json(record))])
         )
         if isinstance(written, Err):
             return Err(written.err_value)
-        logger.info("shard released", shard=self.shard, epoch=self.epoch)
-        return Ok(None)
+        logger.info("shard released", shard=self.shard, epoch=epoch)
+        return Ok(written.ok_value.succeeded)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -12,7 +12,6 @@
 from lacewinghold.coordination.ledger import Ledger
 from lacewinghold.coordination.ownership import ShardOwnership
 from lacewinghold.ids import ShardId
-from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.shards.owner import ShardOwner
 
 if TYPE_CHECKING:
@@ -32,6 +31,7 @@
 logger = structlog.get_logger(__name__)
 LIST_INTERVAL_S = 1.0
 TAKE_INTERVAL_S = 0.25
+HAND_OVER_LIMIT_S = 5.0
 
 
 def shard_of(record: WorkerRecord, shards_per_rack: int) -> ShardId:
@@ -102,8 +102,6 @@
         for record in listed.workers:
             if record.data_centre != self.data_centre:
                 continue
-            if record.state is WorkerState.GONE:
-                continue
             shard = shard_of(record, self.settings.shards_per_rack)
             shards.setdefault(shard, []).append(record)
         self.workers = shards
@@ -111,10 +109,6 @@
             if owner.ready.is_set():
                 owner.update_workers(shards.get(shard, []))
 
-    def gone(self, instance: InstanceId) -> bool:
-        """Returns whether the platform says that an entry instance is gone."""
-        return self.listed is not None and instance in self.listed.gone
-
     def desired(self) -> dict[ShardId, InstanceId]:
         """Returns the assignment over the data centre's live instances."""
         instances = [
@@ -136,14 +130,30 @@
                 continue
             if instance == me and self.available(shard):
                 await self.take(shard, tasks)
+            elif instance != me:
+                await self.disclaim(shard)
 
     def available(self, shard: ShardId) -> bool:
-        """Returns whether a shard seems to have no live owner."""
+        """Returns whether a shard seems to have no live owner.
+
+        A record that names this instance, which does not serve the shard, comes
+        from a write whose outcome was unknown.
+        """
         known = self.view.owner(shard)
         if known is None or known[0].owner is None:
             return True
+        if known[0].owner == self.lease.record.instance:
+            return True
         return known[0].owner not in self.view.instances()
 
+    async def disclaim(self, shard: ShardId) -> None:
+        """Releases a shard that the store says is owned here, but is not served."""
+        known = self.view.owner(shard)
+        if known is None or known[0].owner != self.lease.record.instance:
+            return
+        ownership = ShardOwnership(self.store, self.keys, self.lease, shard)
+        await ownership.let_go(known[1].mod_revision)
+
     async def take(self, shard: ShardId, tasks: TaskGroup) -> None:
         """Takes a shard and starts to serve it."""
         ownership = ShardOwnership(self.store, self.keys, self.lease, shard)
@@ -160,14 +170,12 @@
             self.lease.record.instance,
             self.rng,
         )
-        previous = known[0].owner if known else None
         owner = ShardOwner(
             ownership,
             ledger,
             self.links,
             self.clock,
             self.settings.hold_s,
-            lambda: previous is not None and self.gone(previous),
             self.rng,
         )
         self.owners[shard] = owner
@@ -183,8 +191,17 @@
         self.scopes.pop(shard, None)
 
     async def release(self, shard: ShardId) -> None:
-        """Lets go of a shard: stops acting first, then tells the store."""
-        owner = self.owners.pop(shard)
+        """Hands a shard over: settles what is in progress, then lets go.
+
+        If the store does not answer, the record still names this instance, and
+        is released by a later round or with the instance's lease.
+        """
+        owner = self.owners[shard]
+        with anyio.move_on_after(HAND_OVER_LIMIT_S):
+            await owner.ready.wait()
+            await owner.hand_over()
+        if self.owners.pop(shard, None) is not owner:
+            return
         owner.stopped = True
         scope = self.scopes.pop(shard, None)
         if scope is not None:
@@ -192,7 +209,8 @@
         await owner.ownership.release()
 
     async def release_all(self) -> None:
-        """Lets go of all shards."""
+        """Hands all shards over at the same time."""
         self.leaving = True
-        for shard in list(self.owners):
-            await self.release(shard)
+        async with anyio.create_task_group() as tasks:
+            for shard in list(self.owners):
+                tasks.start_soon(self.release, shard)
--- a/lacewinghold/shards/model.py
+++ b/lacewinghold/shards/model.py
@@ -28,7 +28,8 @@
 class Task(Struct):
     """One task of a job.
 
-    ``proved`` is false while a holder of an earlier epoch might still start it.
+    ``proved`` is false while another holder might start it: one of an earlier
+    epoch, or a newer owner that this one cannot know of.
     """
 
     id: TaskId
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,18 +9,20 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import JobId, task_job
+from lacewinghold.ids import JobId, job_shard, task_job
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.capacity import fits
 from lacewinghold.schema.generated.jobs import TaskState
 from lacewinghold.schema.generated.records import EntryKind, JobRecord, LogEntry
+from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.shards.model import ENDED, ON_WORKER, Job, Task, make_job
+from lacewinghold.shards.outcomes import OutcomeWriter
 from lacewinghold.shards.placer import Placer
+from lacewinghold.shards.recovery import CLOCK_DRIFT, Recovery
 from lacewinghold.shards.worker_task import WorkerTask
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
 
     from lacewinghold.coordination.ledger import Ledger
     from lacewinghold.coordination.ownership import ShardOwnership
@@ -32,10 +33,10 @@
     from lacewinghold.workers.base import WorkerLinks
 
 logger = structlog.get_logger(__name__)
-RECORD_RETRY_S = 1.0
 LOAD_RETRY_S = 0.2
-CLOCK_DRIFT = 0.001
-HOLD_MARGIN_S = 0.5
+STORE_PATIENCE_S = 4.0
+HAND_OVER_CHECK_S = 0.05
+JOB_ID_BITS = 64
 
 
 class ShardOwner:
@@ -44,7 +45,7 @@
     :param ownership: The claim, taken already.
     :param ledger: The shard's ledger under the claim's epoch.
     :param hold_s: How long workers keep tasks of an epoch whose owner is cut off.
-    :param holder_gone: Tells whether the platform removed an entry instance.
+    :param rng: Source of jitter and of job ids.
     """
 
     def __init__(
@@ -54,7 +55,6 @@
         links: WorkerLinks,
         clock: WallClock,
         hold_s: float,
-        holder_gone: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self.ownership = ownership
@@ -62,18 +62,22 @@
         self.links = links
         self.clock = clock
         self.hold_s = hold_s
-        self.holder_gone = holder_gone
         self.rng = rng
         self.jobs: dict[JobId, Job] = {}
         self.tasks: dict[TaskId, Task] = {}
         self.workers: dict[WorkerId, WorkerTask] = {}
         self.placer = Placer(self)
         self.waits: list[float] = []
-        self.unrecorded: dict[TaskId, LogEntry] = {}
+        self.suspended: set[TaskId] = set()
+        self.recovery = Recovery(self)
+        self.outcomes = OutcomeWriter(self)
         self.ready = anyio.Event()
         self.changed = anyio.Event()
         self.taken_at = anyio.current_time()
         self.stopped = False
+        self.handing_over = False
+        ledger.on_written = self.note_written
+        ledger.on_dropped = self.forget
 
     @property
     def shard(self) -> ShardId:
@@ -83,15 +87,15 @@
     async def run(self, workers: list[WorkerRecord]) -> None:
         """Recovers the shard and serves it until cancelled or superseded."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.ledger.run)
             while isinstance(await self.ledger.load(), Err):
                 await anyio.sleep(LOAD_RETRY_S)
-            self.rebuild()
+            self.recovery.rebuild()
             self.tasks_group = tasks
             self.update_workers(workers)
-            tasks.start_soon(self.prove_free)
+            tasks.start_soon(self.ledger.run)
+            tasks.start_soon(self.recovery.run)
             tasks.start_soon(self.placer.run)
-            tasks.start_soon(self.record_outcomes)
+            tasks.start_soon(self.outcomes.run)
             self.ready.set()
             await self.wait_until_superseded()
             self.stopped = True
@@ -108,77 +112,49 @@
             if isinstance(confirmed, Ok) and not confirmed.ok_value:
                 return
 
-    def rebuild(self) -> None:
-        """Makes jobs and tasks from the ledger; none is proved free yet."""
-        state = self.ledger.state
-        for record in state.jobs.values():
-            job = make_job(record, self.runtime_time(record.accepted_at))
-            job.cancelled = record.job in state.cancelled
-            self.jobs[job.id] = job
-            for task in job.tasks:
-                self.tasks[task.id] = task
-                task.proved = False
-                task.attempts = state.attempts.get(task.id, 0)
-                outcome = state.outcomes.get(task.id)
-                if outcome is None:
-                    continue
-                task.state = outcome.state
-                task.detail = outcome.detail
-
     def runtime_time(self, wall: float) -> float:
         """Returns the runtime's clock at a wall time in seconds since 1970."""
         return wall - self.clock.base
 
     def update_workers(self, records: list[WorkerRecord]) -> None:
-        """Follows the instance list: new workers, leaving ones, gone ones."""
+        """Follows the instance list: new workers, leaving, missing and gone ones.
+
+        The list lags: a worker that is merely missing gets no new tasks, and its
+        tasks count as running until the platform says that it is gone or its
+        hold is over.
+        """
         listed = {record.worker: record for record in records}
         for worker_id, record in listed.items():
+            if record.state is WorkerState.GONE:
+                self.remove_worker(worker_id)
+                continue
             known = self.workers.get(worker_id)
             if known is None:
-                worker = WorkerTask(self, record, self.links.open(record))
-                self.workers[worker_id] = worker
-                self.tasks_group.start_soon(worker.run)
-                continue
+                known = self.add_worker(record)
             known.update(record)
+        for worker_id, record in list(self.ledger.state.workers.items()):
+            if worker_id not in self.workers and worker_id not in listed:
+                self.add_worker(record)
         for worker_id in set(self.workers) - set(listed):
-            self.workers.pop(worker_id).remove()
-        self.placer.wake()
-
-    async def prove_free(self) -> None:
-        """Waits until no earlier holder can start a task, then queues the rest."""
-        hold_s = self.hold_s * (1 + 2 * CLOCK_DRIFT) + HOLD_MARGIN_S
-        with anyio.move_on_after(max(0.0, self.taken_at + hold_s - self.now())):
-            while not self.all_fenced() and not self.holder_let_go():
-                changed = self.changed
-                with anyio.move_on_after(1.0):
-                    await changed.wait()
-        for task in list(self.tasks.values()):
-            if task.proved:
-                continue
-            task.proved = True
-            if task.state is not TaskState.QUEUED:
-                continue
-            if task.id in self.ledger.state.intents:
-                self.end_task(task, TaskState.UNKNOWN, "its start may have run")
-            elif task.job.cancelled:
-                self.end_task(task, TaskState.CANCELLED, "cancelled")
-        logger.info("shard recovered", shard=self.shard, tasks=len(self.tasks))
+            self.workers[worker_id].unlist()
         self.placer.wake()
 
-    def all_fenced(self) -> bool:
-        """Returns whether every worker of the shard has refused earlier epochs."""
-        return all(worker.fenced for worker in self.workers.values())
-
-    def holder_let_go(self) -> bool:
-        """Returns whether the last holder cannot start anything any more."""
-        previous = self.ownership.previous
-        if previous is None or previous.released:
-            return self.all_reached()
-        return self.holder_gone() and self.all_reached()
-
-    def all_reached(self) -> bool:
-        """Returns whether every worker told what runs on it."""
-        return self.all_fenced()
+    def add_worker(self, record: WorkerRecord) -> WorkerTask:
+        """Starts to serve a worker."""
+        worker = WorkerTask(self, record, self.links.open(record))
+        self.workers[record.worker] = worker
+        self.tasks_group.start_soon(worker.run)
+        return worker
+
+    def remove_worker(self, worker_id: WorkerId) -> None:
+        """Ends the service of a worker on which surely nothing runs any more."""
+        record = self.ledger.state.workers.get(worker_id)
+        worker = self.workers.pop(worker_id, None)
+        if worker is not None:
+            worker.remove()
+        if record is not None and worker is not None:
+            self.outcomes.note_worker(EntryKind.WORKER_REMOVED, record)
+        self.note_change()
 
     def now(self) -> float:
         """Returns the runtime's clock in seconds."""
@@ -189,14 +165,17 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def may_start(self) -> bool:
-        """Returns whether starts are allowed now: under the lease or its hold."""
+    def may_command(self) -> bool:
+        """Returns whether workers may be commanded: under the lease or its hold."""
         if self.stopped or self.ledger.closed is not None:
             return False
         if self.ownership.held():
             return True
-        hold_end = self.ownership.lease.expires_at + self.hold_s * (1 - CLOCK_DRIFT)
-        return self.now() < hold_end
+        return self.now() < self.ownership.hold_end(self.hold_s * (1 - CLOCK_DRIFT))
+
+    def may_start(self) -> bool:
+        """Returns whether tasks may be placed now."""
+        return not self.handing_over and self.may_command()
 
     async def accept(self, spec: JobSpec, digest: str) -> Result[JobId, Failure]:
         """Accepts a job once its record is durable.
@@ -208,25 +187,41 @@
         held = self.ownership.check()
         if isinstance(held, Err):
             return Err(held.err_value)
+        if self.handing_over:
+            return Err(Failure(ErrorKind.NOT_OWNER, f"{self.shard} is handed over"))
         if not any(
             fits(spec.resources, w.record.capacity) for w in self.workers.values()
         ):
             detail = f"no worker of {self.shard} is large enough"
             return Err(Failure(ErrorKind.CANNOT_FIT, detail, "$.resources"))
-        job_id = JobId(f"{self.shard}~{secrets.token_hex(8)}")
+        job_id = JobId(f"{self.shard}~{self.rng.getrandbits(JOB_ID_BITS):016x}")
         at = self.clock.now()
         record = JobRecord(
             job=job_id, spec=spec, accepted_at=at, idempotency_digest=digest
         )
         entry = LogEntry(kind=EntryKind.JOB_ACCEPTED, at=at, job=record)
-        written = await self.ledger.append([entry], digest, job_id)
+        written = await self.ledger.append([entry], digest, job_id, STORE_PATIENCE_S)
         if isinstance(written, Err):
             return Err(written.err_value)
-        if written.ok_value != job_id:
-            assert written.ok_value is not None
-            return Ok(written.ok_value)
-        self.enqueue(make_job(record, self.now()))
-        return Ok(job_id)
+        assert written.ok_value is not None
+        return Ok(written.ok_value)
+
+    def note_written(self, entry: LogEntry) -> None:
+        """Acts on a durable entry, whether or not its caller still waits."""
+        if entry.kind is EntryKind.JOB_ACCEPTED and entry.job is not None:
+            self.enqueue(make_job(entry.job, self.now()))
+        elif entry.kind is EntryKind.JOB_CANCELLED:
+            self.apply_cancel(self.jobs[entry.job_id])
+        elif entry.kind is EntryKind.WORKER_ADDED and entry.worker is not None:
+            worker = self.workers.get(entry.worker.worker)
+            if worker is not None:
+                worker.refresh_usable()
+
+    def forget(self, record: JobRecord) -> None:
+        """Forgets a job that ended long ago."""
+        job = self.jobs.pop(record.job)
+        for task in job.tasks:
+            del self.tasks[task.id]
 
     def enqueue(self, job: Job) -> None:
         """Queues the tasks of a job whose record is durable."""
@@ -249,16 +244,19 @@
         entry = LogEntry(
             kind=EntryKind.JOB_CANCELLED, at=self.clock.now(), job_id=job_id
         )
-        written = await self.ledger.append([entry])
+        written = await self.ledger.append([entry], patience_s=STORE_PATIENCE_S)
         if isinstance(written, Err):
             return Err(written.err_value)
+        return Ok(job)
+
+    def apply_cancel(self, job: Job) -> None:
+        """Ends what may be ended of a cancelled job and stops the rest."""
         job.cancelled = True
         for task in job.tasks:
             if task.state is TaskState.QUEUED and task.proved:
                 self.end_task(task, TaskState.CANCELLED, "cancelled")
             elif task.state in ON_WORKER:
                 self.stop_task(task)
-        return Ok(job)
 
     def stop_task(self, task: Task) -> None:
         """Asks the task's worker to stop it."""
@@ -297,20 +295,20 @@
             task.job.first_started_at = task.started_at
         self.note_change()
 
-    def note_ended(self, ended: EndedTask) -> None:
+    def note_ended(self, ended: EndedTask, worker_id: WorkerId) -> None:
         """Takes a task's outcome from its worker."""
         task = self.tasks.get(ended.task)
         if task is None or task.state in ENDED:
             return
-        task.proved = True
-        if task.job.cancelled:
-            self.end_task(task, TaskState.CANCELLED, "cancelled")
-        elif ended.succeeded:
+        if task.state in ON_WORKER and task.worker != worker_id:
+            logger.info("late outcome of an earlier run", task=task.id)
+            return
+        if ended.succeeded:
             self.end_task(task, TaskState.SUCCEEDED, ended.detail)
-        elif ended.stopped or self.may_retry(task):
-            self.requeue(task, ended.detail or "stopped or failed")
-        else:
+        elif not ended.stopped and not task.job.cancelled and not self.may_retry(task):
             self.end_task(task, TaskState.FAILED, ended.detail)
+        else:
+            self.requeue(task, ended.detail or "stopped or failed")
 
     def may_retry(self, task: Task) -> bool:
         """Returns whether a failed task may run again."""
@@ -318,27 +316,24 @@
         limit = retry.attempts if retry is not None else 1
         return task.spec.repeatable and task.attempts + 1 < limit
 
-    def note_lost(self, task: Task, detail: str) -> None:
-        """Takes note that a task surely runs nowhere, without an outcome."""
+    def requeue(self, task: Task, detail: str) -> None:
+        """Queues a task again that surely runs nowhere, if it may be repeated."""
         if task.state in ENDED:
             return
+        self.free_worker(task)
+        task.state = TaskState.QUEUED
+        task.worker = None
+        task.detail = detail
+        if self.recovery.suspend(task):
+            return
         if task.job.cancelled:
             self.end_task(task, TaskState.CANCELLED, detail)
-        elif task.id in self.ledger.state.intents:
-            self.end_task(task, TaskState.UNKNOWN, detail)
-        else:
-            self.requeue(task, detail)
-
-    def requeue(self, task: Task, detail: str) -> None:
-        """Queues a task again, if it may be repeated."""
-        if not task.spec.repeatable and task.id in self.ledger.state.intents:
+            return
+        if task.id in self.ledger.state.intents:
             self.end_task(task, TaskState.UNKNOWN, detail)
             return
-        self.free_worker(task)
-        task.state = TaskState.QUEUED
-        task.worker = None
         task.attempts += 1
-        task.detail = detail
+        self.outcomes.note_requeued(task)
         backoff_s = task.spec.retry.backoff_s if task.spec.retry else 0.0
         task.not_before = self.now() + backoff_s * min(task.attempts, 10)
         self.note_change()
@@ -348,10 +343,10 @@
         """Queues a task again whose start surely did not run."""
         self.free_worker(task)
         task.worker = None
-        if task.job.cancelled:
+        task.state = TaskState.QUEUED
+        if task.job.cancelled and task.proved:
             self.end_task(task, TaskState.CANCELLED, "cancelled")
             return
-        task.state = TaskState.QUEUED
         self.placer.wake()
 
     def free_worker(self, task: Task) -> None:
@@ -365,41 +360,34 @@
         self.free_worker(task)
         task.state = state
         task.detail = detail
-        self.unrecorded[task.id] = LogEntry(
-            kind=EntryKind.TASK_ENDED,
-            at=self.clock.now(),
-            task_id=task.id,
-            state=state,
-            detail=detail,
-        )
+        self.outcomes.note_ended(task, state, detail)
         self.note_change()
         self.placer.wake()
 
-    async def record_outcomes(self) -> None:
-        """Writes outcomes to the ledger, then lets workers forget them."""
-        while True:
-            if not self.unrecorded:
-                changed = self.changed
-                await changed.wait()
-                continue
-            entries = list(self.unrecorded.values())[:1000]
-            written = await self.ledger.append(entries)
-            if isinstance(written, Err):
-                await anyio.sleep(RECORD_RETRY_S)
-                continue
-            for entry in entries:
-                self.unrecorded.pop(entry.task_id, None)
-                self.acknowledge(entry.task_id)
-
     def acknowledge(self, task_id: TaskId) -> None:
         """Lets the worker forget an outcome that is durable."""
-        task = self.tasks[task_id]
-        worker = self.workers.get(task.worker) if task.worker else None
+        task = self.tasks.get(task_id)
+        worker = self.workers.get(task.worker) if task and task.worker else None
         if worker is not None:
             worker.acknowledge(task_id)
 
-    def recorded(self, task_id: TaskId) -> bool:
-        """Returns whether a task's outcome is durable, or nobody waits for it."""
-        if task_job(task_id) not in self.jobs:
-            return True
-        return task_id in self.ledger.state.outcomes
+    def may_forget(self, task_id: TaskId) -> bool:
+        """Returns whether a worker may forget an outcome that it reported.
+
+        A task of another shard, whose worker has moved here, is that shard's.
+        """
+        if job_shard(task_job(task_id)) != self.shard:
+            return False
+        return task_id not in self.outcomes.ended
+
+    async def hand_over(self) -> None:
+        """Settles starts and writes outcomes, so that the shard can be let go.
+
+        Requests and new jobs go to the next owner from the first moment on.
+        """
+        self.handing_over = True
+        for worker in self.workers.values():
+            worker.withdraw_starts()
+        while any(worker.starts for worker in self.workers.values()):
+            await anyio.sleep(HAND_OVER_CHECK_S)
+        await self.outcomes.drain()
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -113,10 +113,12 @@
         chosen.book(task.id, task.spec.resources)
         task.state = TaskState.STARTING
         task.worker = chosen.record.worker
+        worker = self.owner.workers[chosen.record.worker]
         if not task.spec.repeatable and not await self.record_intent(task):
-            self.owner.release_start(task)
+            if task.id in chosen.bookings:
+                self.owner.release_start(task)
             return False
-        self.owner.workers[chosen.record.worker].start(task)
+        worker.start(task)
         return True
 
     async def record_intent(self, task: Task) -> bool:
--- /dev/null
+++ b/lacewinghold/shards/recovery.py
@@ -0,0 +1,115 @@
+"""Decides when a shard's tasks are free to be started under a new epoch."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.schema.generated.jobs import TaskState
+from lacewinghold.shards.model import make_job
+
+if TYPE_CHECKING:
+    from lacewinghold.shards.model import Task
+    from lacewinghold.shards.owner import ShardOwner
+
+logger = structlog.get_logger(__name__)
+CLOCK_DRIFT = 0.001
+HOLD_MARGIN_S = 0.5
+CHECK_S = 1.0
+
+
+class Recovery:
+    """Rebuilds an owner's tasks from the ledger and proves them free."""
+
+    def __init__(self, owner: ShardOwner) -> None:
+        self.owner = owner
+        self.proved = False
+
+    def rebuild(self) -> None:
+        """Makes jobs and tasks from the ledger; none is proved free yet."""
+        owner = self.owner
+        state = owner.ledger.state
+        for record in state.jobs.values():
+            job = make_job(record, owner.runtime_time(record.accepted_at))
+            job.cancelled = record.job in state.cancelled
+            owner.jobs[job.id] = job
+            for task in job.tasks:
+                owner.tasks[task.id] = task
+                task.proved = False
+                task.attempts = state.attempts.get(task.id, 0)
+                outcome = state.outcomes.get(task.id)
+                if outcome is None:
+                    continue
+                task.state = outcome.state
+                task.detail = outcome.detail
+
+    async def run(self) -> None:
+        """Waits until no earlier holder can start a task, then queues the rest."""
+        ends_at = self.owner.taken_at + lengthened(self.owner.hold_s)
+        while not self.all_fenced() and self.owner.now() < ends_at:
+            changed = self.owner.changed
+            with anyio.move_on_after(min(CHECK_S, ends_at - self.owner.now())):
+                await changed.wait()
+        self.proved = True
+        for task in list(self.owner.tasks.values()):
+            if not task.proved and task.id not in self.owner.suspended:
+                self.prove(task)
+        logger.info("shard recovered", shard=self.owner.shard)
+        self.owner.placer.wake()
+        while True:
+            await anyio.sleep(CHECK_S)
+            self.resume()
+
+    def all_fenced(self) -> bool:
+        """Returns whether every worker of the shard has refused earlier epochs.
+
+        The workers are those of the instance list, which lags, and those on
+        which an earlier owner may have started tasks.
+        """
+        return all(worker.fenced_once for worker in self.owner.workers.values())
+
+    def prove(self, task: Task) -> None:
+        """Frees a task that no other holder can start any more."""
+        task.proved = True
+        if task.state is not TaskState.QUEUED:
+            return
+        if task.id in self.owner.ledger.state.intents:
+            self.owner.end_task(task, TaskState.UNKNOWN, "its start may have run")
+        elif task.job.cancelled:
+            self.owner.end_task(task, TaskState.CANCELLED, "cancelled")
+
+    def suspend(self, task: Task) -> bool:
+        """Withholds a task that is to run again until that is surely allowed.
+
+        An owner that is cut off from the store may start a task once; were it to
+        start one again that was lost or failed, a newer owner that saw the same
+        loss would start it too. During recovery a worker that is not fenced yet
+        may run it.
+
+        :returns: Whether the task is withheld.
+        """
+        held = self.owner.ownership.held()
+        if task.proved and held:
+            return False
+        task.proved = False
+        if self.proved or not held:
+            self.owner.suspended.add(task.id)
+        return True
+
+    def resume(self) -> None:
+        """Frees withheld tasks once the epoch is known to stand."""
+        if not self.owner.suspended or not self.owner.ownership.held():
+            return
+        for task_id in self.owner.suspended:
+            task = self.owner.tasks.get(task_id)
+            if task is not None and not task.proved:
+                self.prove(task)
+        self.owner.suspended.clear()
+        self.owner.placer.wake()
+
+
+def lengthened(duration_s: float) -> float:
+    """Returns a wait that outlasts a duration on any clock of the stated drift."""
+    return duration_s * (1 + 2 * CLOCK_DRIFT) + HOLD_MARGIN_S
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -9,19 +9,23 @@
 from result import Err, Result
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import Incarnation
+from lacewinghold.ids import Incarnation, job_shard, task_job
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.capacity import WorkerCapacity
 from lacewinghold.schema.generated.jobs import TaskState
+from lacewinghold.schema.generated.records import EntryKind
 from lacewinghold.schema.generated.worker import (
     Command,
+    EndedTask,
     RefusalKind,
     Report,
+    RunningTask,
     Start,
     WorkerRecord,
     WorkerState,
 )
 from lacewinghold.shards.model import ON_WORKER
+from lacewinghold.shards.recovery import lengthened
 from lacewinghold.util.backoff import Backoff
 
 if TYPE_CHECKING:
@@ -36,6 +40,7 @@
 HOLD_EXTENSION_SHARE = 0.25
 RETRY_FIRST_S = 0.2
 RETRY_LIMIT_S = 2.0
+IGNORED_REPORT_DELAY_S = 0.5
 
 
 class WorkerTask:
@@ -53,11 +58,16 @@
         self.capacity = WorkerCapacity(record)
         self.incarnation: Incarnation | None = None
         self.fenced = False
+        self.fenced_once = False
+        self.listed = True
         self.number = 0
+        self.command_number = 0
         self.hold_until = 0.0
         self.stamp = 0.0
         self.stamped_at = 0.0
         self.starts: dict[TaskId, Start] = {}
+        self.uncertain: set[TaskId] = set()
+        self.sending: set[TaskId] = set()
         self.stops: set[TaskId] = set()
         self.acknowledgements: set[TaskId] = set()
         self.wanted = anyio.Event()
@@ -73,26 +83,66 @@
 
     def update(self, record: WorkerRecord) -> None:
         """Follows the worker's entry on the instance list."""
+        self.listed = True
         self.record = record
         self.capacity.record = record
         self.refresh_usable()
 
+    def unlist(self) -> None:
+        """Takes no new tasks here while the instance list lacks the worker."""
+        self.listed = False
+        self.refresh_usable()
+
     def refresh_usable(self) -> None:
-        """Decides whether new tasks may be placed here."""
-        self.capacity.usable = self.fenced and self.record.state is WorkerState.LIVE
+        """Decides whether new tasks may be placed here.
+
+        The ledger names the worker first, so that a later owner asks it even if
+        the instance list lacks it then.
+        """
+        self.capacity.usable = (
+            self.fenced
+            and self.listed
+            and self.record.state is WorkerState.LIVE
+            and self.record.worker in self.owner.ledger.state.workers
+        )
 
     def remove(self) -> None:
-        """Ends the service of a worker that the platform removed."""
+        """Ends the service of a worker on which nothing runs any more."""
         self.scope.cancel()
+        self.lose_all("its worker is gone")
+
+    def lose_all(self, detail: str) -> None:
+        """Queues again what was booked here and surely runs no more."""
         self.capacity.usable = False
+        unsent = set(self.starts) - self.uncertain
+        self.starts.clear()
+        self.uncertain.clear()
         for task_id in list(self.capacity.bookings):
-            task = self.owner.tasks[task_id]
-            self.owner.note_lost(task, "its worker is gone")
+            self.capacity.release(task_id)
+            task = self.owner.tasks.get(task_id)
+            if task is None or task.state not in ON_WORKER:
+                continue
+            if task_id in unsent:
+                self.owner.release_start(task)
+            else:
+                self.owner.requeue(task, detail)
+
+    def withdraw_starts(self) -> None:
+        """Takes back the starts that surely were not sent."""
+        for task_id in set(self.starts) - self.uncertain - self.sending:
+            del self.starts[task_id]
+            self.owner.release_start(self.owner.tasks[task_id])
 
     def start(self, task: Task) -> None:
-        """Queues a start; the task is booked here already."""
+        """Queues a start; the task is booked here already.
+
+        If the worker was lost meanwhile, the task is queued again already.
+        """
+        if task.state is not TaskState.STARTING or self.incarnation is None:
+            return
+        if task.id not in self.capacity.bookings:
+            return
         spec = task.spec
-        assert self.incarnation is not None
         self.starts[task.id] = Start(
             task=task.id,
             resources=spec.resources,
@@ -125,10 +175,25 @@
                 if not self.has_work() and self.extension_due_s() > 0:
                     continue
             if not await self.send():
+                self.give_up_if_over()
                 await anyio.sleep(self.backoff.next_delay_s())
                 continue
             self.backoff.reset()
 
+    def give_up_if_over(self) -> None:
+        """Frees the tasks of a silent worker once it has surely stopped them."""
+        held_s = max(0.0, self.hold_until - self.stamp)
+        since = self.stamped_at
+        if not self.fenced_once:
+            held_s, since = self.owner.hold_s, self.owner.taken_at
+        if self.owner.now() < since + lengthened(held_s):
+            return
+        if not self.owner.ownership.held():
+            return
+        self.lose_all("its worker was silent past its hold")
+        if not self.listed:
+            self.owner.remove_worker(self.record.worker)
+
     def has_work(self) -> bool:
         """Returns whether anything is queued for the worker."""
         return bool(self.starts or self.stops or self.acknowledgements)
@@ -144,20 +209,36 @@
         """Returns the worker's clock as counted from its last stamp."""
         return self.stamp + (self.owner.now() - self.stamped_at)
 
+    def due_starts(self) -> list[Start]:
+        """Returns the starts to send, with the ends of their times.
+
+        A start waits until the worker forgot an earlier outcome of its task, so
+        that a repeated acknowledgement never drops a later one.
+        """
+        if not self.fenced:
+            return []
+        starts = []
+        for start in self.starts.values():
+            if start.task in self.acknowledgements:
+                continue
+            start.hold_until = self.hold_until
+            start.not_after = min(self.hold_until, self.stamp + START_WINDOW_S)
+            starts.append(start)
+        return starts
+
     async def send(self) -> bool:
         """Sends one command.
 
         :returns: Whether the worker answered.
         """
-        if not self.owner.may_start():
+        if not self.owner.may_command():
             return False
         if self.owner.ownership.held() and self.stamped_at:
             self.hold_until = self.stamp + self.owner.hold_s
-        starts = list(self.starts.values()) if self.fenced else []
+        starts = self.due_starts()
         for start in starts:
-            start.hold_until = self.hold_until
-            start.not_after = min(self.hold_until, self.stamp + START_WINDOW_S)
-            require(Invariant.VALID_LEASE, self.owner.may_start(), start.task)
+            require(Invariant.VALID_LEASE, self.owner.may_command(), start.task)
+        self.command_number += 1
         command = Command(
             shard=self.owner.shard,
             epoch=self.owner.ownership.epoch,
@@ -167,8 +248,11 @@
             starts=starts,
             stops=sorted(self.stops),
             acknowledge=sorted(self.acknowledgements),
+            number=self.command_number,
         )
+        self.sending = {start.task for start in starts}
         reply = await self.link.send(command)
+        self.sending = set()
         return self.apply_reply(command, reply)
 
     def apply_reply(self, command: Command, reply: Result[Report, Failure]) -> bool:
@@ -176,30 +260,50 @@
         if isinstance(reply, Err):
             if reply.err_value.kind is ErrorKind.UNREACHABLE:
                 self.give_back(command)
+            else:
+                self.uncertain.update(s.task for s in command.starts)
             return False
         report = reply.ok_value
+        if report.accepted:
+            self.stops.difference_update(command.stops)
+            self.acknowledgements.difference_update(command.acknowledge)
+        refused = {refusal.task: refusal.reason for refusal in report.refusals}
+        for start in command.starts:
+            self.settle_start(start, refused.get(start.task), report)
         if not report.accepted:
             logger.info("worker has a newer owner", worker=self.record.worker)
+            self.capacity.usable = False
             return False
-        self.stops.difference_update(command.stops)
-        self.acknowledgements.difference_update(command.acknowledge)
-        refused = {refusal.task: refusal.reason for refusal in report.refusals}
-        for start in command.starts:
-            self.starts.pop(start.task, None)
-            reason = refused.get(start.task)
-            if reason in (None, RefusalKind.DUPLICATE):
-                continue
-            task = self.owner.tasks[start.task]
-            if task.state is TaskState.STARTING and task.worker == self.record.worker:
-                self.owner.release_start(task)
         self.apply(report, fencing=command.fence)
         return True
 
+    def settle_start(
+        self, start: Start, reason: RefusalKind | None, report: Report
+    ) -> None:
+        """Notes whether a start was taken, refused, or may have run before."""
+        if start.task not in self.starts:
+            return
+        before = start.task in self.uncertain
+        if before and not report.accepted:
+            return
+        del self.starts[start.task]
+        self.uncertain.discard(start.task)
+        if reason in (None, RefusalKind.DUPLICATE):
+            return
+        task = self.owner.tasks[start.task]
+        if task.state is not TaskState.STARTING or task.worker != self.record.worker:
+            return
+        if before and reason is RefusalKind.WRONG_INCARNATION:
+            self.owner.requeue(task, "its worker restarted")
+        else:
+            self.owner.release_start(task)
+
     def give_back(self, command: Command) -> None:
         """Lets starts go elsewhere that surely did not reach the worker."""
         for start in command.starts:
-            if self.starts.pop(start.task, None) is None:
+            if start.task in self.uncertain or start.task not in self.starts:
                 continue
+            del self.starts[start.task]
             task = self.owner.tasks[start.task]
             if task.state is TaskState.STARTING:
                 self.owner.release_start(task)
@@ -218,7 +322,10 @@
                 self.note_stamp(reply.ok_value)
                 await anyio.sleep(RETRY_FIRST_S)
                 continue
+            number = reply.ok_value.number
             self.apply(reply.ok_value, fencing=False)
+            if self.number != number:
+                await anyio.sleep(IGNORED_REPORT_DELAY_S)
 
     def note_stamp(self, report: Report) -> None:
         """Notes the worker's clock, as of the receipt of its report."""
@@ -227,6 +334,12 @@
 
     def apply(self, report: Report, *, fencing: bool) -> None:
         """Applies a report, unless a later one was applied already."""
+        if report.seen_epoch > self.owner.ownership.epoch:
+            # A newer owner acts on what this worker reports.
+            self.capacity.usable = False
+            return
+        if self.incarnation is not None and report.incarnation < self.incarnation:
+            return
         if fencing and not self.admit(report):
             return
         if report.incarnation != self.incarnation:
@@ -237,12 +350,9 @@
         self.number = report.number
         self.note_stamp(report)
         for running in report.running:
-            self.apply_running(running.task, running.resources)
+            self.apply_running(running)
         for ended in report.ended:
-            self.owner.note_ended(ended)
-            self.capacity.release(ended.task)
-            if self.owner.recorded(ended.task):
-                self.acknowledge(ended.task)
+            self.apply_ended(ended)
         self.find_lost(report)
         self.refresh_usable()
         self.owner.placer.wake()
@@ -258,41 +368,56 @@
         )
         self.incarnation = report.incarnation
         self.fenced = True
+        self.fenced_once = True
         self.number = 0
         self.note_stamp(report)
+        if self.record.worker not in self.owner.ledger.state.workers:
+            self.owner.outcomes.note_worker(EntryKind.WORKER_ADDED, self.record)
         self.wanted.set()
         self.owner.note_change()
         return True
 
-    def apply_running(self, task_id: TaskId, resources: object) -> None:
+    def apply_running(self, running: RunningTask) -> None:
         """Adopts a running task or stops one that should not run."""
-        del resources
-        task = self.owner.adopt(task_id, self.record.worker)
-        if task is None:
+        task_id = running.task
+        self.starts.pop(task_id, None)
+        self.uncertain.discard(task_id)
+        if job_shard(task_job(task_id)) != self.owner.shard:
+            self.capacity.adopt(task_id, running.resources)
+            return
+        if self.owner.adopt(task_id, self.record.worker) is None:
             self.stop(task_id)
+        self.capacity.adopt(task_id, running.resources)
+
+    def apply_ended(self, ended: EndedTask) -> None:
+        """Takes an outcome and lets the worker forget it once it is durable."""
+        if ended.task in self.acknowledgements:
             return
-        self.capacity.adopt(task_id, task.spec.resources)
+        self.starts.pop(ended.task, None)
+        self.uncertain.discard(ended.task)
+        self.capacity.release(ended.task)
+        self.owner.note_ended(ended, self.record.worker)
+        if self.owner.may_forget(ended.task):
+            self.acknowledge(ended.task)
 
     def find_lost(self, report: Report) -> None:
         """Finds booked tasks that the worker neither runs nor has ended."""
         present = {running.task for running in report.running}
         present.update(ended.task for ended in report.ended)
         for task_id in list(self.capacity.bookings):
-            task = self.owner.tasks[task_id]
+            task = self.owner.tasks.get(task_id)
             if task_id in present or task_id in self.starts:
                 continue
-            if task.state in (TaskState.RUNNING, TaskState.STOPPING):
-                self.owner.note_lost(task, "its worker lost it")
+            if task is None or task.worker != self.record.worker:
+                self.capacity.release(task_id)
+            elif task.state in (TaskState.RUNNING, TaskState.STOPPING):
+                self.owner.requeue(task, "its worker lost it")
 
     def restarted(self) -> None:
         """Handles a restart: the tasks of the old incarnation run nowhere."""
         self.fenced = False
         self.incarnation = None
-        self.capacity.usable = False
-        self.starts.clear()
+        self.stops.clear()
+        self.acknowledgements.clear()
         self.wanted.set()
-        for task_id in list(self.capacity.bookings):
-            task = self.owner.tasks[task_id]
-            self.capacity.release(task_id)
-            if task.state in ON_WORKER:
-                self.owner.note_lost(task, "its worker restarted")
+        self.lose_all("its worker restarted")
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from msgspec import Struct
+from msgspec import Struct, field
 
 from lacewinghold.application import EntryInstance, Ports
 from lacewinghold.coordination.keys import Keys
@@ -35,10 +35,12 @@
 from lacewinghold.schema.generated.worker import WorkerRecord
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.backend import MemoryBackendLinks
+from lacewinghold.testing.gate import Gate
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.testing.worker import (
     FakeWorker,
+    InstanceListClient,
     MemoryInstanceList,
     MemoryWorkerLinks,
 )
@@ -92,11 +94,18 @@
 
 
 class RunningInstance(Struct):
-    """An entry instance and the handles by which a test kills it."""
+    """An entry instance and the handles by which a test disturbs it.
+
+    :param calls: Callers' calls in progress, which die with the instance.
+    """
 
     instance: EntryInstance
     store: MemoryStore
     scope: anyio.CancelScope
+    gate: Gate
+    instance_list: InstanceListClient
+    worker_links: MemoryWorkerLinks
+    calls: list[anyio.CancelScope] = field(default_factory=list)
 
 
 class Cell:
@@ -130,6 +139,7 @@
         self.instance_list = MemoryInstanceList(self.workers)
         self.worker_links = MemoryWorkerLinks(self.workers)
         self.backend_links = MemoryBackendLinks(self.workers)
+        self.observers: list[Callable[[WorkerId, TaskId, int], None]] = []
         self.boots = 0
         self.make_workers()
 
@@ -162,6 +172,8 @@
         self.running_in[task] += change
         if change > 0:
             self.starts[task] += 1
+        for observer in self.observers:
+            observer(worker, task, change)
         require(Invariant.ONE_PLACE, self.running_in[task] <= 1, f"{task} on {worker}")
 
     async def load_document(self) -> None:
@@ -198,20 +210,25 @@
             hold_s=self.shape.hold_s,
             plaintext=True,
         )
-        store = MemoryStore(self.state)
+        gate = Gate()
+        store = MemoryStore(self.state, gate)
+        instance_list = InstanceListClient(self.instance_list, gate)
+        worker_links = MemoryWorkerLinks(self.workers, gate, self.worker_links.cut)
         boot = f"boot{self.boots}"
         instance_id = InstanceId(f"{name}.{boot}")
         ports = Ports(
             store,
-            MemoryTransport(self.network, instance_id, region),
-            self.instance_list,
-            self.worker_links,
+            MemoryTransport(self.network, instance_id, region, gate),
+            instance_list,
+            worker_links,
             self.backend_links,
             self.clock,
         )
         rng = random.Random(self.rng.random())
         instance = EntryInstance(settings, ports, boot, rng)
-        running = RunningInstance(instance, store, anyio.CancelScope())
+        running = RunningInstance(
+            instance, store, anyio.CancelScope(), gate, instance_list, worker_links
+        )
         self.instances[instance_id] = running
         self.tasks.start_soon(self.run_instance, running)
         return instance_id
@@ -225,6 +242,8 @@
         """Kills an entry instance at once, without a word to anybody."""
         running = self.instances.pop(instance_id)
         running.scope.cancel()
+        for call in running.calls:
+            call.cancel()
         self.network.nodes.pop(instance_id, None)
 
     async def shut_down(self, instance_id: InstanceId) -> None:
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.peers.base import PeerTransport
+from lacewinghold.testing.gate import Gate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,9 +57,14 @@
     name = "memory"
 
     def __init__(
-        self, network: MemoryNetwork, instance: InstanceId, region: RegionId
+        self,
+        network: MemoryNetwork,
+        instance: InstanceId,
+        region: RegionId,
+        gate: Gate | None = None,
     ) -> None:
         self.network = network
+        self.gate = gate or Gate()
         self.instance = instance
         self.sender, self.inbox = anyio.create_memory_object_stream[bytes](
             INBOX_MESSAGES
@@ -89,12 +95,15 @@
             return
 
     async def receive(self) -> bytes:
-        return await self.inbox.receive()
+        message = await self.inbox.receive()
+        await self.gate.pass_through()
+        return message
 
     async def send(
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
         del address
+        await self.gate.pass_through()
         if peer not in self.network.nodes:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer} is down"))
         latency_s = self.network.latency_s(self.instance, peer)
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -23,13 +24,20 @@
     TransactionReply,
     WatchBatch,
 )
+from lacewinghold.testing.gate import Gate
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
+    from typing import TypeVar
+
+    T = TypeVar("T")
 
 WATCH_BUFFER = 10_000
 MAX_OPERATIONS = 128
+MAX_REQUEST_BYTES = 1_048_576
 LEASE_CHECK_S = 0.25
+CALL_TIMEOUT_S = 1.0
+LATE_BY_S = 3.0
 
 
 class StoreFault(StrEnum):
@@ -37,6 +45,22 @@
 
     UNAVAILABLE = "unavailable"
     REPLY_LOST = "reply_lost"
+    DELAYED = "delayed"
+
+
+class Outage(StrEnum):
+    """What is wrong with the store as a whole."""
+
+    NONE = "none"
+    DOWN = "down"
+    ERRORS = "errors"
+
+
+class LateWrite(Struct):
+    """A write that takes effect after its caller gave up."""
+
+    due: float
+    act: Callable[[], object]
 
 
 class FakeLease(Struct):
@@ -61,6 +85,17 @@
         self.next_lease = 1
         self.history: list[WatchBatch] = []
         self.changed = anyio.Event()
+        self.outage = Outage.NONE
+        self.late: list[LateWrite] = []
+        self.listeners: list[Callable[[WatchBatch], None]] = []
+
+    def advance(self) -> None:
+        """Catches up with the clock: late writes land, leases lapse."""
+        now = anyio.current_time()
+        for write in [write for write in self.late if write.due <= now]:
+            self.late.remove(write)
+            write.act()
+        self.expire_leases()
 
     def expire_leases(self) -> None:
         """Removes the keys of lapsed leases."""
@@ -85,8 +120,11 @@
 
     def publish(self, puts: list[KeyValue], deletes: list[str]) -> None:
         """Tells watchers of the changes of the present revision."""
-        self.history.append(WatchBatch(self.revision, puts, deletes))
+        batch = WatchBatch(self.revision, puts, deletes)
+        self.history.append(batch)
         del self.history[:-WATCH_BUFFER]
+        for listener in self.listeners:
+            listener(batch)
         self.changed.set()
         self.changed = anyio.Event()
 
@@ -141,92 +179,115 @@
 
     name = "memory"
 
-    def __init__(self, state: StoreState) -> None:
+    def __init__(self, state: StoreState, gate: Gate | None = None) -> None:
         super().__init__()
         self.state = state
+        self.gate = gate or Gate()
         self.reachable = True
         self.faults: list[StoreFault] = []
 
-    async def enter_call(self, kind: CallKind) -> Failure | None:
-        """Counts a call, lets its time pass and returns why it fails, if so."""
+    async def call(
+        self, kind: CallKind, act: Callable[[], Result[T, Failure]]
+    ) -> Result[T, Failure]:
+        """Makes one call with the faults that are due."""
         self.calls[kind] += 1
-        await anyio.sleep(self.state.latency_s)
-        self.state.expire_leases()
-        if not self.reachable:
-            return Failure(ErrorKind.STORE_UNAVAILABLE, "the store is unreachable")
-        if self.faults and self.faults[0] is StoreFault.UNAVAILABLE:
-            self.faults.pop(0)
-            return Failure(ErrorKind.STORE_UNAVAILABLE, "the store is down")
-        return None
-
-    def reply_lost(self) -> bool:
-        """Returns whether the reply of the present call is lost."""
-        if not self.reachable:
-            return True
-        if self.faults and self.faults[0] is StoreFault.REPLY_LOST:
-            self.faults.pop(0)
-            return True
-        return False
+        await self.gate.pass_through()
+        await anyio.sleep(self.state.latency_s / 2)
+        self.state.advance()
+        result = await self.perform(act, self.next_fault())
+        await self.gate.pass_through()
+        return result
+
+    def next_fault(self) -> StoreFault | None:
+        """Returns the fault of the present call, if it has one."""
+        return self.faults.pop(0) if self.faults else None
+
+    async def perform(
+        self, act: Callable[[], Result[T, Failure]], fault: StoreFault | None
+    ) -> Result[T, Failure]:
+        """Lets a call that is at the store take effect or fail."""
+        if not self.reachable or self.state.outage is Outage.DOWN:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "the store is unreachable"))
+        if fault is StoreFault.UNAVAILABLE:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "the store is down"))
+        if self.state.outage is Outage.ERRORS:
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "internal error"))
+        lost = Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost")
+        if fault is StoreFault.DELAYED:
+            due = anyio.current_time() + LATE_BY_S
+            self.state.late.append(LateWrite(due, act))
+            await anyio.sleep(CALL_TIMEOUT_S)
+            return Err(lost)
+        result = act()
+        await anyio.sleep(self.state.latency_s / 2)
+        if fault is StoreFault.REPLY_LOST or not self.reachable:
+            return Err(lost)
+        return result
 
     async def range(
         self, key: str, *, prefix: bool = False
     ) -> Result[RangeReply, Failure]:
-        failure = await self.enter_call(CallKind.READ)
-        if failure is not None:
-            return Err(failure)
-        if prefix:
-            keys = sorted(k for k in self.state.keys if k.startswith(key))
-        else:
-            keys = [key] if key in self.state.keys else []
-        items = [self.state.keys[k] for k in keys]
-        return Ok(RangeReply(self.state.revision, items))
+        def act() -> Result[RangeReply, Failure]:
+            if prefix:
+                keys = sorted(k for k in self.state.keys if k.startswith(key))
+            else:
+                keys = [key] if key in self.state.keys else []
+            items = [self.state.keys[k] for k in keys]
+            return Ok(RangeReply(self.state.revision, items))
+
+        reply = await self.call(CallKind.READ, act)
+        if isinstance(reply, Err):
+            detail = reply.err_value.detail
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        return reply
 
     async def commit(
         self, transaction: Transaction
     ) -> Result[TransactionReply, Failure]:
-        failure = await self.enter_call(CallKind.WRITE)
-        if failure is not None:
-            return Err(failure)
+        return await self.call(CallKind.WRITE, lambda: self.apply(transaction))
+
+    def apply(self, transaction: Transaction) -> Result[TransactionReply, Failure]:
+        """Applies a transaction within the limits of the store."""
         if len(transaction.operations) > MAX_OPERATIONS:
             return Err(Failure(ErrorKind.TOO_LARGE, "too many operations"))
+        size = 0
         for operation in transaction.operations:
-            if not isinstance(operation, Put) or not operation.lease:
+            if not isinstance(operation, Put):
                 continue
-            if operation.lease not in self.state.leases:
+            size += len(operation.key) + len(operation.value)
+            if operation.lease and operation.lease not in self.state.leases:
                 return Err(Failure(ErrorKind.LEASE_LAPSED, "no such lease"))
-        reply = self.state.apply(transaction)
-        if self.reply_lost():
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost"))
-        return Ok(reply)
+        if size > MAX_REQUEST_BYTES:
+            return Err(Failure(ErrorKind.TOO_LARGE, "the request is too large"))
+        return Ok(self.state.apply(transaction))
 
     async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
-        failure = await self.enter_call(CallKind.LEASE)
-        if failure is not None:
-            return Err(failure)
-        lease_id = LeaseId(self.state.next_lease)
-        self.state.next_lease += 1
-        expires_at = anyio.current_time() + ttl_s
-        self.state.leases[lease_id] = FakeLease(ttl_s, expires_at, set())
-        return Ok(lease_id)
+        def act() -> Result[LeaseId, Failure]:
+            lease_id = LeaseId(self.state.next_lease)
+            self.state.next_lease += 1
+            whole_s = float(math.ceil(ttl_s))
+            expires_at = anyio.current_time() + whole_s
+            self.state.leases[lease_id] = FakeLease(whole_s, expires_at, set())
+            return Ok(lease_id)
+
+        return await self.call(CallKind.LEASE, act)
 
     async def renew_lease(self, lease: LeaseId) -> Result[float, Failure]:
-        failure = await self.enter_call(CallKind.LEASE)
-        if failure is not None:
-            return Err(failure)
-        record = self.state.leases.get(lease)
-        if record is None:
-            return Ok(0.0)
-        record.expires_at = anyio.current_time() + record.ttl_s
-        if self.reply_lost():
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost"))
-        return Ok(record.ttl_s)
+        def act() -> Result[float, Failure]:
+            record = self.state.leases.get(lease)
+            if record is None:
+                return Ok(0.0)
+            record.expires_at = anyio.current_time() + record.ttl_s
+            return Ok(record.ttl_s)
+
+        return await self.call(CallKind.LEASE, act)
 
     async def revoke_lease(self, lease: LeaseId) -> Result[None, Failure]:
-        failure = await self.enter_call(CallKind.LEASE)
-        if failure is not None:
-            return Err(failure)
-        self.state.drop_lease(lease)
-        return Ok(None)
+        def act() -> Result[None, Failure]:
+            self.state.drop_lease(lease)
+            return Ok(None)
+
+        return await self.call(CallKind.LEASE, act)
 
     @asynccontextmanager
     async def watch(
@@ -235,6 +296,10 @@
         self.calls[CallKind.WATCH] += 1
         yield self.changes(prefix, after)
 
+    def cut_off(self) -> bool:
+        """Returns whether streams break now."""
+        return not self.reachable or self.state.outage is not Outage.NONE
+
     async def changes(self, prefix: str, after: int) -> AsyncIterator[WatchBatch]:
         """Yields the batches under a prefix after a revision, in order."""
         while True:
@@ -243,16 +308,18 @@
                 if batch.revision <= after:
                     continue
                 after = batch.revision
-                if not self.reachable:
+                if self.cut_off():
                     break
                 await anyio.sleep(self.state.latency_s)
+                await self.gate.pass_through()
                 puts = [item for item in batch.puts if item.key.startswith(prefix)]
                 deletes = [key for key in batch.deletes if key.startswith(prefix)]
                 if puts or deletes:
                     yield WatchBatch(batch.revision, puts, deletes)
-            if not self.reachable:
+            if self.cut_off():
                 detail = "the watch broke"
                 raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
             with anyio.move_on_after(LEASE_CHECK_S):
                 await changed.wait()
-            self.state.expire_leases()
+            await self.gate.pass_through()
+            self.state.advance()
--- a/lacewinghold/testing/worker.py
+++ b/lacewinghold/testing/worker.py
@@ -23,6 +23,7 @@
     WorkerRecord,
     WorkerState,
 )
+from lacewinghold.testing.gate import Gate
 from lacewinghold.workers.base import InstanceListSource, WorkerLink, WorkerLinks
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
     from lacewinghold.schema.generated.worker import Command, Start
 
 LINK_LATENCY_S = 0.001
+REPLY_TIMEOUT_S = 2.0
 
 
 class Execution(Struct):
@@ -70,6 +72,7 @@
         self.clock_rate = clock_rate
         self.incarnation = Incarnation(1)
         self.seen_epoch = Epoch(0)
+        self.seen_command = 0
         self.number = 1
         self.running: dict[TaskId, Execution] = {}
         self.ended: dict[TaskId, EndedTask] = {}
@@ -102,6 +105,7 @@
         self.running.clear()
         self.ended.clear()
         self.seen_epoch = Epoch(0)
+        self.seen_command = 0
         self.incarnation = Incarnation(self.incarnation + 1)
         self.note_change()
 
@@ -110,13 +114,12 @@
 
         :returns: The state after it, with the starts that were refused.
         """
-        if command.epoch < self.seen_epoch:
-            stale = [
-                Refusal(task=start.task, reason=RefusalKind.STALE_EPOCH)
-                for start in command.starts
-            ]
-            return self.report(accepted=False, refusals=stale)
+        stale = self.find_stale(command)
+        if stale is not None:
+            refusals = [Refusal(task=s.task, reason=stale) for s in command.starts]
+            return self.report(accepted=False, refusals=refusals)
         self.seen_epoch = command.epoch
+        self.seen_command = command.number
         self.extend_holds(command)
         for task in command.acknowledge:
             self.ended.pop(task, None)
@@ -132,6 +135,14 @@
         self.note_change()
         return self.report(refusals=refusals)
 
+    def find_stale(self, command: Command) -> RefusalKind | None:
+        """Returns why a command comes too late, or ``None``."""
+        if command.epoch < self.seen_epoch:
+            return RefusalKind.STALE_EPOCH
+        if command.epoch == self.seen_epoch and command.number <= self.seen_command:
+            return RefusalKind.STALE_COMMAND
+        return None
+
     def extend_holds(self, command: Command) -> None:
         """Adopts the running tasks under the command's epoch and extends holds."""
         if not command.hold_until:
@@ -251,61 +262,124 @@
         self.links = links
         self.worker = worker
 
+    @property
+    def worker_id(self) -> WorkerId:
+        """Returns the worker's id."""
+        return self.worker.record.worker
+
     def cut(self) -> bool:
         """Returns whether the worker cannot be reached."""
-        return not self.worker.alive or self.worker.record.worker in self.links.cut
+        cut = self.links.cut | self.links.shared_cut
+        return not self.worker.alive or self.worker_id in cut
+
+    def replies_cut(self) -> bool:
+        """Returns whether the way back from the worker is cut."""
+        return self.cut() or self.worker_id in self.links.cut_replies
 
     async def send(self, command: Command) -> Result[Report, Failure]:
+        await self.links.gate.pass_through()
+        delay_s = self.links.delays.pop(self.worker_id, None)
+        if delay_s is not None:
+            self.worker.tasks.start_soon(self.deliver_late, command, delay_s)
+            await anyio.sleep(REPLY_TIMEOUT_S)
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "no reply in time"))
         await anyio.sleep(LINK_LATENCY_S)
         if self.cut():
             return Err(Failure(ErrorKind.UNREACHABLE, "the worker is unreachable"))
         report = self.worker.handle(command)
         await anyio.sleep(LINK_LATENCY_S)
-        if self.cut():
+        await self.links.gate.pass_through()
+        if self.replies_cut():
+            await anyio.sleep(REPLY_TIMEOUT_S)
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost"))
         return Ok(report)
 
+    async def deliver_late(self, command: Command, delay_s: float) -> None:
+        """Hands a command to the worker after its sender gave up."""
+        await anyio.sleep(delay_s)
+        if self.worker.alive:
+            self.worker.handle(command)
+
     async def poll(self, after: int, wait_s: float) -> Result[Report, Failure]:
+        await self.links.gate.pass_through()
         await anyio.sleep(LINK_LATENCY_S)
         if self.cut():
             await anyio.sleep(wait_s)
             return Err(Failure(ErrorKind.UNREACHABLE, "the worker is unreachable"))
         report = await self.worker.wait_report(after, wait_s)
         await anyio.sleep(LINK_LATENCY_S)
-        if self.cut():
+        await self.links.gate.pass_through()
+        if self.replies_cut():
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost"))
         return Ok(report)
 
 
 class MemoryWorkerLinks(WorkerLinks):
-    """Opens links to fake workers.
+    """Opens links of one entry instance to fake workers.
 
     :param workers: The fakes by id; shared with the test.
+    :param shared_cut: Workers that no instance can reach.
     """
 
     name = "memory"
 
-    def __init__(self, workers: dict[WorkerId, FakeWorker]) -> None:
+    def __init__(
+        self,
+        workers: dict[WorkerId, FakeWorker],
+        gate: Gate | None = None,
+        shared_cut: set[WorkerId] | None = None,
+    ) -> None:
         self.workers = workers
+        self.gate = gate or Gate()
+        self.shared_cut = shared_cut if shared_cut is not None else set()
         self.cut: set[WorkerId] = set()
+        self.cut_replies: set[WorkerId] = set()
+        self.delays: dict[WorkerId, float] = {}
 
     def open(self, record: WorkerRecord) -> WorkerLink:
         return MemoryWorkerLink(self, self.workers[record.worker])
 
 
 class MemoryInstanceList(InstanceListSource):
-    """An instance list made of the fakes."""
+    """An instance list made of the fakes; ``missing`` ones are left out by its lag."""
 
     name = "memory"
 
     def __init__(self, workers: dict[WorkerId, FakeWorker]) -> None:
         self.workers = workers
         self.gone: list[InstanceId] = []
+        self.missing: set[WorkerId] = set()
         self.reachable = True
 
     async def fetch(self) -> Result[InstanceList, Failure]:
         await anyio.sleep(LINK_LATENCY_S)
         if not self.reachable:
             return Err(Failure(ErrorKind.UNREACHABLE, "the list is unreachable"))
-        records = [worker.record for worker in self.workers.values()]
+        records = [
+            worker.record
+            for worker in self.workers.values()
+            if worker.record.worker not in self.missing
+        ]
         return Ok(InstanceList(workers=records, gone=list(self.gone)))
+
+
+class InstanceListClient(InstanceListSource):
+    """One entry instance's way to the shared instance list.
+
+    :param source: The shared list.
+    """
+
+    name = "memory-client"
+
+    def __init__(self, source: MemoryInstanceList, gate: Gate) -> None:
+        self.source = source
+        self.gate = gate
+        self.reachable = True
+
+    async def fetch(self) -> Result[InstanceList, Failure]:
+        await self.gate.pass_through()
+        reply = await self.source.fetch()
+        await self.gate.pass_through()
+        if not self.reachable:
+            return Err(Failure(ErrorKind.UNREACHABLE, "the list is unreachable"))
+        return reply
