--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -38,10 +38,12 @@
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.backend import MemoryBackendLinks
 from lacewinghold.testing.deployment import document_transaction, worker_records
+from lacewinghold.testing.gate import Gate
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.testing.worker import (
     FakeWorker,
+    InstanceListClient,
     MemoryInstanceList,
     MemoryWorkerLinks,
 )
@@ -97,11 +99,17 @@
 
 
 class RunningInstance(Struct):
-    """An entry instance and the handles by which a test kills it."""
+    """An entry instance and the handles by which a test disturbs it.
+
+    :param calls: Callers' calls in progress, which die with the instance.
+    """
 
     instance: EntryInstance
     store: MemoryStore
     scope: anyio.CancelScope
+    gate: Gate
+    instance_list: InstanceListClient
+    worker_links: MemoryWorkerLinks
     calls: set[anyio.CancelScope] = field(default_factory=set)
 
     async def call(self, operation: Callable[[], Awaitable[T]]) -> T | None:
@@ -156,6 +164,7 @@
         self.instance_list = MemoryInstanceList(self.workers)
         self.worker_links = MemoryWorkerLinks(self.workers)
         self.backend_links = MemoryBackendLinks(self.workers, tasks)
+        self.observers: list[Callable[[WorkerId, TaskId, int], None]] = []
         self.boots = 0
         self.make_workers()
 
@@ -220,6 +229,8 @@
         if change > 0:
             self.starts[task] += 1
             self.first_started.setdefault(task, self.clock.now())
+        for observer in self.observers:
+            observer(worker, task, change)
         require(Invariant.ONE_PLACE, self.running_in[task] <= 1, f"{task} on {worker}")
 
     async def load_document(self) -> None:
@@ -275,21 +286,26 @@
     def run_settings(self, settings: Settings) -> InstanceId:
         """Starts one entry instance with its settings."""
         self.boots += 1
-        store = MemoryStore(self.state, self.store_latency_s(settings.region))
+        gate = Gate()
+        store = MemoryStore(self.state, gate, self.store_latency_s(settings.region))
+        instance_list = InstanceListClient(self.instance_list, gate)
+        worker_links = MemoryWorkerLinks(self.workers, gate, self.worker_links.cut)
         boot = f"boot{self.boots}"
         instance_id = InstanceId(f"{settings.instance}.{boot}")
         self.stores[instance_id] = store
         ports = Ports(
             store,
-            MemoryTransport(self.network, instance_id, settings.region),
-            self.instance_list,
-            self.worker_links,
+            MemoryTransport(self.network, instance_id, settings.region, gate),
+            instance_list,
+            worker_links,
             self.backend_links,
             self.clock,
         )
         rng = random.Random(self.rng.random())
         instance = EntryInstance(settings, ports, boot, rng)
-        running = RunningInstance(instance, store, anyio.CancelScope())
+        running = RunningInstance(
+            instance, store, anyio.CancelScope(), gate, instance_list, worker_links
+        )
         self.instances[instance_id] = running
         self.tasks.start_soon(self.run_instance, running)
         return instance_id
