--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+import secrets
 from typing import TYPE_CHECKING, TypeVar
 
 import structlog
@@ -10,6 +12,7 @@
 from starlette.requests import ClientDisconnect
 from starlette.responses import Response
 from starlette.routing import Route
+from structlog.contextvars import bind_contextvars
 
 from lacewinghold.api.problems import problem_response
 from lacewinghold.errors import (
@@ -33,6 +36,7 @@
 T = TypeVar("T")
 logger = structlog.get_logger(__name__)
 MAX_KEY_CHARS = 256
+TRACEPARENT = re.compile(r"[0-9a-f]{2}-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}")
 
 
 class Caller(Struct, frozen=True):
@@ -52,6 +56,7 @@
         """Returns a route whose failures become problem answers."""
 
         async def guarded(request: Request) -> Response:
+            bind_contextvars(request=request_id(request))
             try:
                 return await endpoint(request)
             except FailureError as error:
@@ -127,6 +132,12 @@
         raise FailureError(Failure(ErrorKind.FORBIDDEN, detail))
 
 
+def request_id(request: Request) -> str:
+    """Returns the trace id of a request, or a new id if it has none."""
+    match = TRACEPARENT.fullmatch(request.headers.get("traceparent", ""))
+    return secrets.token_hex(8) if match is None else match[1]
+
+
 def unwrap(result: Result[T, Failure]) -> T:
     """Returns the value of a result.
 
--- a/lacewinghold/api/services.py
+++ b/lacewinghold/api/services.py
@@ -50,18 +50,19 @@
         repeatable = unwrap(
             parse_repeatable(request.headers.get("lacewinghold-repeatable"))
         )
-        answer = unwrap(
-            await self.instance.requests.request(
-                caller.team,
-                service,
-                request.method,
-                request.path_params["path"],
-                data,
-                timeout_s,
-                repeatable,
-                self.idempotency_key(request),
-            )
+        result = await self.instance.requests.request(
+            caller.team,
+            service,
+            request.method,
+            request.path_params["path"],
+            data,
+            timeout_s,
+            repeatable,
+            self.idempotency_key(request),
         )
+        outcome = result.err_value.kind if isinstance(result, Err) else "answered"
+        self.instance.counts[f"requests.{outcome}"] += 1
+        answer = unwrap(result)
         return Response(answer.body, answer.status, {"X-Worker": answer.worker})
 
 
--- a/lacewinghold/api/state.py
+++ b/lacewinghold/api/state.py
@@ -4,15 +4,56 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
+from lacewinghold import __version__
 from lacewinghold.api.common import Handlers
 from lacewinghold.api.problems import json_response
 from lacewinghold.invariants import checks, violations
+from lacewinghold.metrics import lease_remaining_s, queue_length
 
 if TYPE_CHECKING:
     from starlette.requests import Request
     from starlette.responses import Response
     from starlette.routing import Route
 
+    from lacewinghold.ids import (
+        DataCentreId,
+        Epoch,
+        InstanceId,
+        RegionId,
+        Revision,
+        ShardId,
+    )
+
+
+class ShardStatus(Struct, frozen=True):
+    """One shard owned here."""
+
+    epoch: Epoch
+    ready: bool
+    jobs: int
+    workers: int
+
+
+class Status(Struct, frozen=True):
+    """What an entry instance tells of itself."""
+
+    instance: InstanceId
+    version: str
+    region: RegionId
+    data_centre: DataCentreId
+    ready: bool
+    leaving: bool
+    lease_valid: bool
+    lease_remaining_s: float
+    store_revision: Revision
+    store_calls: dict[str, int]
+    tasks_queued: int
+    shards: dict[ShardId, ShardStatus]
+    invariant_checks: int
+    invariant_violations: int
+
 
 class StateHandlers(Handlers):
     """Liveness, readiness and status."""
@@ -39,22 +80,32 @@
         """Describes the instance's lease, shards and invariant checks."""
         instance = self.instance
         shards = {
-            shard: {
-                "epoch": owner.ownership.epoch,
-                "ready": owner.ready.is_set(),
-                "jobs": len(owner.jobs),
-                "workers": len(owner.workers),
-            }
+            shard: ShardStatus(
+                epoch=owner.ownership.epoch,
+                ready=owner.ready.is_set(),
+                jobs=len(owner.jobs),
+                workers=len(owner.workers),
+            )
             for shard, owner in instance.manager.owners.items()
         }
         return json_response(
-            {
-                "instance": instance.instance,
-                "data_centre": instance.settings.data_centre,
-                "lease_valid": instance.lease.valid(),
-                "store_revision": instance.view.revision,
-                "shards": shards,
-                "invariant_checks": sum(checks.values()),
-                "invariant_violations": sum(violations.values()),
-            }
+            Status(
+                instance=instance.instance,
+                version=__version__,
+                region=instance.settings.region,
+                data_centre=instance.settings.data_centre,
+                ready=instance.ready(),
+                leaving=instance.manager.leaving,
+                lease_valid=instance.lease.valid(),
+                lease_remaining_s=round(lease_remaining_s(instance), 3),
+                store_revision=instance.view.revision,
+                store_calls={
+                    str(call): count
+                    for call, count in instance.ports.store.calls.items()
+                },
+                tasks_queued=queue_length(instance),
+                shards=shards,
+                invariant_checks=checks.total(),
+                invariant_violations=violations.total(),
+            )
         )
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -57,6 +58,7 @@
         self.ports = ports
         self.instance = InstanceId(f"{settings.instance}.{boot}")
         self.keys = Keys(settings.store.prefix)
+        self.counts: Counter[str] = Counter()
         record = InstanceRecord(
             instance=self.instance,
             region=settings.region,
--- a/lacewinghold/cmd/__init__.py
+++ b/lacewinghold/cmd/__init__.py
@@ -14,14 +14,23 @@
 
 def build_parser() -> argparse.ArgumentParser:
     """Returns the parser of all commands."""
-    from lacewinghold.cmd import client, demo, serve, settings, stand_in
+    from lacewinghold.cmd import (
+        audit,
+        client,
+        demo,
+        jobs,
+        serve,
+        settings,
+        stand_in,
+        workers,
+    )
 
     parser = argparse.ArgumentParser(
         prog="lacewinghold", description="A cluster scheduler for unlike workloads."
     )
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True)
-    for module in (serve, stand_in, demo, settings, client):
+    for module in (serve, stand_in, demo, settings, jobs, workers, audit, client):
         module.add_parsers(commands)
     return parser
 
--- a/lacewinghold/cmd/client.py
+++ b/lacewinghold/cmd/client.py
@@ -1,4 +1,4 @@
-"""Callers' and operators' commands over the HTTP interface."""
+"""What the commands share that talk to an entry instance."""
 
 from __future__ import annotations
 
@@ -23,17 +23,6 @@
 
 def add_parsers(commands: Any) -> None:
     """Adds the commands that talk to an entry instance."""
-    submit = add(commands, "submit", "submit a job from a JSON file", run_submit)
-    submit.add_argument("file", type=Path)
-    submit.add_argument("--idempotency-key", default="")
-    add(commands, "jobs", "list jobs", get("/v1/jobs"))
-    job = add(commands, "job", "show a job", run_job)
-    job.add_argument("job")
-    cancel = add(commands, "cancel", "cancel a job", run_cancel)
-    cancel.add_argument("job")
-    add(commands, "workers", "list workers", get("/v1/workers"))
-    add(commands, "audit", "show the audit trail", get("/v1/audit"))
-    add(commands, "status", "show an entry instance's status", get("/status"))
     document = add(commands, "document", "show or edit the document", run_document)
     document.add_argument("action", choices=["get", "edit"])
     document.add_argument("section", nargs="?")
@@ -58,9 +47,12 @@
     path: str,
     content: bytes | None = None,
     headers: dict[str, str] | None = None,
+    attempts: int = 1,
 ) -> int:
     """Makes one call and prints its answer.
 
+    :param attempts: How often to send it while no answer comes; above 1 only if
+        a repeat has no further effect.
     :returns: The exit code from the table of errors.
     """
     import httpx
@@ -70,20 +62,46 @@
     if not options.url:
         return fail(f"name an entry instance with --url or {URL_VARIABLE}", 2)
     sent = {"Authorization": f"Bearer {options.key}", **(headers or {})}
+    error: httpx.HTTPError | None = None
     try:
-        response = httpx.request(
-            method,
-            options.url + path,
-            content=content,
-            headers=sent,
-            timeout=TIMEOUT_S,
-            trust_env=False,
-            verify=options.authority or True,
-        )
-    except httpx.HTTPError as error:
-        unreachable = ANSWERS[ErrorKind.UNREACHABLE].exit_code
-        return fail(f"{options.url}: {error}", unreachable)
-    return show(options, response)
+        client = make_client(options)
+    except OSError as unreadable:
+        return fail(f"{options.authority}: {unreadable}", 2)
+    with client:
+        for _ in range(attempts):
+            try:
+                response = client.request(method, path, content=content, headers=sent)
+            except httpx.HTTPError as failed:
+                error = failed
+                continue
+            return show(options, response)
+    return fail(f"{options.url}: {error}", unanswered_code(error))
+
+
+def make_client(options: argparse.Namespace) -> httpx.Client:
+    """Returns a client of the entry instance.
+
+    :raises OSError: If the authority's file cannot be used.
+    """
+    import ssl
+
+    import httpx
+
+    verify: ssl.SSLContext | bool = options.url.startswith("https:")
+    if options.authority:
+        verify = ssl.create_default_context(cafile=options.authority)
+    return httpx.Client(
+        base_url=options.url, timeout=TIMEOUT_S, trust_env=False, verify=verify
+    )
+
+
+def unanswered_code(error: httpx.HTTPError | None) -> int:
+    """Returns the exit code when no answer came: not run, or unknown."""
+    import httpx
+
+    if isinstance(error, httpx.ConnectError | httpx.ConnectTimeout):
+        return ANSWERS[ErrorKind.UNREACHABLE].exit_code
+    return ANSWERS[ErrorKind.OUTCOME_UNKNOWN].exit_code
 
 
 def show(options: argparse.Namespace, response: httpx.Response) -> int:
@@ -93,11 +111,17 @@
     """
     from lacewinghold.cmd import fail
 
-    body = response.json()
-    if response.is_error:
+    try:
+        body = response.json()
+        kind = None
+        if response.is_error:
+            kind = ErrorKind(body["type"].rpartition(":")[2])
+    except (ValueError, LookupError, TypeError):
+        detail = f"status {response.status_code}, not from an entry instance"
+        return fail(f"{options.url}: {detail}", ANSWERS[ErrorKind.INTERNAL].exit_code)
+    if kind is not None:
         if options.json:
             print(json.dumps(body))
-        kind = ErrorKind(body["type"].rpartition(":")[2])
         where = f"{body['field']}: " if body.get("field") else ""
         return fail(
             f"{body['title']}: {where}{body['detail']}", ANSWERS[kind].exit_code
@@ -137,30 +161,6 @@
     return lambda options: call(options, "GET", path)
 
 
-def run_submit(options: argparse.Namespace) -> int:
-    """Runs ``submit``."""
-    from lacewinghold.cmd import fail
-
-    try:
-        content = options.file.read_bytes()
-    except OSError as error:
-        return fail(f"{options.file}: {error.strerror}", 2)
-    headers = {}
-    if options.idempotency_key:
-        headers["Idempotency-Key"] = options.idempotency_key
-    return call(options, "POST", "/v1/jobs", content, headers)
-
-
-def run_job(options: argparse.Namespace) -> int:
-    """Runs ``job``."""
-    return call(options, "GET", f"/v1/jobs/{options.job}")
-
-
-def run_cancel(options: argparse.Namespace) -> int:
-    """Runs ``cancel``."""
-    return call(options, "POST", f"/v1/jobs/{options.job}/cancel")
-
-
 def run_document(options: argparse.Namespace) -> int:
     """Runs ``document``."""
     from lacewinghold.cmd import fail
--- /dev/null
+++ b/lacewinghold/cmd/jobs.py
@@ -0,0 +1,52 @@
+"""The commands ``submit``, ``jobs``, ``job`` and ``cancel``."""
+
+from __future__ import annotations
+
+import secrets
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+from lacewinghold.cmd.client import add, call, get
+
+if TYPE_CHECKING:
+    import argparse
+
+SUBMIT_ATTEMPTS = 3
+
+
+def add_parsers(commands: Any) -> None:
+    """Adds the commands."""
+    submit = add(commands, "submit", "submit a job from a JSON file", run_submit)
+    submit.add_argument("file", type=Path)
+    submit.add_argument(
+        "--idempotency-key", help="name the job, so that a repeat gives the same one"
+    )
+    add(commands, "jobs", "list jobs", get("/v1/jobs"))
+    job = add(commands, "job", "show a job", run_job)
+    job.add_argument("job")
+    cancel = add(commands, "cancel", "cancel a job", run_cancel)
+    cancel.add_argument("job")
+
+
+def run_submit(options: argparse.Namespace) -> int:
+    """Runs ``submit``; a lost answer is asked for again under the same key."""
+    from lacewinghold.cmd import fail
+
+    try:
+        content = options.file.read_bytes()
+    except OSError as error:
+        return fail(f"{options.file}: {error.strerror}", 2)
+    key = options.idempotency_key or secrets.token_hex(16)
+    headers = {"Idempotency-Key": key}
+    return call(options, "POST", "/v1/jobs", content, headers, SUBMIT_ATTEMPTS)
+
+
+def run_job(options: argparse.Namespace) -> int:
+    """Runs ``job``."""
+    return call(options, "GET", f"/v1/jobs/{quote(options.job)}")
+
+
+def run_cancel(options: argparse.Namespace) -> int:
+    """Runs ``cancel``."""
+    return call(options, "POST", f"/v1/jobs/{quote(options.job)}/cancel")
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+import ssl
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -17,10 +18,13 @@
 if TYPE_CHECKING:
     import argparse
 
-    from lacewinghold.application import EntryInstance
+    import httpx
+
+    from lacewinghold.application import EntryInstance, Ports
     from lacewinghold.schema.generated.settings import Settings
 
 logger = structlog.get_logger(__name__)
+MAX_IDLE_CONNECTIONS = 256
 
 
 def add_parsers(commands: Any) -> None:
@@ -44,57 +48,92 @@
     return 0
 
 
-async def serve(settings: Settings) -> None:
-    """Serves until a signal, then shuts down gracefully; a second one is at once."""
+def make_client(settings: Settings) -> httpx.AsyncClient:
+    """Returns the client for the platform, workers and backend servers."""
     import httpx
 
-    from lacewinghold.api.app import make_app
-    from lacewinghold.application import EntryInstance, Ports
+    # Trusts nobody, and costs no memory for authorities that nothing needs.
+    verify = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    if settings.tls is not None:
+        verify = ssl.create_default_context(cafile=settings.tls.authority)
+    elif any(url.startswith("https:") for url in platform_urls(settings)):
+        verify = ssl.create_default_context()
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=MAX_IDLE_CONNECTIONS
+    )
+    return httpx.AsyncClient(limits=limits, trust_env=False, verify=verify)
+
+
+def platform_urls(settings: Settings) -> list[str]:
+    """Returns the addresses of the platform."""
+    return [*settings.store.endpoints, settings.instance_list_url]
+
+
+def make_ports(settings: Settings, client: httpx.AsyncClient) -> Ports:
+    """Returns the adapters to everything outside of the process."""
+    from lacewinghold.application import Ports
     from lacewinghold.peers.nng import NngTransport
     from lacewinghold.routing.http import HttpBackendLinks
     from lacewinghold.store.etcd import EtcdStore
     from lacewinghold.util.clock import WallClock
-    from lacewinghold.util.http_server import serve_http
     from lacewinghold.workers.http import HttpInstanceList, HttpWorkerLinks
 
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=256)
-    async with httpx.AsyncClient(limits=limits, trust_env=False) as client:
-        store = EtcdStore(client, settings.store.endpoints, settings.store.timeout_s)
-        ports = Ports(
-            store,
-            NngTransport(settings.listen.peer),
-            HttpInstanceList(client, settings.instance_list_url),
-            HttpWorkerLinks(client),
-            HttpBackendLinks(client),
-            WallClock(),
-        )
+    return Ports(
+        EtcdStore(client, settings.store.endpoints, settings.store.timeout_s),
+        NngTransport(settings.listen.peer),
+        HttpInstanceList(client, settings.instance_list_url),
+        HttpWorkerLinks(client),
+        HttpBackendLinks(client),
+        WallClock(),
+    )
+
+
+async def serve(settings: Settings) -> None:
+    """Serves until a signal, then shuts down gracefully; a second one is at once."""
+    from lacewinghold.api.app import make_app
+    from lacewinghold.application import EntryInstance
+    from lacewinghold.metrics import Reporter
+    from lacewinghold.util.http_server import serve_http
+
+    structlog.contextvars.bind_contextvars(instance=settings.instance)
+    async with make_client(settings) as client:
+        ports = make_ports(settings, client)
         instance = EntryInstance(settings, ports, secrets.token_hex(4), random.Random())
         stop = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watch_signals, instance, stop, tasks.cancel_scope)
+            tasks.start_soon(watch_signals, instance, stop, tasks)
             tasks.start_soon(instance.run)
+            tasks.start_soon(Reporter(instance, settings.statsd).run)
             await serve_http(
                 make_app(instance),
                 settings.listen.http,
                 stop.wait,
                 settings.shutdown_limit_s,
                 settings.tls,
+                lambda addresses: logger.info("listening", addresses=addresses),
             )
+            logger.info("handing shards over", shards=len(instance.manager.owners))
             await instance.shut_down()
             tasks.cancel_scope.cancel()
-    logger.info("stopped", instance=instance.instance)
+    logger.info("stopped")
 
 
 async def watch_signals(
-    instance: EntryInstance, stop: anyio.Event, scope: anyio.CancelScope
+    instance: EntryInstance, stop: anyio.Event, tasks: anyio.abc.TaskGroup
 ) -> None:
     """Begins a graceful shutdown at the first signal, stops at the second."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             if instance.manager.leaving:
-                scope.cancel()
+                logger.warning("stopping at once")
+                tasks.cancel_scope.cancel()
                 return
-            logger.info("shutting down", instance=instance.instance)
             instance.manager.leaving = True
-            await anyio.sleep(instance.settings.balancer_delay_s)
-            stop.set()
+            tasks.start_soon(close_later, instance, stop)
+
+
+async def close_later(instance: EntryInstance, stop: anyio.Event) -> None:
+    """Closes the listeners once the balancer has seen that this one leaves."""
+    logger.info("shutting down", balancer_delay_s=instance.settings.balancer_delay_s)
+    await anyio.sleep(instance.settings.balancer_delay_s)
+    stop.set()
--- /dev/null
+++ b/lacewinghold/cmd/workers.py
@@ -0,0 +1,40 @@
+"""The commands ``workers``, ``drain`` and ``undrain``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+from lacewinghold.cmd.client import add, call, get
+
+if TYPE_CHECKING:
+    import argparse
+
+ATTEMPTS = 3
+
+
+def add_parsers(commands: Any) -> None:
+    """Adds the commands."""
+    add(commands, "workers", "list workers", get("/v1/workers"))
+    drain = add(commands, "drain", "give a worker no new work", run_drain)
+    drain.add_argument("worker")
+    drain.add_argument("--comment", default="")
+    undrain = add(commands, "undrain", "give a worker work again", run_undrain)
+    undrain.add_argument("worker")
+    undrain.add_argument("--comment", default="")
+
+
+def drain_path(options: argparse.Namespace) -> str:
+    """Returns the path of a worker's drain."""
+    worker = quote(options.worker, safe="")
+    return f"/v1/workers/{worker}/drain?comment={quote(options.comment)}"
+
+
+def run_drain(options: argparse.Namespace) -> int:
+    """Runs ``drain``."""
+    return call(options, "PUT", drain_path(options), attempts=ATTEMPTS)
+
+
+def run_undrain(options: argparse.Namespace) -> int:
+    """Runs ``undrain``."""
+    return call(options, "DELETE", drain_path(options), attempts=ATTEMPTS)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -71,6 +72,7 @@
         self.workers: dict[ShardId, list[WorkerRecord]] = {}
         self.listed: InstanceList | None = None
         self.leaving = False
+        self.counts: Counter[str] = Counter()
         self.drains = Drains(store, view, clock)
         view.listeners.append(self.follow_drains)
 
@@ -181,6 +183,7 @@
             lambda: previous is not None and self.gone(previous),
             self.rng,
         )
+        owner.counts = self.counts
         owner.set_drained(self.drains.current())
         self.owners[shard] = owner
         tasks.start_soon(self.serve, shard, owner)
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import secrets
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -72,6 +73,7 @@
         self.drained: frozenset[WorkerId] = frozenset()
         self.placer = Placer(self)
         self.waits: list[float] = []
+        self.counts: Counter[str] = Counter()
         self.unrecorded: dict[TaskId, LogEntry] = {}
         self.ready = anyio.Event()
         self.changed = anyio.Event()
@@ -305,6 +307,7 @@
     def note_started(self, task: Task) -> None:
         """Notes that a task runs."""
         task.state = TaskState.RUNNING
+        self.counts["tasks.started"] += 1
         if task.started_at is None:
             task.started_at = self.now()
             self.waits.append(task.started_at - task.queued_at)
@@ -378,6 +381,7 @@
     def end_task(self, task: Task, state: TaskState, detail: str) -> None:
         """Ends a task; its outcome is written to the ledger next."""
         self.free_worker(task)
+        self.counts[f"tasks.ended.{state}"] += 1
         task.state = state
         task.detail = detail
         self.unrecorded[task.id] = LogEntry(
--- a/lacewinghold/util/http_server.py
+++ b/lacewinghold/util/http_server.py
@@ -2,16 +2,50 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
+import anyio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from lacewinghold.util.tls import CertificateReloader, make_server_context
+
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Awaitable, Callable
 
     from lacewinghold.schema.generated.settings import Tls
 
+KEEP_ALIVE_S = 60.0
+
+
+class ServerConfig(Config):
+    """Configuration of the server, with a context that can be reloaded.
+
+    :param context: TLS context, or ``None`` for plain HTTP.
+    """
+
+    def __init__(self, listen: str, grace_s: float, context: ssl.SSLContext | None):
+        super().__init__()
+        self.context = context
+        self.bind = [listen]
+        self.graceful_timeout = grace_s
+        self.keep_alive_timeout = KEEP_ALIVE_S
+        self.accesslog = None
+        self.errorlog = None
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Returns whether the server speaks TLS."""
+        return self.context is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Returns the context that the reloader changes."""
+        if self.context is not None:
+            self.context.set_alpn_protocols(self.alpn_protocols)
+        return self.context
+
 
 async def serve_http(
     app: Any,
@@ -19,18 +53,23 @@
     shutdown: Callable[[], Awaitable[None]],
     grace_s: float,
     tls: Tls | None = None,
+    started: Callable[[list[str]], None] | None = None,
 ) -> None:
     """Serves until ``shutdown`` returns, then finishes what is in progress.
 
     :param listen: IP address and port.
     :param grace_s: Longest time in seconds for requests in progress.
+    :param started: Called with the addresses once they accept connections.
     """
-    config = Config()
-    config.bind = [listen]
-    config.graceful_timeout = grace_s
-    config.accesslog = None
-    config.errorlog = None
-    if tls is not None:
-        config.certfile = tls.certificate
-        config.keyfile = tls.key
-    await serve(app, config, shutdown_trigger=shutdown)
+    context = None if tls is None else make_server_context(tls)
+    config = ServerConfig(listen, grace_s, context)
+    async with anyio.create_task_group() as tasks:
+        if tls is not None and context is not None:
+            tasks.start_soon(CertificateReloader(tls, context).run)
+        async with anyio.create_task_group() as serving:
+            addresses = await serving.start(
+                partial(serve, app, config, shutdown_trigger=shutdown)
+            )
+            if started is not None:
+                started(addresses)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_util/test_http_server.py
@@ -0,0 +1,157 @@
+"""The HTTP server on real sockets and a clock that the test moves."""
+
+from __future__ import annotations
+
+import ssl
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+import trustme
+from trio.testing import MockClock
+
+from lacewinghold.schema.generated.settings import Tls
+from lacewinghold.util.http_server import serve_http
+from lacewinghold.util.tls import RELOAD_INTERVAL_S
+
+GRACE_S = 20.0
+TRIES = 200
+
+
+class Server:
+    """A served application whose answers wait until the test lets them go."""
+
+    def __init__(self):
+        self.url = ""
+        self.up = anyio.Event()
+        self.stop = anyio.Event()
+        self.down = anyio.Event()
+        self.entered = anyio.Event()
+        self.release = anyio.Event()
+
+    async def app(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            raise NotImplementedError
+        if scope["path"] == "/slow":
+            self.entered.set()
+            await self.release.wait()
+        headers = [(b"content-length", b"5")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"whole"})
+
+    def started(self, addresses):
+        self.url = addresses[0]
+        self.up.set()
+
+    async def run(self, tls=None):
+        await serve_http(
+            self.app, "127.0.0.1:0", self.stop.wait, GRACE_S, tls, self.started
+        )
+        self.down.set()
+
+
+def run(program, *arguments):
+    """Runs on real sockets; time stands still unless the program moves it."""
+    clock = MockClock()
+
+    async def bounded():
+        await program(clock, *arguments)
+
+    anyio.run(bounded, backend="trio", backend_options={"clock": clock})
+
+
+async def graceful(clock):
+    server = Server()
+    answers = []
+
+    async def ask(client):
+        answers.append((await client.get(f"{server.url}/slow")).content)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        await server.up.wait()
+        async with httpx.AsyncClient() as client, httpx.AsyncClient() as idle:
+            await idle.get(f"{server.url}/quick")
+            tasks.start_soon(ask, client)
+            await server.entered.wait()
+            server.stop.set()
+            for _ in range(TRIES):
+                try:
+                    async with httpx.AsyncClient() as late:
+                        await late.get(f"{server.url}/quick")
+                except httpx.HTTPError:
+                    break
+            else:
+                pytest.fail("the server accepts connections while it shuts down")
+            assert not answers
+            assert not server.down.is_set()
+            server.release.set()
+            await server.down.wait()
+    assert answers == [b"whole"]
+
+
+def test_shutdown_finishes_requests_and_waits_for_no_idle_connection():
+    """Time stands still: the end of the grace period cannot be what ends it."""
+    run(graceful)
+
+
+def write_files(folder, issued):
+    issued.cert_chain_pems[0].write_to_path(folder / "certificate.pem")
+    issued.private_key_pem.write_to_path(folder / "key.pem")
+
+
+def serial(answer):
+    stream = answer.extensions["network_stream"]
+    return stream.get_extra_info("ssl_object").getpeercert()["serialNumber"]
+
+
+async def reload(clock, folder):
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(folder / "authority.pem")
+    write_files(folder, authority.issue_cert("127.0.0.1"))
+    tls = Tls(
+        certificate=str(folder / "certificate.pem"),
+        key=str(folder / "key.pem"),
+        authority=str(folder / "authority.pem"),
+    )
+    trusting = ssl.create_default_context(cafile=tls.authority)
+    server = Server()
+
+    async def new_connection():
+        async with httpx.AsyncClient(verify=trusting) as client:
+            return serial(await client.get(f"{server.url}/"))
+
+    async def after_reload(old):
+        clock.jump(RELOAD_INTERVAL_S)
+        for _ in range(TRIES):
+            found = await new_connection()
+            if found != old:
+                return found
+        return old
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run, tls)
+        await server.up.wait()
+        assert server.url.startswith("https://")
+        async with httpx.AsyncClient(verify=trusting) as kept:
+            first = serial(await kept.get(f"{server.url}/"))
+            write_files(folder, authority.issue_cert("127.0.0.1"))
+            second = await after_reload(first)
+            assert second != first
+            assert serial(await kept.get(f"{server.url}/")) == first
+            Path(tls.key).write_bytes(b"half")
+            clock.jump(RELOAD_INTERVAL_S)
+            assert await new_connection() == second
+            authority.issue_cert("127.0.0.1").private_key_pem.write_to_path(tls.key)
+            clock.jump(RELOAD_INTERVAL_S)
+            assert await new_connection() == second
+        with pytest.raises(httpx.ConnectError):
+            await httpx.AsyncClient().get(f"{server.url}/")
+        server.stop.set()
+        await server.down.wait()
+    assert second != first
+
+
+def test_changed_certificate_is_used_for_new_connections_only(tmp_path):
+    run(reload, tmp_path)
--- /dev/null
+++ b/tests/test_util/test_metrics.py
@@ -0,0 +1,84 @@
+"""Metrics: what is sent is what the operators' page names."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import anyio
+
+from lacewinghold import metrics
+from lacewinghold.errors import ErrorKind
+from lacewinghold.metrics import NAMES, Reporter
+from lacewinghold.schema.generated.jobs import TaskState
+from lacewinghold.schema.generated.messages import MessageKind
+from lacewinghold.schema.generated.settings import Statsd
+from lacewinghold.store.base import CallKind
+from lacewinghold.testing.cell import TERRASVUUR, Cell
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.deployment import EXAMPLES, load_deployment
+from lacewinghold.testing.session import Session
+
+PAGE = Path(__file__).parents[2] / "docs" / "operating" / "metrics.md"
+PACKET_BYTES = 1400
+
+
+class FakeClient:
+    """Keeps the packets that the statsd client would send."""
+
+    packets: list[str] = []
+
+    def sendto(self, data, address):
+        FakeClient.packets.append(data.decode())
+
+
+def expand(name):
+    kinds = {
+        "tasks.ended.{state}": TaskState,
+        "requests.{outcome}": ["answered", *ErrorKind],
+        "store.calls.{kind}": CallKind,
+        "peers.bytes.{kind}": MessageKind,
+    }
+    if name not in kinds:
+        return {name}
+    return {re.sub(r"\{\w+\}", str(value), name) for value in kinds[name]}
+
+
+async def session():
+    deployment = load_deployment(EXAMPLES / "terrasvuur").unwrap()
+    async with anyio.create_task_group() as tasks:
+        cell = Cell(TERRASVUUR, tasks, 1, deployment=deployment)
+        played = Session(deployment, cell, 1, lambda event: None)
+        await played.play()
+        waits = 0
+        for running in cell.instances.values():
+            waits += sum(len(o.waits) for o in running.instance.manager.owners.values())
+            reporter = Reporter(running.instance, Statsd(host="127.0.0.1"))
+            reporter.client._sock = FakeClient()
+            reporter.report()
+            first = len(FakeClient.packets)
+            reporter.report()
+            assert len(FakeClient.packets) == first + 1
+        tasks.cancel_scope.cancel()
+    return waits
+
+
+def test_names_are_documented_and_sent():
+    FakeClient.packets.clear()
+    waits = run_paused(session, seed=1)
+    lines = [line for packet in FakeClient.packets for line in packet.splitlines()]
+    assert max(len(packet) for packet in FakeClient.packets) <= PACKET_BYTES
+    sent = {}
+    for line in lines:
+        prefix, _, name = line.partition(":")[0].partition(".")
+        assert prefix == "lacewinghold"
+        sent.setdefault(name.partition(".")[2], []).append(line)
+    allowed = set().union(*[expand(name) for name in NAMES])
+    assert set(sent) <= allowed
+    assert len(sent["tasks.wait"]) == waits > 0
+    for name in ("tasks.started", "requests.answered", "store.calls.write"):
+        assert sent[name], name
+    page = PAGE.read_text()
+    for name in NAMES:
+        assert f"`{name}`" in page, name
+    assert f"every {metrics.INTERVAL_S:g} s" in page
