--- a/lacewinghold/cmd/demo.py
+++ b/lacewinghold/cmd/demo.py
@@ -31,12 +31,15 @@
     """Runs ``demo``."""
     from lacewinghold.cmd import fail
     from lacewinghold.errors import FailureError, InvariantViolation
-    from lacewinghold.testing.clock import run_paused
     from lacewinghold.testing.deployment import EXAMPLES, load_deployment
     from lacewinghold.testing.report import rows
-    from lacewinghold.testing.session import play_session
     from lacewinghold.util.codec import to_json
     from lacewinghold.util.logging import configure_logging
+    from lacewinghold.util.runtime import load_trio
+
+    load_trio()
+    from lacewinghold.testing.clock import run_paused
+    from lacewinghold.testing.session import play_session
 
     configure_logging("error")
     folder = (options.examples or EXAMPLES) / options.deployment
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -38,12 +38,14 @@
     """Runs ``serve``."""
     from lacewinghold.cmd import fail
     from lacewinghold.util.logging import configure_logging
+    from lacewinghold.util.runtime import load_trio
 
     loaded = load_checked(options.settings)
     if isinstance(loaded, Err):
         failure = loaded.err_value
         return fail(describe(options.settings, failure), failure.answer.exit_code)
     configure_logging(loaded.ok_value.log_level)
+    load_trio()
     anyio.run(serve, loaded.ok_value, backend="trio")
     return 0
 
--- a/lacewinghold/cmd/stand_in.py
+++ b/lacewinghold/cmd/stand_in.py
@@ -28,11 +28,13 @@
     """Runs ``stand-in``."""
     from lacewinghold.cmd import fail
     from lacewinghold.schema.generated.settings import StandInSettings
+    from lacewinghold.util.runtime import load_trio
 
     loaded = load(options.settings, StandInSettings)
     if isinstance(loaded, Err):
         failure = loaded.err_value
         return fail(describe(options.settings, failure), failure.answer.exit_code)
+    load_trio()
     anyio.run(serve, loaded.ok_value, options.settings.parent, backend="trio")
     return 0
 
--- a/tests/test_cmd/test_serve.py
+++ b/tests/test_cmd/test_serve.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -13,6 +14,7 @@
 import pytest
 
 from lacewinghold.testing.deployment import EXAMPLES
+from tools.build_binary import AUDIT_HOOK
 
 LIMIT_S = 20.0
 FOLDER = EXAMPLES / "terrasvuur"
@@ -27,9 +29,12 @@
 class Process:
     """One command of the program, whose log events the test waits for."""
 
+    hook = None
+
     def __init__(self, *arguments):
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lacewinghold", *arguments],
+            env={**os.environ, "PYTHONPATH": str(self.hook)},
             stderr=subprocess.PIPE,
             text=True,
         )
@@ -55,6 +60,13 @@
         return [event["event"] for event in self.events]
 
 
+@pytest.fixture(autouse=True)
+def refuse_children(tmp_path, monkeypatch):
+    """Lets no process of the program start another one."""
+    (tmp_path / "sitecustomize.py").write_text(AUDIT_HOOK)
+    monkeypatch.setattr(Process, "hook", tmp_path)
+
+
 @pytest.fixture
 def cell(tmp_path):
     """Starts a stand-in, then entry instances with changed settings."""
--- /dev/null
+++ b/tools/binary_main.py
@@ -0,0 +1,84 @@
+"""First code of the one-file build: chooses where the file unpacks itself."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+FOLDER_VARIABLE = "LACEWINGHOLD_UNPACK"
+MEMORY_FILE_SYSTEMS = ("tmpfs", "ramfs")
+CANNOT_UNPACK = 2
+
+
+def mount_of(folder: Path) -> tuple[str, list[str]]:
+    """Returns the file system and the mount options of a folder."""
+    found = (0, "", [""])
+    for line in Path("/proc/self/mounts").read_text().splitlines():
+        _, point, kind, options, *_ = line.split(" ")
+        point = point.encode().decode("unicode_escape")
+        if folder != Path(point) and Path(point) not in folder.parents:
+            continue
+        if len(point) >= found[0]:
+            found = (len(point), kind, options.split(","))
+    return found[1], found[2]
+
+
+def refusal(folder: Path) -> str:
+    """Returns why a folder cannot be used; empty if it can."""
+    existing = folder.resolve()
+    while not existing.exists():
+        existing = existing.parent
+    kind, options = mount_of(existing)
+    if kind not in MEMORY_FILE_SYSTEMS:
+        return f"it is on {kind or 'an unknown file system'}, which is not in memory"
+    if "noexec" in options:
+        return "its file system is mounted noexec"
+    if not os.access(existing, os.W_OK):
+        return "it cannot be written"
+    return ""
+
+
+def candidates() -> list[Path]:
+    """Returns the folders to try, the one that the user named alone."""
+    named = os.environ.get(FOLDER_VARIABLE)
+    if named:
+        return [Path(named)]
+    name = f"lacewinghold-{os.getuid()}"
+    runtime = os.environ.get("XDG_RUNTIME_DIR", f"/run/user/{os.getuid()}")
+    return [Path(runtime) / name, Path("/run") / name, Path("/dev/shm") / name]
+
+
+def choose() -> Path:
+    """Returns the first folder that can be used, private to the user.
+
+    :raises SystemExit: If there is none.
+    """
+    reasons = []
+    for folder in candidates():
+        reason = refusal(folder)
+        if reason:
+            reasons.append(f"{folder}: {reason}")
+            continue
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        status = folder.stat()
+        if status.st_uid != os.getuid() or status.st_mode & 0o022:
+            reasons.append(f"{folder}: others can write it")
+            continue
+        return folder
+    reasons.append(f"name a folder in memory with {FOLDER_VARIABLE}")
+    for reason in reasons:
+        print(f"lacewinghold: {reason}", file=sys.stderr)
+    raise SystemExit(CANNOT_UNPACK)
+
+
+def main() -> None:
+    """Unpacks to a folder in memory and runs the program."""
+    os.environ["SHIV_ROOT"] = str(choose())
+    from _bootstrap import bootstrap
+
+    bootstrap()
+
+
+if __name__ == "__main__":
+    main()
