--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import ssl
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -50,20 +51,21 @@
     return 0
 
 
-def make_client(settings: Settings) -> httpx.AsyncClient:
-    """Returns the client for the platform, workers and backend servers."""
+def make_trust(settings: Settings) -> ssl.SSLContext:
+    """Returns whom the instance trusts as platform, worker or backend server."""
+    if settings.tls is not None:
+        return ssl.create_default_context(cafile=settings.tls.authority)
+    if any(url.startswith("https:") for url in platform_urls(settings)):
+        return ssl.create_default_context()
+    # Trusts nobody, and costs no memory for authorities that nothing needs.
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+
+def make_client(trust: ssl.SSLContext, limits: httpx.Limits) -> httpx.AsyncClient:
+    """Returns a client for the platform and workers, or for one backend server."""
     import httpx
 
-    # Trusts nobody, and costs no memory for authorities that nothing needs.
-    verify = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    if settings.tls is not None:
-        verify = ssl.create_default_context(cafile=settings.tls.authority)
-    elif any(url.startswith("https:") for url in platform_urls(settings)):
-        verify = ssl.create_default_context()
-    limits = httpx.Limits(
-        max_connections=None, max_keepalive_connections=MAX_IDLE_CONNECTIONS
-    )
-    return httpx.AsyncClient(limits=limits, trust_env=False, verify=verify)
+    return httpx.AsyncClient(limits=limits, trust_env=False, verify=trust)
 
 
 def platform_urls(settings: Settings) -> list[str]:
@@ -71,7 +73,9 @@
     return [*settings.store.endpoints, settings.instance_list_url]
 
 
-def make_ports(settings: Settings, client: httpx.AsyncClient) -> Ports:
+def make_ports(
+    settings: Settings, trust: ssl.SSLContext, client: httpx.AsyncClient
+) -> Ports:
     """Returns the adapters to everything outside of the process."""
     from lacewinghold.application import Ports
     from lacewinghold.peers.nng import NngTransport
@@ -85,21 +89,27 @@
         NngTransport(settings.listen.peer),
         HttpInstanceList(client, settings.instance_list_url),
         HttpWorkerLinks(client),
-        HttpBackendLinks(client),
+        HttpBackendLinks(partial(make_client, trust)),
         WallClock(),
     )
 
 
 async def serve(settings: Settings) -> None:
     """Serves until a signal, then shuts down gracefully; a second one is at once."""
+    import httpx
+
     from lacewinghold.api.app import make_app
     from lacewinghold.application import EntryInstance
     from lacewinghold.metrics import Reporter
     from lacewinghold.util.http_server import serve_http
 
     structlog.contextvars.bind_contextvars(instance=settings.instance)
-    async with make_client(settings) as client:
-        ports = make_ports(settings, client)
+    trust = make_trust(settings)
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=MAX_IDLE_CONNECTIONS
+    )
+    async with make_client(trust, limits) as client:
+        ports = make_ports(settings, trust, client)
         instance = EntryInstance(settings, ports, secrets.token_hex(4), random.Random())
         stop = anyio.Event()
         async with anyio.create_task_group() as tasks:
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -4,10 +4,10 @@
 
 import random
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
-from msgspec import Struct
+from msgspec import Struct, field
 
 from lacewinghold.application import EntryInstance, Ports
 from lacewinghold.coordination.keys import Keys
@@ -27,7 +27,9 @@
     Key,
     Role,
     SectionKind,
+    ServiceRule,
     Team,
+    TeamSection,
 )
 from lacewinghold.schema.generated.jobs import Resources
 from lacewinghold.schema.generated.records import SectionRecord
@@ -47,7 +49,7 @@
 from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
@@ -55,6 +57,7 @@
     from lacewinghold.schema.generated.worker import Start
     from lacewinghold.testing.deployment import Deployment
 
+T = TypeVar("T")
 SAME_DATA_CENTRE_S = 0.0005
 BETWEEN_DATA_CENTRES_S = 0.001
 BETWEEN_REGIONS_S = 0.03
@@ -99,6 +102,20 @@
     instance: EntryInstance
     store: MemoryStore
     scope: anyio.CancelScope
+    calls: set[anyio.CancelScope] = field(default_factory=set)
+
+    async def call(self, operation: Callable[[], Awaitable[T]]) -> T | None:
+        """Calls the instance as a caller over a connection does.
+
+        :returns: ``None`` if the instance was killed meanwhile.
+        """
+        with anyio.CancelScope() as scope:
+            self.calls.add(scope)
+            try:
+                return await operation()
+            finally:
+                self.calls.discard(scope)
+        return None
 
 
 class Cell:
@@ -128,6 +145,7 @@
         self.keys = Keys("/lacewinghold")
         self.teams = teams or {TeamId("operators"): "operators-key"}
         self.run_time = run_time
+        self.rules = {"booking": ServiceRule(cross_region=True)}
         self.workers: dict[WorkerId, FakeWorker] = {}
         self.running_in: Counter[TaskId] = Counter()
         self.starts: Counter[TaskId] = Counter()
@@ -137,7 +155,7 @@
         self.network = MemoryNetwork(self.latency_s)
         self.instance_list = MemoryInstanceList(self.workers)
         self.worker_links = MemoryWorkerLinks(self.workers)
-        self.backend_links = MemoryBackendLinks(self.workers)
+        self.backend_links = MemoryBackendLinks(self.workers, tasks)
         self.boots = 0
         self.make_workers()
 
@@ -205,7 +223,7 @@
         require(Invariant.ONE_PLACE, self.running_in[task] <= 1, f"{task} on {worker}")
 
     async def load_document(self) -> None:
-        """Writes the section that names the teams, or the example's document."""
+        """Writes the sections of teams and services, or the example's document."""
         if self.deployment is not None:
             self.state.apply(document_transaction(self.keys, self.deployment.sections))
             return
@@ -217,8 +235,16 @@
         record = SectionRecord(
             kind=SectionKind.CELL, owner=operators, body=CellSection(teams=teams)
         )
-        put = Put(self.keys.section(SectionName("cell")), to_json(record))
-        self.state.apply(Transaction([], [put]))
+        services = SectionRecord(
+            kind=SectionKind.TEAM,
+            owner=operators,
+            body=TeamSection(services=self.rules),
+        )
+        puts = [
+            Put(self.keys.section(SectionName("cell")), to_json(record)),
+            Put(self.keys.section(SectionName("services")), to_json(services)),
+        ]
+        self.state.apply(Transaction([], [*puts]))
 
     async def start(self) -> None:
         """Loads the document and starts all entry instances."""
@@ -277,6 +303,8 @@
         """Kills an entry instance at once, without a word to anybody."""
         running = self.instances.pop(instance_id)
         running.scope.cancel()
+        for scope in list(running.calls):
+            scope.cancel()
         self.network.nodes.pop(instance_id, None)
 
     async def shut_down(self, instance_id: InstanceId) -> None:
--- a/tests/test_util/test_metrics.py
+++ b/tests/test_util/test_metrics.py
@@ -35,7 +35,7 @@
 def expand(name):
     kinds = {
         "tasks.ended.{state}": TaskState,
-        "requests.{outcome}": ["answered", *ErrorKind],
+        "requests.{outcome}": ["answered", "caller_left", *ErrorKind],
         "store.calls.{kind}": CallKind,
         "peers.bytes.{kind}": MessageKind,
     }
