--- a/lacewinghold/api/services.py
+++ b/lacewinghold/api/services.py
@@ -64,7 +64,10 @@
             result = await pass_on()
             tasks.cancel_scope.cancel()
         if result is None:
+            self.instance.counts["requests.caller_left"] += 1
             return Response(status_code=CALLER_LEFT_STATUS)
+        outcome = result.err_value.kind if isinstance(result, Err) else "answered"
+        self.instance.counts[f"requests.{outcome}"] += 1
         return to_response(unwrap(result))
 
     def prepare(
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -74,6 +75,7 @@
         self.suspended: set[TaskId] = set()
         self.recovery = Recovery(self)
         self.outcomes = OutcomeWriter(self)
+        self.counts: Counter[str] = Counter()
         self.ready = anyio.Event()
         self.changed = anyio.Event()
         self.taken_at = anyio.current_time()
@@ -305,6 +307,7 @@
     def note_started(self, task: Task) -> None:
         """Notes that a task runs."""
         task.state = TaskState.RUNNING
+        self.counts["tasks.started"] += 1
         if task.started_at is None:
             task.started_at = self.now()
             self.waits.append(task.started_at - task.queued_at)
@@ -375,6 +378,7 @@
     def end_task(self, task: Task, state: TaskState, detail: str) -> None:
         """Ends a task; its outcome is written to the ledger next."""
         self.free_worker(task)
+        self.counts[f"tasks.ended.{state}"] += 1
         task.state = state
         task.detail = detail
         self.outcomes.note_ended(task, state, detail)
