--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -63,6 +64,7 @@
         self.ports = ports
         self.instance = InstanceId(f"{settings.instance}.{boot}")
         self.keys = Keys(settings.store.prefix)
+        self.counts: Counter[str] = Counter()
         record = InstanceRecord(
             instance=self.instance,
             region=settings.region,
@@ -88,7 +90,7 @@
             self.rules,
         )
         self.spread = DocumentSpread(
-            settings, self.view, self.rules, self.peers, self.manager.gone, rng
+            settings, self.view, self.rules, self.peers, self.removed, rng
         )
         self.force = ForceTracker(
             self.spread, self.document, self.editor.log, ports.clock
@@ -120,6 +122,11 @@
             record = self.view.roster().get(instance)
         return None if record is None else record.peer
 
+    def removed(self, instance: InstanceId) -> bool:
+        """Returns whether the platform says that an entry instance is gone."""
+        listed = self.manager.listed
+        return listed is not None and instance in listed.gone
+
     def ready(self) -> bool:
         """Returns whether this instance should get requests.
 
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.peers.base import PeerTransport
+from lacewinghold.testing.gate import Gate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,9 +38,9 @@
 
     latency_s: Callable[[InstanceId, InstanceId], float]
     nodes: dict[InstanceId, MemoryTransport] = field(default_factory=dict)
+    addresses: dict[str, InstanceId] = field(default_factory=dict)
     cut: set[tuple[InstanceId, InstanceId]] = field(default_factory=set)
     regions: dict[InstanceId, RegionId] = field(default_factory=dict)
-    addresses: dict[str, InstanceId] = field(default_factory=dict)
     bytes_between_regions: Counter[tuple[RegionId, RegionId]] = field(
         default_factory=Counter
     )
@@ -57,9 +58,14 @@
     name = "memory"
 
     def __init__(
-        self, network: MemoryNetwork, instance: InstanceId, region: RegionId
+        self,
+        network: MemoryNetwork,
+        instance: InstanceId,
+        region: RegionId,
+        gate: Gate | None = None,
     ) -> None:
         self.network = network
+        self.gate = gate or Gate()
         self.instance = instance
         self.sender, self.inbox = anyio.create_memory_object_stream[bytes](
             INBOX_MESSAGES
@@ -90,7 +96,9 @@
             return
 
     async def receive(self) -> bytes:
-        return await self.inbox.receive()
+        message = await self.inbox.receive()
+        await self.gate.pass_through()
+        return message
 
     async def send(
         self, peer: InstanceId, address: str, message: bytes
@@ -98,6 +106,7 @@
         del address
         # A peer that is known by its address only goes by that name.
         peer = self.network.addresses.get(peer, peer)
+        await self.gate.pass_through()
         if peer not in self.network.nodes:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer} is down"))
         latency_s = self.network.latency_s(self.instance, peer)
