--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -77,7 +77,9 @@
         self.document = Document(self.view)
         self.rules = DocumentRules(self.view, self.document, self.lease)
         self.editor = Editor(ports.store, self.keys, ports.clock, self.document, rng)
-        self.peers = PeerLinks(self.instance, ports.transport, self.address_of)
+        self.peers = PeerLinks(
+            self.instance, ports.transport, self.address_of, self.is_paid, rng
+        )
         self.manager = ShardManager(
             settings,
             ports.store,
@@ -122,6 +124,11 @@
             record = self.view.roster().get(instance)
         return None if record is None else record.peer
 
+    def is_paid(self, instance: InstanceId) -> bool:
+        """Returns whether a peer is in another region."""
+        record = self.view.roster().get(instance)
+        return record is not None and record.region != self.settings.region
+
     def removed(self, instance: InstanceId) -> bool:
         """Returns whether the platform says that an entry instance is gone."""
         listed = self.manager.listed
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -86,7 +86,7 @@
 
     return Ports(
         EtcdStore(client, settings.store.endpoints, settings.store.timeout_s),
-        NngTransport(settings.listen.peer),
+        NngTransport(settings.listen.peer, settings.tls),
         HttpInstanceList(client, settings.instance_list_url),
         HttpWorkerLinks(client),
         HttpBackendLinks(partial(make_client, trust)),
--- a/lacewinghold/document/spread.py
+++ b/lacewinghold/document/spread.py
@@ -88,6 +88,7 @@
         self.wanted = anyio.Event()
         peers.revision = lambda: view.document_revision
         peers.hear = self.hear
+        peers.reconnected = lambda peer: self.wanted.set()
         peers.on(MessageKind.DOCUMENT_STATE, self.on_state)
         peers.on(MessageKind.DOCUMENT_PULL, self.on_pull)
 
--- a/lacewinghold/peers/base.py
+++ b/lacewinghold/peers/base.py
@@ -33,3 +33,7 @@
 
         :param address: IP address and port of the peer.
         """
+
+    @abstractmethod
+    async def close(self, peer: InstanceId) -> None:
+        """Closes the connection to a peer; the next message opens a new one."""
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
 import structlog
+import zstandard
 from msgspec import DecodeError
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.peers.link import Outgoing, PeerLink, heartbeat
 from lacewinghold.schema.generated.messages import (
     Envelope,
     FailureBody,
+    Heartbeat,
     MessageKind,
 )
 from lacewinghold.util.codec import pack, unpack
@@ -32,70 +36,135 @@
     AddressBook = Callable[[InstanceId], str | None]
 
 logger = structlog.get_logger(__name__)
-MESSAGE_VERSION = 1
+MESSAGE_VERSION = 2
+PLAIN_VERSION = 1
+COMPRESSED_VERSION = 2
 NO_REPLY = 0
+MIN_COMPRESSED_BYTES = 512
+COMPRESSION_LEVEL = 3
+MAX_BODY_BYTES = 256 * 1024 * 1024
+MAX_ANSWERS = 4096
 
 
 class PeerLinks:
     """Calls handlers on other entry instances.
 
+    A message is sent in the lowest version that carries it, so that a program
+    of the previous version understands all that needs no newer one.
+
     :param instance: This instance.
     :param addresses: Finds the address of a peer.
+    :param paid: Tells whether the link to a peer is paid for.
     """
 
     def __init__(
-        self, instance: InstanceId, transport: PeerTransport, addresses: AddressBook
+        self,
+        instance: InstanceId,
+        transport: PeerTransport,
+        addresses: AddressBook,
+        paid: Callable[[InstanceId], bool] = lambda peer: False,
+        rng: random.Random | None = None,
     ) -> None:
         self.instance = instance
         self.transport = transport
         self.addresses = addresses
+        self.paid = paid
+        self.rng = rng or random.Random(0)
         self.handlers: dict[MessageKind, Handler] = {}
         self.next_correlation = 1
         self.replies: dict[int, Result[bytes, Failure]] = {}
         self.waiting: dict[int, anyio.Event] = {}
+        self.links: dict[InstanceId, PeerLink] = {}
+        self.versions: dict[InstanceId, int] = {}
+        self.answering = 0
+        self.stopped = False
+        self.leaving = False
         self.bytes_sent: Counter[MessageKind] = Counter()
+        self.paid_bytes_sent: Counter[MessageKind] = Counter()
         self.learned: dict[InstanceId, str] = {}
+        self.tasks: TaskGroup | None = None
         self.revision: Callable[[], int] = lambda: 0
         self.hear: Callable[[int], object] = lambda revision: None
+        self.reconnected: Callable[[InstanceId], object] = lambda peer: None
 
     def on(self, kind: MessageKind, handler: Handler) -> None:
         """Registers the handler of a kind of request."""
         self.handlers[kind] = handler
 
+    def address(self, peer: InstanceId) -> str | None:
+        """Returns the address of a peer, or ``None`` if it is unknown."""
+        return self.addresses(peer) or self.learned.get(peer)
+
     async def run(self) -> None:
         """Receives and answers until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
             tasks.start_soon(self.transport.run)
-            while True:
-                data = await self.transport.receive()
-                self.dispatch(data, tasks)
+            for link in list(self.links.values()):
+                tasks.start_soon(link.run)
+            try:
+                while True:
+                    data = await self.transport.receive()
+                    self.dispatch(data, tasks)
+            finally:
+                self.stopped = True
 
     def dispatch(self, data: bytes, tasks: TaskGroup) -> None:
         """Hands a message to whoever waits for it or handles it."""
         try:
             envelope = unpack(data, Envelope)
-        except DecodeError as error:
+            if envelope.compressed:
+                unpacker = zstandard.ZstdDecompressor()
+                envelope.body = unpacker.decompress(envelope.body, MAX_BODY_BYTES)
+        except (DecodeError, zstandard.ZstdError) as error:
             logger.warning("damaged message", detail=str(error))
             return
+        if self.address(envelope.sender) is not None:
+            self.versions[envelope.sender] = envelope.highest
         self.hear(envelope.document_revision)
+        if envelope.kind is MessageKind.HEARTBEAT:
+            self.note_heartbeat(envelope)
+            return
         if envelope.kind not in (MessageKind.REPLY, MessageKind.FAILURE):
             tasks.start_soon(self.answer, envelope)
             return
-        event = self.waiting.get(envelope.correlation)
+        self.resolve(envelope.correlation, to_result(envelope))
+
+    def note_heartbeat(self, envelope: Envelope) -> None:
+        """Notes an echo, or echoes a heartbeat."""
+        beat = unpack(envelope.body, Heartbeat)
+        link = self.links.get(envelope.sender)
+        if beat.echo and link is not None:
+            link.note_echo(beat.echo)
+        if beat.number and self.address(envelope.sender) is not None:
+            self.beat(envelope.sender, number=0, echo=beat.number)
+
+    def beat(self, peer: InstanceId, number: int, echo: int) -> None:
+        """Queues a heartbeat, or the echo of one."""
+        body = heartbeat(number, echo, self.revision(), leaving=self.leaving)
+        self.queue(peer, MessageKind.HEARTBEAT, NO_REPLY, body)
+
+    def resolve(self, correlation: int, result: Result[bytes, Failure]) -> None:
+        """Wakes the caller that waits for a reply."""
+        event = self.waiting.get(correlation)
         if event is None:
             return
-        self.replies[envelope.correlation] = to_result(envelope)
+        self.replies[correlation] = result
         event.set()
 
+    def fail(self, correlation: int, failure: Failure) -> None:
+        """Tells a caller that its request surely was not sent."""
+        self.resolve(correlation, Err(failure))
+
     async def answer(self, envelope: Envelope) -> None:
         """Runs the handler of a request and sends its reply."""
-        handler = self.handlers.get(envelope.kind)
-        result: Result[PackedStruct, Failure]
-        if envelope.version > MESSAGE_VERSION or handler is None:
-            detail = f"version {envelope.version} {envelope.kind}"
-            result = Err(Failure(ErrorKind.UNSUPPORTED_VERSION, detail))
-        else:
-            result = await handler(envelope.sender, envelope.body)
+        self.answering += 1
+        try:
+            result = await self.handle(envelope)
+        finally:
+            self.answering -= 1
+        if envelope.correlation == NO_REPLY:
+            return
         if isinstance(result, Ok):
             kind, body = MessageKind.REPLY, pack(result.ok_value)
         else:
@@ -109,28 +178,84 @@
                     failure.retry_after_s or 0.0,
                 )
             )
-        if envelope.correlation != NO_REPLY:
-            await self.send(envelope.sender, kind, envelope.correlation, body)
+        self.queue(envelope.sender, kind, envelope.correlation, body)
 
-    async def send(
+    async def handle(self, envelope: Envelope) -> Result[PackedStruct, Failure]:
+        """Runs the handler of a request, if it can be understood."""
+        handler = self.handlers.get(envelope.kind)
+        if envelope.version > MESSAGE_VERSION or handler is None:
+            detail = f"version {envelope.version} {envelope.kind}"
+            return Err(Failure(ErrorKind.UNSUPPORTED_VERSION, detail))
+        if self.answering > MAX_ANSWERS:
+            return Err(Failure(ErrorKind.OVERLOADED, "too many requests of peers"))
+        return await handler(envelope.sender, envelope.body)
+
+    def queue(
         self, peer: InstanceId, kind: MessageKind, correlation: int, body: bytes
     ) -> Result[None, Failure]:
-        """Sends one message."""
-        address = self.addresses(peer) or self.learned.get(peer)
-        if address is None:
-            return Err(Failure(ErrorKind.UNREACHABLE, f"no address of {peer}"))
+        """Queues one message on the link to a peer."""
+        if self.stopped or self.address(peer) is None:
+            return Err(Failure(ErrorKind.UNREACHABLE, f"no link to {peer}"))
         envelope = Envelope(
-            MESSAGE_VERSION, kind, self.instance, correlation, body, self.revision()
+            PLAIN_VERSION,
+            kind,
+            self.instance,
+            correlation,
+            body,
+            self.revision(),
+            False,
+            MESSAGE_VERSION,
         )
-        message = pack(envelope)
-        self.bytes_sent[kind] += len(message)
-        return await self.transport.send(peer, address, message)
+        self.compress(peer, envelope)
+        request = kind not in (MessageKind.REPLY, MessageKind.FAILURE)
+        outgoing = Outgoing(kind, pack(envelope), correlation if request else NO_REPLY)
+        return self.link(peer).offer(outgoing)
+
+    def compress(self, peer: InstanceId, envelope: Envelope) -> None:
+        """Compresses a large body on a paid link, if the peer understands it."""
+        if len(envelope.body) < MIN_COMPRESSED_BYTES or not self.paid(peer):
+            return
+        if self.versions.get(peer, PLAIN_VERSION) < COMPRESSED_VERSION:
+            return
+        packed = zstandard.compress(envelope.body, COMPRESSION_LEVEL)
+        if len(packed) >= len(envelope.body):
+            return
+        envelope.body = packed
+        envelope.compressed = True
+        envelope.version = COMPRESSED_VERSION
+
+    def link(self, peer: InstanceId) -> PeerLink:
+        """Returns the link to a peer, opened if there is none."""
+        link = self.links.get(peer)
+        if link is None:
+            link = PeerLink(self, peer)
+            self.links[peer] = link
+            if self.tasks is not None:
+                self.tasks.start_soon(link.run)
+        return link
+
+    def forget(self, link: PeerLink) -> None:
+        """Closes and frees the link to a peer that left or is not needed."""
+        link.drop_queue()
+        if self.links.get(link.peer) is link:
+            del self.links[link.peer]
+        if self.tasks is not None and not self.stopped:
+            self.tasks.start_soon(self.transport.close, link.peer)
+        if self.addresses(link.peer) is None:
+            self.learned.pop(link.peer, None)
+            self.versions.pop(link.peer, None)
+
+    def count(self, peer: InstanceId, kind: MessageKind, size: int) -> None:
+        """Counts bytes by kind, those of paid links also by themselves."""
+        self.bytes_sent[kind] += size
+        if self.paid(peer):
+            self.paid_bytes_sent[kind] += size
 
     async def notify(
         self, peer: InstanceId, kind: MessageKind, body: PackedStruct
     ) -> Result[None, Failure]:
         """Sends a message that gets no reply; it may be lost."""
-        return await self.send(peer, kind, NO_REPLY, pack(body))
+        return self.queue(peer, kind, NO_REPLY, pack(body))
 
     async def call(
         self,
@@ -141,18 +266,19 @@
     ) -> Result[bytes, Failure]:
         """Sends a request and waits for its reply.
 
-        :returns: The body of the reply, or a failure: ``UNREACHABLE`` if the
-            request surely was not sent, ``OUTCOME_UNKNOWN`` if no reply came in
-            time, else what the handler failed with.
+        :returns: The body of the reply, or a failure: ``UNREACHABLE`` or
+            ``OVERLOADED`` if the request surely was not sent,
+            ``OUTCOME_UNKNOWN`` if no reply came in time, else what the handler
+            failed with.
         """
         correlation = self.next_correlation
         self.next_correlation += 1
         event = anyio.Event()
         self.waiting[correlation] = event
         try:
-            sent = await self.send(peer, kind, correlation, pack(body))
-            if isinstance(sent, Err):
-                return Err(sent.err_value)
+            queued = self.queue(peer, kind, correlation, pack(body))
+            if isinstance(queued, Err):
+                return Err(queued.err_value)
             with anyio.move_on_after(timeout_s):
                 await event.wait()
                 return self.replies.pop(correlation)
--- a/lacewinghold/peers/nng.py
+++ b/lacewinghold/peers/nng.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,28 +15,51 @@
 
 if TYPE_CHECKING:
     from lacewinghold.ids import InstanceId
+    from lacewinghold.schema.generated.settings import Tls
 
 logger = structlog.get_logger(__name__)
 SEND_TIMEOUT_MS = 500
+RECONNECT_FIRST_MS = 100
+RECONNECT_LIMIT_MS = 2000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 SEND_BUFFER_MESSAGES = 64
 
 
+def tls_config(tls: Tls, mode: int, host: str | None = None) -> pynng.TLSConfig:
+    """Returns nng's TLS settings; both ends must show a certificate.
+
+    :param host: What the other end's certificate must be for: its IP number.
+    """
+    return pynng.TLSConfig(
+        mode,
+        server_name=host,
+        ca_string=Path(tls.authority).read_text(),
+        own_key_string=Path(tls.key).read_text(),
+        own_cert_string=Path(tls.certificate).read_text(),
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
+
+
 class NngTransport(PeerTransport):
-    """Messages over TCP by nng.
+    """Messages over TCP by nng, by TLS unless the settings allow plaintext.
 
     :param listen: IP address and port to listen on.
+    :param tls: Certificate files, or ``None`` for plaintext.
     """
 
     name = "nng"
 
-    def __init__(self, listen: str) -> None:
+    def __init__(self, listen: str, tls: Tls | None = None) -> None:
         self.listen = listen
+        self.scheme = "tcp" if tls is None else "tls+tcp"
+        self.tls = tls
         self.inbound = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
         self.outbound: dict[InstanceId, pynng.Push0] = {}
+        if tls is not None:
+            self.inbound.tls_config = tls_config(tls, pynng.TLSConfig.MODE_SERVER)
 
     async def run(self) -> None:
-        self.inbound.listen(f"tcp://{self.listen}")
+        self.inbound.listen(f"{self.scheme}://{self.listen}")
         try:
             await anyio.sleep_forever()
         finally:
@@ -50,18 +74,34 @@
             except pynng.Timeout:
                 continue
 
+    def open(self, address: str) -> pynng.Push0:
+        """Opens a socket to an address; it connects when it can."""
+        socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_FIRST_MS,
+            reconnect_time_max=RECONNECT_LIMIT_MS,
+        )
+        if self.tls is not None:
+            host = address.rpartition(":")[0]
+            socket.tls_config = tls_config(self.tls, pynng.TLSConfig.MODE_CLIENT, host)
+        socket.dial(f"{self.scheme}://{address}", block=False)
+        return socket
+
     async def send(
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
         socket = self.outbound.get(peer)
         if socket is None:
-            socket = pynng.Push0(
-                send_timeout=SEND_TIMEOUT_MS, send_buffer_size=SEND_BUFFER_MESSAGES
-            )
-            socket.dial(f"tcp://{address}", block=False)
+            socket = self.open(address)
             self.outbound[peer] = socket
         try:
             await socket.asend(message)
         except pynng.NNGException as error:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer}: {error}"))
         return Ok(None)
+
+    async def close(self, peer: InstanceId) -> None:
+        socket = self.outbound.pop(peer, None)
+        if socket is not None:
+            socket.close()
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -33,12 +33,14 @@
     """The network that all transports of a test share.
 
     :param latency_s: Returns the one-way latency between two instances.
+    :param swallowed: Ordered pairs whose present connection loses all messages.
     :param cut: Ordered pairs that cannot send to each other.
     """
 
     latency_s: Callable[[InstanceId, InstanceId], float]
     nodes: dict[InstanceId, MemoryTransport] = field(default_factory=dict)
     addresses: dict[str, InstanceId] = field(default_factory=dict)
+    swallowed: set[tuple[InstanceId, InstanceId]] = field(default_factory=set)
     cut: set[tuple[InstanceId, InstanceId]] = field(default_factory=set)
     regions: dict[InstanceId, RegionId] = field(default_factory=dict)
     bytes_between_regions: Counter[tuple[RegionId, RegionId]] = field(
@@ -87,7 +89,8 @@
         await anyio.sleep_until(departure.due)
         peer = departure.peer
         target = self.network.nodes.get(peer)
-        if target is None or (self.instance, peer) in self.network.cut:
+        way = (self.instance, peer)
+        if target is None or way in self.network.cut | self.network.swallowed:
             return
         self.network.count(self.instance, peer, len(departure.message))
         try:
@@ -113,3 +116,6 @@
         due = anyio.current_time() + latency_s
         self.departures.send_nowait(Departure(due, peer, message))
         return Ok(None)
+
+    async def close(self, peer: InstanceId) -> None:
+        self.network.swallowed.discard((self.instance, peer))
--- a/tests/test_document/test_document_machine.py
+++ b/tests/test_document/test_document_machine.py
@@ -21,6 +21,7 @@
 TEAM_OF = {"rules-0": "counters", "rules-1": "routes"}
 INSTANCES = st.integers(0, 2)
 SECTIONS = st.sampled_from(sorted(TEAM_OF))
+FAULTS = st.sampled_from([None, *StoreFault])
 EXAMPLES = int(os.environ.get("LACEWINGHOLD_EXAMPLES", "25"))
 
 
@@ -40,11 +41,12 @@
     def instance(self, index):
         return self.cell.instances[self.names[index]]
 
-    async def edit(self, index, section, refuse, lose_reply, write=""):
+    async def edit(self, index, section, refuse, fault, write=""):
         running = self.instance(index)
         old = running.instance.document.section(section)
-        if lose_reply:
-            running.store.faults = [StoreFault.REPLY_LOST]
+        if fault is not None:
+            # The first call reads the index, the second writes.
+            running.store.faults = [None, fault]
         self.writes += 1
         write = write or f"write-{self.writes}"
         body = {"when_cut_off": "refuse" if refuse else "go_on"}
@@ -66,10 +68,10 @@
         elif result.err_value.kind is ErrorKind.OUTCOME_UNKNOWN:
             self.unknown.add(write)
 
-    async def race(self, section, refuse):
+    async def race(self, section, refuse, faults):
         async with anyio.create_task_group() as tasks:
             for index in range(3):
-                tasks.start_soon(self.edit, index, section, refuse, index == 1)
+                tasks.start_soon(self.edit, index, section, refuse, faults[index])
 
     async def cut_off(self, index, cut):
         self.cell.cut_off(self.names[index], cut=cut)
@@ -82,6 +84,16 @@
         await anyio.sleep(1)
         self.instance(index).store.watch_silent = False
 
+    async def pause(self, index, seconds):
+        gate = self.instance(index).gate
+
+        async def hold():
+            gate.close()
+            await anyio.sleep(seconds)
+            gate.open()
+
+        self.cell.tasks.start_soon(hold)
+
     async def restart(self, index, reachable):
         name = self.names[index]
         place = self.cell.instances[name].instance.settings.data_centre
@@ -119,6 +131,7 @@
         for index, name in enumerate(self.names):
             self.cell.cut_off(name, cut=False)
             self.instance(index).store.watch_silent = False
+            self.instance(index).gate.open()
         await anyio.sleep(30)
         self.check()
         last = {}
@@ -146,13 +159,13 @@
         super().__init__()
         self.steps = []
 
-    @rule(index=INSTANCES, section=SECTIONS, refuse=st.booleans(), lose=st.booleans())
-    def edit(self, index, section, refuse, lose):
-        self.steps.append(("edit", index, section, refuse, lose))
+    @rule(index=INSTANCES, section=SECTIONS, refuse=st.booleans(), fault=FAULTS)
+    def edit(self, index, section, refuse, fault):
+        self.steps.append(("edit", index, section, refuse, fault))
 
-    @rule(section=SECTIONS, refuse=st.booleans())
-    def race(self, section, refuse):
-        self.steps.append(("race", section, refuse))
+    @rule(section=SECTIONS, refuse=st.booleans(), faults=st.tuples(*[FAULTS] * 3))
+    def race(self, section, refuse, faults):
+        self.steps.append(("race", section, refuse, faults))
 
     @rule(index=INSTANCES, cut=st.booleans())
     def cut_off(self, index, cut):
@@ -166,6 +179,10 @@
     def silence(self, index):
         self.steps.append(("silence", index))
 
+    @rule(index=INSTANCES, seconds=st.sampled_from([2.0, 10.0, 90.0]))
+    def pause(self, index, seconds):
+        self.steps.append(("pause", index, seconds))
+
     @rule(index=INSTANCES, reachable=st.booleans())
     def restart(self, index, reachable):
         self.steps.append(("restart", index, reachable))
--- a/tests/test_document/test_force.py
+++ b/tests/test_document/test_force.py
@@ -199,6 +199,16 @@
     assert run_session(program, TEAMS)
 
 
+def test_instance_decides_only_once_it_has_what_the_store_had_when_it_joined():
+    async def program(cell, instances):
+        first = instances[0]
+        assert isinstance(first.rules.permit("operators"), Ok)
+        first.lease.registered = Revision(first.view.revision + 1)
+        return first.rules.permit("operators")
+
+    assert isinstance(run_session(program, TEAMS), Err)
+
+
 def test_status_of_an_unknown_revision_is_refused():
     async def program(cell, instances):
         return await instances[0].force.status("cell", 10**6)
--- /dev/null
+++ b/tests/test_peers/test_links.py
@@ -0,0 +1,225 @@
+"""Links between entry instances: silence, bounds, versions, compression, TLS."""
+
+from __future__ import annotations
+
+import random
+import socket
+from pathlib import Path
+
+import anyio
+import pytest
+from msgspec import Struct
+from result import Err, Ok
+
+from lacewinghold.errors import ErrorKind
+from lacewinghold.ids import InstanceId, RegionId
+from lacewinghold.peers.link import HEARTBEAT_S, IDLE_S, QUEUE_MESSAGES, SILENCE_S
+from lacewinghold.peers.links import MESSAGE_VERSION, PeerLinks
+from lacewinghold.peers.nng import NngTransport
+from lacewinghold.schema.generated.messages import JobList, MessageKind, Views
+from lacewinghold.schema.generated.settings import Tls
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
+from lacewinghold.util.codec import pack, unpack
+
+CERTIFICATES = Path(__file__).parent / "certificates"
+REPLACED_WITHIN_S = SILENCE_S + 2 * HEARTBEAT_S
+
+
+class EnvelopeV1(Struct, array_like=True):
+    """The envelope as version 1 of the program had it."""
+
+    version: int
+    kind: str
+    sender: str
+    correlation: int
+    body: bytes
+
+
+async def echo(sender, body):
+    return Ok(Views([body] * 40))
+
+
+def make(network, name, region="r1"):
+    instance = InstanceId(name)
+    transport = MemoryTransport(network, instance, RegionId(region))
+    known = network.nodes
+
+    def paid(peer):
+        return network.regions[peer] != RegionId(region)
+
+    links = PeerLinks(
+        instance,
+        transport,
+        lambda peer: "memory" if peer in known else None,
+        paid,
+        random.Random(1),
+    )
+    links.on(MessageKind.JOB_LIST, echo)
+    return links
+
+
+def run_pair(program, region="r2"):
+    async def session():
+        network = MemoryNetwork(lambda sender, receiver: 0.03)
+        async with anyio.create_task_group() as tasks:
+            pair = make(network, "a"), make(network, "b", region)
+            for links in pair:
+                tasks.start_soon(links.run)
+            await anyio.sleep(0.1)
+            result = await program(network, *pair)
+            tasks.cancel_scope.cancel()
+        return result
+
+    return run_paused(session, seed=1)
+
+
+async def ask(links, peer, timeout_s=1.0):
+    return await links.call(peer, MessageKind.JOB_LIST, JobList("t" * 99), timeout_s)
+
+
+@pytest.mark.parametrize("way", [("a", "b"), ("b", "a")])
+def test_silent_connection_is_found_and_replaced(way):
+    async def program(network, a, b):
+        assert isinstance(await ask(a, "b"), Ok)
+        reconnected = []
+        a.reconnected = b.reconnected = reconnected.append
+        network.swallowed.add(way)
+        lost = await ask(a, "b")
+        assert lost.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+        await anyio.sleep(REPLACED_WITHIN_S)
+        assert not network.swallowed
+        assert isinstance(await ask(a, "b"), Ok)
+        await anyio.sleep(2 * HEARTBEAT_S)
+        return reconnected
+
+    assert way[1] in run_pair(program)
+
+
+def test_quiet_but_sound_link_is_not_replaced_and_an_idle_one_is_freed():
+    async def program(network, a, b):
+        await ask(a, "b")
+        await anyio.sleep(IDLE_S - HEARTBEAT_S)
+        replaced = a.links["b"].replaced + b.links["a"].replaced
+        await anyio.sleep(3 * HEARTBEAT_S)
+        return replaced, list(a.links), list(b.links)
+
+    assert run_pair(program) == (0, [], [])
+
+
+def test_link_to_a_peer_that_left_is_closed_and_its_callers_told():
+    async def program(network, a, b):
+        await ask(a, "b")
+        del network.nodes["b"]
+        await anyio.sleep(2 * HEARTBEAT_S)
+        refused = await ask(a, "b")
+        return list(a.links), list(a.versions), refused.err_value.kind
+
+    assert run_pair(program) == ([], [], ErrorKind.UNREACHABLE)
+
+
+def test_queue_to_a_stuck_peer_is_bounded():
+    async def program(network, a, b):
+        a.transport.gate.close()
+        kinds = set()
+        for _ in range(QUEUE_MESSAGES + 50):
+            sent = await a.notify("b", MessageKind.JOB_LIST, JobList("t"))
+            if isinstance(sent, Err):
+                kinds.add(sent.err_value.kind)
+        return len(a.links["b"].queue), kinds
+
+    assert run_pair(program) == (QUEUE_MESSAGES, {ErrorKind.OVERLOADED})
+
+
+@pytest.mark.parametrize("region", ["r1", "r2"])
+def test_large_bodies_are_compressed_on_paid_links_only(region):
+    async def program(network, a, b):
+        reply = await ask(a, "b")
+        assert len(unpack(reply.ok_value, Views).views) == 40
+        paid = b.paid_bytes_sent[MessageKind.REPLY]
+        assert b.links["a"].bytes_sent == b.bytes_sent
+        return b.bytes_sent[MessageKind.REPLY], paid
+
+    sent, paid = run_pair(program, region)
+    if region == "r1":
+        assert (sent > 4000, paid) == (True, 0)
+    else:
+        assert sent < 400
+        assert paid == sent
+
+
+def test_previous_message_version_runs_beside_the_present_one():
+    async def program(network, a, b):
+        old = MemoryTransport(network, InstanceId("old"), RegionId("r2"))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(old.run)
+
+            async def receive(kind):
+                while True:
+                    message = unpack(await old.receive(), EnvelopeV1)
+                    assert message.version == 1
+                    if message.kind == kind:
+                        return message
+
+            sent = EnvelopeV1(1, "job_list", "old", 7, pack(JobList("t" * 99)))
+            await old.send("a", "memory", pack(sent))
+            reply = await receive("reply")
+            assert reply.correlation == 7
+            assert len(unpack(reply.body, Views).views) == 40
+            results = []
+
+            async def call():
+                results.append(await ask(a, "old"))
+
+            tasks.start_soon(call)
+            request = await receive("job_list")
+            body = pack(Views([]))
+            answer = EnvelopeV1(1, "reply", "old", request.correlation, body)
+            await old.send("a", "memory", pack(answer))
+            await anyio.sleep(0.5)
+            assert isinstance(results[0], Ok)
+            unknown = EnvelopeV1(MESSAGE_VERSION + 1, "job_list", "old", 8, b"\x90")
+            await old.send("a", "memory", pack(unknown))
+            refused = await receive("failure")
+            tasks.cancel_scope.cancel()
+        return refused.correlation
+
+    assert run_pair(program) == 8
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@pytest.mark.parametrize("secure", [False, True])
+def test_messages_cross_real_sockets(secure):
+    tls = None
+    if secure:
+        tls = Tls(
+            certificate=str(CERTIFICATES / "instance.pem"),
+            key=str(CERTIFICATES / "instance.key"),
+            authority=str(CERTIFICATES / "authority.pem"),
+        )
+    book = {"a": free_address(), "b": free_address()}
+
+    async def session():
+        async with anyio.create_task_group() as tasks:
+            pair = []
+            for name, address in book.items():
+                transport = NngTransport(address, tls)
+                assert transport.scheme == ("tls+tcp" if secure else "tcp")
+                links = PeerLinks(InstanceId(name), transport, book.get)
+                links.on(MessageKind.JOB_LIST, echo)
+                tasks.start_soon(links.run)
+                pair.append(links)
+            replies = []
+            for _ in range(3):
+                replies.append(await ask(pair[0], "b", 20.0))
+                await pair[0].transport.close("b")
+            tasks.cancel_scope.cancel()
+        return replies
+
+    replies = anyio.run(session, backend="trio")
+    assert all(isinstance(reply, Ok) for reply in replies)
