--- a/lacewinghold/cmd/client.py
+++ b/lacewinghold/cmd/client.py
@@ -5,7 +5,6 @@
 import json
 import os
 import sys
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from lacewinghold.errors import ANSWERS, ErrorKind
@@ -21,15 +20,6 @@
 TIMEOUT_S = 30.0
 
 
-def add_parsers(commands: Any) -> None:
-    """Adds the commands that talk to an entry instance."""
-    document = add(commands, "document", "show or edit the document", run_document)
-    document.add_argument("action", choices=["get", "edit"])
-    document.add_argument("section", nargs="?")
-    document.add_argument("file", nargs="?", type=Path)
-    document.add_argument("--revision", help="the revision that you saw")
-
-
 def add(commands: Any, name: str, text: str, run: Callable[..., int]) -> Any:
     """Adds one command with the options that all of them share."""
     parser = commands.add_parser(name, help=text)
@@ -159,17 +149,3 @@
 def get(path: str) -> Callable[[argparse.Namespace], int]:
     """Returns a command that shows what is at a path."""
     return lambda options: call(options, "GET", path)
-
-
-def run_document(options: argparse.Namespace) -> int:
-    """Runs ``document``."""
-    from lacewinghold.cmd import fail
-
-    section = f"/{options.section}" if options.section else ""
-    if options.action == "get":
-        return call(options, "GET", f"/v1/document{section}")
-    if options.file is None or options.revision is None:
-        return fail("edit needs SECTION FILE --revision REVISION", 2)
-    content = options.file.read_bytes()
-    headers = {"If-Match": f'"{options.revision}"'}
-    return call(options, "PUT", f"/v1/document{section}", content, headers)
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -6,7 +6,7 @@
 
 import anyio
 import structlog
-from result import Err, Result
+from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import Incarnation, job_shard, task_job
@@ -29,7 +29,7 @@
 from lacewinghold.util.backoff import Backoff
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import TaskId
+    from lacewinghold.ids import Revision, TaskId
     from lacewinghold.shards.model import Task
     from lacewinghold.shards.owner import ShardOwner
     from lacewinghold.workers.base import WorkerLink
@@ -214,19 +214,36 @@
         """Returns the starts to send, with the ends of their times.
 
         A start waits until the worker forgot an earlier outcome of its task, so
-        that a repeated acknowledgement never drops a later one.
+        that a repeated acknowledgement never drops a later one, and until the
+        rules permit it. One that was sent before is sent again as it was: the
+        worker tells whether it ran.
         """
         if not self.fenced:
             return []
         starts = []
-        for start in self.starts.values():
+        for start in list(self.starts.values()):
             if start.task in self.acknowledgements:
                 continue
-            start.hold_until = self.hold_until
-            start.not_after = min(self.hold_until, self.stamp + START_WINDOW_S)
+            task = self.owner.tasks[start.task]
+            permit = self.owner.rules.permit(task.spec.team)
+            if isinstance(permit, Ok):
+                self.stamp_start(start, task, permit.ok_value)
+            elif not start.not_after:
+                del self.starts[start.task]
+                self.owner.release_start(task)
+                continue
             starts.append(start)
         return starts
 
+    def stamp_start(self, start: Start, task: Task, revision: Revision) -> None:
+        """Bounds a start in time and names the rules that it was decided under."""
+        rules, team = self.owner.rules, task.spec.team
+        window_s = min(START_WINDOW_S, rules.left_s(team))
+        start.document_revision = revision
+        start.hold_until = self.hold_until
+        start.not_after = min(self.hold_until, self.stamp + window_s)
+        require(Invariant.RULE_LEASE, rules.allows(team, revision), start.task)
+
     async def send(self) -> bool:
         """Sends one command.
 
