--- a/lacewinghold/testing/backend.py
+++ b/lacewinghold/testing/backend.py
@@ -151,6 +151,7 @@
         self.default_time_s = SERVICE_TIME_S
         self.unreachable: set[WorkerId] = set()
         self.runs: Counter[RequestId] = Counter()
+        self.bodies: Counter[bytes] = Counter()
         self.arrivals: Counter[WorkerId] = Counter()
         self.last_arrival: dict[WorkerId, float] = {}
 
@@ -204,6 +205,7 @@
             return Unanswered(REFUSALS[refusal], refusal)
         backend.begin(request.attempt)
         self.runs[request_of(request.attempt)] += 1
+        self.bodies[request.body] += 1
         self.arrivals[worker.worker] += 1
         self.last_arrival[worker.worker] = anyio.current_time()
         run_s = self.service_time_s.get(worker.worker, self.default_time_s)
