--- /dev/null
+++ b/bench/bench_routing.py
@@ -0,0 +1,327 @@
+"""Goodput under overload, and the cost of a request against a straight call."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+import signal
+import statistics
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import anyio
+import httpx
+import structlog
+from msgspec import Struct
+from result import Ok
+
+from bench.base import Benchmark, Figure
+from lacewinghold.ids import DataCentreId, RegionId, ServiceId, TeamId
+from lacewinghold.routing.http import (
+    EPOCH_HEADER,
+    INCARNATION_HEADER,
+    REQUEST_ID_HEADER,
+)
+from lacewinghold.schema.generated.jobs import JobKind, JobSpec, Resources
+from lacewinghold.testing.cell import Cell, CellShape
+from lacewinghold.testing.clock import run_paused
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Send = Callable[[], Awaitable[bool]]
+
+TEAM = TeamId("operators")
+SERVICE = ServiceId("booking")
+WORKERS = 4
+SLOTS = 8
+SERVICE_TIME_S = 0.2
+TIMEOUT_S = 1.0
+CAPACITY_PER_S = WORKERS * SLOTS / SERVICE_TIME_S
+LOADS = (0.5, 0.9, 1.0, 2.0, 5.0, 10.0)
+GOODPUT_SHARE = 0.95
+WARM_UP_S = 2.0
+EXAMPLE = Path("examples/terrasvuur")
+ENTRIES = ("gent-a-1", "gent-a-2", "gent-a-3")
+KEY = {"Authorization": "Bearer operators-demo-key"}
+STRAIGHT_EPOCH = 10**12
+START_LIMIT_S = 20.0
+IDLE_S = 5.0
+
+
+class RoundRobin:
+    """The plain baseline: backend servers in turn, each with a queue of its own.
+
+    A server runs what it was sent, also when nobody waits any more.
+    """
+
+    def __init__(self) -> None:
+        self.servers = itertools.cycle([anyio.Semaphore(SLOTS) for _ in range(WORKERS)])
+
+    async def send(self) -> bool:
+        """Sends one request; returns whether it was answered in time."""
+        server = next(self.servers)
+        sent_at = anyio.current_time()
+        async with server:
+            await anyio.sleep(SERVICE_TIME_S)
+        return anyio.current_time() - sent_at <= TIMEOUT_S
+
+
+async def offer(send: Send, load: float, seconds: float, seed: int) -> float:
+    """Offers a load.
+
+    :returns: The share of what could be answered in time that was, after a
+        warm-up.
+    """
+    rng = random.Random(seed)
+    answered = 0
+    offered = 0
+    started_at = anyio.current_time()
+
+    async def one() -> None:
+        nonlocal answered, offered
+        warm = anyio.current_time() - started_at >= WARM_UP_S
+        offered += warm
+        in_time = await send()
+        answered += in_time and warm
+
+    async with anyio.create_task_group() as tasks:
+        while anyio.current_time() < started_at + seconds:
+            tasks.start_soon(one)
+            await anyio.sleep(rng.expovariate(load * CAPACITY_PER_S))
+        await anyio.sleep(TIMEOUT_S)
+        tasks.cancel_scope.cancel()
+    possible = min(offered, (seconds - WARM_UP_S) * CAPACITY_PER_S)
+    return answered / possible
+
+
+async def baseline(load: float, seconds: float) -> float:
+    """Returns the goodput of the baseline."""
+    return await offer(RoundRobin().send, load, seconds, seed=1)
+
+
+async def routed(load: float, seconds: float) -> float:
+    """Returns the goodput of three entry instances over the same servers."""
+    centre, region = DataCentreId("gent-a"), RegionId("vlaanderen")
+    need = Resources(cores=16, memory_mb=32768)
+    shape = CellShape({centre: region}, need, 3, WORKERS)
+    async with anyio.create_task_group() as tasks:
+        cell = Cell(shape, tasks, seed=1)
+        cell.backend_links.default_time_s = SERVICE_TIME_S
+        await cell.start()
+        await cell.wait_ready(2)
+        await anyio.sleep(1)
+        for running in cell.instances.values():
+            for owner in running.instance.manager.owners.values():
+                spec = JobSpec(
+                    kind=JobKind.SERVICE,
+                    team=TEAM,
+                    tasks=len(owner.workers),
+                    resources=need,
+                    service=SERVICE,
+                )
+                await owner.accept(spec, "")
+        await anyio.sleep(2)
+
+        async def send() -> bool:
+            result = await cell.any_instance().requests.request(
+                TEAM, SERVICE, "GET", "/", b"x", TIMEOUT_S, True
+            )
+            return isinstance(result, Ok)
+
+        good = await offer(send, load, seconds, seed=1)
+        tasks.cancel_scope.cancel()
+    return good
+
+
+class OverloadBenchmark(Benchmark):
+    """Goodput over offered load against plain round robin, on the paused clock."""
+
+    name = "routing-goodput"
+
+    def run(self, *, quick: bool) -> list[Figure]:
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+        figures = []
+        seconds = 4.0 if quick else 8.0
+        for load in LOADS[::2] if quick else LOADS:
+            good = run_paused(routed, load, seconds, seed=1)
+            plain = run_paused(baseline, load, seconds, seed=1)
+            figures.append(
+                Figure(
+                    f"goodput at {load:g} times capacity, share of the possible",
+                    good,
+                    "",
+                    GOODPUT_SHARE,
+                    at_most=False,
+                    baseline=plain,
+                )
+            )
+        return figures
+
+
+class Samples(Struct):
+    """Latencies of one way to call."""
+
+    name: str
+    url: str
+    headers: dict[str, str]
+    pid: int = 0
+    seconds: list[float] = []
+    processor_s: float = 0.0
+    idle_share: float = 0.0
+
+
+def processor_s(pid: int) -> float:
+    """Returns the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+def start(*arguments: str) -> subprocess.Popen[bytes]:
+    """Starts one command of the program."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "lacewinghold", *arguments],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+def shards_of(client: httpx.Client, url: str) -> int:
+    """Returns how many shards an entry instance serves."""
+    try:
+        status = client.get(f"{url}/status").json()
+    except httpx.HTTPError:
+        return 0
+    return sum(shard["ready"] for shard in status["shards"].values())
+
+
+def wait_owned(client: httpx.Client, urls: list[str]) -> None:
+    """Waits until both shards of the data centre are served."""
+    deadline = time.monotonic() + START_LIMIT_S
+    while sum(shards_of(client, url) for url in urls) < 2:
+        if time.monotonic() > deadline:
+            raise SystemExit("the entry instances did not become ready")
+        time.sleep(0.2)
+    time.sleep(2)
+
+
+def fill(client: httpx.Client, url: str) -> None:
+    """Runs the service on the data centre's workers."""
+    spec = json.loads((EXAMPLE / "job-service.json").read_text())
+    spec["tasks"] = 8
+    for index in range(4):
+        client.post(
+            f"{url}/v1/jobs", json=spec, headers={**KEY, "Idempotency-Key": f"s{index}"}
+        ).raise_for_status()
+    time.sleep(3)
+
+
+def measure(client: httpx.Client, ways: list[Samples], count: int) -> None:
+    """Sends requests by all ways in turn, one at a time."""
+    measure_idle(ways)
+    started_at = time.monotonic()
+    used = {way.name: processor_s(way.pid) for way in ways if way.pid}
+    for number in range(count):
+        for way in ways:
+            headers = {**way.headers, REQUEST_ID_HEADER: f"b{number}.{way.name}"}
+            sent_at = time.perf_counter()
+            client.post(way.url, content=b"deposit", headers=headers).raise_for_status()
+            way.seconds.append(time.perf_counter() - sent_at)
+    for way in ways:
+        if way.pid:
+            idle_s = way.idle_share * (time.monotonic() - started_at)
+            way.processor_s = (processor_s(way.pid) - used[way.name] - idle_s) / count
+
+
+def measure_idle(ways: list[Samples]) -> None:
+    """Notes the processor time that the processes use without requests."""
+    used = {way.name: processor_s(way.pid) for way in ways if way.pid}
+    time.sleep(IDLE_S)
+    for way in ways:
+        if way.pid:
+            way.idle_share = (processor_s(way.pid) - used[way.name]) / IDLE_S
+
+
+def ways_to_call(
+    client: httpx.Client, urls: list[str], pids: list[int], straight: str
+) -> list[Samples]:
+    """Returns a straight call, one by an owner and one by another instance."""
+    headers = {EPOCH_HEADER: str(STRAIGHT_EPOCH), INCARNATION_HEADER: "1"}
+    found = [Samples("straight", straight, headers, seconds=[])]
+    for url, pid in zip(urls, pids, strict=True):
+        name = "owner" if shards_of(client, url) else "forwarded"
+        if any(way.name == name for way in found):
+            continue
+        path = f"{url}/v1/services/{SERVICE}/x"
+        found.append(Samples(name, path, KEY, pid, []))
+    return found
+
+
+class CostBenchmark(Benchmark):
+    """Added latency and processor time of a request, on the loopback address."""
+
+    name = "routing-cost"
+
+    def run(self, *, quick: bool) -> list[Figure]:
+        listen = json.loads((EXAMPLE / "stand-in.json").read_text())["listen"]
+        processes = [start("stand-in", "--settings", str(EXAMPLE / "stand-in.json"))]
+        urls = []
+        try:
+            for name in ENTRIES:
+                file = EXAMPLE / f"{name}.json"
+                urls.append(f"http://{json.loads(file.read_text())['listen']['http']}")
+                processes.append(start("serve", "--settings", str(file)))
+            with httpx.Client(trust_env=False, timeout=10.0) as client:
+                wait_owned(client, urls)
+                fill(client, urls[0])
+                worker = client.get(f"http://{listen}/serving/{SERVICE}").json()[0]
+                straight = f"http://{listen}/workers/{worker}/services/{SERVICE}/x"
+                pids = [process.pid for process in processes[1:]]
+                ways = ways_to_call(client, urls, pids, straight)
+                measure(client, ways, 20 if quick else 300)
+            return to_figures(ways)
+        finally:
+            for process in reversed(processes):
+                process.send_signal(signal.SIGTERM)
+            for process in reversed(processes):
+                process.wait(30)
+
+
+def to_figures(ways: list[Samples]) -> list[Figure]:
+    """Returns the figures of all ways against the straight call."""
+    straight = ways[0]
+    figures = []
+    for way in ways[1:]:
+        for percent in (50, 99):
+            figures.append(
+                Figure(
+                    f"latency {way.name}, p{percent}",
+                    1000 * quantile(way.seconds, percent),
+                    "ms",
+                    baseline=1000 * quantile(straight.seconds, percent),
+                )
+            )
+        figures.append(
+            Figure(
+                f"processor time of the entry instance, {way.name}",
+                1000 * way.processor_s,
+                "ms/request",
+            )
+        )
+        figures.append(
+            Figure(
+                f"processor time without requests, {way.name}",
+                100 * way.idle_share,
+                "% of a core",
+            )
+        )
+    return figures
+
+
+def quantile(values: list[float], percent: int) -> float:
+    """Returns a percentile."""
+    return statistics.quantiles(values, n=100, method="inclusive")[percent - 1]
--- /dev/null
+++ b/examples/load_requests.py
@@ -0,0 +1,218 @@
+"""Sends requests to real processes on the loopback addresses, under faults.
+
+Usage: python examples/load_requests.py examples/terrasvuur [SECONDS [SEED [graceful]]]
+Starts the stand-in and seven entry instances, fills all workers with the service,
+sends requests that may and that must not be repeated, kills and replaces entry
+instances meanwhile, and compares what callers were told with what ran.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import anyio
+import httpx
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 30.0
+SENDERS = 24
+REPLACE_INTERVAL_S = 4.0
+SHARDS = 6
+SLOTS = 8
+CONNECTIONS = 64
+Signals = list[signal.Signals]
+KEY = {"Authorization": "Bearer operators-demo-key"}
+
+
+class Process:
+    """One process of the program."""
+
+    def __init__(self, *arguments: str) -> None:
+        self.arguments = arguments
+        self.start()
+
+    def start(self) -> None:
+        """Starts the process."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "lacewinghold", *self.arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+
+    def stop(self, number: signal.Signals) -> None:
+        """Stops the process with a signal and waits for its end."""
+        self.process.send_signal(number)
+        self.process.wait(STOP_LIMIT_S)
+
+
+class Load:
+    """Senders and what they were told."""
+
+    def __init__(self, urls: list[str], service: str, seed: int) -> None:
+        self.urls = urls
+        self.service = service
+        self.rng = random.Random(seed)
+        self.counts: Counter[str] = Counter()
+        self.refused: set[str] = set()
+        self.told_otherwise: set[str] = set()
+        self.next_number = 0
+
+    async def send_all(self, client: httpx.AsyncClient, until: float) -> None:
+        """Sends one request after another."""
+        while anyio.current_time() < until:
+            self.next_number += 1
+            once = self.rng.random() < 0.5
+            body = f"{'o' if once else 'r'}{self.next_number}"
+            repeats = 2 if once and self.rng.random() < 0.2 else 1
+            for _ in range(repeats):
+                await self.send(client, body, once)
+
+    async def send(self, client: httpx.AsyncClient, body: str, once: bool) -> None:
+        """Sends one request to some entry instance."""
+        headers = {**KEY, "Lacewinghold-Timeout": "5"}
+        if once:
+            headers |= {"Lacewinghold-Repeatable": "no", "Idempotency-Key": body}
+        url = self.rng.choice(self.urls)
+        self.counts["sent"] += 1
+        try:
+            response = await client.post(
+                f"{url}/v1/services/{self.service}/x", content=body, headers=headers
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            self.counts["balancer had no instance"] += 1
+            return
+        except httpx.HTTPError:
+            self.counts["entry instance died"] += 1
+            self.told_otherwise.add(body)
+            return
+        self.note(body, response)
+
+    def note(self, body: str, response: httpx.Response) -> None:
+        """Counts an answer."""
+        if response.status_code == 200:
+            self.counts["answered"] += 1
+            self.counts["wrong answer"] += response.text != body
+            self.told_otherwise.add(body)
+        elif response.json().get("type", "").endswith("outcome_unknown"):
+            self.counts["unknown"] += 1
+            self.told_otherwise.add(body)
+        elif response.json().get("may_repeat"):
+            self.counts["not run"] += 1
+            self.refused.add(body)
+        else:
+            self.counts[f"status {response.status_code}"] += 1
+
+    def check(self, found: dict[str, object]) -> bool:
+        """Compares what callers were told with what ran."""
+        runs = found["runs"]
+        assert isinstance(runs, dict)
+        self.counts["doubled"] = sum(
+            count > 1 for body, count in runs.items() if body.startswith("o")
+        )
+        never = self.refused - self.told_otherwise
+        self.counts["not run that ran"] = sum(body in runs for body in never)
+        self.counts["over capacity"] = int(found["most_running"] > SLOTS)
+        self.counts["over connections"] = int(found["most_connections"] > CONNECTIONS)
+        faults = ("doubled", "not run that ran", "over capacity", "over connections")
+        return not any(self.counts[name] for name in (*faults, "wrong answer"))
+
+
+async def wait_until_owned(client: httpx.AsyncClient, urls: list[str]) -> None:
+    """Waits until the entry instances serve all shards."""
+    with anyio.fail_after(START_LIMIT_S):
+        while True:
+            ready = 0
+            for url in urls:
+                try:
+                    status = (await client.get(f"{url}/status")).json()
+                except httpx.HTTPError:
+                    continue
+                ready += sum(shard["ready"] for shard in status["shards"].values())
+            if ready >= SHARDS:
+                return
+            await anyio.sleep(0.2)
+
+
+async def submit_service(
+    client: httpx.AsyncClient, urls: list[str], folder: Path
+) -> str:
+    """Starts the service in every data centre."""
+    spec = json.loads((folder / "job-service.json").read_text())
+    spec["tasks"] = 8
+    for index, url in enumerate(urls):
+        response = await client.post(
+            f"{url}/v1/jobs", json=spec, headers={**KEY, "Idempotency-Key": f"s{index}"}
+        )
+        response.raise_for_status()
+    service: str = spec["service"]
+    return service
+
+
+async def replace(
+    entries: list[Process], rng: random.Random, until: float, signals: Signals
+) -> None:
+    """Kills or stops an entry instance now and then and starts it again."""
+    while anyio.current_time() < until - REPLACE_INTERVAL_S:
+        await anyio.sleep(REPLACE_INTERVAL_S)
+        entry = rng.choice(entries)
+        number = rng.choice(signals)
+        await anyio.to_thread.run_sync(entry.stop, number)
+        entry.start()
+
+
+async def run(folder: Path, seconds: float, seed: int, signals: Signals) -> int:
+    """Runs the load."""
+    stand_in = json.loads((folder / "stand-in.json").read_text())
+    processes = [Process("stand-in", "--settings", str(folder / "stand-in.json"))]
+    urls = []
+    try:
+        for file in sorted(folder.glob("*-[0-9].json")):
+            urls.append("http://" + json.loads(file.read_text())["listen"]["http"])
+            processes.append(Process("serve", "--settings", str(file)))
+        limits = httpx.Limits(max_keepalive_connections=0)
+        async with httpx.AsyncClient(
+            trust_env=False, timeout=10.0, limits=limits
+        ) as client:
+            await wait_until_owned(client, urls)
+            service = await submit_service(client, urls, folder)
+            await anyio.sleep(2)
+            load = Load(urls, service, seed)
+            until = anyio.current_time() + seconds
+            async with anyio.create_task_group() as tasks:
+                rng = random.Random(seed)
+                tasks.start_soon(replace, processes[1:], rng, until, signals)
+                for _ in range(SENDERS):
+                    tasks.start_soon(load.send_all, client, until)
+            await anyio.sleep(1)
+            found = await client.get(f"http://{stand_in['listen']}/counts")
+            clean = load.check(found.json())
+            print("most running on one backend server:", found.json()["most_running"])
+            print("most connections to one:", found.json()["most_connections"])
+            print(dict(sorted(load.counts.items())))
+            return 0 if clean else 1
+    finally:
+        for process in reversed(processes):
+            process.process.send_signal(signal.SIGTERM)
+        for process in reversed(processes):
+            process.process.wait(STOP_LIMIT_S)
+
+
+def main() -> int:
+    """Reads the command line and runs."""
+    folder = Path(sys.argv[1])
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
+    seed = int(sys.argv[3]) if len(sys.argv) > 3 else 1
+    signals = [signal.SIGTERM]
+    if "graceful" not in sys.argv:
+        signals.append(signal.SIGKILL)
+    return anyio.run(run, folder, seconds, seed, signals, backend="trio")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -55,6 +55,9 @@
 
         :raises FailureError: If the key is missing or unknown.
         """
+        if not self.instance.view.loaded.is_set():
+            detail = "the document is not loaded yet"
+            raise FailureError(Failure(ErrorKind.NOT_RUN, detail, "", 1.0))
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         found = None
         if scheme.lower() == "bearer":
--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -72,7 +72,7 @@
         self.links = links
         self.rules = rules
         self.once = once
-        self.loads = LoadTable(settings, rules, rng)
+        self.loads = LoadTable(peers.instance, settings, rules, rng)
         self.budget = RetryBudget()
         self.routers: dict[ShardId, ShardRouter] = {}
         self.draining: set[ShardRouter] = set()
--- a/lacewinghold/routing/loads.py
+++ b/lacewinghold/routing/loads.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     import random
 
-    from lacewinghold.ids import ServiceId, ShardId
+    from lacewinghold.ids import InstanceId, ServiceId, ShardId
     from lacewinghold.routing.rules import ServiceRules
     from lacewinghold.schema.generated.messages import ServiceLoad, ServiceRequest
     from lacewinghold.schema.generated.records import InstanceRecord
@@ -18,6 +18,7 @@
 
 LOAD_LIFETIME_S = 5.0
 LINK_ROUND_TRIP_S = 0.1
+FORWARD_COST_S = 0.002
 
 
 class KnownLoad(Struct):
@@ -31,12 +32,18 @@
 class LoadTable:
     """The loads of the shards of all entry instances, as last heard.
 
+    :param instance: The instance that chooses.
     :param rng: Spreads requests over equally good shards.
     """
 
     def __init__(
-        self, settings: Settings, rules: ServiceRules, rng: random.Random
+        self,
+        instance: InstanceId,
+        settings: Settings,
+        rules: ServiceRules,
+        rng: random.Random,
     ) -> None:
+        self.instance = instance
         self.settings = settings
         self.rules = rules
         self.rng = rng
@@ -82,6 +89,8 @@
             far = record.data_centre != self.settings.data_centre
             known = self.known(shard, message.service)
             wait_s = 0.0 if known is None else expected_wait_s(known)
+            if record.instance != self.instance:
+                wait_s += FORWARD_COST_S
             late = wait_s > message.timeout_s
             unserved = known is None or known.load.slots == 0
             rank = (remote, unserved, late, far, wait_s, self.rng.random(), shard)
--- a/lacewinghold/routing/router.py
+++ b/lacewinghold/routing/router.py
@@ -240,14 +240,14 @@
             queue.remove(waiting)
 
     def expected_wait_s(self, message: ServiceRequest) -> float:
-        """Returns how long a new request would wait for its slot."""
+        """Returns how long a new request behind a queue would take."""
         queue = self.queues.get(message.service)
         serving = self.serving(message.service)
         slots = sum(backend.record.slots for backend in serving)
         if queue is None or not len(queue) or not slots:
             return 0.0
         ahead = queue.ahead_of(message.team, message.priority)
-        return ahead * self.latency_s(message.service) / slots
+        return (1 + ahead / slots) * self.latency_s(message.service)
 
     def latency_s(self, service: ServiceId) -> float:
         """Returns the mean latency of a service's backend servers."""
@@ -286,6 +286,10 @@
                 if waiting.refused is None:
                     waiting.refuse(Unanswered(Observation.TIMEOUT_QUEUED))
                 return True
+            if len(queue) > 1 and waiting.deadline < now + self.latency_s(service):
+                queue.remove(waiting)
+                waiting.refuse(Unanswered(Observation.SHED, "no answer in time"))
+                return True
             untried = [b for b in backends if b.record.worker not in waiting.avoid]
             if not untried and not self.may_recover(waiting):
                 queue.remove(waiting)
--- a/lacewinghold/testing/stand_in.py
+++ b/lacewinghold/testing/stand_in.py
@@ -14,6 +14,7 @@
 from lacewinghold.ids import AttemptId, RequestId, SectionName, ServiceId, WorkerId
 from lacewinghold.routing.http import (
     EPOCH_HEADER,
+    IDLE_LIMIT_S,
     INCARNATION_HEADER,
     REFUSAL_HEADER,
     REQUEST_ID_HEADER,
@@ -37,6 +38,9 @@
     from lacewinghold.schema.generated.settings import StandInSettings
 
 
+COUNTED_BODY_BYTES = 64
+
+
 class StandIn:
     """Everything outside of the entry instances.
 
@@ -53,6 +57,9 @@
         self.instance_list = MemoryInstanceList(self.workers)
         self.backends: dict[WorkerId, FakeBackend] = {}
         self.runs: Counter[RequestId] = Counter()
+        self.bodies: Counter[bytes] = Counter()
+        self.clients: dict[WorkerId, dict[str, float]] = {}
+        self.most_connections = 0
         self.make_workers()
 
     def make_workers(self) -> None:
@@ -97,6 +104,7 @@
                 Route("/workers/{worker}/commands", self.command, methods=["POST"]),
                 Route("/workers/{worker}/reports", self.report),
                 Route("/counts", self.counts),
+                Route("/serving/{service}", self.serving),
                 Route("/workers/{worker}/requests/probe", self.probe, methods=["POST"]),
                 Route(
                     "/workers/{worker}/services/{service}/{path:path}",
@@ -134,6 +142,7 @@
     async def probe(self, request: Request) -> Response:
         """Tells an owner what runs on a backend server."""
         probe = from_json(await request.body(), Probe)
+        self.note_client(request)
         return json_response(self.backend(request).probe(probe))
 
     async def serve(self, request: Request) -> Response:
@@ -153,23 +162,43 @@
                 status_code=503, headers={**headers, REFUSAL_HEADER: refusal}
             )
         backend.begin(attempt)
+        self.runs[request_of(attempt)] += 1
+        self.bodies[body[:COUNTED_BODY_BYTES]] += 1
+        self.note_client(request)
         try:
             with anyio.CancelScope(shield=True):
                 await anyio.sleep(SERVICE_TIME_S)
         finally:
             backend.end(attempt)
-        self.runs[request_of(attempt)] += 1
         return Response(body, headers=headers)
 
+    def note_client(self, request: Request) -> None:
+        """Counts the connections that sent anything within their idle time."""
+        now = anyio.current_time()
+        worker = WorkerId(request.path_params["worker"])
+        seen = self.clients.setdefault(worker, {})
+        seen[str(request.client)] = now
+        for client, at in list(seen.items()):
+            if now - at > IDLE_LIMIT_S:
+                del seen[client]
+        self.most_connections = max(self.most_connections, len(seen))
+
+    async def serving(self, request: Request) -> Response:
+        """Lists the workers on which a service runs."""
+        service = request.path_params["service"]
+        found = []
+        for worker_id, worker in self.workers.items():
+            if service in {run.view.service for run in worker.running.values()}:
+                found.append(worker_id)
+        return json_response(found)
+
     async def counts(self, request: Request) -> Response:
         """Tells what the backend servers have counted."""
         most = [backend.most_running for backend in self.backends.values()]
         return json_response(
             {
-                "runs": sum(self.runs.values()),
-                "requests": len(self.runs),
-                "doubled": [key for key, runs in self.runs.items() if runs > 1],
-                "ran": sorted(self.runs),
+                "runs": {body.decode(): runs for body, runs in self.bodies.items()},
                 "most_running": max(most, default=0),
+                "most_connections": self.most_connections,
             }
         )
