--- a/lacewinghold/testing/backend.py
+++ b/lacewinghold/testing/backend.py
@@ -70,6 +70,7 @@
     settled: set[AttemptId] = field(default_factory=set)
     most_running: int = 0
     leaving: bool = False
+    knows_list: bool = True
 
     def refresh(self) -> None:
         """Forgets everything if the worker was restarted."""
@@ -82,7 +83,8 @@
 
     def is_leaving(self) -> bool:
         """Returns whether the server takes no new work."""
-        return self.leaving or self.worker.record.state is WorkerState.LEAVING
+        listed = self.worker.record.state is WorkerState.LEAVING
+        return self.leaving or (self.knows_list and listed)
 
     def refusal(
         self, attempt: AttemptId, service: str, epoch: int, incarnation: int
--- /dev/null
+++ b/tests/test_routing/test_leaving.py
@@ -0,0 +1,158 @@
+"""Leaving backend servers, graceful shutdown and silent connections."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from result import Ok
+from support import GENT, ONE_CENTRE, THREE_CENTRES, ask, make_shape, serving_cell
+
+from lacewinghold.invariants import violations
+from lacewinghold.schema.generated.worker import WorkerState
+from lacewinghold.testing.backend import BackendFault
+from lacewinghold.testing.clock import run_paused
+
+NO_NEW_WORK_AFTER_S = 3.0
+SILENCE_FOUND_WITHIN_S = 4.0
+
+
+async def steady(cell, results, seconds, every_s=0.02, **options):
+    """Sends requests at a steady rate."""
+
+    async def send():
+        results.append(await ask(cell, **options))
+
+    end = anyio.current_time() + seconds
+    async with anyio.create_task_group() as tasks:
+        while anyio.current_time() < end:
+            tasks.start_soon(send)
+            await anyio.sleep(every_s)
+
+
+async def leave(evidence):
+    async with serving_cell(61, make_shape(ONE_CENTRE, 4, 3)) as cell:
+        links = cell.backend_links
+        links.default_time_s = 0.3
+        worker = next(iter(cell.workers))
+        results = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(steady, cell, results, 10)
+            await anyio.sleep(2)
+            left_at = anyio.current_time()
+            if evidence == "list":
+                links.backend(worker).knows_list = False
+                cell.workers[worker].record.state = WorkerState.LEAVING
+            else:
+                cell.instance_list.reachable = False
+                links.backend(worker).leaving = True
+        return links.last_arrival[worker] - left_at, results
+
+
+@pytest.mark.parametrize("evidence", ["list", "the server's own answer"])
+def test_leaving_server_gets_no_new_work(evidence):
+    last_s, results = run_paused(leave, evidence, seed=61)
+    assert last_s <= NO_NEW_WORK_AFTER_S
+    assert all(isinstance(result, Ok) for result in results)
+
+
+async def shut_down_all_in_turn():
+    shape = make_shape(THREE_CENTRES, 4, 7)
+    async with serving_cell(62, shape) as cell:
+        cell.backend_links.default_time_s = 2.0
+        results = []
+        async with anyio.create_task_group() as tasks:
+            for repeatable in (True, False):
+                tasks.start_soon(
+                    lambda repeatable=repeatable: steady(
+                        cell, results, 30, 0.1, repeatable=repeatable, timeout_s=8.0
+                    )
+                )
+            for name in sorted(cell.instances):
+                await anyio.sleep(3)
+                running = cell.instances.pop(name)
+                centre = running.instance.settings.data_centre
+                cell.start_instance(centre, f"next-{name.partition('.')[0]}")
+                await running.instance.shut_down()
+                idle = not running.calls
+                assert idle, "a caller was still waiting"
+                running.scope.cancel()
+                cell.network.nodes.pop(name, None)
+        return results
+
+
+def test_graceful_shutdown_cuts_off_no_request():
+    results = run_paused(shut_down_all_in_turn, seed=62)
+    assert len(results) >= 500
+    assert [result for result in results if not isinstance(result, Ok)] == []
+    assert not violations
+
+
+async def silent(fault, repeatable):
+    async with serving_cell(63, make_shape(ONE_CENTRE, 4, 3)) as cell:
+        links = cell.backend_links
+        links.faults = [fault]
+        asked_at = anyio.current_time()
+        result = await ask(cell, repeatable=repeatable, timeout_s=60.0)
+        return result, anyio.current_time() - asked_at
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize(
+    "fault", [BackendFault.SILENT_REQUEST, BackendFault.SILENT_ANSWER]
+)
+def test_one_way_silence_is_found(fault, repeatable):
+    result, waited_s = run_paused(silent, fault, repeatable, seed=63)
+    assert waited_s <= SILENCE_FOUND_WITHIN_S
+    ran_unseen = fault is BackendFault.SILENT_ANSWER and not repeatable
+    assert isinstance(result, Ok) != ran_unseen
+
+
+async def silent_server():
+    async with serving_cell(64, make_shape(ONE_CENTRE, 4, 3)) as cell:
+        links = cell.backend_links
+        worker = next(iter(cell.workers))
+        links.unreachable.add(worker)
+        await anyio.sleep(SILENCE_FOUND_WITHIN_S)
+        results = []
+        await steady(cell, results, 3, timeout_s=2.0)
+        links.unreachable.clear()
+        await anyio.sleep(3)
+        before = links.arrivals[worker]
+        await steady(cell, results, 3, timeout_s=2.0)
+        return results, links.arrivals[worker] - before
+
+
+def test_server_silent_both_ways_gets_nothing_until_it_answers_again():
+    results, after = run_paused(silent_server, seed=64)
+    assert all(isinstance(result, Ok) for result in results)
+    assert after > 0
+
+
+async def cut_off_centre():
+    shape = make_shape(THREE_CENTRES, 4, 7)
+    async with serving_cell(65, shape) as cell:
+        inside = {
+            name: running
+            for name, running in cell.instances.items()
+            if running.instance.settings.data_centre == GENT
+        }
+        for name, running in inside.items():
+            running.store.reachable = False
+            for other in set(cell.instances) - set(inside):
+                cell.network.cut |= {(name, other), (other, name)}
+        results = []
+        for _ in range(30):
+            for running in inside.values():
+                results.append(await ask(cell, at=running))
+            await anyio.sleep(1)
+        once = await ask(cell, at=running, repeatable=False)
+        outside = [r for n, r in cell.instances.items() if n not in inside]
+        others = [await ask(cell, at=running) for running in outside]
+        return results, once, others, cell.network.bytes_between_regions
+
+
+def test_cut_off_centre_serves_its_callers_by_the_last_rules():
+    results, once, others, _ = run_paused(cut_off_centre, seed=65)
+    assert all(isinstance(result, Ok) for result in [*results, *others])
+    assert {result.ok_value.worker[:6] for result in results} == {"gent-a"}
+    assert once.err_value.answer.may_repeat
