--- a/lacewinghold/api/services.py
+++ b/lacewinghold/api/services.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -16,6 +17,8 @@
 from lacewinghold.ids import ServiceId
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from starlette.requests import Request
     from starlette.routing import Route
 
@@ -24,7 +27,7 @@
 
 MAX_REQUEST_BYTES = 8 * 1024 * 1024
 MAX_TIMEOUT_S = 600.0
-MAX_KEY_CHARACTERS = 256
+SERVICE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 CALLER_LEFT_STATUS = 499
 URGENT_UNTIL = 1
 NORMAL_UNTIL = 4
@@ -54,37 +57,45 @@
         """Passes a request to a standing service; drops it if its caller leaves."""
         caller = self.identify(request)
         data = await self.body(request, MAX_REQUEST_BYTES)
+        pass_on = self.prepare(request, caller, data)
         result: Result[ServiceAnswer, Failure] | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_caller, request, tasks.cancel_scope)
-            result = await self.pass_on(request, caller, data)
+            result = await pass_on()
             tasks.cancel_scope.cancel()
         if result is None:
+            self.instance.counts["requests.caller_left"] += 1
             return Response(status_code=CALLER_LEFT_STATUS)
+        outcome = result.err_value.kind if isinstance(result, Err) else "answered"
+        self.instance.counts[f"requests.{outcome}"] += 1
         return to_response(unwrap(result))
 
-    async def pass_on(
+    def prepare(
         self, request: Request, caller: Caller, data: bytes
-    ) -> Result[ServiceAnswer, Failure]:
-        """Checks a request's headers and passes it on."""
-        service = ServiceId(request.path_params["service"])
+    ) -> Callable[[], Awaitable[Result[ServiceAnswer, Failure]]]:
+        """Checks a request's headers.
+
+        :returns: Passes the request on.
+        :raises FailureError: If a header is invalid.
+        """
+        service = unwrap(parse_service(request.path_params["service"]))
+        repeatable = unwrap(
+            parse_repeatable(request.headers.get("lacewinghold-repeatable"))
+        )
         default_s = self.instance.requests.rules.rule(service).timeout_s
-        timeout = parse_timeout(request.headers.get("lacewinghold-timeout"), default_s)
-        if isinstance(timeout, Err):
-            return timeout
-        key = request.headers.get("idempotency-key", "")
-        if len(key) > MAX_KEY_CHARACTERS:
-            detail = f"at most {MAX_KEY_CHARACTERS} characters"
-            return Err(Failure(ErrorKind.INVALID, detail, "Idempotency-Key"))
-        return await self.instance.requests.request(
+        timeout_s = unwrap(
+            parse_timeout(request.headers.get("lacewinghold-timeout"), default_s)
+        )
+        return partial(
+            self.instance.requests.request,
             caller.team,
             service,
             request.method,
             request.path_params["path"],
             data,
-            timeout.ok_value,
-            request.headers.get("lacewinghold-repeatable", "yes") != "no",
-            key,
+            timeout_s,
+            repeatable,
+            self.idempotency_key(request),
             parse_priority(request.headers.get("priority", "")),
             request.headers.get("content-type", ""),
         )
@@ -100,6 +111,22 @@
         return json_response(record)
 
 
+def parse_service(text: str) -> Result[ServiceId, Failure]:
+    """Returns the service that a path names."""
+    if SERVICE_ID.fullmatch(text) is None:
+        detail = f"a service's name has the form {SERVICE_ID.pattern}"
+        return Err(Failure(ErrorKind.INVALID, detail, "service"))
+    return Ok(ServiceId(text))
+
+
+def parse_repeatable(text: str | None) -> Result[bool, Failure]:
+    """Returns whether a request may be repeated; it may unless it says no."""
+    if text not in (None, "yes", "no"):
+        detail = f"found {text!r}; allowed are yes and no"
+        return Err(Failure(ErrorKind.INVALID, detail, "Lacewinghold-Repeatable"))
+    return Ok(text != "no")
+
+
 async def watch_caller(request: Request, scope: anyio.CancelScope) -> None:
     """Cancels a scope once the caller has closed its connection."""
     while True:
--- a/lacewinghold/api/state.py
+++ b/lacewinghold/api/state.py
@@ -4,18 +4,59 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
+from lacewinghold import __version__
 from lacewinghold.api.common import Handlers
 from lacewinghold.api.problems import json_response
 from lacewinghold.invariants import checks, violations
+from lacewinghold.metrics import lease_remaining_s, queue_length
 
 if TYPE_CHECKING:
     from starlette.requests import Request
     from starlette.responses import Response
     from starlette.routing import Route
 
+    from lacewinghold.ids import (
+        DataCentreId,
+        Epoch,
+        InstanceId,
+        RegionId,
+        Revision,
+        ShardId,
+    )
+
+
+class ShardStatus(Struct, frozen=True):
+    """One shard owned here."""
+
+    epoch: Epoch
+    ready: bool
+    jobs: int
+    workers: int
+
+
+class Status(Struct, frozen=True):
+    """What an entry instance tells of itself."""
+
+    instance: InstanceId
+    version: str
+    region: RegionId
+    data_centre: DataCentreId
+    ready: bool
+    leaving: bool
+    lease_valid: bool
+    lease_remaining_s: float
+    store_revision: Revision
+    store_calls: dict[str, int]
+    tasks_queued: int
+    shards: dict[ShardId, ShardStatus]
+    invariant_checks: int
+    invariant_violations: int
+
 
 class StateHandlers(Handlers):
-    """Liveness, readiness, status and workers."""
+    """Liveness, readiness and status."""
 
     def routes(self) -> list[Route]:
         """Returns the routes."""
@@ -24,7 +65,6 @@
             route("/live", self.live, "GET"),
             route("/ready", self.ready, "GET"),
             route("/status", self.status, "GET"),
-            route("/v1/workers", self.workers, "GET"),
         ]
 
     async def live(self, request: Request) -> Response:
@@ -33,47 +73,39 @@
 
     async def ready(self, request: Request) -> Response:
         """Answers whether this instance should get requests."""
-        ready = self.instance.view.loaded.is_set() and not self.instance.manager.leaving
+        ready = self.instance.ready()
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def status(self, request: Request) -> Response:
         """Describes the instance's lease, shards and invariant checks."""
         instance = self.instance
         shards = {
-            shard: {
-                "epoch": owner.ownership.epoch,
-                "ready": owner.ready.is_set(),
-                "jobs": len(owner.jobs),
-                "workers": len(owner.workers),
-            }
+            shard: ShardStatus(
+                epoch=owner.ownership.epoch,
+                ready=owner.ready.is_set(),
+                jobs=len(owner.jobs),
+                workers=len(owner.workers),
+            )
             for shard, owner in instance.manager.owners.items()
         }
         return json_response(
-            {
-                "instance": instance.instance,
-                "data_centre": instance.settings.data_centre,
-                "lease_valid": instance.lease.valid(),
-                "store_revision": instance.view.revision,
-                "shards": shards,
-                "invariant_checks": sum(checks.values()),
-                "invariant_violations": sum(violations.values()),
-            }
+            Status(
+                instance=instance.instance,
+                version=__version__,
+                region=instance.settings.region,
+                data_centre=instance.settings.data_centre,
+                ready=instance.ready(),
+                leaving=instance.manager.leaving,
+                lease_valid=instance.lease.valid(),
+                lease_remaining_s=round(lease_remaining_s(instance), 3),
+                store_revision=instance.view.revision,
+                store_calls={
+                    str(call): count
+                    for call, count in instance.ports.store.calls.items()
+                },
+                tasks_queued=queue_length(instance),
+                shards=shards,
+                invariant_checks=checks.total(),
+                invariant_violations=violations.total(),
+            )
         )
-
-    async def workers(self, request: Request) -> Response:
-        """Lists the workers of the shards owned here."""
-        self.identify(request)
-        found = []
-        for shard, owner in sorted(self.instance.manager.owners.items()):
-            for worker_id, worker in sorted(owner.workers.items()):
-                found.append(
-                    {
-                        "worker": worker_id,
-                        "shard": shard,
-                        "state": worker.record.state,
-                        "usable": worker.capacity.usable,
-                        "tasks": len(worker.capacity.bookings),
-                        "free": worker.capacity.free,
-                    }
-                )
-        return json_response(found)
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,6 +23,7 @@
 from lacewinghold.shards.directory import Directory
 from lacewinghold.shards.jobs import JobFront
 from lacewinghold.shards.manager import ShardManager
+from lacewinghold.shards.workers import WorkerFront
 
 if TYPE_CHECKING:
     import random
@@ -59,6 +61,7 @@
         self.ports = ports
         self.instance = InstanceId(f"{settings.instance}.{boot}")
         self.keys = Keys(settings.store.prefix)
+        self.counts: Counter[str] = Counter()
         record = InstanceRecord(
             instance=self.instance,
             region=settings.region,
@@ -83,6 +86,7 @@
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
+        self.workers = WorkerFront(self.directory, self.peers)
         once = OnceRequests(
             self.instance,
             RequestRecords(ports.store, self.keys),
@@ -105,6 +109,18 @@
         record = self.view.instances().get(instance)
         return None if record is None else record.peer
 
+    def ready(self) -> bool:
+        """Returns whether this instance should get requests.
+
+        A lease that lapses in an outage of the store takes no instance away from
+        the balancer, since what needs no store goes on.
+        """
+        return (
+            self.lease.generation > 0
+            and bool(self.document.cell().teams)
+            and not self.manager.leaving
+        )
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import InstanceId, SectionName, ShardId
+    from lacewinghold.ids import InstanceId, SectionName, ShardId, WorkerId
 
 SEQUENCE_DIGITS = 12
 
@@ -25,6 +25,7 @@
         self.instances = f"{self.live}instances/"
         self.owners = f"{self.live}owners/"
         self.sections = f"{self.live}sections/"
+        self.drains = f"{self.live}drains/"
         self.audits = f"{prefix}/audit/"
 
     def instance(self, instance: InstanceId) -> str:
@@ -39,6 +40,10 @@
         """Returns the key of a document section."""
         return f"{self.sections}{section}"
 
+    def drain(self, worker: WorkerId) -> str:
+        """Returns the key that tells whether a worker is drained."""
+        return f"{self.drains}{worker}"
+
     def log(self, shard: ShardId) -> str:
         """Returns the prefix of a shard's log."""
         return f"{self.prefix}/ledger/{shard}/log/"
@@ -51,6 +56,15 @@
         """Returns the key of a shard's snapshot."""
         return f"{self.prefix}/ledger/{shard}/snapshot"
 
+    def snapshot_parts(self, shard: ShardId) -> str:
+        """Returns the prefix of the further records of a shard's snapshots."""
+        return f"{self.prefix}/ledger/{shard}/part/"
+
+    def snapshot_part(self, shard: ShardId, through: int, index: int) -> str:
+        """Returns the key of one further record of a snapshot."""
+        number = f"{through:0{SEQUENCE_DIGITS}d}"
+        return f"{self.snapshot_parts(shard)}{number}/{index:04d}"
+
     def idempotency(self, digest: str) -> str:
         """Returns the key that maps an idempotency digest to a job."""
         return f"{self.prefix}/idempotency/{digest}"
