--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,261 @@
+"""Breaks each guard in memory and runs the tests that should notice.
+
+Usage: ``python -m tools.mutants [NAME ...]``. Prints a table; the exit code is not
+zero if a broken guard goes unnoticed, or if the tests fail with all guards whole.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import importlib
+import inspect
+import io
+import sys
+import textwrap
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from msgspec import Struct
+
+from lacewinghold.invariants import violations
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+EPOCH = "tests/test_shards/test_epoch_partition.py"
+CHAOS = "tests/test_shards/test_chaos.py::test_nothing_lost_and_nothing_doubled"
+LEDGER = "tests/test_coordination/test_ledger.py"
+OWNERSHIP = "tests/test_coordination/test_ownership.py"
+
+
+class Mutant(Struct, frozen=True):
+    """One broken guard.
+
+    :param target: The method, as ``module:Class.method``.
+    :param old: Source text of the guard.
+    :param new: What stands in its place.
+    :param tests: Test files of which one must fail.
+    """
+
+    name: str
+    target: str
+    old: str
+    new: str
+    tests: tuple[str, ...] = (EPOCH,)
+
+
+WORKER = "lacewinghold.testing.worker:FakeWorker."
+WORKER_TASK = "lacewinghold.shards.worker_task:WorkerTask."
+OWNER = "lacewinghold.shards.owner:ShardOwner."
+RECOVERY = "lacewinghold.shards.recovery:Recovery."
+CLAIM = "lacewinghold.coordination.ownership:ShardOwnership."
+LOG = "lacewinghold.coordination.ledger:Ledger."
+MUTANTS = [
+    Mutant("fence", WORKER + "find_stale", "command.epoch < self.seen_epoch", "False"),
+    Mutant(
+        "command number",
+        WORKER + "find_stale",
+        "command.number <= self.seen_command",
+        "False",
+    ),
+    Mutant(
+        "incarnation",
+        WORKER + "refuse",
+        "start.incarnation != self.incarnation",
+        "False",
+    ),
+    Mutant("admit", WORKER_TASK + "admit", "not self.owner.ownership.held()", "False"),
+    Mutant(
+        "worker deadline",
+        WORKER + "refuse",
+        "self.clock() > min(start.not_after, start.hold_until)",
+        "False",
+    ),
+    Mutant("wait for all", RECOVERY + "all_fenced", "return all(", "return any("),
+    Mutant(
+        "stop at hold",
+        WORKER + "start",
+        "Execution(view, start.hold_until,",
+        "Execution(view, math.inf,",
+    ),
+    Mutant(
+        "keep outcome",
+        OWNER + "may_forget",
+        "task_id not in self.outcomes.ended",
+        "True",
+    ),
+    Mutant(
+        "lease check before commands",
+        OWNER + "may_command",
+        "self.now() < self.ownership.hold_end(self.hold_s * (1 - CLOCK_DRIFT))",
+        "True",
+    ),
+    Mutant(
+        "hold end frozen",
+        CLAIM + "hold_end",
+        "self.valid_until + hold_s",
+        "self.lease.expires_at + hold_s",
+    ),
+    Mutant(
+        "cut-off owner repeats nothing",
+        RECOVERY + "suspend",
+        "if task.proved and held:",
+        "if task.proved:",
+    ),
+    Mutant(
+        "uncertain start stays",
+        WORKER_TASK + "give_back",
+        "start.task in self.uncertain or ",
+        "",
+    ),
+    Mutant(
+        "ended start is dropped",
+        WORKER_TASK + "apply_ended",
+        "self.starts.pop(ended.task, None)",
+        "pass",
+    ),
+    Mutant(
+        "newer owner's worker",
+        WORKER_TASK + "apply",
+        "report.seen_epoch > self.owner.ownership.epoch",
+        "False",
+    ),
+    Mutant(
+        "missing is not gone",
+        WORKER_TASK + "unlist",
+        "self.refresh_usable()",
+        "self.owner.remove_worker(self.record.worker)",
+    ),
+    Mutant(
+        "ledger names workers",
+        OWNER + "update_workers",
+        "worker_id not in self.workers and worker_id not in listed",
+        "False",
+    ),
+    Mutant(
+        "read-back of a log write",
+        LOG + "explain_refusal",
+        "(batch.writer, batch.epoch) == (self.writer, self.epoch)",
+        "False",
+        (LEDGER,),
+    ),
+    Mutant(
+        "unknown write is not a refusal",
+        LOG + "write",
+        "kind is ErrorKind.STORE_UNAVAILABLE and not uncertain",
+        "True",
+        (LEDGER,),
+    ),
+    Mutant(
+        "epoch condition of a log write",
+        LOG + "transaction",
+        "compares = [self.owned(), Compare",
+        "compares = [Compare",
+        (LEDGER,),
+    ),
+    Mutant(
+        "withdrawn append",
+        LOG + "append",
+        "self.pending.remove(append)",
+        "pass",
+        (LEDGER,),
+    ),
+    Mutant(
+        "read-back of a claim",
+        CLAIM + "settle",
+        "record.owner != self.instance or item.mod_revision <= revision",
+        "True",
+        (OWNERSHIP,),
+    ),
+    Mutant(
+        "lease generation",
+        CLAIM + "held",
+        "self.epoch == 0 or self.generation != self.lease.generation",
+        "self.epoch == 0",
+        (OWNERSHIP,),
+    ),
+    Mutant(
+        "holder's lease in a claim",
+        CLAIM + "take",
+        "compares.append(Compare(holder, CompareTarget.CREATE_REVISION, 0))",
+        "pass",
+        (OWNERSHIP,),
+    ),
+    Mutant(
+        "own lease in a claim",
+        CLAIM + "take",
+        "compares = [mine, Compare",
+        "compares = [Compare",
+        (OWNERSHIP,),
+    ),
+    Mutant(
+        "lease counted from before the call",
+        "lacewinghold.coordination.lease:InstanceLease.extend",
+        "started + ttl_s - self.settings.margin_s",
+        "anyio.current_time() + ttl_s",
+        (OWNERSHIP,),
+    ),
+]
+
+
+@contextlib.contextmanager
+def broken(mutant: Mutant) -> Iterator[None]:
+    """Replaces a method by its source with the guard broken.
+
+    :raises ValueError: If the guard is not in the source.
+    """
+    module_name, _, path = mutant.target.partition(":")
+    class_name, _, method_name = path.partition(".")
+    module = importlib.import_module(module_name)
+    owner = getattr(module, class_name)
+    method = getattr(owner, method_name)
+    source = textwrap.dedent(inspect.getsource(method))
+    if mutant.old not in source:
+        raise ValueError(f"{mutant.name}: the guard is not in {mutant.target}")
+    space: dict[str, Any] = {}
+    exec(source.replace(mutant.old, mutant.new, 1), vars(module), space)
+    setattr(owner, method_name, space[method_name])
+    try:
+        yield
+    finally:
+        setattr(owner, method_name, method)
+        violations.clear()
+
+
+def run_tests(tests: tuple[str, ...]) -> tuple[bool, str]:
+    """Runs tests until one fails.
+
+    :returns: Whether all passed, and the name of the test that failed.
+    """
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        code = pytest.main(["-x", "-q", "--tb=no", "-rf", *tests])
+    failed = ""
+    for line in output.getvalue().splitlines():
+        if line.startswith("FAILED"):
+            failed = line.split("::")[-1].split(" - ")[0]
+    return code == pytest.ExitCode.OK, failed
+
+
+def main() -> int:
+    """Breaks the guards one after the other."""
+    wanted = sys.argv[1:]
+    chosen = [m for m in MUTANTS if not wanted or m.name in wanted]
+    files = tuple(sorted({test for mutant in chosen for test in mutant.tests}))
+    passed, failed = run_tests(files)
+    if not passed:
+        print(f"the tests fail with all guards whole: {failed}")
+        return 2
+    survived = 0
+    for mutant in chosen:
+        with broken(mutant):
+            passed, failed = run_tests(mutant.tests)
+        survived += passed
+        verdict = "SURVIVED" if passed else "noticed "
+        print(f"{mutant.name:<36} {verdict}  {failed}", flush=True)
+    print(f"{len(chosen)} broken guards, {survived} survived")
+    return 1 if survived else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
