--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -2,21 +2,31 @@
 
 from __future__ import annotations
 
+import re
+import secrets
 from typing import TYPE_CHECKING, TypeVar
 
+import structlog
 from msgspec import Struct
 from result import Err, Result
+from starlette.requests import ClientDisconnect
+from starlette.responses import Response
 from starlette.routing import Route
+from structlog.contextvars import bind_contextvars
 
 from lacewinghold.api.problems import problem_response
-from lacewinghold.errors import ErrorKind, Failure, FailureError
+from lacewinghold.errors import (
+    ErrorKind,
+    Failure,
+    FailureError,
+    InvariantViolation,
+)
 from lacewinghold.schema.generated.document import Role
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from starlette.requests import Request
-    from starlette.responses import Response
 
     from lacewinghold.application import EntryInstance
     from lacewinghold.ids import TeamId
@@ -24,6 +34,9 @@
     Endpoint = Callable[[Request], Awaitable[Response]]
 
 T = TypeVar("T")
+logger = structlog.get_logger(__name__)
+MAX_KEY_CHARS = 256
+TRACEPARENT = re.compile(r"[0-9a-f]{2}-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}")
 
 
 class Caller(Struct, frozen=True):
@@ -43,27 +56,58 @@
         """Returns a route whose failures become problem answers."""
 
         async def guarded(request: Request) -> Response:
+            bind_contextvars(request=request_id(request))
             try:
                 return await endpoint(request)
             except FailureError as error:
                 return problem_response(error.failure)
+            except ClientDisconnect:
+                # Nobody reads this answer.
+                return Response(status_code=400)
+            except InvariantViolation as error:
+                logger.error("invariant violated", path=path, detail=str(error))
+                failure = Failure(ErrorKind.INVARIANT_VIOLATED, str(error))
+                return problem_response(failure)
+            except Exception:
+                logger.exception("request failed", path=path)
+                detail = "see the log of this entry instance"
+                return problem_response(Failure(ErrorKind.INTERNAL, detail))
 
         return Route(path, guarded, methods=list(methods))
 
     def identify(self, request: Request) -> Caller:
         """Returns the caller of a request by its bearer key.
 
-        :raises FailureError: If the key is missing or unknown.
+        :raises FailureError: If the key is missing or unknown, or no key can be
+            checked yet.
         """
+        if not self.instance.document.cell().teams:
+            detail = "this entry instance has not read the document yet"
+            failure = Failure(ErrorKind.STORE_UNAVAILABLE, detail, retry_after_s=1.0)
+            raise FailureError(failure)
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         found = None
         if scheme.lower() == "bearer":
             found = self.instance.document.team_of_key(key.strip())
         if found is None:
             detail = "send a known key as 'Authorization: Bearer KEY'"
-            raise FailureError(Failure(ErrorKind.UNAUTHENTICATED, detail))
+            failure = Failure(ErrorKind.UNAUTHENTICATED, detail, "Authorization")
+            raise FailureError(failure)
         return Caller(found[0], found[1] is Role.OPERATOR)
 
+    def idempotency_key(self, request: Request) -> str:
+        """Returns the Idempotency-Key of a request; empty if it has none.
+
+        :raises FailureError: If it is empty, too long or not printable.
+        """
+        key = request.headers.get("idempotency-key")
+        if key is None:
+            return ""
+        if 0 < len(key) <= MAX_KEY_CHARS and key.isascii() and key.isprintable():
+            return key
+        detail = f"send 1 to {MAX_KEY_CHARS} printable ASCII characters"
+        raise FailureError(Failure(ErrorKind.INVALID, detail, "Idempotency-Key"))
+
     async def body(self, request: Request, limit: int) -> bytes:
         """Returns a request's body.
 
@@ -88,6 +132,12 @@
         raise FailureError(Failure(ErrorKind.FORBIDDEN, detail))
 
 
+def request_id(request: Request) -> str:
+    """Returns the trace id of a request, or a new id if it has none."""
+    match = TRACEPARENT.fullmatch(request.headers.get("traceparent", ""))
+    return secrets.token_hex(8) if match is None else match[1]
+
+
 def unwrap(result: Result[T, Failure]) -> T:
     """Returns the value of a result.
 
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,10 +16,14 @@
 from lacewinghold.ids import InstanceId
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.routing.front import RequestFront
+from lacewinghold.routing.once import OnceRequests
+from lacewinghold.routing.records import RequestRecords
+from lacewinghold.routing.rules import ServiceRules
 from lacewinghold.schema.generated.records import InstanceRecord
 from lacewinghold.shards.directory import Directory
 from lacewinghold.shards.jobs import JobFront
 from lacewinghold.shards.manager import ShardManager
+from lacewinghold.shards.workers import WorkerFront
 
 if TYPE_CHECKING:
     import random
@@ -56,6 +61,7 @@
         self.ports = ports
         self.instance = InstanceId(f"{settings.instance}.{boot}")
         self.keys = Keys(settings.store.prefix)
+        self.counts: Counter[str] = Counter()
         record = InstanceRecord(
             instance=self.instance,
             region=settings.region,
@@ -80,8 +86,22 @@
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
+        self.workers = WorkerFront(self.directory, self.peers)
+        once = OnceRequests(
+            self.instance,
+            RequestRecords(ports.store, self.keys),
+            self.view,
+            self.peers,
+            ports.clock,
+        )
         self.requests = RequestFront(
-            settings, self.directory, self.peers, ports.backend_links, rng
+            settings,
+            self.directory,
+            self.peers,
+            ports.backend_links,
+            ServiceRules(self.document),
+            once,
+            rng,
         )
 
     def address_of(self, instance: InstanceId) -> str | None:
@@ -89,6 +109,18 @@
         record = self.view.instances().get(instance)
         return None if record is None else record.peer
 
+    def ready(self) -> bool:
+        """Returns whether this instance should get requests.
+
+        A lease that lapses in an outage of the store takes no instance away from
+        the balancer, since what needs no store goes on.
+        """
+        return (
+            self.lease.generation > 0
+            and bool(self.document.cell().teams)
+            and not self.manager.leaving
+        )
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -96,8 +128,10 @@
             tasks.start_soon(self.view.run)
             tasks.start_soon(self.peers.run)
             tasks.start_soon(self.manager.run)
+            tasks.start_soon(self.requests.run)
 
     async def shut_down(self) -> None:
-        """Hands shards over and ends the lease."""
+        """Hands shards over, finishes requests in progress and ends the lease."""
         await self.manager.release_all()
+        await self.requests.drain(self.settings.shutdown_limit_s)
         await self.lease.close()
--- a/lacewinghold/coordination/ledger.py
+++ b/lacewinghold/coordination/ledger.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.audit import cancel_puts
 from lacewinghold.coordination.compaction import Compactor
 from lacewinghold.coordination.ledger_state import LedgerState
 from lacewinghold.errors import ErrorKind, Failure
@@ -45,6 +46,7 @@
     entries: list[LogEntry]
     digest: str
     job: JobId | None
+    fingerprint: str
     done: anyio.Event
     result: Result[JobId | None, Failure] | None = None
 
@@ -115,6 +117,7 @@
         entries: list[LogEntry],
         digest: str = "",
         job: JobId | None = None,
+        fingerprint: str = "",
         patience_s: float = math.inf,
     ) -> Result[JobId | None, Failure]:
         """Makes entries durable.
@@ -125,14 +128,16 @@
         :param digest: If set, the entries are written only if no job with this
             idempotency digest exists.
         :param job: The job that the digest stands for.
+        :param fingerprint: Hash of what was submitted.
         :param patience_s: Longest wait in seconds.
-        :returns: ``job``, or the job that already has the digest. ``NOT_RUN`` if
-            the entries surely were not written in time, ``OUTCOME_UNKNOWN`` if
-            they may have been.
+        :returns: ``job``, or the job that already has the digest; ``CONFLICT`` if
+            that was submitted with another fingerprint; ``NOT_RUN`` if the entries
+            surely were not written in time, ``OUTCOME_UNKNOWN`` if they may have
+            been.
         """
         if self.closed is not None:
             return Err(self.closed)
-        append = Append(entries, digest, job, anyio.Event())
+        append = Append(entries, digest, job, fingerprint, anyio.Event())
         self.pending.append(append)
         self.wanted.set()
         try:
@@ -208,7 +213,7 @@
                 self.settle(append, Err(reply.err_value))
                 return
             for item in reply.ok_value.items:
-                self.settle(append, Ok(JobId(item.value.decode())))
+                self.settle(append, earlier_job(item.value, append.fingerprint))
                 return
         outcome = await self.write([append])
         if isinstance(outcome, Err):
@@ -241,12 +246,14 @@
             entries=entries,
         )
         operations: list[Put | Delete] = [Put(key, to_json(batch))]
+        operations += cancel_puts(self.keys, self.shard, self.next_number, entries)
         for append in group:
             if not append.digest or append.job is None:
                 continue
             guard = self.keys.idempotency(append.digest)
             compares.append(Compare(guard, CompareTarget.CREATE_REVISION, 0))
-            operations.append(Put(guard, append.job.encode()))
+            value = f"{append.job} {append.fingerprint}"
+            operations.append(Put(guard, value.encode()))
         return Transaction(compares, operations)
 
     async def write(self, group: list[Append]) -> Result[bool, Failure]:
@@ -324,6 +331,19 @@
         self.pending.clear()
 
 
+def earlier_job(value: bytes, fingerprint: str) -> Result[JobId | None, Failure]:
+    """Returns the job that an idempotency key stands for.
+
+    :param value: What the store has under the key.
+    :param fingerprint: Hash of what is submitted now.
+    """
+    job, _, known = value.decode().partition(" ")
+    if known == fingerprint:
+        return Ok(JobId(job))
+    detail = "another job was submitted with this key"
+    return Err(Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key"))
+
+
 def ignore_entry(entry: LogEntry) -> None:
     """Takes no note of a durable entry."""
     del entry
--- a/lacewinghold/coordination/ownership.py
+++ b/lacewinghold/coordination/ownership.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.audit import ownership_put
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import Epoch, Revision
 from lacewinghold.invariants import Invariant, require
@@ -40,6 +41,7 @@
         self.shard = shard
         self.epoch = Epoch(0)
         self.generation = 0
+        self.change = 0
         self.valid_until = 0.0
 
     @property
@@ -70,11 +72,12 @@
         return Err(Failure(ErrorKind.LEASE_LAPSED, f"{self.shard} is not held"))
 
     async def take(
-        self, known: tuple[OwnerRecord, KeyValue] | None
+        self, known: tuple[OwnerRecord, KeyValue] | None, at: float = 0.0
     ) -> Result[Epoch, Failure]:
         """Takes the shard if its last owner let go or its lease has lapsed.
 
         :param known: The ownership record as last seen.
+        :param at: Seconds since 1970, for the audit trail.
         :returns: The new epoch; ``CONFLICT`` if somebody else holds the shard.
         """
         generation = self.lease.generation
@@ -89,9 +92,15 @@
         if known and known[0].owner is not None and known[0].owner != self.instance:
             holder = self.keys.instance(known[0].owner)
             compares.append(Compare(holder, CompareTarget.CREATE_REVISION, 0))
-        record = OwnerRecord(owner=self.instance, lease=self.lease.lease or 0)
+        number = known[0].change + 1 if known else 1
+        record = OwnerRecord(
+            owner=self.instance, lease=self.lease.lease or 0, change=number
+        )
+        audit = ownership_put(
+            self.keys, self.shard, number, self.instance, "take shard", at
+        )
         written = await self.store.commit(
-            Transaction(compares, [Put(key, to_json(record))])
+            Transaction(compares, [Put(key, to_json(record)), audit])
         )
         if isinstance(written, Err):
             if written.err_value.kind is not ErrorKind.OUTCOME_UNKNOWN:
@@ -99,7 +108,7 @@
             return await self.settle(revision, generation)
         if not written.ok_value.succeeded:
             return Err(Failure(ErrorKind.CONFLICT, f"{self.shard} is held"))
-        self.accept(Epoch(written.ok_value.revision), generation)
+        self.accept(Epoch(written.ok_value.revision), generation, number)
         return Ok(self.epoch)
 
     async def settle(self, revision: int, generation: int) -> Result[Epoch, Failure]:
@@ -111,13 +120,14 @@
             record = from_json(item.value, OwnerRecord)
             if record.owner != self.instance or item.mod_revision <= revision:
                 continue
-            self.accept(Epoch(item.mod_revision), generation)
+            self.accept(Epoch(item.mod_revision), generation, record.change)
             return Ok(self.epoch)
         return Err(Failure(ErrorKind.CONFLICT, f"{self.shard} was not taken"))
 
-    def accept(self, epoch: Epoch, generation: int) -> None:
-        """Notes a new epoch."""
+    def accept(self, epoch: Epoch, generation: int, change: int) -> None:
+        """Notes a new epoch and the number of its change of ownership."""
         require(Invariant.EPOCH_RISES, epoch > self.epoch, f"{epoch} {self.epoch}")
+        self.change = change
         self.epoch = epoch
         self.generation = generation
         logger.info("shard taken", shard=self.shard, epoch=epoch)
@@ -138,22 +148,31 @@
             return Ok(True)
         return Ok(False)
 
-    async def release(self) -> Result[bool, Failure]:
+    async def release(self, at: float = 0.0) -> Result[bool, Failure]:
         """Lets go of the shard, so that another may take it at once.
 
+        :param at: Seconds since 1970, for the audit trail.
         :returns: Whether the record was this epoch's until now; a failure leaves
             open whether it is released, and the record is to be looked at again.
         """
         self.generation = 0
-        return await self.let_go(self.epoch)
+        return await self.let_go(self.epoch, self.change, at)
+
+    async def let_go(self, epoch: int, change: int, at: float) -> Result[bool, Failure]:
+        """Releases the ownership record if it is of an epoch.
 
-    async def let_go(self, epoch: int) -> Result[bool, Failure]:
-        """Releases the ownership record if it is of an epoch."""
+        :param change: Number of the change of ownership that made the record.
+        :param at: Seconds since 1970, for the audit trail.
+        """
         key = self.keys.owner(self.shard)
-        record = OwnerRecord(owner=None, released=True)
+        number = change + 1
+        record = OwnerRecord(owner=None, released=True, change=number)
+        audit = ownership_put(
+            self.keys, self.shard, number, self.instance, "release shard", at
+        )
         compare = Compare(key, CompareTarget.MOD_REVISION, Revision(epoch))
         written = await self.store.commit(
-            Transaction([compare], [Put(key, to_json(record))])
+            Transaction([compare], [Put(key, to_json(record)), audit])
         )
         if isinstance(written, Err):
             return Err(written.err_value)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,6 +13,7 @@
 from lacewinghold.coordination.ledger import Ledger
 from lacewinghold.coordination.ownership import ShardOwnership
 from lacewinghold.ids import ShardId
+from lacewinghold.shards.drains import Drains
 from lacewinghold.shards.owner import ShardOwner
 
 if TYPE_CHECKING:
@@ -70,6 +72,9 @@
         self.workers: dict[ShardId, list[WorkerRecord]] = {}
         self.listed: InstanceList | None = None
         self.leaving = False
+        self.counts: Counter[str] = Counter()
+        self.drains = Drains(store, view, clock)
+        view.listeners.append(self.follow_drains)
 
     @property
     def data_centre(self) -> DataCentreId:
@@ -109,6 +114,14 @@
             if owner.ready.is_set():
                 owner.update_workers(shards.get(shard, []))
 
+    def follow_drains(self, changed: set[str]) -> None:
+        """Tells the owners which workers are drained now."""
+        if not self.drains.changed_by(changed):
+            return
+        drained = self.drains.current()
+        for owner in self.owners.values():
+            owner.set_drained(drained)
+
     def desired(self) -> dict[ShardId, InstanceId]:
         """Returns the assignment over the data centre's live instances."""
         instances = [
@@ -152,13 +165,13 @@
         if known is None or known[0].owner != self.lease.record.instance:
             return
         ownership = ShardOwnership(self.store, self.keys, self.lease, shard)
-        await ownership.let_go(known[1].mod_revision)
+        await ownership.let_go(known[1].mod_revision, known[0].change, self.clock.now())
 
     async def take(self, shard: ShardId, tasks: TaskGroup) -> None:
         """Takes a shard and starts to serve it."""
         ownership = ShardOwnership(self.store, self.keys, self.lease, shard)
         known = self.view.owner(shard)
-        taken = await ownership.take(known)
+        taken = await ownership.take(known, self.clock.now())
         if isinstance(taken, Err):
             logger.debug("shard not taken", shard=shard, detail=taken.err_value.detail)
             return
@@ -178,6 +191,8 @@
             self.settings.hold_s,
             self.rng,
         )
+        owner.counts = self.counts
+        owner.set_drained(self.drains.current())
         self.owners[shard] = owner
         tasks.start_soon(self.serve, shard, owner)
 
@@ -206,7 +221,7 @@
         scope = self.scopes.pop(shard, None)
         if scope is not None:
             scope.cancel()
-        await owner.ownership.release()
+        await owner.ownership.release(self.clock.now())
 
     async def release_all(self) -> None:
         """Hands all shards over at the same time."""
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,6 +22,7 @@
 from lacewinghold.shards.placer import Placer
 from lacewinghold.shards.recovery import CLOCK_DRIFT, Recovery
 from lacewinghold.shards.worker_task import WorkerTask
+from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
     import random
@@ -66,11 +69,13 @@
         self.jobs: dict[JobId, Job] = {}
         self.tasks: dict[TaskId, Task] = {}
         self.workers: dict[WorkerId, WorkerTask] = {}
+        self.drained: frozenset[WorkerId] = frozenset()
         self.placer = Placer(self)
         self.waits: list[float] = []
         self.suspended: set[TaskId] = set()
         self.recovery = Recovery(self)
         self.outcomes = OutcomeWriter(self)
+        self.counts: Counter[str] = Counter()
         self.ready = anyio.Event()
         self.changed = anyio.Event()
         self.taken_at = anyio.current_time()
@@ -139,6 +144,13 @@
             self.workers[worker_id].unlist()
         self.placer.wake()
 
+    def set_drained(self, drained: frozenset[WorkerId]) -> None:
+        """Follows which workers operators have drained."""
+        self.drained = drained
+        for worker in self.workers.values():
+            worker.refresh_usable()
+        self.placer.wake()
+
     def add_worker(self, record: WorkerRecord) -> WorkerTask:
         """Starts to serve a worker."""
         worker = WorkerTask(self, record, self.links.open(record))
@@ -200,7 +212,10 @@
             job=job_id, spec=spec, accepted_at=at, idempotency_digest=digest
         )
         entry = LogEntry(kind=EntryKind.JOB_ACCEPTED, at=at, job=record)
-        written = await self.ledger.append([entry], digest, job_id, STORE_PATIENCE_S)
+        fingerprint = hashlib.sha256(to_json(spec)).hexdigest()[:32]
+        written = await self.ledger.append(
+            [entry], digest, job_id, fingerprint, STORE_PATIENCE_S
+        )
         if isinstance(written, Err):
             return Err(written.err_value)
         assert written.ok_value is not None
@@ -231,18 +246,22 @@
             self.tasks[task.id] = task
         self.placer.wake()
 
-    async def cancel(self, job_id: JobId) -> Result[Job, Failure]:
+    async def cancel(self, job_id: JobId, actor: str) -> Result[Job, Failure]:
         """Cancels a job; its running tasks are stopped.
 
+        :param actor: Who cancels it, for the audit trail.
         :returns: The job; it is ``cancel_pending`` until every task has ended.
         """
         job = self.jobs.get(job_id)
         if job is None:
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}"))
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}", "job"))
         if job.ended() or job.cancelled:
             return Ok(job)
         entry = LogEntry(
-            kind=EntryKind.JOB_CANCELLED, at=self.clock.now(), job_id=job_id
+            kind=EntryKind.JOB_CANCELLED,
+            at=self.clock.now(),
+            job_id=job_id,
+            detail=actor,
         )
         written = await self.ledger.append([entry], patience_s=STORE_PATIENCE_S)
         if isinstance(written, Err):
@@ -288,6 +307,7 @@
     def note_started(self, task: Task) -> None:
         """Notes that a task runs."""
         task.state = TaskState.RUNNING
+        self.counts["tasks.started"] += 1
         if task.started_at is None:
             task.started_at = self.now()
             self.waits.append(task.started_at - task.queued_at)
@@ -358,6 +378,7 @@
     def end_task(self, task: Task, state: TaskState, detail: str) -> None:
         """Ends a task; its outcome is written to the ledger next."""
         self.free_worker(task)
+        self.counts[f"tasks.ended.{state}"] += 1
         task.state = state
         task.detail = detail
         self.outcomes.note_ended(task, state, detail)
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -104,6 +104,7 @@
             and self.listed
             and self.record.state is WorkerState.LIVE
             and self.record.worker in self.owner.ledger.state.workers
+            and self.record.worker not in self.owner.drained
         )
 
     def remove(self) -> None:
--- a/lacewinghold/testing/chaos.py
+++ b/lacewinghold/testing/chaos.py
@@ -295,7 +295,7 @@
         known.attempts += 1
         patience_s = self.rng.choice((0.01, 0.5, CALLER_PATIENCE_S))
         with anyio.move_on_after(patience_s) as scope:
-            running.calls.append(scope)
+            running.calls.add(scope)
             reply = await running.instance.jobs.submit(TEAM, spec, spec.name)
             if isinstance(reply, Err):
                 known.refused += reply.err_value.answer.may_repeat
@@ -313,7 +313,7 @@
     async def call_cancel(self, running: RunningInstance, job: JobId) -> None:
         """Cancels a job as an impatient caller."""
         with anyio.move_on_after(CALLER_PATIENCE_S) as scope:
-            running.calls.append(scope)
+            running.calls.add(scope)
             await running.instance.jobs.cancel(job, "chaos")
 
     def kill(self) -> None:
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -27,7 +27,7 @@
 from lacewinghold.testing.gate import Gate
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Iterable
     from typing import TypeVar
 
     T = TypeVar("T")
@@ -175,14 +175,23 @@
     """One client of a fake store; each client can be cut off by itself.
 
     :param state: The shared contents.
+    :param latency_s: Time that each call takes, in seconds, if other than the
+        shared one.
     """
 
     name = "memory"
 
-    def __init__(self, state: StoreState, gate: Gate | None = None) -> None:
+    def __init__(
+        self,
+        state: StoreState,
+        gate: Gate | None = None,
+        latency_s: float | None = None,
+    ) -> None:
         super().__init__()
         self.state = state
         self.gate = gate or Gate()
+        self.latency_s = latency_s
+        self.bytes_moved = 0
         self.reachable = True
         self.faults: list[StoreFault] = []
 
@@ -192,7 +201,7 @@
         """Makes one call with the faults that are due."""
         self.calls[kind] += 1
         await self.gate.pass_through()
-        await anyio.sleep(self.state.latency_s / 2)
+        await anyio.sleep(self.call_s() / 2)
         self.state.advance()
         result = await self.perform(act, self.next_fault())
         await self.gate.pass_through()
@@ -219,11 +228,19 @@
             await anyio.sleep(CALL_TIMEOUT_S)
             return Err(lost)
         result = act()
-        await anyio.sleep(self.state.latency_s / 2)
+        await anyio.sleep(self.call_s() / 2)
         if fault is StoreFault.REPLY_LOST or not self.reachable:
             return Err(lost)
         return result
 
+    def call_s(self) -> float:
+        """Returns the time that a call takes, in seconds."""
+        return self.state.latency_s if self.latency_s is None else self.latency_s
+
+    def count_bytes(self, items: Iterable[KeyValue | Put]) -> None:
+        """Counts the keys and values that a call carries."""
+        self.bytes_moved += sum(len(item.key) + len(item.value) for item in items)
+
     async def range(
         self, key: str, *, prefix: bool = False
     ) -> Result[RangeReply, Failure]:
@@ -233,6 +250,7 @@
             else:
                 keys = [key] if key in self.state.keys else []
             items = [self.state.keys[k] for k in keys]
+            self.count_bytes(items)
             return Ok(RangeReply(self.state.revision, items))
 
         reply = await self.call(CallKind.READ, act)
@@ -259,6 +277,7 @@
                 return Err(Failure(ErrorKind.LEASE_LAPSED, "no such lease"))
         if size > MAX_REQUEST_BYTES:
             return Err(Failure(ErrorKind.TOO_LARGE, "the request is too large"))
+        self.bytes_moved += size
         return Ok(self.state.apply(transaction))
 
     async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
@@ -310,11 +329,12 @@
                 after = batch.revision
                 if self.cut_off():
                     break
-                await anyio.sleep(self.state.latency_s)
                 await self.gate.pass_through()
                 puts = [item for item in batch.puts if item.key.startswith(prefix)]
                 deletes = [key for key in batch.deletes if key.startswith(prefix)]
                 if puts or deletes:
+                    await anyio.sleep(self.call_s() / 2)
+                    self.count_bytes(puts)
                     yield WatchBatch(batch.revision, puts, deletes)
             if self.cut_off():
                 detail = "the watch broke"
