--- a/lacewinghold/testing/backend.py
+++ b/lacewinghold/testing/backend.py
@@ -70,6 +70,7 @@
     settled: set[AttemptId] = field(default_factory=set)
     most_running: int = 0
     leaving: bool = False
+    knows_list: bool = True
 
     def refresh(self) -> None:
         """Forgets everything if the worker was restarted."""
@@ -82,7 +83,8 @@
 
     def is_leaving(self) -> bool:
         """Returns whether the server takes no new work."""
-        return self.leaving or self.worker.record.state is WorkerState.LEAVING
+        listed = self.worker.record.state is WorkerState.LEAVING
+        return self.leaving or (self.knows_list and listed)
 
     def refusal(
         self, attempt: AttemptId, service: str, epoch: int, incarnation: int
@@ -151,6 +153,7 @@
         self.default_time_s = SERVICE_TIME_S
         self.unreachable: set[WorkerId] = set()
         self.runs: Counter[RequestId] = Counter()
+        self.bodies: Counter[bytes] = Counter()
         self.arrivals: Counter[WorkerId] = Counter()
         self.last_arrival: dict[WorkerId, float] = {}
 
@@ -204,6 +207,7 @@
             return Unanswered(REFUSALS[refusal], refusal)
         backend.begin(request.attempt)
         self.runs[request_of(request.attempt)] += 1
+        self.bodies[request.body] += 1
         self.arrivals[worker.worker] += 1
         self.last_arrival[worker.worker] = anyio.current_time()
         run_s = self.service_time_s.get(worker.worker, self.default_time_s)
