--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -11,6 +11,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import InstanceId, RequestId, ShardId
 from lacewinghold.routing.budget import RetryBudget
+from lacewinghold.routing.forwards import Forwards
 from lacewinghold.routing.loads import LoadTable
 from lacewinghold.routing.outcomes import Observation, to_failure
 from lacewinghold.routing.router import ShardRouter
@@ -32,6 +33,7 @@
     from lacewinghold.ids import ServiceId, TeamId
     from lacewinghold.peers.links import PeerLinks
     from lacewinghold.routing.base import BackendLinks
+    from lacewinghold.routing.forwards import Forward
     from lacewinghold.routing.once import OnceRequests
     from lacewinghold.routing.router import LateAnswer
     from lacewinghold.routing.rules import ServiceRules
@@ -73,6 +75,7 @@
         self.rules = rules
         self.once = once
         self.loads = LoadTable(peers.instance, settings, rules, rng)
+        self.forwards = Forwards()
         self.budget = RetryBudget()
         self.routers: dict[ShardId, ShardRouter] = {}
         self.draining: set[ShardRouter] = set()
@@ -225,6 +228,7 @@
         try:
             reply = await self.forward(record.instance, message)
         except anyio.get_cancelled_exc_class():
+            self.forwards.end(message.request)
             with anyio.CancelScope(shield=True):
                 await self.peers.notify(
                     record.instance,
@@ -257,11 +261,13 @@
     async def forward(
         self, instance: InstanceId, message: ServiceRequest
     ) -> Result[bytes, Failure]:
-        """Forwards a request; ends early if the instance is seen to be gone."""
+        """Forwards a request; ends early if the instance or its link is gone."""
         result: Result[bytes, Failure]
         result = Err(to_failure(Observation.FORWARD_LOST, instance))
+        forward = self.forwards.begin(message.request, instance)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.watch_instance, instance, tasks.cancel_scope)
+            tasks.start_soon(self.watch_forward, forward, tasks.cancel_scope)
             result = await self.peers.call(
                 instance,
                 MessageKind.SERVICE_REQUEST,
@@ -269,8 +275,14 @@
                 message.timeout_s + FORWARD_MARGIN_S,
             )
             tasks.cancel_scope.cancel()
+        self.forwards.end(message.request)
         return result
 
+    async def watch_forward(self, forward: Forward, scope: anyio.CancelScope) -> None:
+        """Cancels a scope once a forwarded request is lost."""
+        await self.forwards.wait_lost(forward)
+        scope.cancel()
+
     async def watch_instance(
         self, instance: InstanceId, scope: anyio.CancelScope
     ) -> None:
@@ -293,7 +305,11 @@
             if not message.repeatable and router.tasks is not None:
                 router.tasks.start_soon(self.send_late, sender, answer)
 
-        served = await router.serve(message, late)
+        self.forwards.serving[sender].add(message.request)
+        try:
+            served = await router.serve(message, late)
+        finally:
+            self.forwards.serving[sender].discard(message.request)
         if isinstance(served, Err):
             return Err(served.err_value)
         return Ok(served.ok_value)
@@ -326,6 +342,7 @@
         """Takes the loads of another entry instance's shards."""
         message = unpack(body, ServiceLoads)
         self.loads.note(message.loads)
+        self.forwards.note(sender, message.serving)
         return Ok(message)
 
     async def publish_loads(self) -> None:
@@ -335,12 +352,12 @@
             for router in self.routers.values():
                 loads.extend(router.loads())
             self.loads.note(loads)
-            for instance in self.directory.view.instances() if loads else ():
-                if instance == self.peers.instance:
+            for instance in self.directory.view.instances():
+                serving = sorted(self.forwards.serving[instance])
+                if instance == self.peers.instance or not (loads or serving):
                     continue
-                await self.peers.notify(
-                    instance, MessageKind.SERVICE_LOADS, ServiceLoads(loads)
-                )
+                message = ServiceLoads(loads, serving)
+                await self.peers.notify(instance, MessageKind.SERVICE_LOADS, message)
             await anyio.sleep(LOAD_INTERVAL_S)
 
 
--- a/tests/test_routing/test_leaving.py
+++ b/tests/test_routing/test_leaving.py
@@ -7,6 +7,7 @@
 from result import Ok
 from support import GENT, ONE_CENTRE, THREE_CENTRES, ask, make_shape, serving_cell
 
+from lacewinghold.errors import ErrorKind
 from lacewinghold.invariants import violations
 from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.testing.backend import BackendFault
@@ -14,6 +15,7 @@
 
 NO_NEW_WORK_AFTER_S = 3.0
 SILENCE_FOUND_WITHIN_S = 4.0
+SILENT_LINK_FOUND_WITHIN_S = 6.0
 
 
 async def steady(cell, results, seconds, every_s=0.02, **options):
@@ -156,3 +158,32 @@
     assert all(isinstance(result, Ok) for result in [*results, *others])
     assert {result.ok_value.worker[:6] for result in results} == {"gent-a"}
     assert once.err_value.answer.may_repeat
+
+
+async def silent_peers(cuts):
+    """Only one instance owns shards; all others forward to it."""
+    async with serving_cell(66, make_shape(ONE_CENTRE, 4, 4)) as cell:
+        owners = {n for n, r in cell.instances.items() if r.instance.manager.owners}
+        name, entry = next((n, r) for n, r in cell.instances.items() if n not in owners)
+        cell.backend_links.default_time_s = 1.0
+        asked_at = anyio.current_time()
+        results = []
+
+        async def send():
+            results.append(await ask(cell, at=entry, timeout_s=60.0, repeatable=False))
+
+        async with anyio.create_task_group() as tasks:
+            if "there" in cuts:
+                cell.network.cut |= {(name, owner) for owner in owners}
+            tasks.start_soon(send)
+            await anyio.sleep(0.5)
+            if "back" in cuts:
+                cell.network.cut |= {(owner, name) for owner in owners}
+        return results[0], anyio.current_time() - asked_at
+
+
+@pytest.mark.parametrize("cuts", ["there", "back", "there and back"])
+def test_silent_link_between_instances_is_found(cuts):
+    result, waited_s = run_paused(silent_peers, cuts, seed=66)
+    assert result.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert waited_s <= SILENT_LINK_FOUND_WITHIN_S
