--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -33,6 +33,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from lacewinghold.peers.links import PeerLinks
+
     Send = Callable[[], Awaitable[bool]]
 
 TEAM = TeamId("operators")
@@ -104,6 +106,20 @@
     return await offer(RoundRobin().send, load, seconds, seed=1)
 
 
+async def start_service(cell: Cell, need: Resources) -> None:
+    """Runs the service on all workers."""
+    for running in cell.instances.values():
+        for owner in running.instance.manager.owners.values():
+            spec = JobSpec(
+                kind=JobKind.SERVICE,
+                team=TEAM,
+                tasks=len(owner.workers),
+                resources=need,
+                service=SERVICE,
+            )
+            await owner.accept(spec, "")
+
+
 async def routed(load: float, seconds: float) -> float:
     """Returns the goodput of three entry instances over the same servers."""
     centre, region = DataCentreId("gent-a"), RegionId("vlaanderen")
@@ -115,16 +131,7 @@
         await cell.start()
         await cell.wait_ready(2)
         await anyio.sleep(1)
-        for running in cell.instances.values():
-            for owner in running.instance.manager.owners.values():
-                spec = JobSpec(
-                    kind=JobKind.SERVICE,
-                    team=TEAM,
-                    tasks=len(owner.workers),
-                    resources=need,
-                    service=SERVICE,
-                )
-                await owner.accept(spec, "")
+        await start_service(cell, need)
         await anyio.sleep(2)
 
         async def send() -> bool:
@@ -163,6 +170,71 @@
         return figures
 
 
+async def control_bytes(seconds: float) -> list[Figure]:
+    """Counts what seven entry instances tell each other about requests."""
+    region, other = RegionId("vlaanderen"), RegionId("wallonie")
+    centres = {
+        DataCentreId("gent-a"): region,
+        DataCentreId("antwerpen-b"): region,
+        DataCentreId("namur-a"): other,
+    }
+    need = Resources(cores=16, memory_mb=32768)
+    async with anyio.create_task_group() as tasks:
+        cell = Cell(CellShape(centres, need, 7, 8), tasks, seed=1)
+        await cell.start()
+        await cell.wait_ready(6)
+        await anyio.sleep(1)
+        await start_service(cell, need)
+        await anyio.sleep(2)
+        links = [running.instance.peers for running in cell.instances.values()]
+        before = count_bytes(links)
+        crossed = sum(cell.network.bytes_between_regions.values())
+        await anyio.sleep(seconds)
+        idle = (count_bytes(links) - before) / seconds
+        crossed = sum(cell.network.bytes_between_regions.values()) - crossed
+        before = count_bytes(links)
+        writes = sum(sum(r.store.calls.values()) for r in cell.instances.values())
+        begun_at = anyio.current_time()
+
+        async def send(index: int) -> None:
+            await cell.any_instance().requests.request(
+                TEAM, SERVICE, "POST", "/", b"x" * 100, 5.0, False, f"k{index}"
+            )
+
+        async with anyio.create_task_group() as senders:
+            for index in range(500):
+                senders.start_soon(send, index)
+                await anyio.sleep(0.01)
+        spent_s = anyio.current_time() - begun_at
+        calls = sum(sum(r.store.calls.values()) for r in cell.instances.values())
+        forwarded = count_bytes(links) - before - idle * spent_s
+        tasks.cancel_scope.cancel()
+    per_instance = idle / 7
+    return [
+        Figure("bytes of loads sent by an instance", per_instance, "B/s", 8000),
+        Figure("bytes of loads between regions", crossed / seconds, "B/s"),
+        Figure("bytes for requests of 100 bytes", forwarded / 500, "B/request"),
+        Figure(
+            "store calls while 100 claims a second", (calls - writes) / spent_s, "/s"
+        ),
+    ]
+
+
+def count_bytes(links: list[PeerLinks]) -> int:
+    """Returns the bytes that instances have sent each other."""
+    return sum(sum(peers.bytes_sent.values()) for peers in links)
+
+
+class ControlBenchmark(Benchmark):
+    """Bytes between seven entry instances and store calls, on the paused clock."""
+
+    name = "routing-control"
+
+    def run(self, *, quick: bool) -> list[Figure]:
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+        return run_paused(control_bytes, 5.0 if quick else 30.0, seed=1)
+
+
 class Samples(Struct):
     """Latencies of one way to call."""
 
--- a/lacewinghold/routing/records.py
+++ b/lacewinghold/routing/records.py
@@ -10,7 +10,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import LeaseId, Revision
-from lacewinghold.schema.generated.records import RequestRecord
+from lacewinghold.schema.generated.records import RequestRecord, RequestState
 from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
 from lacewinghold.util.codec import from_json, to_json
 
@@ -22,6 +22,7 @@
 MAX_GROUP_BYTES = 500_000
 RETENTION_S = 900.0
 RETRY_S = 0.1
+OUTCOME_DELAY_S = 0.25
 
 
 class StoredRecord(Struct, frozen=True):
@@ -62,6 +63,7 @@
         self.keys = keys
         self.pending: list[PendingWrite] = []
         self.wanted = anyio.Event()
+        self.urgent = anyio.Event()
         self.lease = LeaseId(0)
         self.lease_opened_at = 0.0
 
@@ -84,10 +86,13 @@
         :returns: The new revision; ``CONFLICT`` if another one is there,
             ``STORE_UNAVAILABLE`` if surely nothing was written.
         """
+        urgent = record.state is RequestState.INTENT
         key = self.keys.request(digest)
         pending = PendingWrite(key, record, to_json(record), expected)
         self.pending.append(pending)
         self.wanted.set()
+        if urgent:
+            self.urgent.set()
         try:
             await pending.done.wait()
         finally:
@@ -99,9 +104,7 @@
     async def run(self) -> None:
         """Writes what is pending, one store write at a time."""
         while True:
-            if not self.pending:
-                self.wanted = anyio.Event()
-                await self.wanted.wait()
+            await self.wait_due()
             group = self.next_group()
             lease = await self.current_lease()
             if isinstance(lease, Err):
@@ -110,6 +113,20 @@
                 continue
             await self.write_group(group)
 
+    async def wait_due(self) -> None:
+        """Waits until a write is due: intents at once, outcomes after a while.
+
+        So outcomes travel with the intents of later requests.
+        """
+        if not self.pending:
+            self.wanted = anyio.Event()
+            await self.wanted.wait()
+        if any(p.record.state is RequestState.INTENT for p in self.pending):
+            return
+        self.urgent = anyio.Event()
+        with anyio.move_on_after(OUTCOME_DELAY_S):
+            await self.urgent.wait()
+
     def next_group(self) -> list[PendingWrite]:
         """Takes the next writes, each key at most once."""
         group: list[PendingWrite] = []
