--- a/lacewinghold/routing/backends.py
+++ b/lacewinghold/routing/backends.py
@@ -233,7 +233,8 @@
             exchange = self.own.get(attempt)
             if exchange is None:
                 continue
-            never = attempt in unseen
+            same = exchange.request.incarnation == reply.incarnation
+            never = same and attempt in unseen
             seen = Observation.SILENT_UNSEEN if never else Observation.SILENT
             exchange.cut(Unanswered(seen))
         self.foreign &= running
--- a/tests/test_routing/test_outcomes.py
+++ b/tests/test_routing/test_outcomes.py
@@ -281,3 +281,26 @@
 def test_removed_backend_leaves_the_outcome_unknown():
     outcome = run_paused(removed_by_the_platform, seed=11)
     assert outcome.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def restart_while_silent():
+    async with serving_cell(5) as cell:
+        links = cell.backend_links
+        links.faults = [BackendFault.SILENT_ANSWER]
+        results = []
+
+        async def send():
+            results.append(await ask(cell, repeatable=False, key="k", timeout_s=20.0))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.1)
+            for worker_id in list(links.arrivals):
+                cell.workers[worker_id].restart()
+        return results[0], sum(links.runs.values())
+
+
+def test_a_restarted_server_that_forgot_a_request_proves_nothing():
+    result, runs = run_paused(restart_while_silent, seed=5)
+    assert result.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert runs == 1
