--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -24,6 +24,7 @@
 from lacewinghold.shards.jobs import JobFront
 from lacewinghold.shards.manager import ShardManager
 from lacewinghold.shards.workers import WorkerFront
+from lacewinghold.store.guarded import GuardedStore
 
 if TYPE_CHECKING:
     import random
@@ -69,14 +70,15 @@
             peer=settings.listen.peer,
             http=settings.listen.http,
         )
-        self.lease = InstanceLease(ports.store, self.keys, settings.lease, record, rng)
-        self.view = LiveView(ports.store, self.keys, rng)
+        self.store = GuardedStore(ports.store, rng)
+        self.lease = InstanceLease(self.store, self.keys, settings.lease, record, rng)
+        self.view = LiveView(self.store, self.keys, rng)
         self.document = Document(self.view)
-        self.editor = Editor(ports.store, self.keys, ports.clock)
+        self.editor = Editor(self.store, self.keys, ports.clock)
         self.peers = PeerLinks(self.instance, ports.transport, self.address_of)
         self.manager = ShardManager(
             settings,
-            ports.store,
+            self.store,
             self.lease,
             self.view,
             ports.instance_list,
@@ -89,7 +91,7 @@
         self.workers = WorkerFront(self.directory, self.peers)
         once = OnceRequests(
             self.instance,
-            RequestRecords(ports.store, self.keys),
+            RequestRecords(self.store, self.keys),
             self.view,
             self.peers,
             ports.clock,
--- a/lacewinghold/coordination/view.py
+++ b/lacewinghold/coordination/view.py
@@ -8,7 +8,7 @@
 import structlog
 from result import Err
 
-from lacewinghold.errors import FailureError
+from lacewinghold.errors import ErrorKind, FailureError
 from lacewinghold.ids import InstanceId, Revision, ShardId
 from lacewinghold.schema.generated.records import InstanceRecord, OwnerRecord
 from lacewinghold.util.backoff import Backoff
@@ -58,6 +58,7 @@
         """Reads all live keys."""
         reply = await self.store.range(self.keys.live, prefix=True)
         if isinstance(reply, Err):
+            self.regressed = reply.err_value.kind is ErrorKind.STORE_REGRESSED
             return False
         found = reply.ok_value
         if found.revision < self.revision:
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -338,6 +338,13 @@
         if report.seen_epoch > self.owner.ownership.epoch:
             # A newer owner acts on what this worker reports.
             self.capacity.usable = False
+            if self.owner.ownership.held():
+                logger.error(
+                    "worker has seen a later epoch: the store is behind its past",
+                    worker=self.record.worker,
+                    seen=report.seen_epoch,
+                    epoch=self.owner.ownership.epoch,
+                )
             return
         if self.incarnation is not None and report.incarnation < self.incarnation:
             return
--- /dev/null
+++ b/lacewinghold/store/guarded.py
@@ -0,0 +1,208 @@
+"""Protects the store, and its callers, while it is slow, down or failing."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, TypeVar
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure, FailureError
+from lacewinghold.store.base import (
+    CallKind,
+    RangeReply,
+    Store,
+    Transaction,
+    TransactionReply,
+)
+from lacewinghold.util.backoff import Backoff
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from lacewinghold.ids import LeaseId, Revision
+    from lacewinghold.store.base import WatchBatch
+
+T = TypeVar("T")
+logger = structlog.get_logger(__name__)
+OUTAGE_KINDS = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN)
+MAX_READ_ATTEMPTS = 3
+RETRY_FIRST_S = 0.05
+RETRY_LIMIT_S = 0.4
+BUDGET_LIMIT = 10.0
+BUDGET_PER_SUCCESS = 0.1
+BREAKER_FAILURES = 5
+BREAKER_FIRST_S = 0.5
+BREAKER_LIMIT_S = 5.0
+REFUSAL_DELAY_S = 0.05
+
+
+class RetryBudget:
+    """Bounds repeats to a share of what succeeds, so that they add no overload."""
+
+    def __init__(self) -> None:
+        self.tokens = BUDGET_LIMIT
+
+    def earn(self) -> None:
+        """Notes a success."""
+        self.tokens = min(BUDGET_LIMIT, self.tokens + BUDGET_PER_SUCCESS)
+
+    def spend(self) -> bool:
+        """Returns whether a repeat is allowed, and counts it."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class CircuitBreaker:
+    """Refuses calls for a while after several failures in a row.
+
+    After the pause one call at a time is let through; its success lets all
+    through. The pauses grow and are jittered, so that the instances come back
+    one after the other.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.failures = 0
+        self.closed_until = 0.0
+        self.probing = False
+        self.backoff = Backoff(BREAKER_FIRST_S, BREAKER_LIMIT_S, rng)
+
+    def admit(self) -> bool:
+        """Returns whether a call may be made now."""
+        if self.failures < BREAKER_FAILURES:
+            return True
+        if self.probing or anyio.current_time() < self.closed_until:
+            return False
+        self.probing = True
+        return True
+
+    def note(self, *, success: bool) -> None:
+        """Notes the outcome of a call."""
+        self.probing = False
+        if success:
+            self.failures = 0
+            self.backoff.reset()
+            return
+        self.failures += 1
+        if self.failures >= BREAKER_FAILURES:
+            self.closed_until = anyio.current_time() + self.backoff.next_delay_s()
+
+
+class GuardedStore(Store):
+    """A store client with a retry budget, a circuit breaker and a revision check.
+
+    Reads are repeated, writes never are, nor are they sent twice at once: who
+    writes settles an unknown outcome by reading back. Renewals of the lease
+    pass an open breaker, since everything depends on them.
+
+    :param inner: The client that makes the calls.
+    """
+
+    name = "guarded"
+
+    def __init__(self, inner: Store, rng: random.Random) -> None:
+        self.inner = inner
+        self.rng = rng
+        self.calls = inner.calls
+        self.budget = RetryBudget()
+        self.breaker = CircuitBreaker(rng)
+        self.revision = 0
+        self.retries = 0
+        self.refused = 0
+
+    async def attempt(
+        self, call: Callable[[], Awaitable[Result[T, Failure]]], *, kind: CallKind
+    ) -> Result[T, Failure]:
+        """Makes one call, unless the breaker is open."""
+        if not self.breaker.admit() and kind is not CallKind.LEASE:
+            self.refused += 1
+            # Callers that try again at once must not spin.
+            await anyio.sleep(REFUSAL_DELAY_S)
+            detail = "the store failed several times; not called for a while"
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        try:
+            result = await call()
+        except BaseException:
+            self.breaker.probing = False
+            raise
+        failed = isinstance(result, Err) and result.err_value.kind in OUTAGE_KINDS
+        self.breaker.note(success=not failed)
+        if not failed:
+            self.budget.earn()
+        return result
+
+    def check(self, found: int, floor: int) -> Failure | None:
+        """Returns a failure if the store is behind what it has shown before.
+
+        :param found: The revision of a reply.
+        :param floor: The highest revision seen before the call was made.
+        """
+        self.revision = max(self.revision, found)
+        if found >= floor:
+            return None
+        detail = f"the store is at revision {found} and was at {floor} before"
+        logger.error("store regressed", found=found, seen=floor)
+        return Failure(ErrorKind.STORE_REGRESSED, detail)
+
+    async def range(
+        self, key: str, *, prefix: bool = False
+    ) -> Result[RangeReply, Failure]:
+        floor = self.revision
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S, self.rng)
+        for attempt in range(MAX_READ_ATTEMPTS):
+            if attempt:
+                if not self.budget.spend():
+                    break
+                self.retries += 1
+                await anyio.sleep(backoff.next_delay_s())
+            reply = await self.attempt(
+                lambda: self.inner.range(key, prefix=prefix), kind=CallKind.READ
+            )
+            if isinstance(reply, Ok):
+                failure = self.check(reply.ok_value.revision, floor)
+                return reply if failure is None else Err(failure)
+        return reply
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[TransactionReply, Failure]:
+        floor = self.revision
+        reply = await self.attempt(
+            lambda: self.inner.commit(transaction), kind=CallKind.WRITE
+        )
+        if isinstance(reply, Ok):
+            failure = self.check(reply.ok_value.revision, floor)
+            return reply if failure is None else Err(failure)
+        return reply
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
+        return await self.attempt(
+            lambda: self.inner.grant_lease(ttl_s), kind=CallKind.LEASE
+        )
+
+    async def renew_lease(self, lease: LeaseId) -> Result[float, Failure]:
+        return await self.attempt(
+            lambda: self.inner.renew_lease(lease), kind=CallKind.LEASE
+        )
+
+    async def revoke_lease(self, lease: LeaseId) -> Result[None, Failure]:
+        return await self.attempt(
+            lambda: self.inner.revoke_lease(lease), kind=CallKind.LEASE
+        )
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, after: Revision
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        if not self.breaker.admit():
+            self.refused += 1
+            detail = "the store failed several times; not called for a while"
+            raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        self.breaker.probing = False
+        async with self.inner.watch(prefix, after) as changes:
+            yield changes
