--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -34,6 +34,9 @@
 LIST_INTERVAL_S = 1.0
 TAKE_INTERVAL_S = 0.25
 HAND_OVER_LIMIT_S = 5.0
+MOVE_AFTER_S = 2.0
+MOVE_JITTER_S = 2.0
+FIRST_TAKE_AFTER_S = 0.5
 
 
 def shard_of(record: WorkerRecord, shards_per_rack: int) -> ShardId:
@@ -72,6 +75,8 @@
         self.workers: dict[ShardId, list[WorkerRecord]] = {}
         self.listed: InstanceList | None = None
         self.leaving = False
+        self.started_at = 0.0
+        self.move_at: dict[ShardId, float] = {}
         self.counts: Counter[str] = Counter()
         self.drains = Drains(store, view, clock)
         view.listeners.append(self.follow_drains)
@@ -86,6 +91,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follow_list)
             await self.view.loaded.wait()
+            self.started_at = anyio.current_time()
             while True:
                 await self.adjust(tasks)
                 changed = self.view.changed
@@ -138,14 +144,38 @@
         me = self.lease.record.instance
         for shard, instance in sorted(self.desired().items()):
             if shard in self.owners:
-                if instance != me:
+                if instance == me:
+                    self.move_at.pop(shard, None)
+                elif self.may_move(shard):
+                    # One a round, so that many moves make no burst of calls.
                     await self.release(shard)
+                    return
                 continue
-            if instance == me and self.available(shard):
+            if instance == me and self.available(shard) and self.may_take(shard):
                 await self.take(shard, tasks)
             elif instance != me:
                 await self.disclaim(shard)
 
+    def may_move(self, shard: ShardId) -> bool:
+        """Returns whether a shard has been another's for long enough to be moved.
+
+        Instances come one after the other, and the instance list and the view
+        lag: a shard is handed over only once the assignment has settled.
+        """
+        now = anyio.current_time()
+        delay_s = MOVE_AFTER_S + self.rng.uniform(0.0, MOVE_JITTER_S)
+        return now >= self.move_at.setdefault(shard, now + delay_s)
+
+    def may_take(self, shard: ShardId) -> bool:
+        """Returns whether a shard may be taken now.
+
+        One that had an owner waits for nobody. In a new cell, instances that
+        start together wait until they see each other.
+        """
+        if self.view.owner(shard) is not None:
+            return True
+        return anyio.current_time() >= self.started_at + FIRST_TAKE_AFTER_S
+
     def available(self, shard: ShardId) -> bool:
         """Returns whether a shard seems to have no live owner.
 
@@ -212,6 +242,7 @@
         is released by a later round or with the instance's lease.
         """
         owner = self.owners[shard]
+        self.move_at.pop(shard, None)
         with anyio.move_on_after(HAND_OVER_LIMIT_S):
             await owner.ready.wait()
             await owner.hand_over()
--- a/lacewinghold/testing/pair.py
+++ b/lacewinghold/testing/pair.py
@@ -54,10 +54,11 @@
         await self.cell.load_document()
         self.first = self.cell.instances[self.cell.start_instance(PLACE, "first")]
         await self.until(lambda: len(self.usable(self.first)) == 2)
-        # Assigned while the first lives would move the shard: its view lags.
-        self.second = self.cell.instances[self.cell.start_instance(PLACE, "second")]
-        await anyio.sleep(0.3)
-        if self.owner(self.first) is None:
+        second = self.cell.start_instance(PLACE, "second")
+        self.second = self.cell.instances[second]
+        manager = self.first.instance.manager
+        await self.until(lambda: second in manager.view.instances())
+        if manager.desired()[SHARD] == second:
             self.first, self.second = self.second, self.first
             await self.until(lambda: len(self.usable(self.first)) == 2)
 
