--- a/lacewinghold/coordination/keys.py
+++ b/lacewinghold/coordination/keys.py
@@ -25,6 +25,10 @@
         self.instances = f"{self.live}instances/"
         self.owners = f"{self.live}owners/"
         self.sections = f"{self.live}sections/"
+        self.references = f"{self.live}references"
+        self.version = f"{self.live}version"
+        self.rule_lease = f"{self.live}rule-lease"
+        self.rosters = f"{self.live}roster/"
         self.drains = f"{self.live}drains/"
         self.audits = f"{prefix}/audit/"
 
@@ -32,6 +36,10 @@
         """Returns the key of an entry instance's record."""
         return f"{self.instances}{instance}"
 
+    def roster(self, instance: InstanceId) -> str:
+        """Returns the key that stays as long as an entry instance may act."""
+        return f"{self.rosters}{instance}"
+
     def owner(self, shard: ShardId) -> str:
         """Returns the key of a shard's ownership record."""
         return f"{self.owners}{shard}"
@@ -40,6 +48,14 @@
         """Returns the key of a document section."""
         return f"{self.sections}{section}"
 
+    def changes(self, section: SectionName) -> str:
+        """Returns the key of the index of a section's latest changes."""
+        return f"{self.prefix}/changes/{section}"
+
+    def history(self, section: SectionName, number: int) -> str:
+        """Returns the key of a section as a change left it."""
+        return f"{self.prefix}/history/{section}/{number:0{SEQUENCE_DIGITS}d}"
+
     def drain(self, worker: WorkerId) -> str:
         """Returns the key that tells whether a worker is drained."""
         return f"{self.drains}{worker}"
--- a/lacewinghold/coordination/ledger.py
+++ b/lacewinghold/coordination/ledger.py
@@ -171,13 +171,27 @@
 
     def next_group(self) -> list[Append]:
         """Takes the appends of the next write, within the store's limits."""
-        count = min(len(self.pending), MAX_BATCH_APPENDS)
+        count = self.count_distinct()
         while count > 1 and self.batch_size(self.pending[:count]) > MAX_BATCH_BYTES:
             count //= 2
         group = self.pending[:count]
         del self.pending[:count]
         return group
 
+    def count_distinct(self) -> int:
+        """Returns how many pending appends may share a write.
+
+        A repeat with an idempotency digest that the group holds already waits for
+        the next write, which then finds the digest taken.
+        """
+        digests: set[str] = set()
+        for count, append in enumerate(self.pending[:MAX_BATCH_APPENDS]):
+            if append.digest in digests:
+                return count
+            if append.digest:
+                digests.add(append.digest)
+        return min(len(self.pending), MAX_BATCH_APPENDS)
+
     def batch_size(self, group: list[Append]) -> int:
         """Returns the size of a group's record in bytes."""
         return len(to_json([append.entries for append in group]))
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -10,6 +10,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from lacewinghold.coordination.rules import OpenRules
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import JobId, job_shard, task_job
 from lacewinghold.invariants import Invariant, require
@@ -29,6 +30,7 @@
 
     from lacewinghold.coordination.ledger import Ledger
     from lacewinghold.coordination.ownership import ShardOwnership
+    from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.ids import ShardId, TaskId, WorkerId
     from lacewinghold.schema.generated.jobs import JobSpec
     from lacewinghold.schema.generated.worker import EndedTask, WorkerRecord
@@ -49,6 +51,7 @@
     :param ledger: The shard's ledger under the claim's epoch.
     :param hold_s: How long workers keep tasks of an epoch whose owner is cut off.
     :param rng: Source of jitter and of job ids.
+    :param rules: Permits starts and requests by the operators' document.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         clock: WallClock,
         hold_s: float,
         rng: random.Random,
+        rules: RuleGate | None = None,
     ) -> None:
+        self.rules = rules or OpenRules()
         self.ownership = ownership
         self.ledger = ledger
         self.links = links
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -153,6 +153,13 @@
         "compares = [Compare",
         (LEDGER,),
     ),
+    Mutant(
+        "repeats in one write",
+        LOG + "count_distinct",
+        "append.digest in digests",
+        "False",
+        (LEDGER,),
+    ),
     Mutant(
         "withdrawn append",
         LOG + "append",
