--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -282,6 +282,9 @@
         """Applies a transaction within the limits of the store."""
         if len(transaction.operations) > MAX_OPERATIONS:
             return Err(Failure(ErrorKind.TOO_LARGE, "too many operations"))
+        keys = {operation.key for operation in transaction.operations}
+        if len(keys) < len(transaction.operations):
+            return Err(Failure(ErrorKind.INVALID, "duplicate key in transaction"))
         size = 0
         for operation in transaction.operations:
             if not isinstance(operation, Put):
