--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -88,7 +88,7 @@
         EtcdStore(client, settings.store.endpoints, settings.store.timeout_s),
         NngTransport(settings.listen.peer),
         HttpInstanceList(client, settings.instance_list_url),
-        HttpWorkerLinks(client),
+        HttpWorkerLinks(partial(make_client, trust)),
         HttpBackendLinks(partial(make_client, trust)),
         WallClock(),
     )
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -66,10 +66,14 @@
 
     async def run(self) -> None:
         """Serves the worker until it is removed."""
-        with self.scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.listen)
-                await self.command()
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.listen)
+                    await self.command()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.link.close()
 
     def update(self, record: WorkerRecord) -> None:
         """Follows the worker's entry on the instance list."""
--- a/lacewinghold/workers/base.py
+++ b/lacewinghold/workers/base.py
@@ -37,6 +37,9 @@
         :param wait_s: Longest wait in seconds; the present report follows then.
         """
 
+    async def close(self) -> None:  # noqa: B027
+        """Closes the connection; the link is not used after it."""
+
 
 class WorkerLinks(ABC):
     """Opens links to workers."""
--- a/lacewinghold/workers/http.py
+++ b/lacewinghold/workers/http.py
@@ -13,10 +13,13 @@
 from lacewinghold.workers.base import InstanceListSource, WorkerLink, WorkerLinks
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lacewinghold.schema.generated.worker import Command, WorkerRecord
 
 T = TypeVar("T")
 REPLY_TIMEOUT_S = 2.0
+CONNECTIONS_PER_WORKER = 4
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -42,6 +45,8 @@
 class HttpWorkerLink(WorkerLink):
     """A worker behind an HTTP interface.
 
+    :param client: Client for this worker alone: a request costs time for each
+        connection of its pool.
     :param url: Base address of the worker.
     """
 
@@ -69,17 +74,26 @@
         )
         return await exchange(self.client, request, Report)
 
+    async def close(self) -> None:
+        await self.client.aclose()
+
 
 class HttpWorkerLinks(WorkerLinks):
-    """Opens links that share one connection pool."""
+    """Opens links over HTTP.
+
+    :param make_client: Returns a client with the given limits.
+    """
 
     name = "http"
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self.client = client
+    def __init__(
+        self, make_client: Callable[[httpx.Limits], httpx.AsyncClient]
+    ) -> None:
+        self.make_client = make_client
 
     def open(self, record: WorkerRecord) -> WorkerLink:
-        return HttpWorkerLink(self.client, record.url)
+        limits = httpx.Limits(max_connections=CONNECTIONS_PER_WORKER)
+        return HttpWorkerLink(self.make_client(limits), record.url)
 
 
 class HttpInstanceList(InstanceListSource):
