--- a/lacewinghold/routing/router.py
+++ b/lacewinghold/routing/router.py
@@ -23,6 +23,7 @@
 from lacewinghold.schema.generated.jobs import TaskState
 from lacewinghold.schema.generated.messages import ServiceAnswer, ServiceLoad
 from lacewinghold.schema.generated.worker import WorkerState
+from lacewinghold.util.clock import until_tick
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +40,7 @@
     LateAnswer = Callable[[ServiceAnswer], None]
 
 SYNC_INTERVAL_S = 0.25
+IDLE_SYNC_INTERVAL_S = 5.0
 EJECTED_SHARE_LIMIT = 0.34
 SHED_RETRY_AFTER_S = 1.0
 
@@ -69,7 +71,9 @@
                 self.sync(tasks)
                 self.dispatch()
                 changed = self.owner.changed
-                with anyio.move_on_after(SYNC_INTERVAL_S):
+                idle = not self.backends and not self.waiting
+                interval_s = IDLE_SYNC_INTERVAL_S if idle else SYNC_INTERVAL_S
+                with anyio.move_on_after(until_tick(interval_s)):
                     await changed.wait()
             while self.in_progress():
                 await self.idle.wait()
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -22,6 +22,7 @@
 from lacewinghold.shards.placer import Placer
 from lacewinghold.shards.recovery import CLOCK_DRIFT, Recovery
 from lacewinghold.shards.worker_task import WorkerTask
+from lacewinghold.util.clock import until_tick
 from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
     from lacewinghold.workers.base import WorkerLinks
 
 logger = structlog.get_logger(__name__)
+CONFIRM_INTERVAL_S = 1.0
 LOAD_RETRY_S = 0.2
 STORE_PATIENCE_S = 4.0
 HAND_OVER_CHECK_S = 0.05
@@ -110,7 +112,7 @@
         """Returns once the epoch surely no longer stands."""
         lease = self.ownership.lease
         while self.ledger.closed is None:
-            await anyio.sleep(lease.settings.renew_s)
+            await anyio.sleep(until_tick(CONFIRM_INTERVAL_S))
             if not lease.valid() or self.ownership.generation == lease.generation:
                 continue
             confirmed = await self.ownership.confirm()
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -11,6 +11,7 @@
 from lacewinghold.placement.policy import POLICIES, fits_together
 from lacewinghold.schema.generated.jobs import JobKind, Priority, TaskState
 from lacewinghold.schema.generated.records import EntryKind, LogEntry
+from lacewinghold.util.clock import until_tick
 
 if TYPE_CHECKING:
     from lacewinghold.placement.capacity import WorkerCapacity
@@ -43,7 +44,7 @@
         while True:
             self.wanted = anyio.Event()
             await self.place_all()
-            with anyio.move_on_after(IDLE_CHECK_S):
+            with anyio.move_on_after(until_tick(IDLE_CHECK_S)):
                 await self.wanted.wait()
 
     def queue(self) -> list[Task]:
--- a/lacewinghold/shards/recovery.py
+++ b/lacewinghold/shards/recovery.py
@@ -9,6 +9,7 @@
 
 from lacewinghold.schema.generated.jobs import TaskState
 from lacewinghold.shards.model import make_job
+from lacewinghold.util.clock import until_tick
 
 if TYPE_CHECKING:
     from lacewinghold.shards.model import Task
@@ -59,7 +60,7 @@
         logger.info("shard recovered", shard=self.owner.shard)
         self.owner.placer.wake()
         while True:
-            await anyio.sleep(CHECK_S)
+            await anyio.sleep(until_tick(CHECK_S))
             self.resume()
 
     def all_fenced(self) -> bool:
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -35,7 +35,7 @@
     from lacewinghold.workers.base import WorkerLink
 
 logger = structlog.get_logger(__name__)
-POLL_WAIT_S = 10.0
+POLL_WAIT_S = 30.0
 START_WINDOW_S = 10.0
 HOLD_EXTENSION_SHARE = 0.25
 RETRY_FIRST_S = 0.2
--- a/lacewinghold/util/clock.py
+++ b/lacewinghold/util/clock.py
@@ -29,3 +29,12 @@
     def now_text(self) -> str:
         """Returns the time in RFC 3339 form."""
         return datetime.fromtimestamp(self.now(), UTC).isoformat()
+
+
+def until_tick(interval_s: float) -> float:
+    """Returns the seconds until the next multiple of an interval.
+
+    Loops that wait for the same tick wake the runtime once, not once each.
+    """
+    now = anyio.current_time()
+    return (now // interval_s + 1) * interval_s - now
