--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -36,7 +36,7 @@
 T = TypeVar("T")
 logger = structlog.get_logger(__name__)
 MAX_KEY_CHARS = 256
-TRACEPARENT = re.compile(r"[0-9a-f]{2}-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}")
+TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 
 
 class Caller(Struct, frozen=True):
@@ -132,10 +132,16 @@
         raise FailureError(Failure(ErrorKind.FORBIDDEN, detail))
 
 
+def traceparent(request: Request) -> str:
+    """Returns the trace header of a request; empty if it is missing or malformed."""
+    text = request.headers.get("traceparent", "")
+    return "" if TRACEPARENT.fullmatch(text) is None else text
+
+
 def request_id(request: Request) -> str:
     """Returns the trace id of a request, or a new id if it has none."""
-    match = TRACEPARENT.fullmatch(request.headers.get("traceparent", ""))
-    return secrets.token_hex(8) if match is None else match[1]
+    found = traceparent(request)
+    return found.split("-")[1] if found else secrets.token_hex(8)
 
 
 def unwrap(result: Result[T, Failure]) -> T:
--- a/lacewinghold/api/services.py
+++ b/lacewinghold/api/services.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 from starlette.responses import Response
 
-from lacewinghold.api.common import Handlers, unwrap
+from lacewinghold.api.common import Handlers, traceparent, unwrap
 from lacewinghold.api.problems import json_response
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import ServiceId
@@ -98,6 +98,7 @@
             self.idempotency_key(request),
             parse_priority(request.headers.get("priority", "")),
             request.headers.get("content-type", ""),
+            traceparent(request),
         )
 
     async def request_state(self, request: Request) -> Response:
--- a/lacewinghold/routing/base.py
+++ b/lacewinghold/routing/base.py
@@ -33,6 +33,7 @@
     incarnation: Incarnation
     timeout_s: float
     content_type: str = ""
+    traceparent: str = ""
 
 
 class BackendAnswer(Struct, frozen=True):
--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -137,6 +137,7 @@
         idempotency_key: str = "",
         priority: int = 1,
         content_type: str = "",
+        traceparent: str = "",
     ) -> Result[ServiceAnswer, Failure]:
         """Serves a caller's request to a standing service.
 
@@ -162,6 +163,7 @@
             "",
             priority,
             content_type,
+            traceparent,
         )
         self.in_progress += 1
         try:
--- a/lacewinghold/routing/http.py
+++ b/lacewinghold/routing/http.py
@@ -25,6 +25,7 @@
 REQUEST_ID_HEADER = "x-request-id"
 EPOCH_HEADER = "x-epoch"
 INCARNATION_HEADER = "x-incarnation"
+TRACE_HEADER = "traceparent"
 TIMEOUT_HEADER = "x-timeout-s"
 REFUSAL_HEADER = "x-not-run"
 LEAVING_HEADER = "x-leaving"
@@ -104,6 +105,8 @@
         }
         if request.content_type:
             headers["content-type"] = request.content_type
+        if request.traceparent:
+            headers[TRACE_HEADER] = request.traceparent
         timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S)
         body = bytearray()
         progress = Progress()
--- a/lacewinghold/routing/router.py
+++ b/lacewinghold/routing/router.py
@@ -328,6 +328,7 @@
             backend.incarnation,
             max(0.0, waiting.deadline - self.owner.now()),
             message.content_type,
+            message.traceparent,
         )
         exchange = Exchange(
             message, request, backend.record.worker, waiting.late, self.owner.now()
