--- a/examples/run_cell.py
+++ b/examples/run_cell.py
@@ -17,7 +17,9 @@
 import httpx
 
 START_LIMIT_S = 20.0
-STOP_LIMIT_S = 15.0
+STOP_LIMIT_S = 30.0
+OWNED_BY_ALL = 6
+CHECK_S = 0.2
 KEY = {"Authorization": "Bearer operators-demo-key"}
 
 
@@ -26,82 +28,130 @@
     return subprocess.Popen([sys.executable, "-m", "lacewinghold", *arguments])
 
 
-def wait_until_owned(urls: list[str], shards: int) -> None:
+def wait_until_owned(client: httpx.Client, urls: list[str], shards: int) -> None:
     """Waits until the entry instances own a number of shards."""
     deadline = time.monotonic() + START_LIMIT_S
     while time.monotonic() < deadline:
-        if sum(owned(url) for url in urls) >= shards:
+        if sum(owned(client, url) for url in urls) >= shards:
             return
-        time.sleep(0.2)
+        time.sleep(CHECK_S)
     raise SystemExit("the entry instances did not become ready in time")
 
 
-def owned(url: str) -> int:
+def owned(client: httpx.Client, url: str) -> int:
     """Returns how many shards an entry instance serves."""
     try:
-        status = httpx.get(f"{url}/status", trust_env=False).json()
+        status = client.get(f"{url}/status").json()
     except httpx.HTTPError:
         return 0
     return sum(shard["ready"] for shard in status["shards"].values())
 
 
-def submit(url: str, file: Path) -> str:
+def submit(client: httpx.Client, url: str, file: Path) -> str:
     """Submits a job and returns its id."""
-    response = httpx.post(
-        f"{url}/v1/jobs",
-        content=file.read_bytes(),
-        headers={**KEY, "Idempotency-Key": file.name},
-        trust_env=False,
-    )
+    headers = {**KEY, "Idempotency-Key": file.name}
+    content = file.read_bytes()
+    response = client.post(f"{url}/v1/jobs", content=content, headers=headers)
     response.raise_for_status()
     job: str = response.json()["job"]
     return job
 
 
-def work(folder: Path, urls: list[str], seconds: float) -> None:
-    """Submits jobs, sends requests and shows what became of them."""
+def submit_all(client: httpx.Client, folder: Path, urls: list[str]) -> dict[str, str]:
+    """Submits the example jobs, each at two entry instances with one key."""
     jobs = {}
     for index, kind in enumerate(("service", "batch", "all-at-once")):
         file = folder / f"job-{kind}.json"
-        jobs[kind] = submit(urls[index], file)
-        if submit(urls[index + 1], file) != jobs[kind]:
+        jobs[kind] = submit(client, urls[index], file)
+        if submit(client, urls[index + 1], file) != jobs[kind]:
             raise SystemExit("a repeated submission made a second job")
-    service = json.loads((folder / "job-service.json").read_text())["service"]
-    time.sleep(1.5)
-    outcomes: dict[int, int] = {}
+    return jobs
+
+
+def send_requests(
+    client: httpx.Client, service: str, urls: list[str], seconds: float
+) -> dict[str, int]:
+    """Sends requests for a while, one after the other.
+
+    :returns: Their number by status or error.
+    """
+    outcomes: dict[str, int] = {}
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         url = urls[sum(outcomes.values()) % len(urls)]
-        response = httpx.post(
-            f"{url}/v1/services/{service}/echo",
-            content=b"deposit",
-            headers=KEY,
-            trust_env=False,
-        )
-        outcomes[response.status_code] = outcomes.get(response.status_code, 0) + 1
+        try:
+            response = client.post(
+                f"{url}/v1/services/{service}/echo", content=b"deposit", headers=KEY
+            )
+            outcome = str(response.status_code)
+        except httpx.HTTPError as error:
+            outcome = type(error).__name__
+        outcomes[outcome] = outcomes.get(outcome, 0) + 1
+    return outcomes
+
+
+class Cell:
+    """The processes of one deployment.
+
+    :param folder: Its example folder.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.stand_in = start("stand-in", "--settings", str(folder / "stand-in.json"))
+        self.files = sorted(folder.glob("*-[0-9].json"))
+        self.instances = [self.start_instance(file) for file in self.files]
+        self.urls = [
+            "http://" + json.loads(file.read_text())["listen"]["http"]
+            for file in self.files
+        ]
+
+    def start_instance(self, file: Path) -> subprocess.Popen[bytes]:
+        """Starts one entry instance."""
+        return start("serve", "--settings", str(file))
+
+    def replace(self, index: int) -> None:
+        """Kills an entry instance and starts another with the same settings."""
+        self.instances[index].kill()
+        self.instances[index].wait(STOP_LIMIT_S)
+        self.instances[index] = self.start_instance(self.files[index])
+
+    def stop(self) -> None:
+        """Stops what was started, entry instances first."""
+        for process in self.instances:
+            process.send_signal(signal.SIGTERM)
+        for process in self.instances:
+            process.wait(STOP_LIMIT_S)
+        self.stand_in.send_signal(signal.SIGTERM)
+        self.stand_in.wait(STOP_LIMIT_S)
+
+
+def work(cell: Cell, client: httpx.Client, seconds: float) -> None:
+    """Submits jobs, sends requests, replaces an instance, shows what came of it."""
+    wait_until_owned(client, cell.urls, OWNED_BY_ALL)
+    jobs = submit_all(client, cell.folder, cell.urls)
+    service = json.loads((cell.folder / "job-service.json").read_text())["service"]
+    time.sleep(1.5)
+    outcomes = send_requests(client, service, cell.urls, seconds)
     print("requests by status:", outcomes)
+    cell.replace(0)
+    outcomes = send_requests(client, service, cell.urls, seconds)
+    print("requests by status while an entry instance was replaced:", outcomes)
+    wait_until_owned(client, cell.urls, OWNED_BY_ALL)
     for kind, job in jobs.items():
-        view = httpx.get(f"{urls[-1]}/v1/jobs/{job}", headers=KEY, trust_env=False)
+        view = client.get(f"{cell.urls[-1]}/v1/jobs/{job}", headers=KEY)
         print(f"{kind}: {view.json()['state']}")
 
 
 def main() -> int:
     """Runs the cell."""
-    folder = Path(sys.argv[1])
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 5.0
-    processes = [start("stand-in", "--settings", str(folder / "stand-in.json"))]
-    urls = []
+    cell = Cell(Path(sys.argv[1]))
     try:
-        for file in sorted(folder.glob("*-[0-9].json")):
-            urls.append("http://" + json.loads(file.read_text())["listen"]["http"])
-            processes.append(start("serve", "--settings", str(file)))
-        wait_until_owned(urls, shards=6)
-        work(folder, urls, seconds)
+        with httpx.Client(trust_env=False, timeout=STOP_LIMIT_S) as client:
+            work(cell, client, seconds)
     finally:
-        for process in reversed(processes):
-            process.send_signal(signal.SIGTERM)
-        for process in reversed(processes):
-            process.wait(STOP_LIMIT_S)
+        cell.stop()
     return 0
 
 
--- a/lacewinghold/cmd/settings.py
+++ b/lacewinghold/cmd/settings.py
@@ -123,6 +123,11 @@
 
 def check(settings: Settings) -> Result[Settings, Failure]:
     """Checks what the schema of the settings cannot say."""
+    statsd = settings.statsd
+    if statsd is not None:
+        checked = check_address("$.statsd.host", f"{statsd.host}:{statsd.port}")
+        if isinstance(checked, Err):
+            return Err(checked.err_value)
     endpoints = settings.store.endpoints
     if len(set(endpoints)) < len(endpoints):
         return invalid("$.store.endpoints", "found the same endpoint twice")
--- a/tests/test_cmd/test_settings.py
+++ b/tests/test_cmd/test_settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import typing
 
 import pytest
 import trustme
 
 from lacewinghold.cmd import main
+from lacewinghold.schema.generated.settings import Settings
 from lacewinghold.testing.deployment import EXAMPLES
 
 GOOD = json.loads((EXAMPLES / "terrasvuur" / "gent-a-1.json").read_text())
@@ -28,6 +30,7 @@
     ({"colour": "red"}, "$", "colour"),
     ({"log_level": "loud"}, "$.log_level", "loud"),
     ({"statsd": {"host": "x", "port": 0}}, "$.statsd.port", "found 0"),
+    ({"statsd": {"host": "metrics.example"}}, "$.statsd.host", "metrics.example"),
     ({"instance": "a/b"}, "$.instance", "a/b"),
 ]
 
@@ -82,6 +85,26 @@
     assert "$.plaintext" in capsys.readouterr().err
 
 
+def field_names(kind, prefix=""):
+    for name in kind.__struct_fields__:
+        hint = typing.get_type_hints(kind)[name]
+        parts = [part for part in typing.get_args(hint) or (hint,) if part]
+        nested = [part for part in parts if hasattr(part, "__struct_fields__")]
+        if not nested:
+            yield f"{prefix}{name}"
+        for part in nested:
+            yield from field_names(part, f"{prefix}{name}.")
+
+
+def test_every_field_is_documented():
+    page = (EXAMPLES.parent / "docs" / "operating" / "settings.md").read_text()
+    names = list(field_names(Settings))
+    assert "lease.ttl_s" in names
+    assert "tls.key" in names
+    for name in names:
+        assert f"`{name}`" in page, name
+
+
 def test_examples_are_valid(capsys):
     files = sorted(EXAMPLES.glob("*/*-[0-9].json"))
     assert len(files) == 14
