--- a/tests/test_cmd/test_serve.py
+++ b/tests/test_cmd/test_serve.py
@@ -13,6 +13,8 @@
 import httpx
 import pytest
 
+from lacewinghold.cmd import main
+from lacewinghold.errors import ANSWERS, ErrorKind
 from lacewinghold.testing.deployment import EXAMPLES
 from tools.build_binary import AUDIT_HOOK
 
@@ -132,6 +134,27 @@
     assert all(event["epoch"] > 0 and event["shard"] for event in taken)
 
 
+def test_commands_over_tls(cell, certificates, tmp_path, capsys):
+    tls = certificates
+    process, url = cell(tls=tls, plaintext=False, balancer_delay_s=0)
+    process.wait_event("shard recovered")
+    secure = url.replace("http:", "https:")
+    options = ["--url", secure, "--key", "operators-demo-key", "--json"]
+    trusting = [*options, "--authority", tls["authority"]]
+    assert main(["status", *trusting]) == 0
+    assert json.loads(capsys.readouterr().out)["data_centre"] == "gent-a"
+    assert main(["audit", *trusting]) == 0
+    assert "take shard" in capsys.readouterr().out
+    unreachable = ANSWERS[ErrorKind.UNREACHABLE].exit_code
+    assert main(["status", *options]) == unreachable
+    assert "certificate" in capsys.readouterr().err
+    with pytest.raises(httpx.HTTPError):
+        get(f"{url}/live")
+    assert main(["status", *options, "--authority", str(tmp_path / "none.pem")]) == 2
+    process.signal()
+    assert process.finish() == 0
+
+
 def test_not_ready_while_the_balancer_looks_away(cell):
     process, url = cell(balancer_delay_s=60)
     process.wait_event("shard recovered")
--- a/tests/test_cmd/test_settings.py
+++ b/tests/test_cmd/test_settings.py
@@ -41,19 +41,6 @@
     return str(file)
 
 
-def certificate_files(tmp_path, authority=None):
-    authority = authority or trustme.CA()
-    issued = authority.issue_cert("127.0.0.1")
-    files = {
-        name: str(tmp_path / f"{name}.pem")
-        for name in ("certificate", "key", "authority")
-    }
-    issued.cert_chain_pems[0].write_to_path(files["certificate"])
-    issued.private_key_pem.write_to_path(files["key"])
-    authority.cert_pem.write_to_path(files["authority"])
-    return files
-
-
 @pytest.mark.parametrize(("changes", "field", "shown"), CASES)
 @pytest.mark.parametrize("command", [("settings", "check"), ("serve", "--settings")])
 def test_bad_settings(tmp_path, capsys, command, changes, field, shown):
@@ -70,8 +57,8 @@
     assert "broken.json: $: " in capsys.readouterr().err
 
 
-def test_certificates(tmp_path, capsys):
-    files = certificate_files(tmp_path)
+def test_certificates(tmp_path, capsys, certificates):
+    files = certificates
     secure = {**GOOD, "plaintext": False, "tls": files}
     assert main(["settings", "check", write(tmp_path, secure)]) == 0
     other = trustme.CA().issue_cert("127.0.0.1")
