--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -10,6 +10,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import InstanceId, RequestId, ShardId
+from lacewinghold.invariants import Invariant, require
 from lacewinghold.routing.budget import RetryBudget
 from lacewinghold.routing.loads import LoadTable
 from lacewinghold.routing.outcomes import Observation, to_failure
@@ -72,7 +73,7 @@
         self.links = links
         self.rules = rules
         self.once = once
-        self.loads = LoadTable(settings, rules, rng)
+        self.loads = LoadTable(peers.instance, settings, rules, rng)
         self.budget = RetryBudget()
         self.routers: dict[ShardId, ShardRouter] = {}
         self.draining: set[ShardRouter] = set()
@@ -163,6 +164,7 @@
             "",
             priority,
             content_type,
+            self.directory.view.document_revision,
             traceparent,
         )
         self.in_progress += 1
@@ -220,6 +222,9 @@
         """Has the owner of one shard serve a request."""
         router = self.routers.get(message.shard)
         if router is not None:
+            permitted = await self.permit(router.owner, message)
+            if isinstance(permitted, Err):
+                return Err(permitted.err_value)
             return await router.serve(message, late)
         record = self.directory.shard_owners().get(message.shard)
         if record is None or record.instance == self.peers.instance:
@@ -238,6 +243,24 @@
             return Err(reply.err_value)
         return Ok(unpack(reply.ok_value, ServiceAnswer))
 
+    async def permit(
+        self, owner: ShardOwner, message: ServiceRequest
+    ) -> Result[None, Failure]:
+        """Decides a request under the rules of its owner, if they are recent."""
+        if not await self.directory.view.wait_document(message.document_revision):
+            detail = f"version {message.document_revision} is not here yet"
+            return Err(Failure(ErrorKind.NOT_RUN, detail))
+        team_of_service = owner.rules.team_of(message.service)
+        for team in {message.team, team_of_service or message.team}:
+            permit = owner.rules.permit(team)
+            if isinstance(permit, Err):
+                return Err(permit.err_value)
+            message.document_revision = permit.ok_value
+            message.timeout_s = min(message.timeout_s, owner.rules.left_s(team))
+            allowed = owner.rules.allows(team, permit.ok_value)
+            require(Invariant.RULE_LEASE, allowed, message.request)
+        return Ok(None)
+
     async def drop(self, message: ServiceRequest) -> None:
         """Drops a request that must not be repeated if it is still queued.
 
@@ -295,6 +318,9 @@
             if not message.repeatable and router.tasks is not None:
                 router.tasks.start_soon(self.send_late, sender, answer)
 
+        permitted = await self.permit(router.owner, message)
+        if isinstance(permitted, Err):
+            return Err(permitted.err_value)
         served = await router.serve(message, late)
         if isinstance(served, Err):
             return Err(served.err_value)
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -27,6 +27,7 @@
     Key,
     Role,
     SectionKind,
+    Service,
     ServiceRule,
     Team,
     TeamSection,
@@ -65,6 +66,7 @@
 BETWEEN_REGIONS_S = 0.03
 WALL_START = 1_800_000_000.0
 WORKERS_PER_RACK = 8
+FIRST_PORT = 7000
 
 
 class CellShape(Struct, frozen=True):
@@ -244,7 +246,12 @@
             teams[team] = Team(role=role, keys=[Key(sha256=hash_key(key))])
         operators = next(iter(self.teams))
         record = SectionRecord(
-            kind=SectionKind.CELL, owner=operators, body=CellSection(teams=teams)
+            kind=SectionKind.CELL,
+            owner=operators,
+            body=CellSection(
+                teams=teams,
+                services={name: Service(team=operators) for name in self.rules},
+            ),
         )
         services = SectionRecord(
             kind=SectionKind.TEAM,
@@ -268,22 +275,36 @@
         for index in range(self.shape.instances):
             self.start_instance(places[index % len(places)], f"entry-{index}")
 
-    def start_instance(self, data_centre: DataCentreId, name: str) -> InstanceId:
-        """Starts one entry instance in a data centre."""
+    def start_instance(
+        self,
+        data_centre: DataCentreId,
+        name: str,
+        peers: list[str] | None = None,
+        *,
+        store_reachable: bool = True,
+    ) -> InstanceId:
+        """Starts one entry instance in a data centre.
+
+        :param peers: Peer addresses in its settings.
+        """
+        address = f"127.0.0.1:{FIRST_PORT + self.boots}"
         region = self.shape.data_centres[data_centre]
         settings = Settings(
             instance=InstanceId(name),
             region=region,
             data_centre=data_centre,
-            listen=Listen(http="127.0.0.1:1", peer="127.0.0.1:1"),
+            listen=Listen(http="127.0.0.1:1", peer=address),
             store=StoreSettings(endpoints=["http://memory"]),
             instance_list_url="http://memory",
             hold_s=self.shape.hold_s,
             plaintext=True,
+            peers=peers or [],
         )
-        return self.run_settings(settings)
+        return self.run_settings(settings, store_reachable=store_reachable)
 
-    def run_settings(self, settings: Settings) -> InstanceId:
+    def run_settings(
+        self, settings: Settings, *, store_reachable: bool = True
+    ) -> InstanceId:
         """Starts one entry instance with its settings."""
         self.boots += 1
         gate = Gate()
@@ -292,7 +313,9 @@
         worker_links = MemoryWorkerLinks(self.workers, gate, self.worker_links.cut)
         boot = f"boot{self.boots}"
         instance_id = InstanceId(f"{settings.instance}.{boot}")
+        store.reachable = store_reachable
         self.stores[instance_id] = store
+        self.network.addresses[settings.listen.peer] = instance_id
         ports = Ports(
             store,
             MemoryTransport(self.network, instance_id, settings.region, gate),
@@ -330,6 +353,17 @@
         running.scope.cancel()
         self.network.nodes.pop(instance_id, None)
 
+    def cut_off(self, instance_id: InstanceId, *, cut: bool) -> None:
+        """Cuts an entry instance off from the store and all peers, or ends it."""
+        self.instances[instance_id].store.reachable = not cut
+        pairs = set()
+        for other in self.network.nodes:
+            pairs |= {(instance_id, other), (other, instance_id)}
+        if cut:
+            self.network.cut |= pairs
+        else:
+            self.network.cut -= pairs
+
     def any_instance(self) -> EntryInstance:
         """Returns a running entry instance, as a balancer would."""
         chosen = self.rng.choice(sorted(self.instances))
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -38,6 +38,7 @@
 
     latency_s: Callable[[InstanceId, InstanceId], float]
     nodes: dict[InstanceId, MemoryTransport] = field(default_factory=dict)
+    addresses: dict[str, InstanceId] = field(default_factory=dict)
     cut: set[tuple[InstanceId, InstanceId]] = field(default_factory=set)
     regions: dict[InstanceId, RegionId] = field(default_factory=dict)
     bytes_between_regions: Counter[tuple[RegionId, RegionId]] = field(
@@ -103,6 +104,8 @@
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
         del address
+        # A peer that is known by its address only goes by that name.
+        peer = self.network.addresses.get(peer, peer)
         await self.gate.pass_through()
         if peer not in self.network.nodes:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer} is down"))
