--- a/lacewinghold/coordination/view.py
+++ b/lacewinghold/coordination/view.py
@@ -221,6 +221,14 @@
             found[record.instance] = record
         return found
 
+    def record_of(self, instance: InstanceId) -> InstanceRecord | None:
+        """Returns the record of an entry instance that is live or may act."""
+        for key in (self.keys.instance(instance), self.keys.roster(instance)):
+            item = self.items.get(key)
+            if item is not None:
+                return from_json(item.value, InstanceRecord)
+        return None
+
     def roster(self) -> dict[InstanceId, InstanceRecord]:
         """Returns the entry instances that may act, whether or not they answer."""
         found = {}
--- a/tests/test_document/test_force.py
+++ b/tests/test_document/test_force.py
@@ -87,6 +87,7 @@
         await short_lease(first)
         await anyio.sleep(100)
         await edit(first, "rules", SectionKind.TEAM, {"when_cut_off": "go_on"})
+        assert (await status(second, "rules")).everywhere
         cell.cut_off(third.instance, cut=True)
         await edit(first, "rules", SectionKind.TEAM, {"when_cut_off": "refuse"})
         await anyio.sleep(RULE_LEASE_S + 1)
--- a/tests/test_document/test_never_back.py
+++ b/tests/test_document/test_never_back.py
@@ -59,6 +59,21 @@
     assert run_session(program, TEAMS)
 
 
+def test_older_store_with_the_same_sections_is_refused():
+    async def program(cell, instances):
+        await edit_rules(instances[0], True)
+        backup = cell.state.copy()
+        mate = cell.start_instance(DataCentreId("gent-a"), "mate")
+        await anyio.sleep(1)
+        store = cell.instances[instances[2].instance].store
+        store.state = backup
+        instances[2].view.reload()
+        await anyio.sleep(0.5)
+        return instances[2].view.regressed, mate in instances[2].view.roster()
+
+    assert run_session(program, TEAMS) == (True, True)
+
+
 def test_older_store_that_counted_past_the_revisions_seen_is_refused():
     async def program(cell, instances):
         await edit_rules(instances[0], False)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -197,6 +197,109 @@
     ),
 ]
 
+EDITING = ("tests/test_document/test_editing.py",)
+FORCE = ("tests/test_document/test_force.py",)
+NEVER_BACK = ("tests/test_document/test_never_back.py",)
+LINKS = ("tests/test_peers/test_links.py",)
+EDITOR = "lacewinghold.document.editor:Editor."
+RULES = "lacewinghold.document.rules:DocumentRules."
+SPREAD = "lacewinghold.document.spread:DocumentSpread."
+VIEW = "lacewinghold.coordination.view:LiveView."
+PEER_LINK = "lacewinghold.peers.link:PeerLink."
+MUTANTS += [
+    Mutant(
+        "repeated edit", EDITOR + "attempt", "earlier is not None", "False", EDITING
+    ),
+    Mutant(
+        "edit against others",
+        EDITOR + "guard",
+        "revision = 0 if item is None else item.mod_revision",
+        "key, revision = 'nobody', 0",
+        EDITING,
+    ),
+    Mutant(
+        "edit of a regressed store",
+        EDITOR + "attempt",
+        "< seen or",
+        "< 0 and",
+        NEVER_BACK,
+    ),
+    Mutant(
+        "older store",
+        VIEW + "load",
+        "found.revision < self.seen()",
+        "False",
+        NEVER_BACK,
+    ),
+    Mutant(
+        "diverged store",
+        VIEW + "lacks_known",
+        "item is None or",
+        "False and",
+        NEVER_BACK,
+    ),
+    Mutant(
+        "slow peer",
+        SPREAD + "pull",
+        "found.revision < self.view",
+        "0 > self.view",
+        NEVER_BACK,
+    ),
+    Mutant(
+        "instance fed by a peer",
+        SPREAD + "applied",
+        "if over or instance in roster",
+        "if True",
+        NEVER_BACK,
+    ),
+    Mutant(
+        "silent watch",
+        SPREAD + "confirm_with_store",
+        "self.view.reload()",
+        "pass",
+        FORCE,
+    ),
+    Mutant(
+        "joined", RULES + "registered", "0 < self.lease.registered <=", "0 <=", FORCE
+    ),
+    Mutant("rule lease", RULES + "permit", "self.lease_left_s() <= 0", "False", FORCE),
+    Mutant(
+        "version of a start",
+        RULES + "allows",
+        "revision < self.view.document_revision",
+        "False",
+        FORCE,
+    ),
+    Mutant(
+        "refusing in every version",
+        "lacewinghold.document.force:ForceTracker.refuses",
+        "all(change.refuses for change in changes[first:])",
+        "changes[-1].refuses",
+        FORCE,
+    ),
+    Mutant(
+        "longest rule lease",
+        "lacewinghold.document.force:ForceTracker.describe",
+        "longest_rule_lease_s(self.document, now)",
+        "self.document.timing().rule_lease_s",
+        FORCE,
+    ),
+    Mutant(
+        "silent link",
+        PEER_LINK + "watch",
+        "now - self.heard_at > SILENCE_S",
+        "False",
+        LINKS,
+    ),
+    Mutant(
+        "queue bound",
+        PEER_LINK + "offer",
+        "len(self.queue) >= QUEUE_MESSAGES",
+        "False",
+        LINKS,
+    ),
+]
+
 
 @contextlib.contextmanager
 def broken(mutant: Mutant) -> Iterator[None]:
