--- a/lacewinghold/document/spread.py
+++ b/lacewinghold/document/spread.py
@@ -110,7 +110,10 @@
     async def confirm_with_store(self) -> bool:
         """Asks the store whether the version here is the latest.
 
-        A watch that does not bring a version that the store has is replaced.
+        A watch that brings nothing while the store has a later version is
+        replaced.
+
+        :returns: Whether the store answered and the watch goes on.
         """
         if not self.view.loaded.is_set():
             return False
@@ -125,7 +128,11 @@
         if behind or found.revision < self.view.seen():
             self.view.note_regressed(found.revision)
             return False
+        seen = self.view.revision
         if not await self.view.wait_document(latest):
+            if self.view.revision > seen:
+                # The watch is behind on a busy link, but goes on.
+                return True
             logger.warning("watch is silent", latest=latest)
             self.view.reload()
             return False
--- a/tests/test_document/test_force.py
+++ b/tests/test_document/test_force.py
@@ -16,6 +16,7 @@
 from lacewinghold.schema.generated.jobs import JobKind, JobSpec, Resources
 from lacewinghold.schema.generated.messages import ServiceRequest
 from lacewinghold.schema.generated.worker import Start
+from lacewinghold.store.base import CallKind
 from lacewinghold.testing.paused import SMALL, run_session
 
 TEAMS = {"operators": "operators-key", "counters": "c-key", "routes": "r-key"}
@@ -200,6 +201,31 @@
     assert run_session(program, TEAMS)
 
 
+def test_slow_watch_that_goes_on_is_not_replaced():
+    async def program(cell, instances):
+        store = cell.instances[instances[2].instance].store
+        plain = store.changes
+
+        async def slow(prefix, after):
+            async for batch in plain(prefix, after):
+                await anyio.sleep(0.4)
+                yield batch
+
+        store.changes = slow
+        instances[2].view.reload()
+        await anyio.sleep(3)
+        watches = store.calls[CallKind.WATCH]
+        for index in range(30):
+            then = "refuse" if index % 2 else "go_on"
+            await edit(instances[0], "rules", SectionKind.TEAM, {"when_cut_off": then})
+        await anyio.sleep(10)
+        assert store.calls[CallKind.WATCH] == watches
+        return instances[2].view.document_revision, instances[0].view.document_revision
+
+    late, first = run_session(program, TEAMS)
+    assert late == first
+
+
 def test_instance_decides_only_once_it_has_what_the_store_had_when_it_joined():
     async def program(cell, instances):
         first = instances[0]
