--- a/lacewinghold/document/spread.py
+++ b/lacewinghold/document/spread.py
@@ -261,7 +261,7 @@
         )
 
     async def sweep(self) -> None:
-        """Strikes instances off the roster that the platform removed."""
+        """Removes instances from the roster that the platform says are gone."""
         live = self.view.instances()
         if not live or min(live) != self.peers.instance:
             return
