--- a/lacewinghold/coordination/view.py
+++ b/lacewinghold/coordination/view.py
@@ -9,7 +9,7 @@
 import structlog
 from result import Err
 
-from lacewinghold.errors import FailureError
+from lacewinghold.errors import ErrorKind, FailureError
 from lacewinghold.ids import InstanceId, Revision, ShardId
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.schema.generated.records import InstanceRecord, OwnerRecord
@@ -103,6 +103,7 @@
         started = anyio.current_time()
         reply = await self.store.range(self.keys.live, prefix=True)
         if isinstance(reply, Err):
+            self.regressed = reply.err_value.kind is ErrorKind.STORE_REGRESSED
             return False
         found = reply.ok_value
         items = {item.key: item for item in found.items}
--- a/tests/test_api/test_jobs.py
+++ b/tests/test_api/test_jobs.py
@@ -80,10 +80,19 @@
             ("GET", f"/v1/jobs/{job}"),
             ("POST", f"/v1/jobs/{job}/cancel"),
             ("PUT", "/v1/workers/gent-a-r1-w0/drain"),
+            ("GET", "/v1/document/cell"),
+            ("GET", "/v1/document/team-routes"),
+            ("GET", "/v1/document/team-routes/history"),
         ):
             answer = await counters.send(method, path)
             assert answer.status_code == 403, (method, path, answer.text)
         assert (await counters.send("GET", "/v1/jobs")).json() == []
+        sections = (await counters.send("GET", "/v1/document")).json()
+        assert [section["name"] for section in sections] == ["team-counters"]
+        assert (await counters.send("GET", "/v1/audit")).json() == []
+        await routes.send("POST", f"/v1/jobs/{job}/cancel")
+        (seen,) = (await routes.send("GET", "/v1/audit")).json()
+        assert (seen["actor"], seen["action"]) == ("routes", "cancel")
         foreign = await submit(counters)
         assert foreign.status_code == 403
         assert foreign.json()["field"] == "$.team"
--- a/tests/test_coordination/test_ledger.py
+++ b/tests/test_coordination/test_ledger.py
@@ -112,6 +112,25 @@
     play(scenario)
 
 
+def test_repeats_at_the_same_time_are_one_job():
+    async def scenario(bench):
+        ledger = await bench.ledger()
+        results = []
+
+        async def submit(entry):
+            job = entry.job.job
+            results.append(await ledger.append([entry], "digest", job))
+
+        for n in range(5):
+            bench.tasks.start_soon(submit, accepted(f"{n}"))
+        await anyio.sleep(1.0)
+        assert len(results) == 5
+        assert len({result.ok_value for result in results}) == 1
+        assert len(ledger.state.jobs) == 1
+
+    play(scenario)
+
+
 def test_old_owner_cannot_write_and_says_so():
     async def scenario(bench):
         old = await bench.ledger()
