--- a/lacewinghold/routing/backends.py
+++ b/lacewinghold/routing/backends.py
@@ -25,10 +25,11 @@
 
 logger = structlog.get_logger(__name__)
 PROBE_INTERVAL_S = 1.0
+IDLE_PROBE_INTERVAL_S = 2.0
 SETTLE_INTERVAL_S = 0.1
 PROBE_LIMIT_S = 1.0
 PROBE_FAILURES_LIMIT = 2
-SILENT_AFTER_S = 1.5
+SILENT_AFTER_S = 0.9
 LATENCY_FIRST_S = 0.02
 LATENCY_WEIGHT = 0.2
 FAILURES_TO_EJECT = 5
@@ -187,13 +188,16 @@
             while True:
                 self.wanted = anyio.Event()
                 await self.probe()
-                urgent = bool(self.doubtful or self.foreign)
-                with anyio.move_on_after(
-                    SETTLE_INTERVAL_S if urgent else PROBE_INTERVAL_S
-                ):
+                with anyio.move_on_after(self.probe_interval_s()):
                     await self.wanted.wait()
                     await anyio.sleep(SETTLE_INTERVAL_S)
 
+    def probe_interval_s(self) -> float:
+        """Returns the time until the next probe, in seconds."""
+        if self.doubtful or self.foreign:
+            return SETTLE_INTERVAL_S
+        return PROBE_INTERVAL_S if self.own else IDLE_PROBE_INTERVAL_S
+
     async def probe(self) -> None:
         """Fences the server, settles doubtful attempts and finds silent ones."""
         now = self.owner.now()
@@ -233,7 +237,9 @@
             exchange = self.own.get(attempt)
             if exchange is None:
                 continue
-            never = attempt in unseen
+            # A restarted server has forgotten what its last incarnation ran.
+            same = exchange.request.incarnation == reply.incarnation
+            never = same and attempt in unseen
             seen = Observation.SILENT_UNSEEN if never else Observation.SILENT
             exchange.cut(Unanswered(seen))
         self.foreign &= running
--- a/tests/test_routing/test_outcomes.py
+++ b/tests/test_routing/test_outcomes.py
@@ -75,48 +75,56 @@
 }
 
 
-async def ask_under_fault(fault, repeatable):
+async def ask_under_each_fault(repeatable):
+    """Sends one request under each fault, and a repeat if it has a key."""
+    ends = {}
     async with serving_cell(3) as cell:
         links = cell.backend_links
-        links.faults = [fault]
-        timeout_s = 3.9 if fault is BackendFault.SLOW else 20.0
-        first = await ask(cell, repeatable=repeatable, key="k", timeout_s=timeout_s)
-        after_first = sum(links.runs.values())
-        repeat = None
-        if not repeatable:
+        for fault in BackendFault:
+            links.faults = [fault]
+            timeout_s = 3.9 if fault is BackendFault.SLOW else 20.0
+            body, key = fault.name.encode(), fault.name
+            first = await ask(
+                cell, body, repeatable=repeatable, key=key, timeout_s=timeout_s
+            )
+            after_first = links.bodies[body]
             await anyio.sleep(3)
-            repeat = await ask(cell, repeatable=False, key="k")
-        found = await cell.any_instance().requests.once.lookup(TEAM, "k")
-        return first, after_first, repeat, sum(links.runs.values()), found
-
-
-@pytest.mark.parametrize("fault", list(BackendFault))
-def test_once_under_fault(fault):
-    first, _, repeat, runs, found = run_paused(ask_under_fault, fault, False, seed=3)
-    state, expected_runs = ONCE[fault]
-    assert runs == expected_runs
-    if state == "answered":
-        assert first.ok_value.body == b"x"
-    else:
-        assert first.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
-    if fault is BackendFault.SLOW:
-        # The answer came late and is handed to the caller who asks again.
-        state = "answered"
-    assert found.ok_value.state == RequestState(state)
-    assert isinstance(repeat, Ok) == (state == "answered")
-    if isinstance(repeat, Ok):
-        assert repeat.ok_value.body == b"x"
+            repeat = None
+            if not repeatable:
+                repeat = await ask(cell, body, repeatable=False, key=key)
+            found = await cell.any_instance().requests.once.lookup(TEAM, key)
+            ends[fault] = (first, after_first, repeat, links.bodies[body], found)
+    return ends
+
+
+def test_once_under_each_fault():
+    ends = run_paused(ask_under_each_fault, False, seed=3)
+    for fault, (first, _, repeat, runs, found) in ends.items():
+        body = fault.name.encode()
+        state, expected_runs = ONCE[fault]
+        assert runs == expected_runs, fault
+        if state == "answered":
+            assert first.ok_value.body == body, fault
+        else:
+            assert first.err_value.kind is ErrorKind.OUTCOME_UNKNOWN, fault
+        if fault is BackendFault.SLOW:
+            # The answer came late and is handed to the caller who asks again.
+            state = "answered"
+        assert found.ok_value.state == RequestState(state), fault
+        assert isinstance(repeat, Ok) == (state == "answered"), fault
+        if isinstance(repeat, Ok):
+            assert repeat.ok_value.body == body, fault
     assert not violations
 
 
-@pytest.mark.parametrize("fault", list(BackendFault))
-def test_repeatable_under_fault(fault):
-    first, runs, *_ = run_paused(ask_under_fault, fault, True, seed=4)
-    if fault is BackendFault.SLOW:
-        assert first.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
-        return
-    assert first.ok_value.body == b"x"
-    assert 1 <= runs <= 2
+def test_repeatable_under_each_fault():
+    ends = run_paused(ask_under_each_fault, True, seed=4)
+    for fault, (first, runs, *_) in ends.items():
+        if fault is BackendFault.SLOW:
+            assert first.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+            continue
+        assert first.ok_value.body == fault.name.encode(), fault
+        assert 1 <= runs <= 2, fault
 
 
 async def time_out_in_queue():
@@ -281,3 +289,27 @@
 def test_removed_backend_leaves_the_outcome_unknown():
     outcome = run_paused(removed_by_the_platform, seed=11)
     assert outcome.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def server_forgets():
+    """The request ran, its answer was lost, then its server restarted."""
+    async with serving_cell(12) as cell:
+        links = cell.backend_links
+        links.faults = [BackendFault.SILENT_ANSWER]
+        outcomes = []
+
+        async def send():
+            outcomes.append(await ask(cell, repeatable=False, timeout_s=30.0))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.5)
+            (busy,) = links.arrivals
+            cell.workers[busy].restart()
+        return outcomes[0], links.bodies[b"x"]
+
+
+def test_restarted_server_that_never_saw_a_request_proves_nothing():
+    outcome, runs = run_paused(server_forgets, seed=12)
+    assert runs == 1
+    assert outcome.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
