--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -12,7 +12,10 @@
 from lacewinghold.coordination.lease import InstanceLease
 from lacewinghold.coordination.view import LiveView
 from lacewinghold.document.editor import Editor
+from lacewinghold.document.force import ForceTracker
+from lacewinghold.document.rules import DocumentRules
 from lacewinghold.document.sections import Document
+from lacewinghold.document.spread import DocumentSpread
 from lacewinghold.ids import InstanceId
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.routing.front import RequestFront
@@ -72,8 +75,11 @@
         self.lease = InstanceLease(ports.store, self.keys, settings.lease, record, rng)
         self.view = LiveView(ports.store, self.keys, rng)
         self.document = Document(self.view)
-        self.editor = Editor(ports.store, self.keys, ports.clock)
-        self.peers = PeerLinks(self.instance, ports.transport, self.address_of)
+        self.rules = DocumentRules(self.view, self.document, self.lease)
+        self.editor = Editor(ports.store, self.keys, ports.clock, self.document, rng)
+        self.peers = PeerLinks(
+            self.instance, ports.transport, self.address_of, self.is_paid, rng
+        )
         self.manager = ShardManager(
             settings,
             ports.store,
@@ -83,6 +89,13 @@
             ports.worker_links,
             ports.clock,
             rng,
+            self.rules,
+        )
+        self.spread = DocumentSpread(
+            settings, self.view, self.rules, self.peers, self.removed, rng
+        )
+        self.force = ForceTracker(
+            self.spread, self.document, self.editor.log, ports.clock
         )
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
@@ -107,8 +120,20 @@
     def address_of(self, instance: InstanceId) -> str | None:
         """Returns the address of a peer, or ``None`` if it is unknown."""
         record = self.view.instances().get(instance)
+        if record is None:
+            record = self.view.roster().get(instance)
         return None if record is None else record.peer
 
+    def is_paid(self, instance: InstanceId) -> bool:
+        """Returns whether a peer is in another region."""
+        record = self.view.roster().get(instance)
+        return record is not None and record.region != self.settings.region
+
+    def removed(self, instance: InstanceId) -> bool:
+        """Returns whether the platform says that an entry instance is gone."""
+        listed = self.manager.listed
+        return listed is not None and instance in listed.gone
+
     def ready(self) -> bool:
         """Returns whether this instance should get requests.
 
@@ -116,7 +141,7 @@
         the balancer, since what needs no store goes on.
         """
         return (
-            self.lease.generation > 0
+            (self.lease.generation > 0 or self.rules.callers_known())
             and bool(self.document.cell().teams)
             and not self.manager.leaving
         )
@@ -127,6 +152,7 @@
             tasks.start_soon(self.lease.run)
             tasks.start_soon(self.view.run)
             tasks.start_soon(self.peers.run)
+            tasks.start_soon(self.spread.run)
             tasks.start_soon(self.manager.run)
             tasks.start_soon(self.requests.run)
 
--- a/lacewinghold/cmd/__init__.py
+++ b/lacewinghold/cmd/__init__.py
@@ -16,8 +16,8 @@
     """Returns the parser of all commands."""
     from lacewinghold.cmd import (
         audit,
-        client,
         demo,
+        document,
         jobs,
         serve,
         settings,
@@ -30,7 +30,7 @@
     )
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True)
-    for module in (serve, stand_in, demo, settings, jobs, workers, audit, client):
+    for module in (serve, stand_in, demo, settings, jobs, workers, audit, document):
         module.add_parsers(commands)
     return parser
 
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -22,6 +22,7 @@
     from anyio.abc import TaskGroup
 
     from lacewinghold.coordination.lease import InstanceLease
+    from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.coordination.view import LiveView
     from lacewinghold.ids import DataCentreId, InstanceId
     from lacewinghold.schema.generated.settings import Settings
@@ -57,7 +58,9 @@
         links: WorkerLinks,
         clock: WallClock,
         rng: random.Random,
+        rules: RuleGate | None = None,
     ) -> None:
+        self.rules = rules
         self.settings = settings
         self.store = store
         self.lease = lease
@@ -190,6 +193,7 @@
             self.clock,
             self.settings.hold_s,
             self.rng,
+            self.rules,
         )
         owner.counts = self.counts
         owner.set_drained(self.drains.current())
