--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -330,11 +330,11 @@
             if not message.repeatable and router.tasks is not None:
                 router.tasks.start_soon(self.send_late, sender, answer)
 
-        permitted = await self.permit(router.owner, message)
-        if isinstance(permitted, Err):
-            return Err(permitted.err_value)
         self.forwards.serving[sender].add(message.request)
         try:
+            permitted = await self.permit(router.owner, message)
+            if isinstance(permitted, Err):
+                return Err(permitted.err_value)
             served = await router.serve(message, late)
         finally:
             self.forwards.serving[sender].discard(message.request)
