--- /dev/null
+++ b/bench/bench_due.py
@@ -0,0 +1,132 @@
+"""Work that is due far ahead: a timer for each job, a heap, and a look-ahead scan."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+import tracemalloc
+from abc import ABC, abstractmethod
+from typing import ClassVar
+
+import anyio
+
+from bench.base import Benchmark, Figure
+from lacewinghold.testing.clock import run_paused
+
+JOBS = 20_000
+JOBS_QUICK = 500
+SPAN_S = 3_600.0
+TICK_S = 1.0
+WINDOW_S = 60.0
+BYTES_PER_KB = 1_000
+
+
+class DueWork(ABC):
+    """One way to find work when it is due."""
+
+    name: ClassVar[str]
+
+    def __init__(self) -> None:
+        self.fired = 0
+
+    @abstractmethod
+    async def run(self, due: list[float]) -> None:
+        """Arms all, and returns when all were found."""
+
+
+class TimerEach(DueWork):
+    """One waiting task of the runtime for each job."""
+
+    name = "timer each"
+
+    async def run(self, due: list[float]) -> None:
+        async with anyio.create_task_group() as tasks:
+            for moment in due:
+                tasks.start_soon(self.wait, moment)
+
+    async def wait(self, moment: float) -> None:
+        """Waits for one job."""
+        await anyio.sleep_until(moment)
+        self.fired += 1
+
+
+class Heap(DueWork):
+    """One waiting task and a heap of all jobs."""
+
+    name = "heap"
+
+    async def run(self, due: list[float]) -> None:
+        waiting = list(enumerate(due))
+        heap = [(moment, index) for index, moment in waiting]
+        heapq.heapify(heap)
+        while heap:
+            await anyio.sleep_until(heap[0][0])
+            while heap and heap[0][0] <= anyio.current_time():
+                heapq.heappop(heap)
+                self.fired += 1
+
+
+class LookAhead(DueWork):
+    """A scan of all jobs each minute for those due within it, then a small heap."""
+
+    name = "look-ahead scan"
+
+    async def run(self, due: list[float]) -> None:
+        far = list(due)
+        while far:
+            horizon = anyio.current_time() + WINDOW_S
+            near = sorted(moment for moment in far if moment <= horizon)
+            far = [moment for moment in far if moment > horizon]
+            for moment in near:
+                await anyio.sleep_until(moment)
+                self.fired += 1
+            await anyio.sleep_until(horizon)
+
+
+class TickScan(DueWork):
+    """A scan of all jobs at each tick."""
+
+    name = "scan each second"
+
+    async def run(self, due: list[float]) -> None:
+        far = list(due)
+        while far:
+            now = anyio.current_time()
+            left = [moment for moment in far if moment > now]
+            self.fired += len(far) - len(left)
+            far = left
+            await anyio.sleep(TICK_S)
+
+
+class DueBenchmark(Benchmark):
+    """Compares processor time and memory for the due work of an hour."""
+
+    name = "due"
+
+    def run(self, *, quick: bool) -> list[Figure]:
+        jobs = JOBS_QUICK if quick else JOBS
+        figures = []
+        for kind in (Heap, TimerEach, LookAhead, TickScan):
+            elapsed_s = self.measure(kind(), jobs)
+            tracemalloc.start()
+            self.measure(kind(), jobs)
+            peak = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+            name = f"{kind.name}, {jobs} jobs due within an hour"
+            figures.append(Figure(f"{name}, processor time", elapsed_s, "s"))
+            figures.append(Figure(f"{name}, peak memory", peak / BYTES_PER_KB, "KB"))
+        return figures
+
+    def measure(self, way: DueWork, jobs: int) -> float:
+        """Returns the processor time for finding all jobs."""
+        rng = random.Random(1)
+        started = time.process_time()
+
+        async def find() -> None:
+            now = anyio.current_time()
+            await way.run([now + rng.uniform(1.0, SPAN_S) for _ in range(jobs)])
+
+        run_paused(find, seed=1)
+        assert way.fired == jobs
+        return time.process_time() - started
--- a/lacewinghold/document/spread.py
+++ b/lacewinghold/document/spread.py
@@ -262,9 +262,9 @@
             if instance in live or not self.removed(instance):
                 continue
             key = self.keys.roster(instance)
-            known = self.view.items[key].mod_revision
-            await self.store.commit(
-                Transaction(
-                    [Compare(key, CompareTarget.MOD_REVISION, known)], [Delete(key)]
-                )
-            )
+            known = self.view.items.get(key)
+            if known is None:
+                # Another instance struck it off during an earlier write.
+                continue
+            compare = Compare(key, CompareTarget.MOD_REVISION, known.mod_revision)
+            await self.store.commit(Transaction([compare], [Delete(key)]))
