--- a/tests/test_cmd/test_settings.py
+++ b/tests/test_cmd/test_settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import typing
 
 import pytest
 import trustme
 
 from lacewinghold.cmd import main
+from lacewinghold.schema.generated.settings import Settings
 from lacewinghold.testing.deployment import EXAMPLES
 
 GOOD = json.loads((EXAMPLES / "terrasvuur" / "gent-a-1.json").read_text())
@@ -28,6 +30,7 @@
     ({"colour": "red"}, "$", "colour"),
     ({"log_level": "loud"}, "$.log_level", "loud"),
     ({"statsd": {"host": "x", "port": 0}}, "$.statsd.port", "found 0"),
+    ({"statsd": {"host": "metrics.example"}}, "$.statsd.host", "metrics.example"),
     ({"instance": "a/b"}, "$.instance", "a/b"),
 ]
 
@@ -38,19 +41,6 @@
     return str(file)
 
 
-def certificate_files(tmp_path, authority=None):
-    authority = authority or trustme.CA()
-    issued = authority.issue_cert("127.0.0.1")
-    files = {
-        name: str(tmp_path / f"{name}.pem")
-        for name in ("certificate", "key", "authority")
-    }
-    issued.cert_chain_pems[0].write_to_path(files["certificate"])
-    issued.private_key_pem.write_to_path(files["key"])
-    authority.cert_pem.write_to_path(files["authority"])
-    return files
-
-
 @pytest.mark.parametrize(("changes", "field", "shown"), CASES)
 @pytest.mark.parametrize("command", [("settings", "check"), ("serve", "--settings")])
 def test_bad_settings(tmp_path, capsys, command, changes, field, shown):
@@ -67,8 +57,8 @@
     assert "broken.json: $: " in capsys.readouterr().err
 
 
-def test_certificates(tmp_path, capsys):
-    files = certificate_files(tmp_path)
+def test_certificates(tmp_path, capsys, certificates):
+    files = certificates
     secure = {**GOOD, "plaintext": False, "tls": files}
     assert main(["settings", "check", write(tmp_path, secure)]) == 0
     other = trustme.CA().issue_cert("127.0.0.1")
@@ -82,6 +72,26 @@
     assert "$.plaintext" in capsys.readouterr().err
 
 
+def field_names(kind, prefix=""):
+    for name in kind.__struct_fields__:
+        hint = typing.get_type_hints(kind)[name]
+        parts = [part for part in typing.get_args(hint) or (hint,) if part]
+        nested = [part for part in parts if hasattr(part, "__struct_fields__")]
+        if not nested:
+            yield f"{prefix}{name}"
+        for part in nested:
+            yield from field_names(part, f"{prefix}{name}.")
+
+
+def test_every_field_is_documented():
+    page = (EXAMPLES.parent / "docs" / "operating" / "settings.md").read_text()
+    names = list(field_names(Settings))
+    assert "lease.ttl_s" in names
+    assert "tls.key" in names
+    for name in names:
+        assert f"`{name}`" in page, name
+
+
 def test_examples_are_valid(capsys):
     files = sorted(EXAMPLES.glob("*/*-[0-9].json"))
     assert len(files) == 14
