--- a/lacewinghold/routing/front.py
+++ b/lacewinghold/routing/front.py
@@ -16,6 +16,12 @@
 from lacewinghold.routing.loads import LoadTable
 from lacewinghold.routing.outcomes import Observation, to_failure
 from lacewinghold.routing.router import ShardRouter
+from lacewinghold.routing.search import (
+    OVERLOAD_RETRY_AFTER_S,
+    ends_search,
+    final_failure,
+    ignore_late,
+)
 from lacewinghold.schema.generated.messages import (
     MessageKind,
     ServiceAnswer,
@@ -47,9 +53,7 @@
 LOAD_INTERVAL_S = 1.0
 FORWARD_MARGIN_S = 0.2
 ROUND_PAUSE_S = 0.1
-MAX_ROUNDS_WITHOUT_BACKEND = 3
 MAX_IN_PROGRESS = 2000
-OVERLOAD_RETRY_AFTER_S = 1.0
 
 
 class RequestFront:
@@ -385,34 +389,3 @@
                 message = ServiceLoads(loads, serving)
                 await self.peers.notify(instance, MessageKind.SERVICE_LOADS, message)
             await anyio.sleep(LOAD_INTERVAL_S)
-
-
-def ends_search(failure: Failure | None, rounds: int) -> bool:
-    """Returns whether another round over the shards would be of no use."""
-    if failure is None:
-        return rounds >= MAX_ROUNDS_WITHOUT_BACKEND
-    if failure.kind in (ErrorKind.NOT_OWNER, ErrorKind.UNREACHABLE):
-        return False
-    if failure.kind is ErrorKind.NOT_RUN:
-        return rounds >= MAX_ROUNDS_WITHOUT_BACKEND
-    return True
-
-
-def final_failure(
-    message: ServiceRequest, failure: Failure | None, *, may_have_run: bool
-) -> Failure:
-    """Returns what the caller is told, given all that was tried."""
-    if failure is None:
-        return to_failure(
-            Observation.NO_BACKEND,
-            f"{message.service} runs nowhere that may be used",
-            retry_after_s=OVERLOAD_RETRY_AFTER_S,
-        )
-    if may_have_run and failure.answer.may_repeat:
-        return Failure(ErrorKind.OUTCOME_UNKNOWN, failure.detail)
-    return failure
-
-
-def ignore_late(answer: ServiceAnswer) -> None:
-    """Drops an answer that nobody waits for."""
-    del answer
--- /dev/null
+++ b/lacewinghold/routing/identity.py
@@ -0,0 +1,67 @@
+"""What tells a repeat from another request, and what a repeat is told."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import WorkerId
+from lacewinghold.schema.generated.messages import ServiceAnswer
+from lacewinghold.schema.generated.records import RequestState
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import TeamId
+    from lacewinghold.schema.generated.messages import ServiceRequest
+    from lacewinghold.schema.generated.records import RequestRecord
+
+
+def digest_of(team: TeamId, key: str) -> str:
+    """Returns the digest under which a request is recorded."""
+    return hashlib.sha256(f"{team}\0{key}".encode()).hexdigest()
+
+
+def fingerprint_of(message: ServiceRequest) -> str:
+    """Returns a digest of what is asked, to tell a repeat from another request."""
+    head = f"{message.service}\0{message.method}\0{message.path}\0".encode()
+    return hashlib.sha256(head + message.body).hexdigest()
+
+
+def may_claim(found: RequestRecord, own: RequestRecord) -> bool:
+    """Returns whether a found record allows a new claim: it surely did not run."""
+    if found.fingerprint != own.fingerprint:
+        return False
+    return found.state is RequestState.NOT_RUN
+
+
+def needs_writer(record: RequestRecord) -> bool:
+    """Returns whether the claiming instance may know more than the record."""
+    if record.state is RequestState.ANSWERED:
+        return record.body is None
+    return record.state is not RequestState.NOT_RUN
+
+
+def to_result(record: RequestRecord) -> Result[ServiceAnswer, Failure]:
+    """Returns what a repeat is told."""
+    if record.state is RequestState.NOT_RUN:
+        return Err(Failure(ErrorKind.NOT_RUN, record.detail))
+    if record.state is not RequestState.ANSWERED:
+        detail = "a request with this key was sent before"
+        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+    if record.body is None:
+        detail = f"answered with status {record.status}; its body is not kept"
+        return Err(Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key"))
+    worker = WorkerId(record.worker)
+    return Ok(
+        ServiceAnswer(
+            record.request, record.status, record.body, worker, record.content_type
+        )
+    )
+
+
+def other_request() -> Failure:
+    """Returns the failure of a key that stands for another request."""
+    detail = "the key was used for another request"
+    return Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key")
--- a/lacewinghold/routing/once.py
+++ b/lacewinghold/routing/once.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -13,8 +12,16 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import Revision, WorkerId
+from lacewinghold.ids import Revision
 from lacewinghold.invariants import Invariant, require
+from lacewinghold.routing.identity import (
+    digest_of,
+    fingerprint_of,
+    may_claim,
+    needs_writer,
+    other_request,
+    to_result,
+)
 from lacewinghold.routing.outcomes import Observation, to_failure
 from lacewinghold.schema.generated.messages import (
     MessageKind,
@@ -348,31 +355,6 @@
             self.kept_bytes -= len(record.body or b"")
 
 
-def digest_of(team: TeamId, key: str) -> str:
-    """Returns the digest under which a request is recorded."""
-    return hashlib.sha256(f"{team}\0{key}".encode()).hexdigest()
-
-
-def fingerprint_of(message: ServiceRequest) -> str:
-    """Returns a digest of what is asked, to tell a repeat from another request."""
-    head = f"{message.service}\0{message.method}\0{message.path}\0".encode()
-    return hashlib.sha256(head + message.body).hexdigest()
-
-
-def may_claim(found: RequestRecord, own: RequestRecord) -> bool:
-    """Returns whether a found record allows a new claim: it surely did not run."""
-    if found.fingerprint != own.fingerprint:
-        return False
-    return found.state is RequestState.NOT_RUN
-
-
-def needs_writer(record: RequestRecord) -> bool:
-    """Returns whether the claiming instance may know more than the record."""
-    if record.state is RequestState.ANSWERED:
-        return record.body is None
-    return record.state is not RequestState.NOT_RUN
-
-
 def outcome_record(running: Running) -> RequestRecord:
     """Returns the record of a request as it stands now."""
     record = running.record
@@ -396,27 +378,3 @@
     if failure.answer.may_repeat:
         state = RequestState.NOT_RUN
     return msgspec.structs.replace(record, state=state, detail=failure.detail)
-
-
-def to_result(record: RequestRecord) -> Result[ServiceAnswer, Failure]:
-    """Returns what a repeat is told."""
-    if record.state is RequestState.NOT_RUN:
-        return Err(Failure(ErrorKind.NOT_RUN, record.detail))
-    if record.state is not RequestState.ANSWERED:
-        detail = "a request with this key was sent before"
-        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
-    if record.body is None:
-        detail = f"answered with status {record.status}; its body is not kept"
-        return Err(Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key"))
-    worker = WorkerId(record.worker)
-    return Ok(
-        ServiceAnswer(
-            record.request, record.status, record.body, worker, record.content_type
-        )
-    )
-
-
-def other_request() -> Failure:
-    """Returns the failure of a key that stands for another request."""
-    detail = "the key was used for another request"
-    return Failure(ErrorKind.CONFLICT, detail, "Idempotency-Key")
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -18,6 +18,7 @@
     RackId,
     RegionId,
     SectionName,
+    ServiceId,
     TeamId,
     WorkerId,
 )
@@ -32,7 +33,7 @@
     Team,
     TeamSection,
 )
-from lacewinghold.schema.generated.jobs import Resources
+from lacewinghold.schema.generated.jobs import JobKind, JobSpec, Resources
 from lacewinghold.schema.generated.records import SectionRecord
 from lacewinghold.schema.generated.settings import Listen, Settings, StoreSettings
 from lacewinghold.schema.generated.worker import WorkerRecord
@@ -369,6 +370,19 @@
         chosen = self.rng.choice(sorted(self.instances))
         return self.instances[chosen].instance
 
+    async def start_service(self, service: ServiceId, need: Resources) -> None:
+        """Submits a service with as many tasks as there are workers."""
+        for running in self.instances.values():
+            for owner in running.instance.manager.owners.values():
+                spec = JobSpec(
+                    kind=JobKind.SERVICE,
+                    team=next(iter(self.teams)),
+                    tasks=len(owner.workers),
+                    resources=need,
+                    service=service,
+                )
+                (await owner.accept(spec, "")).unwrap()
+
     async def wait_ready(self, shards: int) -> None:
         """Waits until a number of shards have an owner that is ready."""
         while True:
