--- a/lacewinghold/shards/outcomes.py
+++ b/lacewinghold/shards/outcomes.py
@@ -17,12 +17,16 @@
     from lacewinghold.shards.owner import ShardOwner
 
 RETRY_S = 1.0
+GATHER_S = 2.0
 MAX_ENTRIES = 1_000
 
 
 class OutcomeWriter:
     """Keeps outcomes and other facts until they are durable.
 
+    Nobody waits for an outcome's record, as the worker keeps the outcome until
+    then; so outcomes are gathered for a while and share one store write.
+
     :param owner: The owner of the shard.
     """
 
@@ -31,7 +35,8 @@
         self.ended: dict[TaskId, LogEntry] = {}
         self.facts: list[LogEntry] = []
         self.wanted = anyio.Event()
-        self.written = anyio.Event()
+        self.urgent = anyio.Event()
+        self.draining = False
 
     def note_ended(self, task: Task, state: TaskState, detail: str) -> None:
         """Keeps a task's outcome until it is durable."""
@@ -43,6 +48,8 @@
             detail=detail,
         )
         self.wanted.set()
+        if len(self.ended) >= MAX_ENTRIES:
+            self.urgent.set()
 
     def note_requeued(self, task: Task) -> None:
         """Notes an attempt, which counts against the job's limit."""
@@ -53,19 +60,23 @@
         self.wanted.set()
 
     def note_worker(self, kind: EntryKind, record: WorkerRecord) -> None:
-        """Notes that a worker came or went."""
+        """Notes that a worker came or went; it is written at once."""
         self.facts.append(LogEntry(kind=kind, at=self.owner.clock.now(), worker=record))
         self.wanted.set()
+        self.urgent.set()
 
     async def run(self) -> None:
         """Writes what is kept until cancelled."""
         while True:
+            self.urgent = anyio.Event()
             if not await self.write():
                 await anyio.sleep(RETRY_S)
                 continue
             if not self.ended and not self.facts:
                 self.wanted = anyio.Event()
                 await self.wanted.wait()
+            with anyio.move_on_after(0.0 if self.draining else GATHER_S):
+                await self.urgent.wait()
 
     async def write(self) -> bool:
         """Writes once.
@@ -87,7 +98,9 @@
         return True
 
     async def drain(self) -> None:
-        """Waits until everything kept is durable."""
+        """Writes everything that is kept, and waits until it is durable."""
+        self.draining = True
+        self.urgent.set()
         while self.ended or self.facts:
             changed = self.owner.changed
             await changed.wait()
