--- /dev/null
+++ b/bench/deciders.py
@@ -0,0 +1,173 @@
+"""The real placement decisions and the plain baselines, behind one interface."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, ClassVar
+
+from lacewinghold.placement.capacity import copies, fits
+from lacewinghold.placement.engine import PlacementEngine
+from lacewinghold.placement.work import Placement
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lacewinghold.ids import JobId, TaskId
+    from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.document import PlacementSection
+
+SEED = 7
+
+
+class Decider(ABC):
+    """Decides what starts next and where."""
+
+    name: ClassVar[str]
+
+    def __init__(
+        self, workers: list[WorkerCapacity], weights: PlacementSection
+    ) -> None:
+        self.workers = workers
+        self.weights = weights
+
+    @abstractmethod
+    def add(self, work: Work, now: float) -> None:
+        """Queues work."""
+
+    @abstractmethod
+    def begin_round(self, now: float) -> None:
+        """Prepares for ``next``, after work or workers changed."""
+
+    @abstractmethod
+    def next(self, now: float) -> Placement | None:
+        """Makes one decision; ``None`` at the end of a round."""
+
+    @abstractmethod
+    def release(self, job: JobId, task: TaskId, worker: WorkerCapacity) -> None:
+        """Frees what a task booked."""
+
+    def observe(self, work: Work, run_s: float) -> None:
+        """Learns how long a task ran."""
+        del work, run_s
+
+
+class RealDecider(Decider):
+    """The placement engine of the product."""
+
+    name = "engine"
+
+    def __init__(
+        self, workers: list[WorkerCapacity], weights: PlacementSection
+    ) -> None:
+        super().__init__(workers, weights)
+        self.engine = PlacementEngine(weights)
+        for worker in workers:
+            self.engine.index.add(worker)
+
+    def add(self, work: Work, now: float) -> None:
+        self.engine.add(work, now)
+
+    def begin_round(self, now: float) -> None:
+        self.engine.begin_round(now)
+
+    def next(self, now: float) -> Placement | None:
+        return self.engine.next(now)
+
+    def release(self, job: JobId, task: TaskId, worker: WorkerCapacity) -> None:
+        self.engine.release(job, task, worker)
+
+    def observe(self, work: Work, run_s: float) -> None:
+        self.engine.run_times.observe(work.team, work.kind, work.run_s, run_s)
+
+
+class ArrivalOrder(Decider):
+    """Work in arrival order; what does not fit is passed over."""
+
+    def __init__(
+        self, workers: list[WorkerCapacity], weights: PlacementSection
+    ) -> None:
+        super().__init__(workers, weights)
+        self.queue: dict[str, Work] = {}
+        self.pending: list[Work] = []
+        self.failed: set[tuple[float, int, int, int]] = set()
+
+    @abstractmethod
+    def order(self, need_of: Work) -> Iterable[WorkerCapacity]:
+        """Returns the workers in the order in which they are tried."""
+
+    def add(self, work: Work, now: float) -> None:
+        self.queue[work.id] = work
+
+    def begin_round(self, now: float) -> None:
+        self.pending = list(reversed(self.queue.values()))
+        self.failed = set()
+
+    def next(self, now: float) -> Placement | None:
+        while self.pending:
+            work = self.pending.pop()
+            need = work.need
+            size = (need.cores, need.memory_mb, need.accelerators, len(work.tasks))
+            if size in self.failed:
+                continue
+            workers = self.choose(work)
+            if workers is None:
+                self.failed.add(size)
+                continue
+            for task, worker in zip(work.tasks, workers, strict=True):
+                worker.book(task, need)
+            del self.queue[work.id]
+            return Placement(work, workers)
+        return None
+
+    def choose(self, work: Work) -> list[WorkerCapacity] | None:
+        """Returns a worker for each task, or ``None``."""
+        chosen: list[WorkerCapacity] = []
+        for worker in self.order(work):
+            if not worker.usable or not fits(work.need, worker.free):
+                continue
+            missing = len(work.tasks) - len(chosen)
+            chosen += [worker] * min(missing, copies(work.need, worker.free))
+            if len(chosen) == len(work.tasks):
+                return chosen
+        return None
+
+    def release(self, job: JobId, task: TaskId, worker: WorkerCapacity) -> None:
+        worker.release(task)
+
+
+class FirstFit(ArrivalOrder):
+    """First fit in arrival order."""
+
+    name = "first-fit"
+
+    def order(self, need_of: Work) -> Iterable[WorkerCapacity]:
+        return self.workers
+
+
+class RandomFit(ArrivalOrder):
+    """A random worker, in arrival order."""
+
+    name = "random-fit"
+
+    def __init__(
+        self, workers: list[WorkerCapacity], weights: PlacementSection
+    ) -> None:
+        super().__init__(workers, weights)
+        self.rng = random.Random(SEED)
+
+    def order(self, need_of: Work) -> Iterable[WorkerCapacity]:
+        return self.rng.sample(self.workers, len(self.workers))
+
+
+class BestFit(ArrivalOrder):
+    """The fullest worker with room, in arrival order, blind to deadlines."""
+
+    name = "best-fit"
+
+    def order(self, need_of: Work) -> Iterable[WorkerCapacity]:
+        return sorted(self.workers, key=lambda worker: worker.free.cores)
+
+
+DECIDERS: list[type[Decider]] = [RealDecider, FirstFit, RandomFit, BestFit]
--- /dev/null
+++ b/bench/drive.py
@@ -0,0 +1,208 @@
+"""Drives placement decisions with a workload and faults, on the paused clock."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import defaultdict
+from heapq import heappop, heappush
+from itertools import count
+from time import perf_counter
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct, field
+
+from bench.profiles import Arrival, Generator, Profile, make_workers
+
+if TYPE_CHECKING:
+    from bench.deciders import Decider
+    from lacewinghold.ids import TaskId
+    from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.jobs import JobKind
+
+TICK_S = 0.5
+SAMPLE_EVERY_S = 5.0
+FAULT_EVERY_S = 3600.0
+REPAIR_S = 600.0
+
+
+class Running(Struct):
+    """A task on a worker."""
+
+    task: TaskId
+    work: Work
+    worker: WorkerCapacity
+    ends_at: float
+    started_at: float
+
+
+class Outcome(Struct):
+    """What a run measured."""
+
+    waits_s: dict[JobKind, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    decisions_s: list[float] = field(default_factory=list)
+    rounds_s: float = 0.0
+    other_s: float = 0.0
+    placed: int = 0
+    with_deadline: int = 0
+    missed: int = 0
+    lost: int = 0
+    cores_used: list[float] = field(default_factory=list)
+    memory_used: list[float] = field(default_factory=list)
+
+
+class Driver:
+    """Feeds one decider with one workload.
+
+    :param faults: Whether workers fail and come back.
+    """
+
+    def __init__(
+        self, profile: Profile, decider: type[Decider], load: float, seed: int
+    ) -> None:
+        self.profile = profile
+        self.workers = make_workers(profile)
+        self.decider = decider(self.workers, profile.weights)
+        self.generator = Generator(profile, load, seed)
+        self.rng = random.Random(seed + 1)
+        self.outcome = Outcome()
+        self.running: dict[TaskId, Running] = {}
+        self.ends: list[tuple[float, int, TaskId]] = []
+        self.repairs: list[tuple[float, int, WorkerCapacity]] = []
+        self.run_times: dict[str, float] = {}
+        self.unfinished: dict[str, float] = {}
+        self.numbers = count()
+        capacities = [worker.record.capacity for worker in self.workers]
+        self.cores = sum(capacity.cores for capacity in capacities)
+        self.memory_mb = sum(capacity.memory_mb for capacity in capacities)
+        self.changed = False
+
+    async def run(self, duration_s: float, *, faults: bool) -> Outcome:
+        """Drives the decider for a while."""
+        started = anyio.current_time()
+        for arrival in self.generator.services():
+            self.arrive(arrival, 0.0)
+        arrivals = self.generator.batch(duration_s)
+        following = next(arrivals, None)
+        next_fault = FAULT_EVERY_S if faults else math.inf
+        now = next_sample = 0.0
+        while now < duration_s:
+            while following is not None and following.at <= now:
+                self.arrive(following, now)
+                following = next(arrivals, None)
+            self.end_due(now)
+            if now >= next_fault:
+                self.fail_worker(self.rng.choice(self.workers), now)
+                next_fault += FAULT_EVERY_S
+            self.repair_due(now)
+            self.decide(now)
+            while next_sample <= now:
+                self.sample()
+                next_sample += SAMPLE_EVERY_S
+            due = min(next_fault, next_sample, duration_s)
+            due = min(due, self.ends[0][0] if self.ends else math.inf)
+            due = min(due, self.repairs[0][0] if self.repairs else math.inf)
+            due = min(due, following.at if following is not None else math.inf)
+            await anyio.sleep(max(TICK_S, due - now))
+            now = anyio.current_time() - started
+        self.count_unfinished(now)
+        return self.outcome
+
+    def arrive(self, arrival: Arrival, now: float) -> None:
+        """Queues arriving work."""
+        work = arrival.work
+        self.run_times[work.id] = arrival.run_s
+        if work.deadline is not None:
+            self.outcome.with_deadline += 1
+            self.unfinished[work.id] = work.deadline
+        before = perf_counter()
+        self.decider.add(work, now)
+        self.outcome.other_s += perf_counter() - before
+        self.changed = True
+
+    def decide(self, now: float) -> None:
+        """Runs one round and times each decision."""
+        if not self.changed:
+            return
+        self.changed = False
+        before = perf_counter()
+        self.decider.begin_round(now)
+        while True:
+            placement = self.decider.next(now)
+            after = perf_counter()
+            self.outcome.decisions_s.append(after - before)
+            self.outcome.rounds_s += after - before
+            if placement is None:
+                break
+            self.start(placement.work, placement.workers, now)
+            before = perf_counter()
+
+    def sample(self) -> None:
+        """Notes how much is booked."""
+        cores = sum(worker.free.cores for worker in self.workers)
+        memory_mb = sum(worker.free.memory_mb for worker in self.workers)
+        self.outcome.cores_used.append(1 - cores / self.cores)
+        self.outcome.memory_used.append(1 - memory_mb / self.memory_mb)
+
+    def start(self, work: Work, workers: list[WorkerCapacity], now: float) -> None:
+        """Starts the tasks of a decision."""
+        run_s = self.run_times[work.id]
+        for task, worker in zip(work.tasks, workers, strict=True):
+            self.running[task] = Running(task, work, worker, now + run_s, now)
+            if run_s < math.inf:
+                heappush(self.ends, (now + run_s, next(self.numbers), task))
+        self.outcome.waits_s[work.kind].append(now - work.queued_at)
+        self.outcome.placed += len(work.tasks)
+
+    def end_due(self, now: float) -> None:
+        """Ends the tasks whose time is over."""
+        while self.ends and self.ends[0][0] <= now:
+            ends_at, _, task = heappop(self.ends)
+            run = self.running.get(task)
+            if run is None or run.ends_at != ends_at:
+                continue
+            del self.running[task]
+            before = perf_counter()
+            self.decider.release(run.work.job, task, run.worker)
+            self.decider.observe(run.work, ends_at - run.started_at)
+            self.outcome.other_s += perf_counter() - before
+            self.changed = True
+            deadline = self.unfinished.pop(run.work.id, None)
+            if deadline is not None and ends_at > deadline:
+                self.outcome.missed += 1
+
+    def fail_worker(self, worker: WorkerCapacity, now: float) -> None:
+        """Fails a worker; what ran on it is queued again."""
+        if not worker.usable:
+            return
+        worker.usable = False
+        heappush(self.repairs, (now + REPAIR_S, next(self.numbers), worker))
+        lost: dict[str, Work] = {}
+        for task in list(worker.bookings):
+            lost[self.running[task].work.id] = self.running[task].work
+        for work in lost.values():
+            for task in work.tasks:
+                run = self.running.pop(task, None)
+                if run is not None:
+                    self.decider.release(work.job, task, run.worker)
+            work.queued_at = now
+            self.decider.add(work, now)
+            self.outcome.lost += len(work.tasks)
+        self.changed = True
+
+    def repair_due(self, now: float) -> None:
+        """Brings failed workers back."""
+        while self.repairs and self.repairs[0][0] <= now:
+            _, _, worker = heappop(self.repairs)
+            worker.usable = True
+            self.changed = True
+
+    def count_unfinished(self, now: float) -> None:
+        """Counts work that missed its deadline without having ended."""
+        for deadline in self.unfinished.values():
+            if deadline < now:
+                self.outcome.missed += 1
--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -78,6 +78,7 @@
             ports.clock,
             rng,
         )
+        self.manager.weights = self.document.placement
         self.directory = Directory(self.view, self.peers, self.manager)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
         self.requests = RequestFront(
--- a/lacewinghold/document/sections.py
+++ b/lacewinghold/document/sections.py
@@ -32,6 +32,7 @@
     SectionKind.PLACEMENT: PlacementSection,
 }
 CELL_SECTION = SectionName("cell")
+PLACEMENT_SECTION = SectionName("placement")
 MAX_SECTION_BYTES = 1_000_000
 
 
@@ -96,6 +97,13 @@
             return CellSection(teams={})
         return from_json(to_json(section.body), CellSection)
 
+    def placement(self) -> PlacementSection:
+        """Returns the section with the weights; defaults if there is none."""
+        section = self.section(PLACEMENT_SECTION)
+        if section is None or section.kind is not SectionKind.PLACEMENT:
+            return PlacementSection()
+        return from_json(to_json(section.body), PlacementSection)
+
     def team_of_key(self, key: str) -> tuple[TeamId, Role] | None:
         """Returns the team that a bearer key belongs to, and its role."""
         digest = hash_key(key)
--- a/lacewinghold/placement/capacity.py
+++ b/lacewinghold/placement/capacity.py
@@ -9,9 +9,11 @@
 
 if TYPE_CHECKING:
     from lacewinghold.ids import TaskId
+    from lacewinghold.placement.index import CapacityIndex
     from lacewinghold.schema.generated.worker import WorkerRecord
 
 CORES_TOLERANCE = 1e-6
+MAX_COPIES = 10_000
 
 
 def add(left: Resources, right: Resources) -> Resources:
@@ -41,6 +43,30 @@
     )
 
 
+def copies(need: Resources, free: Resources) -> int:
+    """Returns how many tasks of a size fit into what is free."""
+    bounds = [MAX_COPIES]
+    if need.cores > 0:
+        bounds.append(int((free.cores + CORES_TOLERANCE) / need.cores))
+    if need.memory_mb > 0:
+        bounds.append(free.memory_mb // need.memory_mb)
+    if need.accelerators > 0:
+        bounds.append(free.accelerators // need.accelerators)
+    return max(0, min(bounds))
+
+
+def dominant_share(part: Resources, whole: Resources) -> float:
+    """Returns the largest of the shares that a part is of a whole."""
+    share = 0.0
+    if whole.cores > 0:
+        share = part.cores / whole.cores
+    if whole.memory_mb > 0:
+        share = max(share, part.memory_mb / whole.memory_mb)
+    if whole.accelerators > 0:
+        share = max(share, part.accelerators / whole.accelerators)
+    return share
+
+
 class WorkerCapacity:
     """What is booked on one worker.
 
@@ -51,7 +77,27 @@
         self.record = record
         self.free = record.capacity
         self.bookings: dict[TaskId, Resources] = {}
-        self.usable = False
+        self.index: CapacityIndex | None = None
+        self._usable = False
+
+    @property
+    def usable(self) -> bool:
+        """Returns whether new tasks may be placed here."""
+        return self._usable
+
+    @usable.setter
+    def usable(self, usable: bool) -> None:
+        if usable == self._usable:
+            return
+        self._usable = usable
+        if self.index is not None:
+            self.index.update(self)
+
+    def set_free(self, free: Resources) -> None:
+        """Sets what is free, here and in the index."""
+        self.free = free
+        if self.index is not None:
+            self.index.update(self)
 
     def book(self, task: TaskId, need: Resources) -> None:
         """Books resources for a task.
@@ -61,14 +107,14 @@
         require(Invariant.ONE_PLACE, task not in self.bookings, task)
         require(Invariant.CAPACITY, fits(need, self.free), self.record.worker)
         self.bookings[task] = need
-        self.free = subtract(self.free, need)
+        self.set_free(subtract(self.free, need))
 
     def adopt(self, task: TaskId, need: Resources) -> None:
         """Books a task that already runs on the worker."""
         if task in self.bookings:
             return
         self.bookings[task] = need
-        self.free = subtract(self.free, need)
+        self.set_free(subtract(self.free, need))
 
     def release(self, task: TaskId) -> bool:
         """Frees what a task had booked.
@@ -78,5 +124,7 @@
         need = self.bookings.pop(task, None)
         if need is None:
             return False
-        self.free = add(self.free, need)
+        self.set_free(add(self.free, need))
+        if self.index is not None:
+            self.index.note_freed(need.cores)
         return True
--- /dev/null
+++ b/lacewinghold/placement/engine.py
@@ -0,0 +1,143 @@
+"""Decides which waiting work starts next, and where."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lacewinghold.placement.capacity import copies
+from lacewinghold.placement.estimates import RunTimes
+from lacewinghold.placement.hold import Hold
+from lacewinghold.placement.index import CapacityIndex
+from lacewinghold.placement.policy import POLICIES, JobPlaces
+from lacewinghold.placement.queue import Blocked, WorkQueue
+from lacewinghold.placement.ranking import Ranking
+from lacewinghold.placement.work import Placement
+from lacewinghold.schema.generated.document import PlacementSection
+from lacewinghold.schema.generated.jobs import JobKind
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import JobId, TaskId
+    from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.jobs import Resources
+
+HOLD_AFTER_S = 60.0
+
+
+class PlacementEngine:
+    """Places waiting work on the workers of an index.
+
+    :param weights: The operators' weights.
+    """
+
+    def __init__(self, weights: PlacementSection | None = None) -> None:
+        self.index = CapacityIndex()
+        self.run_times = RunTimes()
+        self.places = JobPlaces()
+        self.hold = Hold(self.index)
+        self.weights = weights or PlacementSection()
+        self.ranking = Ranking(self.weights, self.run_times, self.index)
+        self.queue = WorkQueue(self.ranking, self.index)
+        self.policies = {
+            kind: policy(self.weights) for kind, policy in POLICIES.items()
+        }
+
+    def set_weights(self, weights: PlacementSection) -> None:
+        """Follows a change of the operators' document."""
+        if weights == self.weights:
+            return
+        self.weights = weights
+        self.ranking.weights = weights
+        for policy in self.policies.values():
+            policy.weights = weights
+        self.queue.rebuild()
+
+    def add(self, work: Work, now: float) -> None:
+        """Queues work, in place of work of the same id."""
+        self.remove(work.id)
+        self.queue.add(work, now)
+
+    def remove(self, ident: TaskId | JobId) -> Work | None:
+        """Drops waiting work."""
+        work = self.queue.remove(ident)
+        if work is not None:
+            self.let_go(work)
+        return work
+
+    def adopt(
+        self, job: JobId, task: TaskId, need: Resources, worker: WorkerCapacity
+    ) -> None:
+        """Books a task that already runs on a worker."""
+        if task not in worker.bookings:
+            worker.adopt(task, need)
+            self.places.add(job, worker)
+
+    def release(self, job: JobId, task: TaskId, worker: WorkerCapacity) -> None:
+        """Frees what a task has booked on a worker."""
+        if worker.release(task):
+            self.places.remove(job, worker)
+            self.hold.ends_at.pop(task, None)
+
+    def begin_round(self, now: float) -> None:
+        """Takes up work whose time came or for which there may be room again."""
+        self.queue.release_delayed(now)
+        self.queue.unblock(now)
+
+    def next(self, now: float) -> Placement | None:
+        """Books workers for the most pressing work that fits.
+
+        :returns: ``None`` at the end of a round.
+        """
+        while (best := self.queue.best(now)) is not None:
+            shape, work = best
+            placement = self.place(work, now)
+            if placement is not None:
+                self.queue.take(shape)
+                return placement
+            self.queue.block(shape, self.blocked(work, now))
+        return None
+
+    def place(self, work: Work, now: float) -> Placement | None:
+        """Books workers for one piece of work, if it fits now."""
+        ends_at = now + self.run_times.estimate_s(work)
+        excluded = self.hold.excluded(work, ends_at)
+        policy = self.policies[work.kind]
+        workers = policy.choose(work, self.index, self.places, excluded)
+        if workers is None:
+            return None
+        for task, worker in zip(work.tasks, workers, strict=True):
+            worker.book(task, work.need)
+            self.places.add(work.job, worker)
+            if work.kind is not JobKind.SERVICE:
+                self.hold.ends_at[task] = ends_at
+        self.let_go(work)
+        return Placement(work, workers)
+
+    def freed_needed(self, work: Work) -> float:
+        """Returns how many cores must have been freed before another try."""
+        if work.kind is not JobKind.ALL_AT_ONCE:
+            return 0.0
+        room = 0
+        mask = self.index.candidates(work.need)
+        for worker in self.index.exact(mask, work.need):
+            room += copies(work.need, worker.free)
+        missing = len(work.tasks) - room
+        return self.index.freed_cores + max(0, missing) * work.need.cores
+
+    def blocked(self, work: Work, now: float) -> Blocked:
+        """Holds workers for overdue work that found no room.
+
+        :returns: When to try the work again.
+        """
+        hold_at = self.ranking.latest_start(work) + HOLD_AFTER_S
+        if now >= hold_at:
+            if self.hold.work is None:
+                self.hold.begin(work, now)
+            hold_at = now + HOLD_AFTER_S
+        return Blocked(work, self.freed_needed(work), hold_at)
+
+    def let_go(self, work: Work) -> None:
+        """Gives workers back that are held for a piece of work."""
+        if self.hold.work is work:
+            self.hold.end()
+            self.queue.unblock_all()
--- /dev/null
+++ b/lacewinghold/placement/estimates.py
@@ -0,0 +1,82 @@
+"""Run times learned from what tasks of a team and kind took before."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import TeamId
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.jobs import JobKind
+
+LEARNING_RATE = 0.1
+MIN_SAMPLES = 5
+MIN_RATIO = 0.05
+MAX_RATIO = 20.0
+UPPER_DEVIATIONS = 1.0
+LOWER_DEVIATIONS = 2.0
+UNKNOWN_LOWER_RATIO = 0.2
+
+
+class RatioEstimate(Struct):
+    """Moving mean and variance of the logarithm of observed over declared."""
+
+    samples: int = 0
+    mean: float = 0.0
+    variance: float = 0.0
+
+    def observe(self, ratio: float) -> None:
+        """Takes one observation into account."""
+        value = math.log(min(MAX_RATIO, max(MIN_RATIO, ratio)))
+        self.samples += 1
+        rate = max(LEARNING_RATE, 1 / self.samples)
+        difference = value - self.mean
+        self.mean += rate * difference
+        self.variance = (1 - rate) * (self.variance + rate * difference**2)
+
+    def upper(self) -> float:
+        """Returns a ratio that most tasks stay below; 1 before enough samples."""
+        if self.samples < MIN_SAMPLES:
+            return 1.0
+        margin = UPPER_DEVIATIONS * math.sqrt(self.variance)
+        return min(MAX_RATIO, math.exp(self.mean + margin))
+
+    def lower(self) -> float:
+        """Returns a ratio that few tasks stay below."""
+        if self.samples < MIN_SAMPLES:
+            return UNKNOWN_LOWER_RATIO
+        margin = LOWER_DEVIATIONS * math.sqrt(self.variance)
+        return max(MIN_RATIO, math.exp(self.mean - margin))
+
+
+class RunTimes:
+    """Corrects declared run times by team and kind."""
+
+    def __init__(self) -> None:
+        self.ratios: dict[tuple[TeamId, JobKind], RatioEstimate] = {}
+
+    def observe(
+        self, team: TeamId, kind: JobKind, declared_s: float, run_s: float
+    ) -> None:
+        """Learns from a task that ended by itself."""
+        if declared_s <= 0 or run_s <= 0:
+            return
+        estimate = self.ratios.setdefault((team, kind), RatioEstimate())
+        estimate.observe(run_s / declared_s)
+
+    def estimate_s(self, work: Work) -> float:
+        """Returns the seconds that a piece of work most likely takes at most."""
+        estimate = self.ratios.get((work.team, work.kind))
+        if estimate is None:
+            return work.run_s
+        return work.run_s * estimate.upper()
+
+    def least_s(self, work: Work) -> float:
+        """Returns the seconds that a piece of work most likely takes at least."""
+        estimate = self.ratios.get((work.team, work.kind))
+        if estimate is None:
+            return work.run_s * UNKNOWN_LOWER_RATIO
+        return work.run_s * estimate.lower()
--- /dev/null
+++ b/lacewinghold/placement/hold.py
@@ -0,0 +1,87 @@
+"""Workers held for work that has waited too long for room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lacewinghold.placement.capacity import add, copies
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import TaskId
+    from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.index import CapacityIndex
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.jobs import Resources
+
+
+class Hold:
+    """Keeps workers free for one piece of work.
+
+    Only one piece of work holds workers at a time, so that two large jobs
+    cannot keep each other from starting. Work that most likely ends before
+    the held workers are free may still use them.
+
+    :param index: The workers.
+    """
+
+    def __init__(self, index: CapacityIndex) -> None:
+        self.index = index
+        self.work: Work | None = None
+        self.mask = 0
+        self.ready_at = 0.0
+        self.ends_at: dict[TaskId, float] = {}
+
+    def excluded(self, work: Work, ends_at: float) -> int:
+        """Returns the workers that a piece of work must leave alone."""
+        if work is self.work or ends_at <= self.ready_at:
+            return 0
+        return self.mask
+
+    def begin(self, work: Work, now: float) -> None:
+        """Holds the workers that are expected to be free soonest.
+
+        Holds nothing if the work would not fit the usable workers.
+        """
+        found = []
+        for worker_id in self.index.positions:
+            worker = self.index.at(worker_id)
+            fitting = copies(work.need, worker.record.capacity)
+            if not worker.usable or not fitting:
+                continue
+            fitting, ready_at = self.room(worker, work.need, len(work.tasks), now)
+            if fitting:
+                found.append((ready_at, worker_id, fitting))
+        missing = len(work.tasks)
+        mask = 0
+        for ready_at, worker_id, fitting in sorted(found):
+            mask |= self.index.mask_of(worker_id)
+            missing -= fitting
+            if missing > 0:
+                continue
+            self.work, self.mask, self.ready_at = work, mask, ready_at
+            return
+
+    def room(
+        self, worker: WorkerCapacity, need: Resources, wanted: int, now: float
+    ) -> tuple[int, float]:
+        """Returns how many copies a worker will have room for, and from when."""
+        free = worker.free
+        fitting = copies(need, free)
+        ready_at = now
+        ends = sorted(
+            (self.ends_at[task], task)
+            for task in worker.bookings
+            if task in self.ends_at
+        )
+        for ends_at, task in ends:
+            if fitting >= wanted:
+                break
+            free = add(free, worker.bookings[task])
+            more = copies(need, free)
+            if more > fitting:
+                fitting, ready_at = more, max(now, ends_at)
+        return min(fitting, wanted), ready_at
+
+    def end(self) -> None:
+        """Gives the held workers back."""
+        self.work, self.mask, self.ready_at = None, 0, 0.0
--- /dev/null
+++ b/lacewinghold/placement/index.py
@@ -0,0 +1,215 @@
+"""Finds workers by what is free on them, by bit masks over quantised levels."""
+
+from __future__ import annotations
+
+from math import frexp
+from typing import TYPE_CHECKING
+
+from lacewinghold.placement.capacity import fits
+from lacewinghold.schema.generated.jobs import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lacewinghold.ids import RackId, WorkerId
+    from lacewinghold.placement.capacity import WorkerCapacity
+
+LEVELS_PER_DOUBLING = 8
+CORES_UNIT = 0.25
+MEMORY_UNIT_MB = 64
+BOUNDARY_CHECKS = 16
+
+
+def level_of(units: float) -> int:
+    """Returns the level of an amount; it never falls as the amount rises."""
+    if units < 1:
+        return 0
+    mantissa, exponent = frexp(units)
+    part = int((mantissa - 0.5) * 2 * LEVELS_PER_DOUBLING)
+    return (exponent - 1) * LEVELS_PER_DOUBLING + part + 1
+
+
+class Axis:
+    """The workers that have at least each level of one resource free."""
+
+    def __init__(self) -> None:
+        self.at_least: list[int] = [0]
+        self.levels: list[int] = []
+
+    def mask(self, level: int) -> int:
+        """Returns the workers at a level or above."""
+        return self.at_least[level] if level < len(self.at_least) else 0
+
+    def add(self, position: int) -> None:
+        """Adds a worker at level 0."""
+        self.levels.append(0)
+        self.at_least[0] |= 1 << position
+
+    def move(self, position: int, level: int) -> None:
+        """Moves a worker to another level."""
+        old = self.levels[position]
+        if level == old:
+            return
+        self.levels[position] = level
+        bit = 1 << position
+        while len(self.at_least) <= level:
+            self.at_least.append(0)
+        for between in range(min(old, level) + 1, max(old, level) + 1):
+            self.at_least[between] ^= bit
+
+
+class CapacityIndex:
+    """Workers by free cores, memory and accelerators together.
+
+    A query combines one mask for each resource, so that its cost hardly grows
+    with the number of workers. Only workers at the level of the need itself
+    have to be compared exactly.
+    """
+
+    def __init__(self) -> None:
+        self.positions: dict[WorkerId, int] = {}
+        self.workers: list[WorkerCapacity | None] = []
+        self.unused: list[int] = []
+        self.cores = Axis()
+        self.memory = Axis()
+        self.accelerators = Axis()
+        self.usable = 0
+        self.racks: dict[RackId, int] = {}
+        self.largest = Resources()
+        self.freed_cores = 0.0
+
+    def add(self, worker: WorkerCapacity) -> None:
+        """Adds a worker and follows its changes from now on."""
+        if self.unused:
+            position = self.unused.pop()
+            self.workers[position] = worker
+        else:
+            position = len(self.workers)
+            self.workers.append(worker)
+            for axis in (self.cores, self.memory, self.accelerators):
+                axis.add(position)
+        self.positions[worker.record.worker] = position
+        rack = worker.record.rack
+        self.racks[rack] = self.racks.get(rack, 0) | 1 << position
+        capacity = worker.record.capacity
+        self.largest = Resources(
+            cores=max(self.largest.cores, capacity.cores),
+            memory_mb=max(self.largest.memory_mb, capacity.memory_mb),
+            accelerators=max(self.largest.accelerators, capacity.accelerators),
+        )
+        worker.index = self
+        self.update(worker)
+
+    def remove(self, worker: WorkerCapacity) -> None:
+        """Forgets a worker."""
+        position = self.positions.pop(worker.record.worker, None)
+        if position is None:
+            return
+        worker.index = None
+        self.workers[position] = None
+        self.usable &= ~(1 << position)
+        self.racks[worker.record.rack] &= ~(1 << position)
+        self.unused.append(position)
+
+    def update(self, worker: WorkerCapacity) -> None:
+        """Follows a change of what is free on a worker."""
+        position = self.positions[worker.record.worker]
+        free = worker.free
+        self.cores.move(position, cores_level(free))
+        self.memory.move(position, memory_level(free))
+        self.accelerators.move(position, level_of(free.accelerators))
+        bit = 1 << position
+        if worker.usable:
+            self.usable |= bit
+        else:
+            self.usable &= ~bit
+
+    def note_freed(self, cores: float) -> None:
+        """Counts cores that were freed."""
+        self.freed_cores += cores
+
+    def candidates(self, need: Resources) -> int:
+        """Returns a mask of the usable workers that may have room for a need."""
+        return (
+            self.usable
+            & self.cores.mask(cores_level(need))
+            & self.memory.mask(memory_level(need))
+            & self.accelerators.mask(level_of(need.accelerators))
+        )
+
+    def at(self, worker: WorkerId) -> WorkerCapacity:
+        """Returns a worker that the index holds."""
+        found = self.workers[self.positions[worker]]
+        assert found is not None
+        return found
+
+    def mask_of(self, worker: WorkerId) -> int:
+        """Returns the mask of one worker, empty if it is unknown."""
+        position = self.positions.get(worker)
+        return 0 if position is None else 1 << position
+
+    def rack_mask(self, worker: WorkerCapacity) -> int:
+        """Returns the workers of a worker's rack."""
+        return self.racks.get(worker.record.rack, 0)
+
+    def tight(self, mask: int, need: Resources) -> Iterator[WorkerCapacity]:
+        """Yields the workers of a mask that fit, fewest free cores first."""
+        lowest = cores_level(need)
+        masks = self.cores.at_least
+        postponed = 0
+        for level in range(lowest, len(masks)):
+            above = masks[level + 1] if level + 1 < len(masks) else 0
+            layer = mask & masks[level] & ~above
+            if not layer:
+                if not mask & above:
+                    break
+                continue
+            layer, found = self.split(layer, need)
+            postponed |= layer
+            yield from found
+        yield from self.exact(postponed, need)
+
+    def loose(self, mask: int, need: Resources) -> Iterator[WorkerCapacity]:
+        """Yields the workers of a mask that fit, most free cores first."""
+        masks = self.cores.at_least
+        above = 0
+        for level in range(len(masks) - 1, cores_level(need) - 1, -1):
+            layer = mask & masks[level] & ~above
+            above = masks[level]
+            if layer:
+                yield from self.exact(layer, need)
+
+    def split(self, layer: int, need: Resources) -> tuple[int, list[WorkerCapacity]]:
+        """Checks some workers of a layer exactly.
+
+        :returns: The workers that were not looked at, and those that fit.
+        """
+        found: list[WorkerCapacity] = []
+        for _ in range(BOUNDARY_CHECKS):
+            if not layer:
+                break
+            bit = layer & -layer
+            layer ^= bit
+            worker = self.workers[bit.bit_length() - 1]
+            if worker is not None and fits(need, worker.free):
+                found.append(worker)
+        return layer, found
+
+    def exact(self, mask: int, need: Resources) -> Iterator[WorkerCapacity]:
+        """Yields the workers of a mask that fit."""
+        while mask:
+            bit = mask & -mask
+            mask ^= bit
+            worker = self.workers[bit.bit_length() - 1]
+            if worker is not None and fits(need, worker.free):
+                yield worker
+
+
+def cores_level(amount: Resources) -> int:
+    """Returns the level of an amount's cores."""
+    return level_of(amount.cores / CORES_UNIT + 1e-6)
+
+
+def memory_level(amount: Resources) -> int:
+    """Returns the level of an amount's memory."""
+    return level_of(amount.memory_mb / MEMORY_UNIT_MB)
--- a/lacewinghold/placement/policy.py
+++ b/lacewinghold/placement/policy.py
@@ -1,96 +1,167 @@
-"""Policies that choose a worker for a task, one for each kind of work."""
+"""Policies that choose workers, one for each kind of work."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING, ClassVar
 
-from lacewinghold.placement.capacity import fits
+from lacewinghold.placement.capacity import copies
 from lacewinghold.schema.generated.jobs import JobKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
-
-    from lacewinghold.ids import WorkerId
+    from lacewinghold.ids import JobId
     from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.index import CapacityIndex
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.document import PlacementSection
     from lacewinghold.schema.generated.jobs import Resources
 
+CANDIDATES = 8
+
+
+class JobPlaces:
+    """Counts the tasks of jobs on workers, for spreading."""
+
+    def __init__(self) -> None:
+        self.counts: dict[JobId, dict[WorkerCapacity, int]] = {}
+
+    def add(self, job: JobId, worker: WorkerCapacity) -> None:
+        """Notes that a task of a job was put on a worker."""
+        counts = self.counts.setdefault(job, {})
+        counts[worker] = counts.get(worker, 0) + 1
+
+    def remove(self, job: JobId, worker: WorkerCapacity) -> None:
+        """Notes that a task of a job left a worker."""
+        counts = self.counts.get(job, {})
+        left = counts.get(worker, 0) - 1
+        if left > 0:
+            counts[worker] = left
+            return
+        counts.pop(worker, None)
+        if not counts:
+            self.counts.pop(job, None)
+
+    def masks(self, job: JobId, index: CapacityIndex) -> tuple[int, int]:
+        """Returns the workers that have tasks of a job, and all of their racks."""
+        workers = racks = 0
+        for worker in self.counts.get(job, ()):
+            workers |= index.mask_of(worker.record.worker)
+            racks |= index.rack_mask(worker)
+        return workers, racks
+
 
 class PlacementPolicy(ABC):
-    """Chooses among the workers of a shard."""
+    """Chooses workers for work of one kind.
+
+    :param weights: The operators' weights.
+    """
 
     name: ClassVar[str]
 
+    def __init__(self, weights: PlacementSection) -> None:
+        self.weights = weights
+
     @abstractmethod
     def choose(
-        self, need: Resources, workers: Iterable[WorkerCapacity]
-    ) -> WorkerCapacity | None:
-        """Returns the worker for one task, or ``None`` if it fits nowhere now."""
+        self, work: Work, index: CapacityIndex, places: JobPlaces, excluded: int
+    ) -> list[WorkerCapacity] | None:
+        """Returns a worker for each task, or ``None`` if they do not fit now.
+
+        :param excluded: Mask of workers that are held for other work.
+        """
 
 
 class SpreadPolicy(PlacementPolicy):
-    """Puts a service's tasks where the most is free."""
+    """Spreads a service over racks first, then over workers."""
 
     name = "spread"
 
     def choose(
-        self, need: Resources, workers: Iterable[WorkerCapacity]
-    ) -> WorkerCapacity | None:
-        best = None
-        for worker in workers:
-            if not worker.usable or not fits(need, worker.free):
-                continue
-            if best is None or worker.free.cores > best.free.cores:
-                best = worker
-        return best
+        self, work: Work, index: CapacityIndex, places: JobPlaces, excluded: int
+    ) -> list[WorkerCapacity] | None:
+        mask = index.candidates(work.need) & ~excluded
+        if not mask:
+            return None
+        workers, racks = places.masks(work.job, index)
+        loose = self.weights.waiting_weight >= self.weights.packing_weight
+        for preferred in (mask & ~racks, mask & racks & ~workers, mask & workers):
+            order = index.loose if loose else index.tight
+            for worker in order(preferred, work.need):
+                return [worker]
+        return None
 
 
 class TightPolicy(PlacementPolicy):
-    """Fills workers up, so that large tasks still find room."""
+    """Fills workers up and strands little of any resource."""
 
     name = "tight"
 
     def choose(
-        self, need: Resources, workers: Iterable[WorkerCapacity]
-    ) -> WorkerCapacity | None:
-        best = None
-        for worker in workers:
-            if not worker.usable or not fits(need, worker.free):
-                continue
-            if best is None or worker.free.cores < best.free.cores:
-                best = worker
-        return best
-
-
-POLICIES: dict[JobKind, PlacementPolicy] = {
-    JobKind.SERVICE: SpreadPolicy(),
-    JobKind.BATCH: TightPolicy(),
-    JobKind.ALL_AT_ONCE: TightPolicy(),
-}
+        self, work: Work, index: CapacityIndex, places: JobPlaces, excluded: int
+    ) -> list[WorkerCapacity] | None:
+        del places
+        mask = index.candidates(work.need) & ~excluded
+        if not mask:
+            return None
+        for part in accelerators_last(mask, index, work.need):
+            best = best_worker(part, index, work.need)
+            if best is not None:
+                return [best]
+        return None
 
 
-def fits_together(
-    need: Resources, count: int, workers: Sequence[WorkerCapacity]
-) -> bool:
-    """Returns whether ``count`` equal tasks fit the workers at the same time."""
-    return sum(copies(need, worker) for worker in workers) >= count
+class TogetherPolicy(PlacementPolicy):
+    """Finds room for all tasks of a job at the same time, or for none."""
 
+    name = "together"
 
-def copies(need: Resources, worker: WorkerCapacity) -> int:
-    """Returns how many tasks of a size fit what is free on a worker."""
-    if not worker.usable:
-        return 0
-    bounds = [10_000]
-    if need.cores > 0:
-        bounds.append(int((worker.free.cores + 1e-6) / need.cores))
-    if need.memory_mb > 0:
-        bounds.append(worker.free.memory_mb // need.memory_mb)
-    if need.accelerators > 0:
-        bounds.append(worker.free.accelerators // need.accelerators)
-    return max(0, min(bounds))
+    def choose(
+        self, work: Work, index: CapacityIndex, places: JobPlaces, excluded: int
+    ) -> list[WorkerCapacity] | None:
+        del places
+        mask = index.candidates(work.need) & ~excluded
+        chosen: list[WorkerCapacity] = []
+        for part in accelerators_last(mask, index, work.need):
+            for worker in index.tight(part, work.need):
+                missing = len(work.tasks) - len(chosen)
+                chosen += [worker] * min(missing, copies(work.need, worker.free))
+                if len(chosen) == len(work.tasks):
+                    return chosen
+        return None
+
+
+POLICIES: dict[JobKind, type[PlacementPolicy]] = {
+    JobKind.SERVICE: SpreadPolicy,
+    JobKind.BATCH: TightPolicy,
+    JobKind.ALL_AT_ONCE: TogetherPolicy,
+}
 
 
-def count_by_worker(workers: Iterable[WorkerCapacity]) -> Counter[WorkerId]:
-    """Returns the number of booked tasks of each worker."""
-    return Counter({w.record.worker: len(w.bookings) for w in workers})
+def accelerators_last(mask: int, index: CapacityIndex, need: Resources) -> list[int]:
+    """Splits a mask so that work without accelerators leaves them to others."""
+    if need.accelerators:
+        return [mask]
+    with_accelerators = mask & index.accelerators.mask(1)
+    return [mask & ~with_accelerators, with_accelerators]
+
+
+def best_worker(
+    mask: int, index: CapacityIndex, need: Resources
+) -> WorkerCapacity | None:
+    """Returns the worker that is left fullest and most evenly filled."""
+    best = None
+    best_score = 0.0
+    for worker in islice(index.tight(mask, need), CANDIDATES):
+        score = left_over(need, worker)
+        if best is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def left_over(need: Resources, worker: WorkerCapacity) -> float:
+    """Returns how much a placement leaves and how unevenly, as a score."""
+    capacity = worker.record.capacity
+    cores = (worker.free.cores - need.cores) / (capacity.cores or 1.0)
+    memory = (worker.free.memory_mb - need.memory_mb) / (capacity.memory_mb or 1)
+    return (cores + memory) / 2 + abs(cores - memory)
--- /dev/null
+++ b/lacewinghold/placement/queue.py
@@ -0,0 +1,207 @@
+"""The queue of waiting work, kept in order as work comes and goes."""
+
+from __future__ import annotations
+
+from heapq import heapify, heappop, heappush
+from itertools import count
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from lacewinghold.placement.index import cores_level, level_of, memory_level
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import JobId, TaskId
+    from lacewinghold.placement.index import CapacityIndex
+    from lacewinghold.placement.ranking import Ranking
+    from lacewinghold.placement.work import Work
+    from lacewinghold.schema.generated.jobs import JobKind, Priority
+
+Rank = tuple[int, float]
+RANK_TOLERANCE_S = 1.0
+
+
+class Shape(Struct, frozen=True):
+    """Work of one kind, about one size and one tier."""
+
+    kind: JobKind
+    priority: Priority
+    tasks: int
+    cores: int
+    memory: int
+    accelerators: int
+
+
+class Blocked(Struct):
+    """A shape whose most pressing work found no room.
+
+    :param freed_needed: Cores to be freed in all before another try.
+    :param retry_at: When to try again in any case.
+    """
+
+    work: Work
+    freed_needed: float
+    retry_at: float
+
+
+def shape_of(work: Work) -> Shape:
+    """Returns the shape of a piece of work."""
+    return Shape(
+        work.kind,
+        work.priority,
+        len(work.tasks),
+        cores_level(work.need),
+        memory_level(work.need),
+        level_of(work.need.accelerators),
+    )
+
+
+class WorkQueue:
+    """Work in order of rank, one heap for each shape.
+
+    A shape that finds no room is set aside as a whole, so that a round does
+    not try thousands of equal tasks in vain.
+    """
+
+    def __init__(self, ranking: Ranking, index: CapacityIndex) -> None:
+        self.ranking = ranking
+        self.index = index
+        self.waiting: dict[TaskId | JobId, Work] = {}
+        self.heaps: dict[Shape, list[tuple[Rank, int, Work]]] = {}
+        self.heads: list[tuple[Rank, int, Shape]] = []
+        self.delayed: list[tuple[float, int, Work]] = []
+        self.blocked: dict[Shape, Blocked] = {}
+        self.numbers = count()
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def add(self, work: Work, now: float) -> None:
+        """Queues work, once its time has come."""
+        self.waiting[work.id] = work
+        if work.not_before > now:
+            heappush(self.delayed, (work.not_before, next(self.numbers), work))
+            return
+        self.push(work)
+
+    def push(self, work: Work) -> None:
+        """Puts work into the heap of its shape."""
+        shape = shape_of(work)
+        rank = self.ranking.rank(work)
+        heap = self.heaps.setdefault(shape, [])
+        entry = (rank, next(self.numbers), work)
+        heappush(heap, entry)
+        if heap[0] is entry and shape not in self.blocked:
+            heappush(self.heads, (rank, next(self.numbers), shape))
+
+    def remove(self, ident: TaskId | JobId) -> Work | None:
+        """Removes work; its heap entry is dropped when it comes up."""
+        return self.waiting.pop(ident, None)
+
+    def is_waiting(self, work: Work) -> bool:
+        """Returns whether a heap entry still stands."""
+        return self.waiting.get(work.id) is work
+
+    def next_due(self) -> float:
+        """Returns when the next delayed work may start."""
+        return self.delayed[0][0] if self.delayed else float("inf")
+
+    def release_delayed(self, now: float) -> None:
+        """Moves delayed work whose time has come."""
+        while self.delayed and self.delayed[0][0] <= now:
+            _, _, work = heappop(self.delayed)
+            if self.is_waiting(work):
+                self.push(work)
+
+    def unblock(self, now: float) -> None:
+        """Puts shapes back for which there may be room again."""
+        for shape, blocked in list(self.blocked.items()):
+            if not self.worth_a_try(blocked, now):
+                continue
+            del self.blocked[shape]
+            self.offer(shape)
+
+    def worth_a_try(self, blocked: Blocked, now: float) -> bool:
+        """Returns whether a shape that found no room may find it now."""
+        if not self.is_waiting(blocked.work) or now >= blocked.retry_at:
+            return True
+        if self.index.freed_cores < blocked.freed_needed:
+            return False
+        return self.index.candidates(blocked.work.need) != 0
+
+    def unblock_all(self) -> None:
+        """Puts all shapes back."""
+        for shape in list(self.blocked):
+            del self.blocked[shape]
+            self.offer(shape)
+
+    def offer(self, shape: Shape) -> None:
+        """Makes the head of a shape's heap a candidate."""
+        heap = self.heaps.get(shape)
+        while heap and not self.is_waiting(heap[0][2]):
+            heappop(heap)
+        if not heap:
+            self.heaps.pop(shape, None)
+            return
+        heappush(self.heads, (heap[0][0], next(self.numbers), shape))
+
+    def best(self, now: float) -> tuple[Shape, Work] | None:
+        """Returns the most pressing work that is not set aside."""
+        while self.heads:
+            rank, _, shape = self.heads[0]
+            heap = self.heaps.get(shape)
+            if shape in self.blocked or not heap:
+                heappop(self.heads)
+                continue
+            if not self.is_waiting(heap[0][2]) or heap[0][0] != rank:
+                heappop(self.heads)
+                if not self.is_waiting(heap[0][2]):
+                    self.offer(shape)
+                continue
+            work = heap[0][2]
+            if self.reranked(heap, work, now):
+                heappop(self.heads)
+                self.offer(shape)
+                continue
+            return shape, work
+        return None
+
+    def reranked(
+        self, heap: list[tuple[Rank, int, Work]], work: Work, now: float
+    ) -> bool:
+        """Moves work whose rank fell since it was queued."""
+        if not work.late and self.ranking.is_late(work, now):
+            work.late = True
+        rank = self.ranking.rank(work)
+        if rank[1] <= heap[0][0][1] + RANK_TOLERANCE_S:
+            return False
+        heappop(heap)
+        heappush(heap, (rank, next(self.numbers), work))
+        return True
+
+    def take(self, shape: Shape) -> None:
+        """Removes the head of a shape that was placed."""
+        heappop(self.heads)
+        _, _, work = heappop(self.heaps[shape])
+        del self.waiting[work.id]
+        self.offer(shape)
+
+    def block(self, shape: Shape, blocked: Blocked) -> None:
+        """Sets a shape aside whose head found no room."""
+        heappop(self.heads)
+        self.blocked[shape] = blocked
+
+    def rebuild(self) -> None:
+        """Ranks all work anew, after the weights changed."""
+        self.heaps.clear()
+        self.heads.clear()
+        self.blocked.clear()
+        delayed = {work.id for _, _, work in self.delayed}
+        for work in self.waiting.values():
+            if work.id in delayed:
+                continue
+            entry = (self.ranking.rank(work), next(self.numbers), work)
+            self.heaps.setdefault(shape_of(work), []).append(entry)
+        for shape, heap in self.heaps.items():
+            heapify(heap)
+            self.offer(shape)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -12,11 +12,13 @@
 from lacewinghold.coordination.ledger import Ledger
 from lacewinghold.coordination.ownership import ShardOwnership
 from lacewinghold.ids import ShardId
+from lacewinghold.schema.generated.document import PlacementSection
 from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.shards.owner import ShardOwner
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from anyio.abc import TaskGroup
 
@@ -70,6 +72,7 @@
         self.workers: dict[ShardId, list[WorkerRecord]] = {}
         self.listed: InstanceList | None = None
         self.leaving = False
+        self.weights: Callable[[], PlacementSection] = PlacementSection
 
     @property
     def data_centre(self) -> DataCentreId:
@@ -128,6 +131,7 @@
         """Takes and releases shards as the assignment says."""
         if not self.lease.valid() or self.leaving:
             return
+        self.apply_weights()
         me = self.lease.record.instance
         for shard, instance in sorted(self.desired().items()):
             if shard in self.owners:
@@ -137,6 +141,12 @@
             if instance == me and self.available(shard):
                 await self.take(shard, tasks)
 
+    def apply_weights(self) -> None:
+        """Passes the operators' weights on to the shards owned here."""
+        weights = self.weights()
+        for owner in self.owners.values():
+            owner.placer.engine.set_weights(weights)
+
     def available(self, shard: ShardId) -> bool:
         """Returns whether a shard seems to have no live owner."""
         known = self.view.owner(shard)
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -137,11 +137,14 @@
             if known is None:
                 worker = WorkerTask(self, record, self.links.open(record))
                 self.workers[worker_id] = worker
+                self.placer.engine.index.add(worker.capacity)
                 self.tasks_group.start_soon(worker.run)
                 continue
             known.update(record)
         for worker_id in set(self.workers) - set(listed):
-            self.workers.pop(worker_id).remove()
+            worker = self.workers.pop(worker_id)
+            worker.remove()
+            self.placer.engine.index.remove(worker.capacity)
         self.placer.wake()
 
     async def prove_free(self) -> None:
@@ -162,6 +165,8 @@
                 self.end_task(task, TaskState.UNKNOWN, "its start may have run")
             elif task.job.cancelled:
                 self.end_task(task, TaskState.CANCELLED, "cancelled")
+        for job in list(self.jobs.values()):
+            self.placer.queue_job(job)
         logger.info("shard recovered", shard=self.shard, tasks=len(self.tasks))
         self.placer.wake()
 
@@ -234,7 +239,7 @@
         self.jobs[job.id] = job
         for task in job.tasks:
             self.tasks[task.id] = task
-        self.placer.wake()
+        self.placer.queue_job(job)
 
     async def cancel(self, job_id: JobId) -> Result[Job, Failure]:
         """Cancels a job; its running tasks are stopped.
@@ -282,7 +287,10 @@
         task.proved = True
         task.worker = worker_id
         if task.state in (TaskState.QUEUED, TaskState.STARTING):
+            was_queued = task.state is TaskState.QUEUED
             self.note_started(task)
+            if was_queued:
+                self.placer.drop(task)
         if task.job.cancelled:
             self.stop_task(task)
         return task
@@ -303,6 +311,7 @@
         if task is None or task.state in ENDED:
             return
         task.proved = True
+        self.placer.note_ended(task, ended)
         if task.job.cancelled:
             self.end_task(task, TaskState.CANCELLED, "cancelled")
         elif ended.succeeded:
@@ -342,7 +351,7 @@
         backoff_s = task.spec.retry.backoff_s if task.spec.retry else 0.0
         task.not_before = self.now() + backoff_s * min(task.attempts, 10)
         self.note_change()
-        self.placer.wake()
+        self.placer.queue_task(task)
 
     def release_start(self, task: Task) -> None:
         """Queues a task again whose start surely did not run."""
@@ -352,19 +361,22 @@
             self.end_task(task, TaskState.CANCELLED, "cancelled")
             return
         task.state = TaskState.QUEUED
-        self.placer.wake()
+        self.placer.queue_task(task)
 
     def free_worker(self, task: Task) -> None:
         """Releases what the task had booked."""
         worker = self.workers.get(task.worker) if task.worker else None
         if worker is not None:
-            worker.capacity.release(task.id)
+            self.placer.release(task, worker.capacity)
 
     def end_task(self, task: Task, state: TaskState, detail: str) -> None:
         """Ends a task; its outcome is written to the ledger next."""
         self.free_worker(task)
+        was_queued = task.state is TaskState.QUEUED
         task.state = state
         task.detail = detail
+        if was_queued:
+            self.placer.drop(task)
         self.unrecorded[task.id] = LogEntry(
             kind=EntryKind.TASK_ENDED,
             at=self.clock.now(),
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -1,4 +1,4 @@
-"""The queue of a shard and the loop that places its tasks."""
+"""Feeds a shard's tasks to the placement engine and carries out its decisions."""
 
 from __future__ import annotations
 
@@ -8,23 +8,20 @@
 from result import Err
 
 from lacewinghold.invariants import Invariant, require
-from lacewinghold.placement.policy import POLICIES, fits_together
-from lacewinghold.schema.generated.jobs import JobKind, Priority, TaskState
+from lacewinghold.placement.engine import PlacementEngine
+from lacewinghold.placement.work import Work
+from lacewinghold.schema.generated.jobs import JobKind, TaskState
 from lacewinghold.schema.generated.records import EntryKind, LogEntry
 
 if TYPE_CHECKING:
+    from lacewinghold.ids import JobId, TaskId
     from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.work import Placement
+    from lacewinghold.schema.generated.worker import EndedTask
     from lacewinghold.shards.model import Job, Task
     from lacewinghold.shards.owner import ShardOwner
 
-PRIORITY_ORDER = {
-    Priority.URGENT: 0,
-    Priority.HIGH: 1,
-    Priority.NORMAL: 2,
-    Priority.LOW: 3,
-}
 IDLE_CHECK_S = 1.0
-NO_DEADLINE = float("inf")
 
 
 class Placer:
@@ -32,6 +29,7 @@
 
     def __init__(self, owner: ShardOwner) -> None:
         self.owner = owner
+        self.engine = PlacementEngine()
         self.wanted = anyio.Event()
 
     def wake(self) -> None:
@@ -43,93 +41,132 @@
         while True:
             self.wanted = anyio.Event()
             await self.place_all()
-            with anyio.move_on_after(IDLE_CHECK_S):
+            due_s = self.engine.queue.next_due() - self.owner.now()
+            with anyio.move_on_after(max(0.0, min(IDLE_CHECK_S, due_s))):
                 await self.wanted.wait()
 
-    def queue(self) -> list[Task]:
-        """Returns the tasks that may start now, most pressing first."""
-        now = self.owner.now()
-        ready = []
-        for task in self.owner.tasks.values():
-            if task.state is not TaskState.QUEUED or not task.proved:
-                continue
-            if task.not_before > now or self.start_after(task) > now:
-                continue
-            ready.append(task)
-        ready.sort(key=self.rank)
-        return ready
-
-    def start_after(self, task: Task) -> float:
-        """Returns the earliest start on the runtime's clock."""
-        moment = task.spec.start_after
-        return 0.0 if moment is None else self.owner.clock.to_runtime(moment)
-
-    def rank(self, task: Task) -> tuple[int, float, float]:
-        """Orders by priority, then slack to the deadline, then arrival."""
-        slack = NO_DEADLINE
-        if task.spec.deadline is not None:
-            slack = self.owner.clock.to_runtime(task.spec.deadline)
-            slack -= task.spec.expected_run_s
-        return (PRIORITY_ORDER[task.spec.priority], slack, task.queued_at)
-
-    def capacities(self) -> list[WorkerCapacity]:
-        """Returns the workers of the shard."""
-        return [worker.capacity for worker in self.owner.workers.values()]
+    def queue_job(self, job: Job) -> None:
+        """Queues the tasks of a job that may start."""
+        if job.record.spec.kind is JobKind.ALL_AT_ONCE:
+            self.queue_together(job)
+        else:
+            for task in job.tasks:
+                self.queue_task(task)
+        self.wake()
+
+    def queue_task(self, task: Task) -> None:
+        """Queues a task that may start; it is queued and proved free."""
+        if task.state is not TaskState.QUEUED or not task.proved:
+            return
+        if task.spec.kind is JobKind.ALL_AT_ONCE:
+            self.queue_together(task.job)
+        else:
+            self.engine.add(self.make_work(task.id, [task]), self.owner.now())
+        self.wake()
+
+    def queue_together(self, job: Job) -> None:
+        """Queues the tasks of an all-at-once job as one piece of work."""
+        self.engine.remove(job.id)
+        queued = []
+        for task in job.tasks:
+            if task.state is TaskState.QUEUED and task.proved:
+                queued.append(task)
+        if queued:
+            self.engine.add(self.make_work(job.id, queued), self.owner.now())
+
+    def drop(self, task: Task) -> None:
+        """Takes a task out of the queue that is not to start any more."""
+        if task.spec.kind is not JobKind.ALL_AT_ONCE:
+            self.engine.remove(task.id)
+        elif self.engine.remove(task.job.id) is not None:
+            self.queue_together(task.job)
+
+    def make_work(self, ident: TaskId | JobId, tasks: list[Task]) -> Work:
+        """Returns tasks of one job as a piece of work."""
+        first = tasks[0]
+        spec = first.spec
+        clock = self.owner.clock
+        not_before = max(task.not_before for task in tasks)
+        if spec.start_after is not None:
+            not_before = max(not_before, clock.to_runtime(spec.start_after))
+        deadline = None
+        if spec.deadline is not None:
+            deadline = clock.to_runtime(spec.deadline)
+        return Work(
+            id=ident,
+            job=first.job.id,
+            team=spec.team,
+            kind=spec.kind,
+            need=spec.resources,
+            tasks=[task.id for task in tasks],
+            queued_at=first.queued_at,
+            run_s=spec.expected_run_s,
+            priority=spec.priority,
+            deadline=deadline,
+            not_before=not_before,
+            repeatable=spec.repeatable,
+        )
+
+    def release(self, task: Task, worker: WorkerCapacity) -> None:
+        """Frees what a task has booked on a worker."""
+        self.engine.release(task.job.id, task.id, worker)
+
+    def note_ended(self, task: Task, ended: EndedTask) -> None:
+        """Learns the run time of a task that ended by itself."""
+        if ended.stopped or not ended.succeeded:
+            return
+        spec = task.spec
+        self.engine.run_times.observe(
+            spec.team, spec.kind, spec.expected_run_s, ended.run_s
+        )
 
     async def place_all(self) -> None:
         """Places every task that fits."""
         if not self.owner.may_start():
             return
-        seen: set[str] = set()
-        for task in self.queue():
-            if task.spec.kind is not JobKind.ALL_AT_ONCE:
-                await self.place(task)
-                continue
-            if task.job.id in seen:
-                continue
-            seen.add(task.job.id)
-            await self.place_together(task.job)
-
-    async def place_together(self, job: Job) -> None:
-        """Places all tasks of a job, or none."""
-        queued = [task for task in job.tasks if task.state is TaskState.QUEUED]
-        need = job.record.spec.resources
-        if not fits_together(need, len(queued), self.capacities()):
-            return
-        for task in queued:
-            await self.place(task)
+        now = self.owner.now()
+        self.engine.begin_round(now)
+        intended: list[Task] = []
+        while (placement := self.engine.next(now)) is not None:
+            intended += self.carry_out(placement)
+        if intended:
+            await self.start_intended(intended)
 
-    async def place(self, task: Task) -> bool:
-        """Books a worker for a task and queues its start.
+    def carry_out(self, placement: Placement) -> list[Task]:
+        """Starts the tasks of a decision.
 
-        :returns: Whether the task was placed.
+        :returns: Those that need their intent in the ledger first.
         """
-        if task.state is not TaskState.QUEUED:
-            return False
-        policy = POLICIES[task.spec.kind]
-        chosen = policy.choose(task.spec.resources, self.capacities())
-        if chosen is None:
-            return False
-        chosen.book(task.id, task.spec.resources)
-        task.state = TaskState.STARTING
-        task.worker = chosen.record.worker
-        if not task.spec.repeatable and not await self.record_intent(task):
-            self.owner.release_start(task)
-            return False
-        self.owner.workers[chosen.record.worker].start(task)
-        return True
-
-    async def record_intent(self, task: Task) -> bool:
-        """Writes the intent of a start that must not be repeated."""
-        entry = LogEntry(
-            kind=EntryKind.TASK_INTENT, at=self.owner.clock.now(), task_id=task.id
-        )
-        written = await self.owner.ledger.append([entry])
-        if isinstance(written, Err):
-            return False
-        require(
-            Invariant.INTENT_FIRST,
-            task.id in self.owner.ledger.state.intents,
-            task.id,
-        )
-        return True
+        intended = []
+        for task_id, worker in zip(
+            placement.work.tasks, placement.workers, strict=True
+        ):
+            task = self.owner.tasks[task_id]
+            require(Invariant.ONE_PLACE, task.state is TaskState.QUEUED, task_id)
+            task.state = TaskState.STARTING
+            task.worker = worker.record.worker
+            if placement.work.repeatable:
+                self.owner.workers[task.worker].start(task)
+            else:
+                intended.append(task)
+        return intended
+
+    async def start_intended(self, tasks: list[Task]) -> None:
+        """Writes the intents of a round in one append, then starts the tasks."""
+        at = self.owner.clock.now()
+        entries = [
+            LogEntry(kind=EntryKind.TASK_INTENT, at=at, task_id=task.id)
+            for task in tasks
+        ]
+        chosen = [task.worker for task in tasks]
+        written = await self.owner.ledger.append(entries)
+        for task, worker_id in zip(tasks, chosen, strict=True):
+            if task.state is not TaskState.STARTING or task.worker != worker_id:
+                continue
+            if isinstance(written, Err) or task.job.cancelled:
+                self.owner.release_start(task)
+                continue
+            intents = self.owner.ledger.state.intents
+            require(Invariant.INTENT_FIRST, task.id in intents, task.id)
+            assert worker_id is not None
+            self.owner.workers[worker_id].start(task)
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -271,7 +271,9 @@
         if task is None:
             self.stop(task_id)
             return
-        self.capacity.adopt(task_id, task.spec.resources)
+        self.owner.placer.engine.adopt(
+            task.job.id, task_id, task.spec.resources, self.capacity
+        )
 
     def find_lost(self, report: Report) -> None:
         """Finds booked tasks that the worker neither runs nor has ended."""
@@ -293,6 +295,6 @@
         self.wanted.set()
         for task_id in list(self.capacity.bookings):
             task = self.owner.tasks[task_id]
-            self.capacity.release(task_id)
+            self.owner.placer.release(task, self.capacity)
             if task.state in ON_WORKER:
                 self.owner.note_lost(task, "its worker restarted")
