--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -22,6 +22,7 @@
 from lacewinghold.shards.directory import Directory
 from lacewinghold.shards.jobs import JobFront
 from lacewinghold.shards.manager import ShardManager
+from lacewinghold.shards.part_calls import PartCalls
 from lacewinghold.shards.workers import WorkerFront
 
 if TYPE_CHECKING:
@@ -84,6 +85,7 @@
         )
         self.manager.weights = self.document.placement
         self.directory = Directory(self.view, self.peers, self.manager)
+        self.manager.part_calls = PartCalls(self.directory, self.peers)
         self.jobs = JobFront(settings, self.directory, self.peers, rng)
         self.workers = WorkerFront(self.directory, self.peers)
         once = OnceRequests(
--- a/lacewinghold/shards/jobs.py
+++ b/lacewinghold/shards/jobs.py
@@ -9,16 +9,20 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import InstanceId, JobId, ShardId, job_shard
-from lacewinghold.schema.generated.jobs import JobSpec, JobView
+from lacewinghold.placement.split import plan_parts
+from lacewinghold.schema.generated.jobs import JobSpec, JobView, TaskView
 from lacewinghold.schema.generated.messages import (
     JobCancel,
     JobList,
     JobQuery,
     MessageKind,
+    PartPlan,
     Submit,
     SubmitReply,
     Views,
 )
+from lacewinghold.schema.generated.records import PartRecord
+from lacewinghold.shards.parts import part_record
 from lacewinghold.util.codec import from_json, to_json, unpack
 
 if TYPE_CHECKING:
@@ -29,6 +33,7 @@
     from lacewinghold.schema.base import PackedStruct
     from lacewinghold.schema.generated.settings import Settings
     from lacewinghold.shards.directory import Directory
+    from lacewinghold.shards.model import Job
 
 CALL_TIMEOUT_S = 5.0
 
@@ -81,8 +86,14 @@
         if idempotency_key:
             digest = hashlib.sha256(f"{team}\0{idempotency_key}".encode()).hexdigest()
         failure = Failure(ErrorKind.NOT_RUN, "no shard has an owner", "", 1.0)
-        for shard in self.candidate_shards(spec):
-            result = await self.submit_to(shard, spec, digest)
+        candidates = self.candidate_shards(spec)
+        for shard in candidates:
+            others = [other for other in candidates if other != shard]
+            rooms = self.directory.manager.rooms([shard, *others])
+            parts = plan_parts(spec, rooms)
+            if isinstance(parts, Err):
+                return Err(parts.err_value)
+            result = await self.submit_to(shard, spec, digest, parts.ok_value)
             if isinstance(result, Ok):
                 return result
             failure = result.err_value
@@ -91,13 +102,14 @@
         return Err(failure)
 
     async def submit_to(
-        self, shard: ShardId, spec: JobSpec, digest: str
+        self, shard: ShardId, spec: JobSpec, digest: str, parts: list[PartRecord]
     ) -> Result[JobId, Failure]:
         """Submits a job to the owner of one shard."""
         local = self.directory.local_owner(shard)
         if isinstance(local, Ok):
-            return await local.ok_value.accept(spec, digest)
-        body = Submit(shard, to_json(spec), digest)
+            return await local.ok_value.accept(spec, digest, parts)
+        plans = [PartPlan(part.shard, part.tasks) for part in parts]
+        body = Submit(shard, to_json(spec), digest, plans)
         reply = await self.directory.call_owner(
             shard, MessageKind.SUBMIT, body, CALL_TIMEOUT_S
         )
@@ -114,7 +126,8 @@
         if isinstance(local, Err):
             return Err(local.err_value)
         spec = from_json(message.spec, JobSpec)
-        accepted = await local.ok_value.accept(spec, message.idempotency_digest)
+        parts = [PartRecord(shard=p.shard, tasks=p.tasks) for p in message.parts]
+        accepted = await local.ok_value.accept(spec, message.idempotency_digest, parts)
         if isinstance(accepted, Err):
             return Err(accepted.err_value)
         return Ok(SubmitReply(accepted.ok_value, True))
@@ -126,7 +139,7 @@
             job = local.ok_value.jobs.get(job_id)
             if job is None:
                 return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}", "job"))
-            return Ok(job.to_view())
+            return Ok(await self.full_view(job))
         shard = job_shard(job_id)
         body = JobQuery(job_id)
         reply = await self.directory.call_owner(
@@ -145,7 +158,22 @@
         job = local.ok_value.jobs.get(message.job)
         if job is None:
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {message.job}", "job"))
-        return Ok(Views([to_json(job.to_view())]))
+        return Ok(Views([to_json(await self.full_view(job))]))
+
+    async def full_view(self, job: Job) -> JobView:
+        """Returns a job with the tasks of its parts."""
+        view = job.to_view()
+        if not job.record.parts:
+            return view
+        tasks: list[TaskView] = []
+        for index, part in enumerate(view.tasks):
+            known = await self.job(part_record(job, index).job)
+            if isinstance(known, Err):
+                tasks.append(part)
+                continue
+            tasks += known.ok_value.tasks
+        view.tasks = tasks
+        return view
 
     async def cancel(self, job_id: JobId, actor: str) -> Result[JobView, Failure]:
         """Cancels a job."""
@@ -180,6 +208,8 @@
         found = []
         for owner in self.directory.manager.owners.values():
             for job in owner.jobs.values():
+                if job.record.parent:
+                    continue
                 if not team or job.record.spec.team == team:
                     found.append(job.to_view())
         return found
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -12,6 +12,7 @@
 from lacewinghold.coordination.ledger import Ledger
 from lacewinghold.coordination.ownership import ShardOwnership
 from lacewinghold.ids import ShardId
+from lacewinghold.placement.split import ShardRoom
 from lacewinghold.schema.generated.document import PlacementSection
 from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.shards.drains import Drains
@@ -26,8 +27,10 @@
     from lacewinghold.coordination.lease import InstanceLease
     from lacewinghold.coordination.view import LiveView
     from lacewinghold.ids import DataCentreId, InstanceId
+    from lacewinghold.schema.generated.jobs import Resources
     from lacewinghold.schema.generated.settings import Settings
     from lacewinghold.schema.generated.worker import InstanceList, WorkerRecord
+    from lacewinghold.shards.part_calls import PartCalls
     from lacewinghold.store.base import Store
     from lacewinghold.util.clock import WallClock
     from lacewinghold.workers.base import InstanceListSource, WorkerLinks
@@ -73,6 +76,7 @@
         self.workers: dict[ShardId, list[WorkerRecord]] = {}
         self.listed: InstanceList | None = None
         self.leaving = False
+        self.part_calls: PartCalls
         self.weights: Callable[[], PlacementSection] = PlacementSection
         self.drains = Drains(store, view, clock)
         view.listeners.append(self.follow_drains)
@@ -125,6 +129,15 @@
         for owner in self.owners.values():
             owner.set_drained(drained)
 
+    def rooms(self, shards: list[ShardId]) -> list[ShardRoom]:
+        """Returns the listed workers of shards of any data centre."""
+        workers: dict[ShardId, list[Resources]] = {shard: [] for shard in shards}
+        for record in self.listed.workers if self.listed else []:
+            shard = shard_of(record, self.settings.shards_per_rack)
+            if shard in workers and record.state is WorkerState.LIVE:
+                workers[shard].append(record.capacity)
+        return [ShardRoom(shard, found) for shard, found in workers.items() if found]
+
     def gone(self, instance: InstanceId) -> bool:
         """Returns whether the platform says that an entry instance is gone."""
         return self.listed is not None and instance in self.listed.gone
@@ -190,6 +203,7 @@
             self.settings.hold_s,
             lambda: previous is not None and self.gone(previous),
             self.rng,
+            self.part_calls,
         )
         owner.set_drained(self.drains.current())
         self.owners[shard] = owner
--- a/lacewinghold/shards/model.py
+++ b/lacewinghold/shards/model.py
@@ -117,12 +117,12 @@
 
 
 def make_job(record: JobRecord, queued_at: float) -> Job:
-    """Returns a job with all its tasks queued.
+    """Returns a job with all its tasks, or one task for each part, queued.
 
     :param queued_at: The runtime's clock in seconds.
     """
     job = Job(record=record, tasks=[])
-    for index in range(record.spec.tasks):
+    for index in range(len(record.parts) or record.spec.tasks):
         task_id = make_task_id(record.job, index)
         job.tasks.append(Task(id=task_id, job=job, queued_at=queued_at))
     return job
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -17,6 +17,8 @@
 from lacewinghold.schema.generated.jobs import TaskState
 from lacewinghold.schema.generated.records import EntryKind, JobRecord, LogEntry
 from lacewinghold.shards.model import ENDED, ON_WORKER, Job, Task, make_job
+from lacewinghold.shards.part_host import PartHost
+from lacewinghold.shards.parts import Parts
 from lacewinghold.shards.placer import Placer
 from lacewinghold.shards.worker_task import WorkerTask
 from lacewinghold.util.codec import to_json
@@ -29,7 +31,9 @@
     from lacewinghold.coordination.ownership import ShardOwnership
     from lacewinghold.ids import ShardId, TaskId, WorkerId
     from lacewinghold.schema.generated.jobs import JobSpec
+    from lacewinghold.schema.generated.records import PartRecord
     from lacewinghold.schema.generated.worker import EndedTask, WorkerRecord
+    from lacewinghold.shards.part_calls import PartCalls
     from lacewinghold.util.clock import WallClock
     from lacewinghold.workers.base import WorkerLinks
 
@@ -58,6 +62,7 @@
         hold_s: float,
         holder_gone: Callable[[], bool],
         rng: random.Random,
+        part_calls: PartCalls,
     ) -> None:
         self.ownership = ownership
         self.ledger = ledger
@@ -71,6 +76,8 @@
         self.workers: dict[WorkerId, WorkerTask] = {}
         self.drained: frozenset[WorkerId] = frozenset()
         self.placer = Placer(self)
+        self.part_host = PartHost(self)
+        self.parts = Parts(self, part_calls)
         self.waits: list[float] = []
         self.unrecorded: dict[TaskId, LogEntry] = {}
         self.ready = anyio.Event()
@@ -95,6 +102,8 @@
             tasks.start_soon(self.prove_free)
             tasks.start_soon(self.placer.run)
             tasks.start_soon(self.record_outcomes)
+            tasks.start_soon(self.part_host.run)
+            self.parts.resume()
             self.ready.set()
             await self.wait_until_superseded()
             self.stopped = True
@@ -169,7 +178,7 @@
             if task.proved:
                 continue
             task.proved = True
-            if task.state is not TaskState.QUEUED:
+            if task.state is not TaskState.QUEUED or task.job.record.parts:
                 continue
             if task.id in self.ledger.state.intents:
                 self.end_task(task, TaskState.UNKNOWN, "its start may have run")
@@ -213,10 +222,13 @@
         hold_end = self.ownership.lease.expires_at + self.hold_s * (1 - CLOCK_DRIFT)
         return self.now() < hold_end
 
-    async def accept(self, spec: JobSpec, digest: str) -> Result[JobId, Failure]:
+    async def accept(
+        self, spec: JobSpec, digest: str, parts: list[PartRecord] | None = None
+    ) -> Result[JobId, Failure]:
         """Accepts a job once its record is durable.
 
         :param digest: Idempotency digest, or the empty string.
+        :param parts: How its tasks are divided over shards, if they are.
         :returns: The job; an earlier one if the digest is known. ``CANNOT_FIT``
             if no worker of the shard could ever run a task.
         """
@@ -231,7 +243,11 @@
         job_id = JobId(f"{self.shard}~{secrets.token_hex(8)}")
         at = self.clock.now()
         record = JobRecord(
-            job=job_id, spec=spec, accepted_at=at, idempotency_digest=digest
+            job=job_id,
+            spec=spec,
+            accepted_at=at,
+            idempotency_digest=digest,
+            parts=parts or [],
         )
         entry = LogEntry(kind=EntryKind.JOB_ACCEPTED, at=at, job=record)
         fingerprint = hashlib.sha256(to_json(spec)).hexdigest()[:32]
@@ -250,6 +266,8 @@
         self.jobs[job.id] = job
         for task in job.tasks:
             self.tasks[task.id] = task
+        if job.record.parts:
+            self.parts.start(job)
         self.placer.queue_job(job)
 
     async def cancel(self, job_id: JobId, actor: str) -> Result[Job, Failure]:
@@ -273,6 +291,9 @@
         if isinstance(written, Err):
             return Err(written.err_value)
         job.cancelled = True
+        if job.record.parts:
+            self.note_change()
+            return Ok(job)
         for task in job.tasks:
             if task.state is TaskState.QUEUED and task.proved:
                 self.end_task(task, TaskState.CANCELLED, "cancelled")
--- /dev/null
+++ b/lacewinghold/shards/part_calls.py
@@ -0,0 +1,177 @@
+"""Calls about parts of jobs to the owners of their shards."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+from result import Err, Ok, Result
+
+from lacewinghold.ids import job_shard
+from lacewinghold.schema.generated.messages import (
+    MessageKind,
+    PartAccept,
+    PartCancel,
+    PartLetGo,
+    PartQuery,
+    PartReply,
+    PartReserve,
+    PartReserveReply,
+    SubmitReply,
+)
+from lacewinghold.schema.generated.records import JobRecord
+from lacewinghold.util.codec import from_json, to_json, unpack
+
+if TYPE_CHECKING:
+    from lacewinghold.errors import Failure
+    from lacewinghold.ids import InstanceId, JobId
+    from lacewinghold.peers.links import PeerLinks
+    from lacewinghold.schema.base import PackedStruct
+    from lacewinghold.shards.directory import Directory
+    from lacewinghold.shards.part_host import PartHost
+
+T = TypeVar("T")
+CALL_TIMEOUT_S = 5.0
+
+
+class PartCalls:
+    """Reaches the host of a part, here or at a peer."""
+
+    def __init__(self, directory: Directory, peers: PeerLinks) -> None:
+        self.directory = directory
+        self.peers = peers
+        peers.on(MessageKind.PART_ACCEPT, self.on_accept)
+        peers.on(MessageKind.PART_RESERVE, self.on_reserve)
+        peers.on(MessageKind.PART_LET_GO, self.on_let_go)
+        peers.on(MessageKind.PART_CANCEL, self.on_cancel)
+        peers.on(MessageKind.PART_STATE, self.on_state)
+
+    def host(self, job: JobId) -> Result[PartHost, Failure]:
+        """Returns the host of a part if its shard is owned here."""
+        local = self.directory.local_owner(job_shard(job))
+        if isinstance(local, Err):
+            return Err(local.err_value)
+        return Ok(local.ok_value.part_host)
+
+    async def call(
+        self, job: JobId, kind: MessageKind, body: PackedStruct
+    ) -> Result[bytes, Failure]:
+        """Calls the owner of a part's shard on another entry instance."""
+        return await self.directory.call_owner(
+            job_shard(job), kind, body, CALL_TIMEOUT_S
+        )
+
+    async def accept(self, record: JobRecord) -> Result[JobId, Failure]:
+        """Accepts a part, durably."""
+        host = self.host(record.job)
+        if isinstance(host, Ok):
+            return await host.ok_value.accept(record)
+        body = PartAccept(to_json(record))
+        reply = await self.call(record.job, MessageKind.PART_ACCEPT, body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(unpack(reply.ok_value, SubmitReply).job)
+
+    async def on_accept(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Accepts a part for another entry instance."""
+        record = from_json(unpack(body, PartAccept).record, JobRecord)
+        host = self.host(record.job)
+        if isinstance(host, Err):
+            return Err(host.err_value)
+        accepted = await host.ok_value.accept(record)
+        if isinstance(accepted, Err):
+            return Err(accepted.err_value)
+        return Ok(SubmitReply(accepted.ok_value, True))
+
+    async def reserve(
+        self, record: JobRecord, lease_s: float
+    ) -> Result[PartReserveReply, Failure]:
+        """Asks for room for a part, or renews its lease."""
+        host = self.host(record.job)
+        if isinstance(host, Ok):
+            return host.ok_value.reserve(record, lease_s)
+        body = PartReserve(to_json(record), lease_s)
+        reply = await self.call(record.job, MessageKind.PART_RESERVE, body)
+        return decoded(reply, PartReserveReply)
+
+    async def on_reserve(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Reserves for another entry instance."""
+        message = unpack(body, PartReserve)
+        record = from_json(message.record, JobRecord)
+        host = self.host(record.job)
+        if isinstance(host, Err):
+            return Err(host.err_value)
+        return widened(host.ok_value.reserve(record, message.lease_s))
+
+    async def let_go(self, job: JobId) -> None:
+        """Gives room back; where that fails, its lease ends."""
+        host = self.host(job)
+        if isinstance(host, Ok):
+            host.ok_value.let_go(job)
+            return
+        await self.call(job, MessageKind.PART_LET_GO, PartLetGo(job))
+
+    async def on_let_go(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Gives room back for another entry instance."""
+        message = unpack(body, PartLetGo)
+        host = self.host(message.job)
+        if isinstance(host, Err):
+            return Err(host.err_value)
+        host.ok_value.let_go(message.job)
+        return Ok(SubmitReply(message.job, False))
+
+    async def cancel(self, job: JobId, actor: str) -> Result[PartReply, Failure]:
+        """Cancels a part, also before it was accepted."""
+        host = self.host(job)
+        if isinstance(host, Ok):
+            return await host.ok_value.cancel(job, actor)
+        body = PartCancel(job, actor)
+        reply = await self.call(job, MessageKind.PART_CANCEL, body)
+        return decoded(reply, PartReply)
+
+    async def on_cancel(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Cancels a part for another entry instance."""
+        message = unpack(body, PartCancel)
+        host = self.host(message.job)
+        if isinstance(host, Err):
+            return Err(host.err_value)
+        return widened(await host.ok_value.cancel(message.job, message.actor))
+
+    async def state(self, job: JobId) -> Result[PartReply, Failure]:
+        """Returns the state of a part."""
+        host = self.host(job)
+        if isinstance(host, Ok):
+            return host.ok_value.state(job)
+        reply = await self.call(job, MessageKind.PART_STATE, PartQuery(job))
+        return decoded(reply, PartReply)
+
+    async def on_state(
+        self, sender: InstanceId, body: bytes
+    ) -> Result[PackedStruct, Failure]:
+        """Tells another entry instance the state of a part."""
+        message = unpack(body, PartQuery)
+        host = self.host(message.job)
+        if isinstance(host, Err):
+            return Err(host.err_value)
+        return widened(host.ok_value.state(message.job))
+
+
+def decoded(reply: Result[bytes, Failure], kind: type[T]) -> Result[T, Failure]:
+    """Decodes a reply."""
+    if isinstance(reply, Err):
+        return Err(reply.err_value)
+    return Ok(unpack(reply.ok_value, kind))  # type: ignore[type-var]
+
+
+def widened(result: Result[T, Failure]) -> Result[PackedStruct, Failure]:
+    """Returns a result as the reply to a peer."""
+    if isinstance(result, Err):
+        return Err(result.err_value)
+    return Ok(result.ok_value)  # type: ignore[arg-type]
--- /dev/null
+++ b/lacewinghold/shards/part_host.py
@@ -0,0 +1,219 @@
+"""Parts of jobs whose ledger record lies in another shard, and their room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.invariants import Invariant, require
+from lacewinghold.schema.generated.jobs import JobState, TaskState
+from lacewinghold.schema.generated.messages import PartReply, PartReserveReply
+from lacewinghold.schema.generated.records import EntryKind, LogEntry
+from lacewinghold.shards.model import make_job
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import JobId
+    from lacewinghold.placement.capacity import WorkerCapacity
+    from lacewinghold.placement.work import Placement, Work
+    from lacewinghold.schema.generated.records import JobRecord
+    from lacewinghold.shards.model import Job, Task
+    from lacewinghold.shards.owner import ShardOwner
+
+logger = structlog.get_logger(__name__)
+EXPIRY_CHECK_S = 0.5
+MAX_LEASE_S = 30.0
+
+
+class Reservation(Struct):
+    """Room for all tasks of a part, waited for or booked.
+
+    :param expires_at: When it is given back unless its lease is renewed.
+    """
+
+    job: Job
+    work: Work
+    expires_at: float
+    placement: Placement | None = None
+
+
+class PartHost:
+    """Accepts parts for a shard and keeps room for those that start together.
+
+    A reservation lives in memory only and ends with its lease, so that a dead
+    holder keeps nothing from others for long.
+    """
+
+    def __init__(self, owner: ShardOwner) -> None:
+        self.owner = owner
+        self.reservations: dict[JobId, Reservation] = {}
+
+    async def run(self) -> None:
+        """Gives room back whose lease has ended."""
+        while True:
+            now = self.owner.now()
+            for job_id, reservation in list(self.reservations.items()):
+                if reservation.expires_at < now:
+                    logger.info("reservation ended", job=job_id)
+                    self.let_go(job_id)
+            await anyio.sleep(EXPIRY_CHECK_S)
+
+    def reserve(
+        self, record: JobRecord, lease_s: float
+    ) -> Result[PartReserveReply, Failure]:
+        """Asks for room, renews its lease, and tells whether it is there."""
+        held = self.owner.ownership.check()
+        if isinstance(held, Err):
+            return Err(held.err_value)
+        if not self.owner.ready.is_set():
+            return Err(Failure(ErrorKind.NOT_OWNER, "the shard recovers", "", 1.0))
+        if record.job in self.owner.jobs:
+            return Ok(PartReserveReply(True, True))
+        if record.job in self.owner.ledger.state.cancelled:
+            return Err(Failure(ErrorKind.CONFLICT, "the part was cancelled"))
+        expires_at = self.owner.now() + min(lease_s, MAX_LEASE_S)
+        known = self.reservations.get(record.job)
+        if known is None:
+            known = self.queue(record, expires_at)
+        known.expires_at = max(known.expires_at, expires_at)
+        return Ok(PartReserveReply(known.placement is not None, False))
+
+    def queue(self, record: JobRecord, expires_at: float) -> Reservation:
+        """Queues a part for room."""
+        placer = self.owner.placer
+        job = make_job(record, self.owner.runtime_time(record.accepted_at))
+        work = placer.make_work(record.job, job.tasks)
+        reservation = Reservation(job, work, expires_at)
+        self.reservations[record.job] = reservation
+        placer.engine.add(work, self.owner.now())
+        placer.wake()
+        return reservation
+
+    def granted(self, placement: Placement) -> bool:
+        """Takes a decision that books room for a part.
+
+        :returns: Whether the decision was for one.
+        """
+        reservation = self.reservations.get(placement.work.job)
+        if reservation is None or reservation.work is not placement.work:
+            return False
+        reservation.placement = placement
+        self.owner.note_change()
+        return True
+
+    def let_go(self, job_id: JobId) -> None:
+        """Gives the room for a part back."""
+        reservation = self.reservations.pop(job_id, None)
+        if reservation is None:
+            return
+        self.owner.placer.engine.remove(job_id)
+        self.release(reservation)
+        self.owner.placer.wake()
+
+    def release(self, reservation: Reservation) -> None:
+        """Frees what a reservation has booked."""
+        if reservation.placement is None:
+            return
+        for task, worker in booked(reservation):
+            self.owner.placer.release(task, worker)
+        reservation.placement = None
+
+    def worker_lost(self, worker: WorkerCapacity) -> None:
+        """Queues reservations again that had booked a worker which is gone."""
+        for reservation in self.reservations.values():
+            placement = reservation.placement
+            if placement is None or worker not in placement.workers:
+                continue
+            self.release(reservation)
+            self.owner.placer.engine.add(reservation.work, self.owner.now())
+
+    async def accept(self, record: JobRecord) -> Result[JobId, Failure]:
+        """Accepts a part once its record is durable; a repeat has no effect."""
+        held = self.owner.ownership.check()
+        if isinstance(held, Err):
+            return Err(held.err_value)
+        if record.job in self.owner.jobs:
+            return Ok(record.job)
+        if record.job in self.owner.ledger.state.cancelled:
+            return Err(Failure(ErrorKind.CONFLICT, "the part was cancelled"))
+        reservation = self.reservations.get(record.job)
+        if reservation is not None:
+            reservation.expires_at = float("inf")
+        entry = LogEntry(
+            kind=EntryKind.JOB_ACCEPTED, at=self.owner.clock.now(), job=record
+        )
+        written = await self.owner.ledger.append([entry])
+        if isinstance(written, Err):
+            self.let_go(record.job)
+            return Err(written.err_value)
+        if record.job not in self.owner.jobs:
+            await self.start(record)
+        return Ok(record.job)
+
+    async def start(self, record: JobRecord) -> None:
+        """Starts an accepted part on its reserved room, or queues it."""
+        reservation = self.reservations.pop(record.job, None)
+        if reservation is None or reservation.placement is None:
+            self.owner.placer.engine.remove(record.job)
+            queued_at = self.owner.runtime_time(record.accepted_at)
+            self.owner.enqueue(make_job(record, queued_at))
+            return
+        jobs = self.owner.ledger.state.jobs
+        require(Invariant.LEDGER_FIRST, record.job in jobs, record.job)
+        self.owner.jobs[record.job] = reservation.job
+        for task in reservation.job.tasks:
+            self.owner.tasks[task.id] = task
+        intended = self.owner.placer.start_booked(reservation.placement)
+        if intended:
+            await self.owner.placer.start_intended(intended)
+
+    async def cancel(self, job_id: JobId, actor: str) -> Result[PartReply, Failure]:
+        """Cancels a part; one that is not known is never accepted later."""
+        self.let_go(job_id)
+        if job_id in self.owner.jobs:
+            cancelled = await self.owner.cancel(job_id, actor)
+            if isinstance(cancelled, Err):
+                return Err(cancelled.err_value)
+            return self.state(job_id)
+        if job_id not in self.owner.ledger.state.cancelled:
+            entry = LogEntry(
+                kind=EntryKind.JOB_CANCELLED,
+                at=self.owner.clock.now(),
+                job_id=job_id,
+                detail=actor,
+            )
+            written = await self.owner.ledger.append([entry])
+            if isinstance(written, Err):
+                return Err(written.err_value)
+        if job_id in self.owner.jobs:
+            return await self.cancel_accepted(job_id)
+        return Ok(PartReply(job_id, JobState.CANCELLED))
+
+    async def cancel_accepted(self, job_id: JobId) -> Result[PartReply, Failure]:
+        """Stops a part that was accepted while its cancellation was written."""
+        job = self.owner.jobs[job_id]
+        job.cancelled = True
+        for task in list(job.tasks):
+            if task.state is TaskState.QUEUED and task.proved:
+                self.owner.end_task(task, TaskState.CANCELLED, "cancelled")
+            else:
+                self.owner.stop_task(task)
+        return self.state(job_id)
+
+    def state(self, job_id: JobId) -> Result[PartReply, Failure]:
+        """Returns the state of a part."""
+        job = self.owner.jobs.get(job_id)
+        if job is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}"))
+        return Ok(PartReply(job_id, job.state(), job.reason))
+
+
+def booked(reservation: Reservation) -> list[tuple[Task, WorkerCapacity]]:
+    """Returns the tasks of a granted reservation with their workers."""
+    assert reservation.placement is not None
+    workers = reservation.placement.workers
+    return list(zip(reservation.job.tasks, workers, strict=True))
--- /dev/null
+++ b/lacewinghold/shards/parts.py
@@ -0,0 +1,209 @@
+"""Sees a job through whose tasks run as parts in several shards."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from msgspec.structs import replace
+from result import Err, Ok
+
+from lacewinghold.errors import ErrorKind
+from lacewinghold.ids import JobId
+from lacewinghold.schema.generated.jobs import JobKind, JobState, TaskState
+from lacewinghold.schema.generated.records import JobRecord
+from lacewinghold.shards.model import ENDED
+
+if TYPE_CHECKING:
+    from lacewinghold.schema.generated.messages import PartReply
+    from lacewinghold.shards.model import Job, Task
+    from lacewinghold.shards.owner import ShardOwner
+    from lacewinghold.shards.part_calls import PartCalls
+
+logger = structlog.get_logger(__name__)
+POLL_S = 2.0
+RESERVE_POLL_S = 0.25
+RESERVATION_LEASE_S = 10.0
+RESERVATION_MARGIN_S = 5.0
+FIRST_WAIT_S = 120.0
+MAX_WAIT_DOUBLINGS = 10
+PAUSE_S = 2.0
+
+PART_STATES = {
+    JobState.ACCEPTED: TaskState.QUEUED,
+    JobState.PARKED: TaskState.QUEUED,
+    JobState.RUNNING: TaskState.RUNNING,
+    JobState.CANCEL_PENDING: TaskState.STOPPING,
+    JobState.SUCCEEDED: TaskState.SUCCEEDED,
+    JobState.FAILED: TaskState.FAILED,
+    JobState.CANCELLED: TaskState.CANCELLED,
+    JobState.UNKNOWN: TaskState.UNKNOWN,
+}
+
+
+def part_record(job: Job, index: int) -> JobRecord:
+    """Returns the record of a part, the same each time it is made."""
+    part = job.record.parts[index]
+    digest = hashlib.sha256(f"{job.id}/{index}".encode()).hexdigest()[:16]
+    return JobRecord(
+        job=JobId(f"{part.shard}~{digest}"),
+        spec=replace(job.record.spec, tasks=part.tasks),
+        accepted_at=job.record.accepted_at,
+        parent=job.id,
+    )
+
+
+class Parts:
+    """Starts, follows and cancels the parts of the jobs of a shard.
+
+    In the job itself each part counts as one task, whose outcome goes to the
+    ledger like any other. Everything else is asked anew after a failure: a
+    part's record is made from the job's alone, and accepting it twice has no
+    effect.
+    """
+
+    def __init__(self, owner: ShardOwner, calls: PartCalls) -> None:
+        self.owner = owner
+        self.calls = calls
+        self.running: set[JobId] = set()
+        self.accepted: set[JobId] = set()
+
+    def resume(self) -> None:
+        """Goes on with all jobs that have parts."""
+        for job in list(self.owner.jobs.values()):
+            if job.record.parts:
+                self.start(job)
+
+    def start(self, job: Job) -> None:
+        """Sees a job through in a task of its own."""
+        if job.id not in self.running and not job.ended():
+            self.running.add(job.id)
+            self.owner.tasks_group.start_soon(self.run, job)
+
+    async def run(self, job: Job) -> None:
+        """Sees a job through until all parts have ended."""
+        together = job.record.spec.kind is JobKind.ALL_AT_ONCE
+        attempts = 0
+        while not job.ended():
+            if job.cancelled:
+                await self.cancel(job)
+            elif together and not await self.start_together(job, attempts):
+                attempts += 1
+                await anyio.sleep(PAUSE_S * self.owner.rng.uniform(0.5, 1.5))
+                continue
+            else:
+                together = False
+                await self.accept(job)
+                await self.follow(job)
+            if not job.ended():
+                await self.pause(POLL_S)
+        self.running.discard(job.id)
+
+    async def pause(self, seconds: float) -> None:
+        """Waits, or less if something changed in the shard."""
+        changed = self.owner.changed
+        with anyio.move_on_after(seconds):
+            await changed.wait()
+            await anyio.sleep(RESERVE_POLL_S)
+
+    def pending(self, job: Job) -> list[tuple[Task, JobRecord]]:
+        """Returns the parts that have not ended."""
+        found = []
+        for index, task in enumerate(job.tasks):
+            if task.state not in ENDED:
+                found.append((task, part_record(job, index)))
+        return found
+
+    async def accept(self, job: Job) -> None:
+        """Hands over the parts that no shard has accepted yet."""
+        for task, record in self.pending(job):
+            if record.job in self.accepted:
+                continue
+            reply = await self.calls.accept(record)
+            if isinstance(reply, Ok):
+                self.accepted.add(record.job)
+                continue
+            if reply.err_value.kind is ErrorKind.CONFLICT:
+                self.owner.end_task(task, TaskState.CANCELLED, "cancelled")
+
+    async def follow(self, job: Job) -> None:
+        """Asks for the state of each part."""
+        for task, record in self.pending(job):
+            if record.job not in self.accepted:
+                continue
+            reply = await self.calls.state(record.job)
+            if isinstance(reply, Ok):
+                self.apply(task, reply.ok_value)
+            elif reply.err_value.kind is ErrorKind.NOT_FOUND:
+                self.accepted.discard(record.job)
+
+    async def cancel(self, job: Job) -> None:
+        """Cancels every part, also those that were never accepted."""
+        for task, record in self.pending(job):
+            reply = await self.calls.cancel(record.job, "owner of the job")
+            if isinstance(reply, Ok):
+                self.apply(task, reply.ok_value)
+
+    def apply(self, task: Task, reply: PartReply) -> None:
+        """Takes over the state of a part."""
+        state = PART_STATES[JobState(reply.state)]
+        if state in ENDED:
+            self.owner.end_task(task, state, reply.reason)
+            return
+        task.state = state
+        task.job.reason = reply.reason
+        if state is TaskState.RUNNING and task.job.first_started_at is None:
+            task.job.first_started_at = self.owner.now()
+
+    async def start_together(self, job: Job, attempts: int) -> bool:
+        """Reserves room for all parts, one shard after the other, then starts.
+
+        All jobs reserve in the same order of shards, so that no two wait for
+        each other. A job lets go after a while and tries again with the age it
+        had, each time with twice the patience.
+
+        :returns: Whether the parts may be accepted now.
+        """
+        patience_s = FIRST_WAIT_S * 2 ** min(attempts, MAX_WAIT_DOUBLINGS)
+        deadline = self.owner.now() + patience_s
+        records = [record for _, record in self.pending(job)]
+        records.sort(key=lambda record: record.job)
+        for count in range(1, len(records) + 1):
+            while True:
+                asked_at = self.owner.now()
+                granted = await self.renew(records[:count])
+                if granted is None or job.cancelled or self.owner.now() > deadline:
+                    await self.let_go(records)
+                    return False
+                if granted == count:
+                    break
+                await anyio.sleep(RESERVE_POLL_S)
+        limit = asked_at + RESERVATION_LEASE_S - RESERVATION_MARGIN_S
+        if self.owner.now() > limit:
+            await self.let_go(records)
+            return False
+        logger.info("room reserved in all shards", job=job.id, parts=len(records))
+        return True
+
+    async def renew(self, records: list[JobRecord]) -> int | None:
+        """Asks for room for parts or renews it.
+
+        :returns: How many have room; all if an earlier holder of the job had
+            started it; ``None`` if a shard cannot be asked or refuses.
+        """
+        granted = 0
+        for record in records:
+            reply = await self.calls.reserve(record, RESERVATION_LEASE_S)
+            if isinstance(reply, Err):
+                return None
+            if reply.ok_value.accepted:
+                return len(records)
+            granted += reply.ok_value.granted
+        return granted
+
+    async def let_go(self, records: list[JobRecord]) -> None:
+        """Gives all room back."""
+        for record in records:
+            await self.calls.let_go(record.job)
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -47,6 +47,8 @@
 
     def queue_job(self, job: Job) -> None:
         """Queues the tasks of a job that may start."""
+        if job.record.parts:
+            return
         if job.record.spec.kind is JobKind.ALL_AT_ONCE:
             self.queue_together(job)
         else:
@@ -58,6 +60,8 @@
         """Queues a task that may start; it is queued and proved free."""
         if task.state is not TaskState.QUEUED or not task.proved:
             return
+        if task.job.record.parts:
+            return
         if task.spec.kind is JobKind.ALL_AT_ONCE:
             self.queue_together(task.job)
         else:
@@ -133,7 +137,16 @@
             await self.start_intended(intended)
 
     def carry_out(self, placement: Placement) -> list[Task]:
-        """Starts the tasks of a decision.
+        """Starts the tasks of a decision, or notes the room it reserves.
+
+        :returns: Those that need their intent in the ledger first.
+        """
+        if self.owner.part_host.granted(placement):
+            return []
+        return self.start_booked(placement)
+
+    def start_booked(self, placement: Placement) -> list[Task]:
+        """Starts tasks on the workers booked for them.
 
         :returns: Those that need their intent in the ledger first.
         """
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -89,9 +89,9 @@
         """Ends the service of a worker that the platform removed."""
         self.scope.cancel()
         self.capacity.usable = False
-        for task_id in list(self.capacity.bookings):
-            task = self.owner.tasks[task_id]
+        for task in self.booked_tasks():
             self.owner.note_lost(task, "its worker is gone")
+        self.owner.part_host.worker_lost(self.capacity)
 
     def start(self, task: Task) -> None:
         """Queues a start; the task is booked here already."""
@@ -283,9 +283,8 @@
         """Finds booked tasks that the worker neither runs nor has ended."""
         present = {running.task for running in report.running}
         present.update(ended.task for ended in report.ended)
-        for task_id in list(self.capacity.bookings):
-            task = self.owner.tasks[task_id]
-            if task_id in present or task_id in self.starts:
+        for task in self.booked_tasks():
+            if task.id in present or task.id in self.starts:
                 continue
             if task.state in (TaskState.RUNNING, TaskState.STOPPING):
                 self.owner.note_lost(task, "its worker lost it")
@@ -297,8 +296,17 @@
         self.capacity.usable = False
         self.starts.clear()
         self.wanted.set()
-        for task_id in list(self.capacity.bookings):
-            task = self.owner.tasks[task_id]
+        for task in self.booked_tasks():
             self.owner.placer.release(task, self.capacity)
             if task.state in ON_WORKER:
                 self.owner.note_lost(task, "its worker restarted")
+        self.owner.part_host.worker_lost(self.capacity)
+
+    def booked_tasks(self) -> list[Task]:
+        """Returns the tasks booked here; room that is only reserved has none."""
+        found = []
+        for task_id in self.capacity.bookings:
+            task = self.owner.tasks.get(task_id)
+            if task is not None:
+                found.append(task)
+        return found
