--- a/lacewinghold/placement/engine.py
+++ b/lacewinghold/placement/engine.py
@@ -21,7 +21,7 @@
     from lacewinghold.placement.work import Work
     from lacewinghold.schema.generated.jobs import Resources
 
-HOLD_AFTER_S = 60.0
+HOLD_AFTER_S = 1800.0
 
 
 class PlacementEngine:
--- a/lacewinghold/shards/part_host.py
+++ b/lacewinghold/shards/part_host.py
@@ -10,14 +10,14 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.invariants import Invariant, require
-from lacewinghold.schema.generated.jobs import JobState, TaskState
+from lacewinghold.ids import task_job
+from lacewinghold.schema.generated.jobs import JobState
 from lacewinghold.schema.generated.messages import PartReply, PartReserveReply
 from lacewinghold.schema.generated.records import EntryKind, LogEntry
 from lacewinghold.shards.model import make_job
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import JobId
+    from lacewinghold.ids import JobId, TaskId
     from lacewinghold.placement.capacity import WorkerCapacity
     from lacewinghold.placement.work import Placement, Work
     from lacewinghold.schema.generated.records import JobRecord
@@ -27,6 +27,7 @@
 logger = structlog.get_logger(__name__)
 EXPIRY_CHECK_S = 0.5
 MAX_LEASE_S = 30.0
+STORE_PATIENCE_S = 4.0
 
 
 class Reservation(Struct):
@@ -66,15 +67,11 @@
         self, record: JobRecord, lease_s: float
     ) -> Result[PartReserveReply, Failure]:
         """Asks for room, renews its lease, and tells whether it is there."""
-        held = self.owner.ownership.check()
-        if isinstance(held, Err):
-            return Err(held.err_value)
-        if not self.owner.ready.is_set():
-            return Err(Failure(ErrorKind.NOT_OWNER, "the shard recovers", "", 1.0))
+        refused = self.check(record)
+        if refused is not None:
+            return Err(refused)
         if record.job in self.owner.jobs:
             return Ok(PartReserveReply(True, True))
-        if record.job in self.owner.ledger.state.cancelled:
-            return Err(Failure(ErrorKind.CONFLICT, "the part was cancelled"))
         expires_at = self.owner.now() + min(lease_s, MAX_LEASE_S)
         known = self.reservations.get(record.job)
         if known is None:
@@ -131,45 +128,59 @@
             self.release(reservation)
             self.owner.placer.engine.add(reservation.work, self.owner.now())
 
+    def is_reserved(self, task_id: TaskId) -> bool:
+        """Returns whether a booking is a reservation."""
+        return task_job(task_id) in self.reservations
+
     async def accept(self, record: JobRecord) -> Result[JobId, Failure]:
         """Accepts a part once its record is durable; a repeat has no effect."""
-        held = self.owner.ownership.check()
-        if isinstance(held, Err):
-            return Err(held.err_value)
+        refused = self.check(record)
+        if refused is not None:
+            return Err(refused)
         if record.job in self.owner.jobs:
             return Ok(record.job)
-        if record.job in self.owner.ledger.state.cancelled:
-            return Err(Failure(ErrorKind.CONFLICT, "the part was cancelled"))
         reservation = self.reservations.get(record.job)
         if reservation is not None:
             reservation.expires_at = float("inf")
         entry = LogEntry(
             kind=EntryKind.JOB_ACCEPTED, at=self.owner.clock.now(), job=record
         )
-        written = await self.owner.ledger.append([entry])
+        written = await self.owner.ledger.append([entry], patience_s=STORE_PATIENCE_S)
         if isinstance(written, Err):
             self.let_go(record.job)
             return Err(written.err_value)
-        if record.job not in self.owner.jobs:
-            await self.start(record)
         return Ok(record.job)
 
-    async def start(self, record: JobRecord) -> None:
-        """Starts an accepted part on its reserved room, or queues it."""
+    def check(self, record: JobRecord) -> Failure | None:
+        """Returns why a part is not taken now, or ``None``."""
+        held = self.owner.ownership.check()
+        if isinstance(held, Err):
+            return held.err_value
+        if self.owner.handing_over or not self.owner.ready.is_set():
+            return Failure(ErrorKind.NOT_OWNER, "the shard changes hands", "", 1.0)
+        if record.job in self.owner.jobs:
+            return None
+        if record.job in self.owner.ledger.state.cancelled:
+            return Failure(ErrorKind.CONFLICT, "the part was cancelled")
+        return None
+
+    def note_accepted(self, record: JobRecord) -> None:
+        """Starts a part on its reserved room, or queues it, once it is durable."""
+        if record.job in self.owner.jobs:
+            return
         reservation = self.reservations.pop(record.job, None)
+        self.owner.placer.engine.remove(record.job)
         if reservation is None or reservation.placement is None:
-            self.owner.placer.engine.remove(record.job)
             queued_at = self.owner.runtime_time(record.accepted_at)
             self.owner.enqueue(make_job(record, queued_at))
             return
-        jobs = self.owner.ledger.state.jobs
-        require(Invariant.LEDGER_FIRST, record.job in jobs, record.job)
-        self.owner.jobs[record.job] = reservation.job
         for task in reservation.job.tasks:
             self.owner.tasks[task.id] = task
         intended = self.owner.placer.start_booked(reservation.placement)
+        self.owner.enqueue(reservation.job)
         if intended:
-            await self.owner.placer.start_intended(intended)
+            start_soon = self.owner.tasks_group.start_soon
+            start_soon(self.owner.placer.start_intended, intended)
 
     async def cancel(self, job_id: JobId, actor: str) -> Result[PartReply, Failure]:
         """Cancels a part; one that is not known is never accepted later."""
@@ -186,24 +197,14 @@
                 job_id=job_id,
                 detail=actor,
             )
-            written = await self.owner.ledger.append([entry])
+            append = self.owner.ledger.append
+            written = await append([entry], patience_s=STORE_PATIENCE_S)
             if isinstance(written, Err):
                 return Err(written.err_value)
         if job_id in self.owner.jobs:
-            return await self.cancel_accepted(job_id)
+            return self.state(job_id)
         return Ok(PartReply(job_id, JobState.CANCELLED))
 
-    async def cancel_accepted(self, job_id: JobId) -> Result[PartReply, Failure]:
-        """Stops a part that was accepted while its cancellation was written."""
-        job = self.owner.jobs[job_id]
-        job.cancelled = True
-        for task in list(job.tasks):
-            if task.state is TaskState.QUEUED and task.proved:
-                self.owner.end_task(task, TaskState.CANCELLED, "cancelled")
-            else:
-                self.owner.stop_task(task)
-        return self.state(job_id)
-
     def state(self, job_id: JobId) -> Result[PartReply, Failure]:
         """Returns the state of a part."""
         job = self.owner.jobs.get(job_id)
--- a/lacewinghold/shards/parts.py
+++ b/lacewinghold/shards/parts.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 from result import Err, Ok
 
+from lacewinghold.coordination.ledger_state import KEEP_FINISHED_S
 from lacewinghold.errors import ErrorKind
 from lacewinghold.ids import JobId
 from lacewinghold.schema.generated.jobs import JobKind, JobState, TaskState
@@ -121,6 +122,9 @@
         for task, record in self.pending(job):
             if record.job in self.accepted:
                 continue
+            if await self.may_be_forgotten(record):
+                self.owner.end_task(task, TaskState.UNKNOWN, "too old to tell")
+                continue
             reply = await self.calls.accept(record)
             if isinstance(reply, Ok):
                 self.accepted.add(record.job)
@@ -128,6 +132,14 @@
             if reply.err_value.kind is ErrorKind.CONFLICT:
                 self.owner.end_task(task, TaskState.CANCELLED, "cancelled")
 
+    async def may_be_forgotten(self, record: JobRecord) -> bool:
+        """Returns whether a part that must not run twice may have run long ago."""
+        age_s = self.owner.clock.now() - record.accepted_at
+        if record.spec.repeatable or age_s < KEEP_FINISHED_S:
+            return False
+        known = await self.calls.state(record.job)
+        return isinstance(known, Err) and known.err_value.kind is ErrorKind.NOT_FOUND
+
     async def follow(self, job: Job) -> None:
         """Asks for the state of each part."""
         for task, record in self.pending(job):
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -47,8 +47,6 @@
 
     def queue_job(self, job: Job) -> None:
         """Queues the tasks of a job that may start."""
-        if job.record.parts:
-            return
         if job.record.spec.kind is JobKind.ALL_AT_ONCE:
             self.queue_together(job)
         else:
@@ -61,6 +59,7 @@
         if task.state is not TaskState.QUEUED or not task.proved:
             return
         if task.job.record.parts:
+            # Each part is placed in its own shard.
             return
         if task.spec.kind is JobKind.ALL_AT_ONCE:
             self.queue_together(task.job)
@@ -68,11 +67,15 @@
             self.engine.add(self.make_work(task.id, [task]), self.owner.now())
         self.wake()
 
-    def queue_together(self, job: Job) -> None:
+    def queue_together(self, job: Job, without: Task | None = None) -> None:
         """Queues the tasks of an all-at-once job as one piece of work."""
+        if job.record.parts:
+            return
         self.engine.remove(job.id)
         queued = []
         for task in job.tasks:
+            if task is without:
+                continue
             if task.state is TaskState.QUEUED and task.proved:
                 queued.append(task)
         if queued:
@@ -82,8 +85,8 @@
         """Takes a task out of the queue that is not to start any more."""
         if task.spec.kind is not JobKind.ALL_AT_ONCE:
             self.engine.remove(task.id)
-        elif self.engine.remove(task.job.id) is not None:
-            self.queue_together(task.job)
+        elif task.state is TaskState.QUEUED and task.proved:
+            self.queue_together(task.job, without=task)
 
     def make_work(self, ident: TaskId | JobId, tasks: list[Task]) -> Work:
         """Returns tasks of one job as a piece of work."""
@@ -176,10 +179,11 @@
         for task, worker_id in zip(tasks, chosen, strict=True):
             if task.state is not TaskState.STARTING or task.worker != worker_id:
                 continue
+            assert worker_id is not None
             if isinstance(written, Err) or task.job.cancelled:
-                self.owner.release_start(task)
+                if task.id in self.owner.workers[worker_id].capacity.bookings:
+                    self.owner.release_start(task)
                 continue
             intents = self.owner.ledger.state.intents
             require(Invariant.INTENT_FIRST, task.id in intents, task.id)
-            assert worker_id is not None
             self.owner.workers[worker_id].start(task)
