--- a/lacewinghold/placement/engine.py
+++ b/lacewinghold/placement/engine.py
@@ -9,11 +9,12 @@
 from lacewinghold.placement.hold import Hold
 from lacewinghold.placement.index import CapacityIndex
 from lacewinghold.placement.policy import POLICIES, JobPlaces
+from lacewinghold.placement.preemption import Preemptor, RunningWork
 from lacewinghold.placement.queue import Blocked, WorkQueue
 from lacewinghold.placement.ranking import Ranking
 from lacewinghold.placement.work import Placement
 from lacewinghold.schema.generated.document import PlacementSection
-from lacewinghold.schema.generated.jobs import JobKind
+from lacewinghold.schema.generated.jobs import JobKind, Priority
 
 if TYPE_CHECKING:
     from lacewinghold.ids import JobId, TaskId
@@ -22,6 +23,7 @@
     from lacewinghold.schema.generated.jobs import Resources
 
 HOLD_AFTER_S = 1800.0
+PREEMPTION_RETRY_S = 0.1
 
 
 class PlacementEngine:
@@ -35,6 +37,9 @@
         self.run_times = RunTimes()
         self.places = JobPlaces()
         self.hold = Hold(self.index)
+        self.preemptor = Preemptor(self.index)
+        self.promised: dict[TaskId | JobId, int] = {}
+        self.stops: list[TaskId] = []
         self.weights = weights or PlacementSection()
         self.ranking = Ranking(self.weights, self.run_times, self.index)
         self.queue = WorkQueue(self.ranking, self.index)
@@ -77,6 +82,7 @@
         if worker.release(task):
             self.places.remove(job, worker)
             self.hold.ends_at.pop(task, None)
+            self.preemptor.note_released(task)
 
     def begin_round(self, now: float) -> None:
         """Takes up work whose time came or for which there may be room again."""
@@ -94,6 +100,9 @@
             if placement is not None:
                 self.queue.take(shape)
                 return placement
+            if work.priority is Priority.URGENT and self.make_room(work, now):
+                self.queue.postpone(shape, now + PREEMPTION_RETRY_S)
+                continue
             self.queue.block(shape, self.blocked(work, now))
         return None
 
@@ -101,6 +110,9 @@
         """Books workers for one piece of work, if it fits now."""
         ends_at = now + self.run_times.estimate_s(work)
         excluded = self.hold.excluded(work, ends_at)
+        for ident, mask in self.promised.items():
+            if ident != work.id:
+                excluded |= mask
         policy = self.policies[work.kind]
         workers = policy.choose(work, self.index, self.places, excluded)
         if workers is None:
@@ -110,9 +122,38 @@
             self.places.add(work.job, worker)
             if work.kind is not JobKind.SERVICE:
                 self.hold.ends_at[task] = ends_at
+            running = RunningWork(work.kind, work.priority, work.repeatable, now)
+            self.preemptor.note_started(task, running)
         self.let_go(work)
         return Placement(work, workers)
 
+    def make_room(self, work: Work, now: float) -> bool:
+        """Has the cheapest tasks stopped, so that urgent work can start.
+
+        The worker that they run on is promised to the work until it starts.
+
+        :returns: Whether there will be room.
+        """
+        if work.id in self.promised:
+            return True
+        if work.kind is JobKind.ALL_AT_ONCE:
+            return False
+        promised = 0
+        for mask in self.promised.values():
+            promised |= mask
+        chosen = self.preemptor.choose(work.need, now, promised)
+        if chosen is None:
+            return False
+        self.preemptor.begin(chosen)
+        self.promised[work.id] = self.index.mask_of(chosen.worker.record.worker)
+        self.stops += [victim.task for victim in chosen.victims]
+        return True
+
+    def take_stops(self) -> list[TaskId]:
+        """Returns the tasks to stop since the last call."""
+        stops, self.stops = self.stops, []
+        return stops
+
     def freed_needed(self, work: Work) -> float:
         """Returns how many cores must have been freed before another try."""
         if work.kind is not JobKind.ALL_AT_ONCE:
@@ -138,6 +179,8 @@
 
     def let_go(self, work: Work) -> None:
         """Gives workers back that are held for a piece of work."""
+        if self.promised.pop(work.id, None) is not None:
+            self.queue.unblock_all()
         if self.hold.work is work:
             self.hold.end()
             self.queue.unblock_all()
--- a/lacewinghold/placement/queue.py
+++ b/lacewinghold/placement/queue.py
@@ -186,6 +186,13 @@
         del self.waiting[work.id]
         self.offer(shape)
 
+    def postpone(self, shape: Shape, until: float) -> None:
+        """Takes the head of a shape up again later, and lets the next one try."""
+        heappop(self.heads)
+        _, _, work = heappop(self.heaps[shape])
+        heappush(self.delayed, (until, next(self.numbers), work))
+        self.offer(shape)
+
     def block(self, shape: Shape, blocked: Blocked) -> None:
         """Sets a shape aside whose head found no room."""
         heappop(self.heads)
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -327,6 +327,7 @@
         task.worker = worker_id
         if task.state in (TaskState.QUEUED, TaskState.STARTING):
             self.placer.drop(task)
+            self.placer.note_running(task)
             self.note_started(task)
         if task.job.cancelled:
             self.stop_task(task)
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -5,13 +5,16 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import structlog
 from result import Err
 
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.engine import PlacementEngine
+from lacewinghold.placement.preemption import RunningWork
 from lacewinghold.placement.work import Work
 from lacewinghold.schema.generated.jobs import JobKind, TaskState
 from lacewinghold.schema.generated.records import EntryKind, LogEntry
+from lacewinghold.shards.model import ON_WORKER
 
 if TYPE_CHECKING:
     from lacewinghold.ids import JobId, TaskId
@@ -21,6 +24,7 @@
     from lacewinghold.shards.model import Job, Task
     from lacewinghold.shards.owner import ShardOwner
 
+logger = structlog.get_logger(__name__)
 IDLE_CHECK_S = 1.0
 
 
@@ -136,9 +140,29 @@
         intended: list[Task] = []
         while (placement := self.engine.next(now)) is not None:
             intended += self.carry_out(placement)
+        for task_id in self.engine.take_stops():
+            self.make_way(self.owner.tasks[task_id])
         if intended:
             await self.start_intended(intended)
 
+    def make_way(self, task: Task) -> None:
+        """Has a task checkpointed and stopped; it is queued again then."""
+        worker = self.owner.workers.get(task.worker) if task.worker else None
+        if worker is None or task.state not in ON_WORKER:
+            return
+        logger.info("stopped for urgent work", task=task.id, worker=task.worker)
+        self.owner.counts["tasks.preempted"] += 1
+        worker.checkpoint(task.id)
+
+    def note_running(self, task: Task) -> None:
+        """Notes a task that an earlier owner started."""
+        spec = task.spec
+        running = RunningWork(
+            spec.kind, spec.priority, spec.repeatable, self.owner.now()
+        )
+        if task.id not in self.engine.preemptor.running:
+            self.engine.preemptor.note_started(task.id, running)
+
     def carry_out(self, placement: Placement) -> list[Task]:
         """Starts the tasks of a decision, or notes the room it reserves.
 
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -69,6 +69,7 @@
         self.uncertain: set[TaskId] = set()
         self.sending: set[TaskId] = set()
         self.stops: set[TaskId] = set()
+        self.checkpoints: set[TaskId] = set()
         self.acknowledgements: set[TaskId] = set()
         self.wanted = anyio.Event()
         self.scope = anyio.CancelScope()
@@ -166,6 +167,11 @@
         self.stops.add(task_id)
         self.wanted.set()
 
+    def checkpoint(self, task_id: TaskId) -> None:
+        """Queues a checkpoint, after which the worker stops the task."""
+        self.checkpoints.add(task_id)
+        self.wanted.set()
+
     def acknowledge(self, task_id: TaskId) -> None:
         """Lets the worker forget an outcome."""
         self.acknowledgements.add(task_id)
@@ -202,7 +208,9 @@
 
     def has_work(self) -> bool:
         """Returns whether anything is queued for the worker."""
-        return bool(self.starts or self.stops or self.acknowledgements)
+        return bool(
+            self.starts or self.stops or self.checkpoints or self.acknowledgements
+        )
 
     def extension_due_s(self) -> float:
         """Returns the seconds until the worker's hold is to be extended."""
@@ -253,6 +261,7 @@
             hold_until=self.hold_until if self.fenced else 0.0,
             starts=starts,
             stops=sorted(self.stops),
+            checkpoints=sorted(self.checkpoints),
             acknowledge=sorted(self.acknowledgements),
             number=self.command_number,
         )
@@ -272,6 +281,7 @@
         report = reply.ok_value
         if report.accepted:
             self.stops.difference_update(command.stops)
+            self.checkpoints.difference_update(command.checkpoints)
             self.acknowledgements.difference_update(command.acknowledge)
         refused = {refusal.task: refusal.reason for refusal in report.refusals}
         for start in command.starts:
@@ -428,6 +438,7 @@
         self.fenced = False
         self.incarnation = None
         self.stops.clear()
+        self.checkpoints.clear()
         self.acknowledgements.clear()
         self.wanted.set()
         self.lose_all("its worker restarted")
