--- a/bench/plot.py
+++ b/bench/plot.py
@@ -10,7 +10,7 @@
 
 from bench.base import Figure
 
-matplotlib.use("svg")
+matplotlib.use("agg")
 
 from matplotlib import pyplot  # noqa: E402
 
@@ -45,7 +45,6 @@
     right.set(xlabel="starts/s", ylabel="writes/s", title="Store")
     right.legend(fontsize=7)
     drawing.tight_layout()
-    drawing.savefig(folder / "capacity.svg")
     drawing.savefig(folder / "capacity.png", dpi=70)
 
 
@@ -64,7 +63,6 @@
     axes[2].set(ylim=(0.8, 1.01), title="Packing at saturation")
     axes[2].tick_params(axis="x", labelsize=7)
     drawing.tight_layout()
-    drawing.savefig(folder / "placement.svg")
     drawing.savefig(folder / "placement.png", dpi=70)
 
 
--- a/lacewinghold/placement/engine.py
+++ b/lacewinghold/placement/engine.py
@@ -17,22 +17,31 @@
 from lacewinghold.schema.generated.jobs import JobKind, Priority
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import JobId, TaskId
+    from collections.abc import Callable
+
+    from lacewinghold.ids import JobId, TaskId, TeamId
     from lacewinghold.placement.capacity import WorkerCapacity
     from lacewinghold.placement.work import Work
     from lacewinghold.schema.generated.jobs import Resources
 
 HOLD_AFTER_S = 1800.0
 PREEMPTION_RETRY_S = 0.1
+PERMIT_RETRY_S = 1.0
 
 
 class PlacementEngine:
     """Places waiting work on the workers of an index.
 
     :param weights: The operators' weights.
+    :param permits: Tells whether work of a team may start now.
     """
 
-    def __init__(self, weights: PlacementSection | None = None) -> None:
+    def __init__(
+        self,
+        weights: PlacementSection | None = None,
+        permits: Callable[[TeamId], bool] = lambda team: True,
+    ) -> None:
+        self.permits = permits
         self.index = CapacityIndex()
         self.run_times = RunTimes()
         self.places = JobPlaces()
@@ -96,6 +105,9 @@
         """
         while (best := self.queue.best(now)) is not None:
             shape, work = best
+            if not self.permits(work.team):
+                self.queue.postpone(shape, now + PERMIT_RETRY_S)
+                continue
             placement = self.place(work, now)
             if placement is not None:
                 self.queue.take(shape)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -26,6 +26,7 @@
     from anyio.abc import TaskGroup
 
     from lacewinghold.coordination.lease import InstanceLease
+    from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.coordination.view import LiveView
     from lacewinghold.ids import DataCentreId, InstanceId
     from lacewinghold.schema.generated.jobs import Resources
@@ -63,7 +64,9 @@
         links: WorkerLinks,
         clock: WallClock,
         rng: random.Random,
+        rules: RuleGate | None = None,
     ) -> None:
+        self.rules = rules
         self.settings = settings
         self.store = store
         self.lease = lease
@@ -215,6 +218,7 @@
             self.settings.hold_s,
             self.rng,
             self.part_calls,
+            self.rules,
         )
         owner.counts = self.counts
         owner.set_drained(self.drains.current())
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -6,7 +6,7 @@
 
 import anyio
 import structlog
-from result import Err
+from result import Err, Ok
 
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.engine import PlacementEngine
@@ -17,7 +17,7 @@
 from lacewinghold.shards.model import ON_WORKER
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import JobId, TaskId
+    from lacewinghold.ids import JobId, TaskId, TeamId
     from lacewinghold.placement.capacity import WorkerCapacity
     from lacewinghold.placement.work import Placement
     from lacewinghold.schema.generated.worker import EndedTask
@@ -33,9 +33,13 @@
 
     def __init__(self, owner: ShardOwner) -> None:
         self.owner = owner
-        self.engine = PlacementEngine()
+        self.engine = PlacementEngine(permits=self.permits)
         self.wanted = anyio.Event()
 
+    def permits(self, team: TeamId) -> bool:
+        """Returns whether the rules allow starts of a team now."""
+        return isinstance(self.owner.rules.permit(team), Ok)
+
     def wake(self) -> None:
         """Asks for another round."""
         self.wanted.set()
