--- a/lacewinghold/application.py
+++ b/lacewinghold/application.py
@@ -28,6 +28,7 @@
 from lacewinghold.shards.manager import ShardManager
 from lacewinghold.shards.part_calls import PartCalls
 from lacewinghold.shards.workers import WorkerFront
+from lacewinghold.store.guarded import GuardedStore
 
 if TYPE_CHECKING:
     import random
@@ -73,17 +74,18 @@
             peer=settings.listen.peer,
             http=settings.listen.http,
         )
-        self.lease = InstanceLease(ports.store, self.keys, settings.lease, record, rng)
-        self.view = LiveView(ports.store, self.keys, rng)
+        self.store = GuardedStore(ports.store, rng)
+        self.lease = InstanceLease(self.store, self.keys, settings.lease, record, rng)
+        self.view = LiveView(self.store, self.keys, rng)
         self.document = Document(self.view)
         self.rules = DocumentRules(self.view, self.document, self.lease)
-        self.editor = Editor(ports.store, self.keys, ports.clock, self.document, rng)
+        self.editor = Editor(self.store, self.keys, ports.clock, self.document, rng)
         self.peers = PeerLinks(
             self.instance, ports.transport, self.address_of, self.is_paid, rng
         )
         self.manager = ShardManager(
             settings,
-            ports.store,
+            self.store,
             self.lease,
             self.view,
             ports.instance_list,
@@ -105,7 +107,7 @@
         self.workers = WorkerFront(self.directory, self.peers)
         once = OnceRequests(
             self.instance,
-            RequestRecords(ports.store, self.keys),
+            RequestRecords(self.store, self.keys),
             self.view,
             self.peers,
             ports.clock,
@@ -122,14 +124,12 @@
 
     def address_of(self, instance: InstanceId) -> str | None:
         """Returns the address of a peer, or ``None`` if it is unknown."""
-        record = self.view.instances().get(instance)
-        if record is None:
-            record = self.view.roster().get(instance)
+        record = self.view.record_of(instance)
         return None if record is None else record.peer
 
     def is_paid(self, instance: InstanceId) -> bool:
         """Returns whether a peer is in another region."""
-        record = self.view.roster().get(instance)
+        record = self.view.record_of(instance)
         return record is not None and record.region != self.settings.region
 
     def removed(self, instance: InstanceId) -> bool:
--- a/lacewinghold/shards/part_host.py
+++ b/lacewinghold/shards/part_host.py
@@ -15,6 +15,7 @@
 from lacewinghold.schema.generated.messages import PartReply, PartReserveReply
 from lacewinghold.schema.generated.records import EntryKind, LogEntry
 from lacewinghold.shards.model import make_job
+from lacewinghold.util.clock import until_tick
 
 if TYPE_CHECKING:
     from lacewinghold.ids import JobId, TaskId
@@ -61,7 +62,7 @@
                 if reservation.expires_at < now:
                     logger.info("reservation ended", job=job_id)
                     self.let_go(job_id)
-            await anyio.sleep(EXPIRY_CHECK_S)
+            await anyio.sleep(until_tick(EXPIRY_CHECK_S))
 
     def reserve(
         self, record: JobRecord, lease_s: float
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -15,6 +15,7 @@
 from lacewinghold.schema.generated.jobs import JobKind, TaskState
 from lacewinghold.schema.generated.records import EntryKind, LogEntry
 from lacewinghold.shards.model import ON_WORKER
+from lacewinghold.util.clock import until_tick
 
 if TYPE_CHECKING:
     from lacewinghold.ids import JobId, TaskId, TeamId
@@ -50,7 +51,7 @@
             self.wanted = anyio.Event()
             await self.place_all()
             due_s = self.engine.queue.next_due() - self.owner.now()
-            with anyio.move_on_after(max(0.0, min(IDLE_CHECK_S, due_s))):
+            with anyio.move_on_after(max(0.0, min(until_tick(IDLE_CHECK_S), due_s))):
                 await self.wanted.wait()
 
     def queue_job(self, job: Job) -> None:
