--- a/lacewinghold/coordination/ledger_state.py
+++ b/lacewinghold/coordination/ledger_state.py
@@ -75,7 +75,7 @@
     def ended_at(self, job: JobRecord) -> float | None:
         """Returns when the last task of a job ended, or ``None``."""
         latest = 0.0
-        for index in range(job.spec.tasks):
+        for index in range(len(job.parts) or job.spec.tasks):
             outcome = self.outcomes.get(make_task_id(job.job, index))
             if outcome is None:
                 return None
@@ -106,7 +106,7 @@
         """Forgets a job and all that is known of its tasks."""
         job = self.jobs.pop(job_id)
         self.cancelled.discard(job_id)
-        for index in range(job.spec.tasks):
+        for index in range(len(job.parts) or job.spec.tasks):
             task_id = make_task_id(job_id, index)
             self.outcomes.pop(task_id, None)
             self.intents.pop(task_id, None)
--- a/lacewinghold/document/sections.py
+++ b/lacewinghold/document/sections.py
@@ -73,6 +73,8 @@
         self.cell_body = CellSection(teams={})
         self.timing_at = Revision(0)
         self.timing_body = TimingSection()
+        self.placement_at = Revision(0)
+        self.placement_body = PlacementSection()
 
     def section(self, name: SectionName) -> Section | None:
         """Returns a section, or ``None`` if there is none of that name."""
@@ -129,6 +131,16 @@
             self.timing_body = from_json(to_json(section.body), TimingSection)
         return self.timing_body
 
+    def placement(self) -> PlacementSection:
+        """Returns the section with the weights; defaults if there is none."""
+        section = self.section(PLACEMENT_SECTION)
+        if section is None or section.kind is not SectionKind.PLACEMENT:
+            return PlacementSection()
+        if self.placement_at != section.revision:
+            self.placement_at = section.revision
+            self.placement_body = from_json(to_json(section.body), PlacementSection)
+        return self.placement_body
+
     def team_of_key(self, key: str) -> tuple[TeamId, Role] | None:
         """Returns the team that a bearer key belongs to, and its role."""
         digest = hash_key(key)
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -13,11 +13,15 @@
 from lacewinghold.coordination.ledger import Ledger
 from lacewinghold.coordination.ownership import ShardOwnership
 from lacewinghold.ids import ShardId
+from lacewinghold.placement.split import ShardRoom
+from lacewinghold.schema.generated.document import PlacementSection
+from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.shards.drains import Drains
 from lacewinghold.shards.owner import ShardOwner
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from anyio.abc import TaskGroup
 
@@ -25,8 +29,10 @@
     from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.coordination.view import LiveView
     from lacewinghold.ids import DataCentreId, InstanceId
+    from lacewinghold.schema.generated.jobs import Resources
     from lacewinghold.schema.generated.settings import Settings
     from lacewinghold.schema.generated.worker import InstanceList, WorkerRecord
+    from lacewinghold.shards.part_calls import PartCalls
     from lacewinghold.store.base import Store
     from lacewinghold.util.clock import WallClock
     from lacewinghold.workers.base import InstanceListSource, WorkerLinks
@@ -81,6 +87,8 @@
         self.started_at = 0.0
         self.move_at: dict[ShardId, float] = {}
         self.counts: Counter[str] = Counter()
+        self.part_calls: PartCalls
+        self.weights: Callable[[], PlacementSection] = PlacementSection
         self.drains = Drains(store, view, clock)
         view.listeners.append(self.follow_drains)
 
@@ -131,6 +139,21 @@
         for owner in self.owners.values():
             owner.set_drained(drained)
 
+    def rooms(self, shards: list[ShardId]) -> list[ShardRoom]:
+        """Returns the listed workers of shards of any data centre."""
+        workers: dict[ShardId, list[Resources]] = {shard: [] for shard in shards}
+        for record in self.listed.workers if self.listed else []:
+            shard = shard_of(record, self.settings.shards_per_rack)
+            if shard in workers and record.state is WorkerState.LIVE:
+                workers[shard].append(record.capacity)
+        return [ShardRoom(shard, found) for shard, found in workers.items() if found]
+
+    def apply_weights(self) -> None:
+        """Passes the operators' weights on to the shards owned here."""
+        weights = self.weights()
+        for owner in self.owners.values():
+            owner.placer.engine.set_weights(weights)
+
     def desired(self) -> dict[ShardId, InstanceId]:
         """Returns the assignment over the data centre's live instances."""
         instances = [
@@ -144,6 +167,7 @@
         """Takes and releases shards as the assignment says."""
         if not self.lease.valid() or self.leaving:
             return
+        self.apply_weights()
         me = self.lease.record.instance
         for shard, instance in sorted(self.desired().items()):
             if shard in self.owners:
@@ -223,6 +247,7 @@
             self.clock,
             self.settings.hold_s,
             self.rng,
+            self.part_calls,
             self.rules,
         )
         owner.counts = self.counts
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -20,6 +20,8 @@
 from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.shards.model import ENDED, ON_WORKER, Job, Task, make_job
 from lacewinghold.shards.outcomes import OutcomeWriter
+from lacewinghold.shards.part_host import PartHost
+from lacewinghold.shards.parts import Parts
 from lacewinghold.shards.placer import Placer
 from lacewinghold.shards.recovery import CLOCK_DRIFT, Recovery
 from lacewinghold.shards.worker_task import WorkerTask
@@ -34,7 +36,9 @@
     from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.ids import ShardId, TaskId, WorkerId
     from lacewinghold.schema.generated.jobs import JobSpec
+    from lacewinghold.schema.generated.records import PartRecord
     from lacewinghold.schema.generated.worker import EndedTask, WorkerRecord
+    from lacewinghold.shards.part_calls import PartCalls
     from lacewinghold.util.clock import WallClock
     from lacewinghold.workers.base import WorkerLinks
 
@@ -64,6 +68,7 @@
         clock: WallClock,
         hold_s: float,
         rng: random.Random,
+        part_calls: PartCalls,
         rules: RuleGate | None = None,
     ) -> None:
         self.rules = rules or OpenRules()
@@ -78,6 +83,8 @@
         self.workers: dict[WorkerId, WorkerTask] = {}
         self.drained: frozenset[WorkerId] = frozenset()
         self.placer = Placer(self)
+        self.part_host = PartHost(self)
+        self.parts = Parts(self, part_calls)
         self.waits: list[float] = []
         self.suspended: set[TaskId] = set()
         self.recovery = Recovery(self)
@@ -108,6 +115,8 @@
             tasks.start_soon(self.recovery.run)
             tasks.start_soon(self.placer.run)
             tasks.start_soon(self.outcomes.run)
+            tasks.start_soon(self.part_host.run)
+            self.parts.resume()
             self.ready.set()
             await self.wait_until_superseded()
             self.stopped = True
@@ -162,6 +171,7 @@
         """Starts to serve a worker."""
         worker = WorkerTask(self, record, self.links.open(record))
         self.workers[record.worker] = worker
+        self.placer.engine.index.add(worker.capacity)
         self.tasks_group.start_soon(worker.run)
         return worker
 
@@ -171,6 +181,7 @@
         worker = self.workers.pop(worker_id, None)
         if worker is not None:
             worker.remove()
+            self.placer.engine.index.remove(worker.capacity)
         if record is not None and worker is not None:
             self.outcomes.note_worker(EntryKind.WORKER_REMOVED, record)
         self.note_change()
@@ -196,10 +207,13 @@
         """Returns whether tasks may be placed now."""
         return not self.handing_over and self.may_command()
 
-    async def accept(self, spec: JobSpec, digest: str) -> Result[JobId, Failure]:
+    async def accept(
+        self, spec: JobSpec, digest: str, parts: list[PartRecord] | None = None
+    ) -> Result[JobId, Failure]:
         """Accepts a job once its record is durable.
 
         :param digest: Idempotency digest, or the empty string.
+        :param parts: How its tasks are divided over shards, if they are.
         :returns: The job; an earlier one if the digest is known. ``CANNOT_FIT``
             if no worker of the shard could ever run a task.
         """
@@ -216,7 +230,11 @@
         job_id = JobId(f"{self.shard}~{self.rng.getrandbits(JOB_ID_BITS):016x}")
         at = self.clock.now()
         record = JobRecord(
-            job=job_id, spec=spec, accepted_at=at, idempotency_digest=digest
+            job=job_id,
+            spec=spec,
+            accepted_at=at,
+            idempotency_digest=digest,
+            parts=parts or [],
         )
         entry = LogEntry(kind=EntryKind.JOB_ACCEPTED, at=at, job=record)
         fingerprint = hashlib.sha256(to_json(spec)).hexdigest()[:32]
@@ -231,9 +249,13 @@
     def note_written(self, entry: LogEntry) -> None:
         """Acts on a durable entry, whether or not its caller still waits."""
         if entry.kind is EntryKind.JOB_ACCEPTED and entry.job is not None:
-            self.enqueue(make_job(entry.job, self.now()))
+            if entry.job.parent:
+                self.part_host.note_accepted(entry.job)
+            else:
+                self.enqueue(make_job(entry.job, self.now()))
         elif entry.kind is EntryKind.JOB_CANCELLED:
-            self.apply_cancel(self.jobs[entry.job_id])
+            if entry.job_id in self.jobs:
+                self.apply_cancel(self.jobs[entry.job_id])
         elif entry.kind is EntryKind.WORKER_ADDED and entry.worker is not None:
             worker = self.workers.get(entry.worker.worker)
             if worker is not None:
@@ -251,7 +273,9 @@
         self.jobs[job.id] = job
         for task in job.tasks:
             self.tasks[task.id] = task
-        self.placer.wake()
+        if job.record.parts:
+            self.parts.start(job)
+        self.placer.queue_job(job)
 
     async def cancel(self, job_id: JobId, actor: str) -> Result[Job, Failure]:
         """Cancels a job; its running tasks are stopped.
@@ -278,6 +302,9 @@
     def apply_cancel(self, job: Job) -> None:
         """Ends what may be ended of a cancelled job and stops the rest."""
         job.cancelled = True
+        if job.record.parts:
+            self.note_change()
+            return
         for task in job.tasks:
             if task.state is TaskState.QUEUED and task.proved:
                 self.end_task(task, TaskState.CANCELLED, "cancelled")
@@ -306,6 +333,8 @@
         task.proved = True
         task.worker = worker_id
         if task.state in (TaskState.QUEUED, TaskState.STARTING):
+            self.placer.drop(task)
+            self.placer.note_running(task)
             self.note_started(task)
         if task.job.cancelled:
             self.stop_task(task)
@@ -330,6 +359,7 @@
         if task.state in ON_WORKER and task.worker != worker_id:
             logger.info("late outcome of an earlier run", task=task.id)
             return
+        self.placer.note_ended(task, ended)
         if ended.succeeded:
             self.end_task(task, TaskState.SUCCEEDED, ended.detail)
         elif not ended.stopped and not task.job.cancelled and not self.may_retry(task):
@@ -347,6 +377,7 @@
         """Queues a task again that surely runs nowhere, if it may be repeated."""
         if task.state in ENDED:
             return
+        self.placer.drop(task)
         self.free_worker(task)
         task.state = TaskState.QUEUED
         task.worker = None
@@ -364,7 +395,7 @@
         backoff_s = task.spec.retry.backoff_s if task.spec.retry else 0.0
         task.not_before = self.now() + backoff_s * min(task.attempts, 10)
         self.note_change()
-        self.placer.wake()
+        self.placer.queue_task(task)
 
     def release_start(self, task: Task) -> None:
         """Queues a task again whose start surely did not run."""
@@ -374,16 +405,17 @@
         if task.job.cancelled and task.proved:
             self.end_task(task, TaskState.CANCELLED, "cancelled")
             return
-        self.placer.wake()
+        self.placer.queue_task(task)
 
     def free_worker(self, task: Task) -> None:
         """Releases what the task had booked."""
         worker = self.workers.get(task.worker) if task.worker else None
         if worker is not None:
-            worker.capacity.release(task.id)
+            self.placer.release(task, worker.capacity)
 
     def end_task(self, task: Task, state: TaskState, detail: str) -> None:
         """Ends a task; its outcome is written to the ledger next."""
+        self.placer.drop(task)
         self.free_worker(task)
         self.counts[f"tasks.ended.{state}"] += 1
         task.state = state
--- a/lacewinghold/shards/recovery.py
+++ b/lacewinghold/shards/recovery.py
@@ -74,12 +74,14 @@
     def prove(self, task: Task) -> None:
         """Frees a task that no other holder can start any more."""
         task.proved = True
-        if task.state is not TaskState.QUEUED:
+        if task.state is not TaskState.QUEUED or task.job.record.parts:
             return
         if task.id in self.owner.ledger.state.intents:
             self.owner.end_task(task, TaskState.UNKNOWN, "its start may have run")
         elif task.job.cancelled:
             self.owner.end_task(task, TaskState.CANCELLED, "cancelled")
+        else:
+            self.owner.placer.queue_task(task)
 
     def suspend(self, task: Task) -> bool:
         """Withholds a task that is to run again until that is surely allowed.
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -69,6 +69,7 @@
         self.uncertain: set[TaskId] = set()
         self.sending: set[TaskId] = set()
         self.stops: set[TaskId] = set()
+        self.checkpoints: set[TaskId] = set()
         self.acknowledgements: set[TaskId] = set()
         self.wanted = anyio.Event()
         self.scope = anyio.CancelScope()
@@ -122,8 +123,9 @@
         unsent = set(self.starts) - self.uncertain
         self.starts.clear()
         self.uncertain.clear()
+        self.owner.part_host.worker_lost(self.capacity)
         for task_id in list(self.capacity.bookings):
-            self.capacity.release(task_id)
+            self.release(task_id)
             task = self.owner.tasks.get(task_id)
             if task is None or task.state not in ON_WORKER:
                 continue
@@ -132,6 +134,10 @@
             else:
                 self.owner.requeue(task, detail)
 
+    def release(self, task_id: TaskId) -> None:
+        """Frees what a task has booked here."""
+        self.owner.placer.engine.release(task_job(task_id), task_id, self.capacity)
+
     def withdraw_starts(self) -> None:
         """Takes back the starts that surely were not sent."""
         for task_id in set(self.starts) - self.uncertain - self.sending:
@@ -165,6 +171,11 @@
         self.stops.add(task_id)
         self.wanted.set()
 
+    def checkpoint(self, task_id: TaskId) -> None:
+        """Queues a checkpoint, after which the worker stops the task."""
+        self.checkpoints.add(task_id)
+        self.wanted.set()
+
     def acknowledge(self, task_id: TaskId) -> None:
         """Lets the worker forget an outcome."""
         self.acknowledgements.add(task_id)
@@ -201,7 +212,9 @@
 
     def has_work(self) -> bool:
         """Returns whether anything is queued for the worker."""
-        return bool(self.starts or self.stops or self.acknowledgements)
+        return bool(
+            self.starts or self.stops or self.checkpoints or self.acknowledgements
+        )
 
     def extension_due_s(self) -> float:
         """Returns the seconds until the worker's hold is to be extended."""
@@ -269,6 +282,7 @@
             hold_until=self.hold_until if self.fenced else 0.0,
             starts=starts,
             stops=sorted(self.stops),
+            checkpoints=sorted(self.checkpoints),
             acknowledge=sorted(self.acknowledgements),
             number=self.command_number,
         )
@@ -288,6 +302,7 @@
         report = reply.ok_value
         if report.accepted:
             self.stops.difference_update(command.stops)
+            self.checkpoints.difference_update(command.checkpoints)
             self.acknowledgements.difference_update(command.acknowledge)
         refused = {refusal.task: refusal.reason for refusal in report.refusals}
         for start in command.starts:
@@ -416,7 +431,9 @@
             return
         if self.owner.adopt(task_id, self.record.worker) is None:
             self.stop(task_id)
-        self.capacity.adopt(task_id, running.resources)
+        self.owner.placer.engine.adopt(
+            task_job(task_id), task_id, running.resources, self.capacity
+        )
 
     def apply_ended(self, ended: EndedTask) -> None:
         """Takes an outcome and lets the worker forget it once it is durable."""
@@ -424,7 +441,7 @@
             return
         self.starts.pop(ended.task, None)
         self.uncertain.discard(ended.task)
-        self.capacity.release(ended.task)
+        self.release(ended.task)
         self.owner.note_ended(ended, self.record.worker)
         if self.owner.may_forget(ended.task):
             self.acknowledge(ended.task)
@@ -437,8 +454,10 @@
             task = self.owner.tasks.get(task_id)
             if task_id in present or task_id in self.starts:
                 continue
+            if self.owner.part_host.is_reserved(task_id):
+                continue
             if task is None or task.worker != self.record.worker:
-                self.capacity.release(task_id)
+                self.release(task_id)
             elif task.state in (TaskState.RUNNING, TaskState.STOPPING):
                 self.owner.requeue(task, "its worker lost it")
 
@@ -447,6 +466,7 @@
         self.fenced = False
         self.incarnation = None
         self.stops.clear()
+        self.checkpoints.clear()
         self.acknowledgements.clear()
         self.wanted.set()
         self.lose_all("its worker restarted")
--- a/tests/test_document/test_force.py
+++ b/tests/test_document/test_force.py
@@ -177,7 +177,11 @@
         instances[0].view.read_at = -1e9
         with pytest.raises(InvariantViolation):
             worker.stamp_start(start, task, present)
-        assert owner.placer.queue() == []
+        engine = owner.placer.engine
+        engine.add(owner.placer.make_work("s~waiting", [task]), owner.now())
+        engine.begin_round(owner.now())
+        assert engine.next(owner.now()) is None
+        assert engine.remove("s~waiting") is not None
         request = ServiceRequest(
             "booking", owner.shard, "r", "operators", "GET", "/", b"", 1.0, True, ""
         )
