--- a/lacewinghold/shards/model.py
+++ b/lacewinghold/shards/model.py
@@ -22,6 +22,7 @@
 ENDED = frozenset(
     {TaskState.SUCCEEDED, TaskState.FAILED, TaskState.CANCELLED, TaskState.UNKNOWN}
 )
+RESULTS = frozenset({TaskState.SUCCEEDED, TaskState.FAILED})
 ON_WORKER = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING})
 
 
@@ -29,7 +30,8 @@
     """One task of a job.
 
     ``proved`` is false while another holder might start it: one of an earlier
-    epoch, or a newer owner that this one cannot know of.
+    epoch, or a newer owner that this one cannot know of. ``durable`` is false
+    while the ledger lacks the task's outcome.
     """
 
     id: TaskId
@@ -42,6 +44,17 @@
     started_at: float | None = None
     detail: str = ""
     proved: bool = True
+    durable: bool = True
+
+    @property
+    def shown_state(self) -> TaskState:
+        """Returns the state that callers see.
+
+        A result that could still be lost with its worker is not shown.
+        """
+        if self.state in RESULTS and not self.durable:
+            return TaskState.RUNNING
+        return self.state
 
     @property
     def spec(self) -> JobSpec:
@@ -52,7 +65,7 @@
         """Returns the task as its team sees it."""
         return TaskView(
             task=self.id,
-            state=self.state,
+            state=self.shown_state,
             worker=self.worker,
             attempts=self.attempts,
             detail=self.detail,
@@ -78,8 +91,8 @@
         return all(task.state in ENDED for task in self.tasks)
 
     def state(self) -> JobState:
-        """Returns the job's state, derived from its tasks."""
-        states = {task.state for task in self.tasks}
+        """Returns the job's state as callers see it, derived from its tasks."""
+        states = {task.shown_state for task in self.tasks}
         if not states <= ENDED:
             if self.cancelled:
                 return JobState.CANCEL_PENDING
--- a/lacewinghold/shards/outcomes.py
+++ b/lacewinghold/shards/outcomes.py
@@ -40,6 +40,7 @@
 
     def note_ended(self, task: Task, state: TaskState, detail: str) -> None:
         """Keeps a task's outcome until it is durable."""
+        task.durable = False
         self.ended[task.id] = LogEntry(
             kind=EntryKind.TASK_ENDED,
             at=self.owner.clock.now(),
@@ -93,10 +94,17 @@
         del self.facts[: len(facts)]
         for entry in ended:
             self.ended.pop(entry.task_id, None)
-            self.owner.acknowledge(entry.task_id)
+            self.note_durable(entry.task_id)
         self.owner.note_change()
         return True
 
+    def note_durable(self, task_id: TaskId) -> None:
+        """Shows a task's outcome and lets its worker forget it."""
+        task = self.owner.tasks.get(task_id)
+        if task is not None:
+            task.durable = True
+        self.owner.acknowledge(task_id)
+
     async def drain(self) -> None:
         """Writes everything that is kept, and waits until it is durable."""
         self.draining = True
--- a/tests/test_shards/test_whole_path.py
+++ b/tests/test_shards/test_whole_path.py
@@ -5,7 +5,7 @@
 import anyio
 from result import Ok
 
-from lacewinghold.ids import ServiceId, TeamId
+from lacewinghold.ids import ServiceId, TeamId, job_shard
 from lacewinghold.invariants import violations
 from lacewinghold.schema.generated.jobs import (
     JobKind,
@@ -81,3 +81,35 @@
 
 def test_same_seed_gives_same_session():
     assert run_paused(session, 2, seed=2) == run_paused(session, 2, seed=2)
+
+
+async def states_around_an_outage(seed):
+    async with anyio.create_task_group() as tasks:
+        cell = Cell(TERRASVUUR, tasks, seed)
+        await cell.start()
+        await cell.wait_ready(SHARDS)
+        await anyio.sleep(1)
+        spec = make_spec(tasks=1, expected_run_s=1.0)
+        job = (await cell.any_instance().jobs.submit(TEAM, spec, "")).ok_value
+        await anyio.sleep(0.5)
+        shown = []
+        for reachable in (False, True):
+            for running in cell.instances.values():
+                running.store.reachable = reachable
+            await anyio.sleep(8)
+            ended = not any(worker.running for worker in cell.workers.values())
+            owner = next(
+                running.instance.manager.owners[job_shard(job)]
+                for running in cell.instances.values()
+                if job_shard(job) in running.instance.manager.owners
+            )
+            shown.append((ended, owner.jobs[job].to_view().state))
+        tasks.cancel_scope.cancel()
+    return shown
+
+
+def test_result_is_shown_once_it_cannot_be_lost():
+    assert run_paused(states_around_an_outage, 3, seed=3) == [
+        (True, JobState.RUNNING),
+        (True, JobState.SUCCEEDED),
+    ]
