--- a/lacewinghold/testing/recorder.py
+++ b/lacewinghold/testing/recorder.py
@@ -133,7 +133,11 @@
 
     def check_end(self) -> None:
         """Checks a run after everything was healed and had time to end."""
-        by_name = {record.spec.name: job for job, record in self.jobs.items()}
+        by_name = {
+            record.spec.name: job
+            for job, record in self.jobs.items()
+            if not record.parent
+        }
         for name, submission in self.submissions.items():
             durable = by_name.get(name)
             refused = submission.refused == submission.attempts
@@ -144,6 +148,16 @@
         for job, record in self.jobs.items():
             if record.spec.service is not None and job not in self.cancelled:
                 continue
-            for index in range(record.spec.tasks):
+            self.check_parts(job, record)
+            for index in range(len(record.parts) or record.spec.tasks):
                 if f"{job}/{index}" not in self.outcomes:
                     self.blame(f"{job}/{index} never ended")
+
+    def check_parts(self, job: JobId, record: JobRecord) -> None:
+        """Checks that the parts of a divided job have all of its tasks."""
+        if not record.parts or job in self.cancelled:
+            return
+        parts = [part for part in self.jobs.values() if part.parent == job]
+        tasks = sum(part.spec.tasks for part in parts)
+        if tasks != record.spec.tasks or len(parts) != len(record.parts):
+            self.blame(f"{job} has {len(parts)} parts with {tasks} tasks")
