--- a/lacewinghold/coordination/lease.py
+++ b/lacewinghold/coordination/lease.py
@@ -73,10 +73,15 @@
             renewed = await (self.open() if self.lease is None else self.renew())
             if renewed:
                 self.backoff.reset()
-                await anyio.sleep(self.settings.renew_s)
+                await anyio.sleep(self.next_renewal_s())
                 continue
             await anyio.sleep(self.backoff.next_delay_s())
 
+    def next_renewal_s(self) -> float:
+        """Returns the seconds until the next renewal, fewer if the store is slow."""
+        left_s = max(0.0, self.expires_at - anyio.current_time())
+        return min(self.settings.renew_s, left_s / 2)
+
     async def open(self) -> bool:
         """Opens a lease and writes the instance's record under it."""
         started = anyio.current_time()
--- a/tests/test_coordination/test_ownership.py
+++ b/tests/test_coordination/test_ownership.py
@@ -159,3 +159,14 @@
         assert member.lease.expires_at + 0.2 <= stored
 
     play(scenario)
+
+
+def test_slow_store_does_not_make_the_lease_lapse_for_good():
+    async def scenario(state, tasks):
+        state.latency_s = 0.8
+        member = Member(state, "first")
+        tasks.start_soon(member.lease.run)
+        await anyio.sleep(60.0)
+        assert member.lease.generation == 1
+
+    play(scenario)
