--- a/lacewinghold/shards/jobs.py
+++ b/lacewinghold/shards/jobs.py
@@ -134,31 +134,29 @@
 
     async def job(self, job_id: JobId) -> Result[JobView, Failure]:
         """Returns a job."""
-        local = self.directory.local_owner(job_shard(job_id))
-        if isinstance(local, Ok):
-            job = local.ok_value.jobs.get(job_id)
-            if job is None:
-                return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}", "job"))
-            return Ok(await self.full_view(job))
         shard = job_shard(job_id)
-        body = JobQuery(job_id)
+        if isinstance(self.directory.local_owner(shard), Ok):
+            return await self.local_job(job_id)
         reply = await self.directory.call_owner(
-            shard, MessageKind.JOB_QUERY, body, CALL_TIMEOUT_S
+            shard, MessageKind.JOB_QUERY, JobQuery(job_id), CALL_TIMEOUT_S
         )
         return first_view(reply)
 
+    async def local_job(self, job_id: JobId) -> Result[JobView, Failure]:
+        """Returns a job of a shard that is owned here."""
+        local = self.directory.local_owner(job_shard(job_id))
+        if isinstance(local, Err):
+            return Err(local.err_value)
+        job = local.ok_value.jobs.get(job_id)
+        if job is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job_id}", "job"))
+        return Ok(await self.full_view(job))
+
     async def on_job_query(
         self, sender: InstanceId, body: bytes
     ) -> Result[PackedStruct, Failure]:
         """Returns a job to another entry instance."""
-        message = unpack(body, JobQuery)
-        local = self.directory.local_owner(job_shard(message.job))
-        if isinstance(local, Err):
-            return Err(local.err_value)
-        job = local.ok_value.jobs.get(message.job)
-        if job is None:
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {message.job}", "job"))
-        return Ok(Views([to_json(await self.full_view(job))]))
+        return only_view(await self.local_job(unpack(body, JobQuery).job))
 
     async def full_view(self, job: Job) -> JobView:
         """Returns a job with the tasks of its parts."""
@@ -178,30 +176,30 @@
     async def cancel(self, job_id: JobId, actor: str) -> Result[JobView, Failure]:
         """Cancels a job."""
         shard = job_shard(job_id)
-        local = self.directory.local_owner(shard)
-        if isinstance(local, Ok):
-            cancelled = await local.ok_value.cancel(job_id, actor)
-            if isinstance(cancelled, Err):
-                return Err(cancelled.err_value)
-            return Ok(cancelled.ok_value.to_view())
+        if isinstance(self.directory.local_owner(shard), Ok):
+            return await self.cancel_local(job_id, actor)
         body = JobCancel(job_id, actor)
         reply = await self.directory.call_owner(
             shard, MessageKind.JOB_CANCEL, body, CALL_TIMEOUT_S
         )
         return first_view(reply)
 
+    async def cancel_local(self, job_id: JobId, actor: str) -> Result[JobView, Failure]:
+        """Cancels a job of a shard that is owned here."""
+        local = self.directory.local_owner(job_shard(job_id))
+        if isinstance(local, Err):
+            return Err(local.err_value)
+        cancelled = await local.ok_value.cancel(job_id, actor)
+        if isinstance(cancelled, Err):
+            return Err(cancelled.err_value)
+        return Ok(cancelled.ok_value.to_view())
+
     async def on_job_cancel(
         self, sender: InstanceId, body: bytes
     ) -> Result[PackedStruct, Failure]:
         """Cancels a job for another entry instance."""
         message = unpack(body, JobCancel)
-        local = self.directory.local_owner(job_shard(message.job))
-        if isinstance(local, Err):
-            return Err(local.err_value)
-        cancelled = await local.ok_value.cancel(message.job, message.actor)
-        if isinstance(cancelled, Err):
-            return Err(cancelled.err_value)
-        return Ok(Views([to_json(cancelled.ok_value.to_view())]))
+        return only_view(await self.cancel_local(message.job, message.actor))
 
     def local_jobs(self, team: str) -> list[JobView]:
         """Returns a team's jobs in the shards owned here; all if it is empty."""
@@ -236,6 +234,13 @@
         return Ok(Views([to_json(view) for view in self.local_jobs(message.team)]))
 
 
+def only_view(view: Result[JobView, Failure]) -> Result[PackedStruct, Failure]:
+    """Returns one job as the reply to another entry instance."""
+    if isinstance(view, Err):
+        return Err(view.err_value)
+    return Ok(Views([to_json(view.ok_value)]))
+
+
 def first_view(reply: Result[bytes, Failure]) -> Result[JobView, Failure]:
     """Returns the only job of a reply."""
     if isinstance(reply, Err):
--- a/tests/test_shards/test_chaos.py
+++ b/tests/test_shards/test_chaos.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from lacewinghold.testing.chaos import Action, draw_script, run_script
+from lacewinghold.testing.chaos import run_script
+from lacewinghold.testing.chaos_script import Action, draw_script
 from lacewinghold.testing.clock import run_paused
 
 STEPS = 250
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -14,7 +14,8 @@
 import structlog
 
 from lacewinghold.invariants import violations
-from lacewinghold.testing.chaos import CALLS, ChaosRun, draw_script, run_script
+from lacewinghold.testing.chaos import run_script
+from lacewinghold.testing.chaos_script import CALLS, ChaosRun, draw_script
 from lacewinghold.testing.clock import run_paused
 
 STEPS = 200_000
