--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import msgspec
 import structlog
 from result import Err
 
@@ -41,6 +42,8 @@
     from lacewinghold.util.logging import configure_logging
     from lacewinghold.util.runtime import load_trio
 
+    if on_platform(options.settings):
+        return run_on_platform(options.settings)
     loaded = load_checked(options.settings)
     if isinstance(loaded, Err):
         failure = loaded.err_value
@@ -51,6 +54,35 @@
     return 0
 
 
+def on_platform(path: Path) -> bool:
+    """Returns whether a settings file is for the users' platform."""
+    try:
+        found = msgspec.json.decode(path.read_bytes())
+    except (OSError, msgspec.DecodeError):
+        return False
+    return isinstance(found, dict) and "bounds" in found
+
+
+def run_on_platform(path: Path) -> int:
+    """Runs ``serve`` with settings for the users' platform."""
+    from lacewinghold.cmd import fail
+    from lacewinghold.cmd.settings import load
+    from lacewinghold.schema.generated.entry import EntrySettings
+    from lacewinghold.util.logging import configure_logging
+    from lacewinghold.util.runtime import load_trio
+
+    loaded = load(path, EntrySettings)
+    if isinstance(loaded, Err):
+        failure = loaded.err_value
+        return fail(describe(path, failure), failure.answer.exit_code)
+    configure_logging(loaded.ok_value.log_level)
+    load_trio()
+    from lacewinghold.entry import serve_entry
+
+    anyio.run(serve_entry, loaded.ok_value, backend="trio")
+    return 0
+
+
 def make_trust(settings: Settings) -> ssl.SSLContext:
     """Returns whom the instance trusts as platform, worker or backend server."""
     if settings.tls is not None:
--- /dev/null
+++ b/lacewinghold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform, in the project's own words."""
--- /dev/null
+++ b/lacewinghold/platform/advice.py
@@ -0,0 +1,53 @@
+"""Calls to the platform's advice service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import WorkerId
+from lacewinghold.platform.http import JsonClient
+from lacewinghold.scheduler.ports import AdviceCalls, Ticket
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MAX_CONNECTIONS = 4
+
+
+class WireAdvice(Struct):
+    """Rows of worker and ticket for the workers that may run the step."""
+
+    good: list[tuple[str, str]]
+
+
+class PlatformAdvice(AdviceCalls):
+    """Asks the advice service.
+
+    :param address: IP address and port.
+    """
+
+    name = "platform"
+
+    def __init__(self, address: str) -> None:
+        self.client = JsonClient(address, MAX_CONNECTIONS)
+
+    async def ask(
+        self, step: str, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Result[list[Ticket], Failure]:
+        body = {"step": step, "workers": list(workers)}
+        reply = await self.client.call("POST", "/advise", timeout_s, body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        if reply.ok_value.status != 200:
+            detail = f"refused with {reply.ok_value.status}"
+            return Err(Failure(ErrorKind.OVERLOADED, detail))
+        try:
+            wire = msgspec.json.decode(reply.ok_value.body, type=WireAdvice)
+        except msgspec.DecodeError as error:
+            return Err(Failure(ErrorKind.INVALID, str(error)))
+        return Ok([Ticket(WorkerId(worker), text) for worker, text in wire.good])
--- /dev/null
+++ b/lacewinghold/platform/front.py
@@ -0,0 +1,232 @@
+"""The platform's job calls as an ASGI application over the front of the cell."""
+
+from __future__ import annotations
+
+import math
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from msgspec import Struct, field
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.schema.generated.cell import CellJob, StepSpec
+from lacewinghold.util.codec import parse_json
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.cell import CellInstance
+
+READY_PATH = b"/ready"
+DEADLINE_HEADER = b"lacewinghold-deadline-ms"
+MAX_BODY_BYTES = 262_144  # The manifest's limit for bodies.
+STATUSES = {
+    ErrorKind.INVALID: HTTPStatus.BAD_REQUEST,
+    ErrorKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ErrorKind.NOT_RUN: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorKind.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorKind.OVERLOADED: HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorKind.OUTCOME_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+class WireStep(Struct):
+    """One step as callers send it; what is left out is 0, false or empty.
+
+    :param near: Rack of the data (``affinity``).
+    :param apart: Most tasks of the step on one worker (``antiAffinity``).
+    """
+
+    count: int
+    cpu: int = 0
+    mem_mb: int = field(name="memMb", default=0)
+    gpus: int = 0
+    est_runtime_ms: float = field(name="estRuntimeMs", default=0)
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = field(name="sameRack", default=False)
+    requires: str = ""
+    near: str = field(name="affinity", default="")
+    apart: int = field(name="antiAffinity", default=0)
+    speculative: bool = False
+    long_running: bool = field(name="longRunning", default=False)
+    image: str = ""
+    target_ms: float = field(name="targetMs", default=0)
+    fills: bool = False
+    may_miss: int = field(name="mayMiss", default=0)
+
+
+class WireJob(Struct):
+    """A submission."""
+
+    spec: str
+    steps: list[WireStep]
+    start_at_ms: float = field(name="startAtMs", default=0)
+    repeat_count: int = field(name="repeatCount", default=0)
+    interval_ms: float = field(name="intervalMs", default=0)
+
+
+def to_step(wire: WireStep) -> StepSpec:
+    """Returns a step in the project's words."""
+    return StepSpec(
+        tasks=wire.count,
+        cpu_millis=wire.cpu,
+        memory_mb=wire.mem_mb,
+        accelerators=wire.gpus,
+        expected_ms=wire.est_runtime_ms,
+        after=wire.after,
+        checkpoints=wire.checkpointing,
+        all_at_once=wire.gang,
+        one_rack=wire.same_rack,
+        required_label=wire.requires,
+        data_rack=wire.near,
+        max_per_worker=wire.apart,
+        copies_allowed=wire.speculative,
+        long_running=wire.long_running,
+        image=wire.image,
+        latency_target_ms=wire.target_ms,
+        fills=wire.fills,
+        may_miss=wire.may_miss,
+    )
+
+
+class Call(Struct):
+    """One call of a caller."""
+
+    method: str
+    host: str
+    path: str
+    body: bytes
+    deadline_s: float | None
+
+
+class PlatformFront:
+    """Decodes calls, asks the front, encodes its answers.
+
+    :param instance: The entry instance.
+    """
+
+    def __init__(self, instance: CellInstance) -> None:
+        self.instance = instance
+
+    async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        """Serves one connection's request, or the start and stop of the server."""
+        if scope["type"] == "lifespan":
+            await self.live(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        if scope["raw_path"] == READY_PATH and scope["method"] == "GET":
+            status = 200 if self.instance.ready() else 503
+            await self.reply(send, status, None, None)
+            return
+        call = await self.read(scope, receive)
+        if isinstance(call, Err):
+            await self.answer(send, call)
+            return
+        await self.answer(send, await self.serve(call.ok_value))
+
+    async def live(self, receive: Any, send: Any) -> None:
+        """Follows the server's start and stop."""
+        while True:
+            message = await receive()
+            await send({"type": message["type"] + ".complete"})
+            if message["type"] == "lifespan.shutdown":
+                return
+
+    async def read(self, scope: dict[str, Any], receive: Any) -> Result[Call, Failure]:
+        """Reads a whole request."""
+        host, deadline = "", None
+        for name, value in scope["headers"]:
+            if name == b"host":
+                host = value.decode("latin-1").partition(":")[0]
+            elif name == DEADLINE_HEADER and value.isdigit():
+                deadline = int(value) / 1000
+        body = bytearray()
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return Err(Failure(ErrorKind.INVALID, "the caller has left"))
+            body += message.get("body", b"")
+            if len(body) > MAX_BODY_BYTES:
+                return Err(Failure(ErrorKind.TOO_LARGE, "the body is too large"))
+            if not message.get("more_body", False):
+                break
+        return Ok(Call(scope["method"], host, scope["path"], bytes(body), deadline))
+
+    async def serve(self, call: Call) -> Result[object, Failure]:
+        """Serves one call."""
+        front = self.instance.front
+        found = front.find_queue(call.host, call.path)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        queue = found.ok_value
+        job = call.path[len(queue.prefix) :]
+        if not job:
+            return Ok({"waiting": front.waiting(queue)})
+        if call.method == "POST":
+            return await self.submit(call, queue.name, job)
+        if call.method == "DELETE":
+            cancelled = await front.cancel(job)
+            if isinstance(cancelled, Err):
+                return Err(cancelled.err_value)
+            return Ok({})
+        state = await front.state(job)
+        if isinstance(state, Err):
+            return Err(state.err_value)
+        return Ok({"state": state.ok_value.value})
+
+    async def submit(self, call: Call, queue: str, job: str) -> Result[object, Failure]:
+        """Decodes a job and submits it."""
+        parsed = parse_json(call.body, WireJob)
+        if isinstance(parsed, Err):
+            return Err(parsed.err_value)
+        wire = parsed.ok_value
+        record = CellJob(
+            job=job,
+            queue=queue,
+            host=call.host,
+            path=call.path,
+            program=wire.spec,
+            steps=[to_step(step) for step in wire.steps],
+            accepted_at=self.instance.ports.clock.now(),
+            first_due_ms=wire.start_at_ms,
+            occurrences=wire.repeat_count,
+            interval_ms=wire.interval_ms,
+        )
+        accepted = await self.instance.front.submit(record, call.deadline_s)
+        if isinstance(accepted, Err):
+            return Err(accepted.err_value)
+        return Ok({})
+
+    async def answer(self, send: Any, result: Result[object, Failure]) -> None:
+        """Sends a result as the platform expects it."""
+        if isinstance(result, Ok):
+            await self.reply(send, 200, result.ok_value, None)
+            return
+        failure = result.err_value
+        status = STATUSES.get(failure.kind, HTTPStatus.SERVICE_UNAVAILABLE)
+        if failure.kind is ErrorKind.NOT_FOUND:
+            # An unknown queue is 404, an unknown job of a queue is 410.
+            status = HTTPStatus.NOT_FOUND
+            if failure.field == "job":
+                status = HTTPStatus.GONE
+        await self.reply(
+            send, status, {"error": failure.detail}, failure.retry_after_s
+        )
+
+    async def reply(
+        self, send: Any, status: int, body: object, retry_after_s: float | None
+    ) -> None:
+        """Sends an answer."""
+        content = b"" if body is None else msgspec.json.encode(body)
+        headers = [(b"content-length", str(len(content)).encode())]
+        if content:
+            headers.append((b"content-type", b"application/json"))
+        if retry_after_s is not None:
+            headers.append((b"retry-after", str(math.ceil(retry_after_s)).encode()))
+        await send(
+            {"type": "http.response.start", "status": int(status), "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": content})
--- /dev/null
+++ b/lacewinghold/platform/http.py
@@ -0,0 +1,94 @@
+"""JSON calls over HTTP/1.1 to one address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpcore
+import msgspec
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONNECT_S = 0.5  # Several round trips between regions.
+KEEP_IDLE_S = 14.0  # Shorter than the platform's idle bound of 15 s.
+NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+UNKNOWN = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+class HttpReply(Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class JsonClient:
+    """Calls one address over connections that are kept.
+
+    A connection whose answer is late or lost is closed, so that a later answer
+    cannot be taken for another call's.
+
+    :param address: IP address and port.
+    :param connections: Most connections at a time.
+    """
+
+    def __init__(self, address: str, connections: int) -> None:
+        self.address = address
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=connections,
+            max_keepalive_connections=connections,
+            keepalive_expiry=KEEP_IDLE_S,
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: object = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpReply, Failure]:
+        """Makes one call.
+
+        :returns: ``UNREACHABLE`` if it surely was not sent, ``OUTCOME_UNKNOWN`` if
+            no whole answer came.
+        """
+        content = b"" if body is None else msgspec.json.encode(body)
+        sent = [("Host", self.address), ("Content-Length", str(len(content)))]
+        if content:
+            sent.append(("Content-Type", "application/json"))
+        sent += (headers or {}).items()
+        timeouts = {
+            "connect": min(CONNECT_S, timeout_s),
+            "read": timeout_s,
+            "write": timeout_s,
+            "pool": timeout_s,
+        }
+        try:
+            response = await self.pool.request(
+                method,
+                f"http://{self.address}{path}",
+                headers=sent,
+                content=content,
+                extensions={"timeout": timeouts},
+            )
+        except NOT_SENT as error:
+            detail = f"{self.address}: {type(error).__name__}"
+            return Err(Failure(ErrorKind.UNREACHABLE, detail))
+        except UNKNOWN as error:
+            detail = f"{self.address}: {type(error).__name__}"
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+        return Ok(HttpReply(response.status, response.content))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.pool.aclose()
--- /dev/null
+++ b/lacewinghold/platform/manifest.py
@@ -0,0 +1,89 @@
+"""The operators' manifest in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+from msgspec import Struct, field
+
+from lacewinghold.scheduler.ports import AdviceRules, Manifest, Queue
+
+logger = structlog.get_logger(__name__)
+MANIFEST_KEY = "op/config"
+
+
+class WireAdviceRules(Struct):
+    """How long the advice service takes, and how long a ticket lasts."""
+
+    decide_ms: float = field(name="decideMs")
+    per_worker_ms: float = field(name="perWorkerMs")
+    valid_ms: float = field(name="validMs")
+
+
+class WireRoute(Struct):
+    """A queue.
+
+    :param target_latency_ms: What the objective allows beyond ``stretch`` times the
+        longest chain, not the bound of an answer.
+    """
+
+    name: str
+    host: str
+    prefix: str = field(name="pathPrefix")
+    service: str
+    priority: int = 0
+    max_attempts: int = field(name="maxAttempts", default=1)
+    stretch: float = 1.0
+    target_latency_ms: float = field(name="targetLatencyMs", default=0.0)
+    advice: WireAdviceRules | None = None
+
+
+class WireService(Struct):
+    """A pool of workers; guarded ones refuse what does not fit."""
+
+    name: str
+    guarded: bool = field(name="enforcesCapacity", default=False)
+
+
+class WireManifest(Struct):
+    """One version of the manifest."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService] = []
+
+
+def to_queue(route: WireRoute) -> Queue:
+    """Returns a queue in the project's words."""
+    rules = None
+    if route.advice is not None:
+        rules = AdviceRules(
+            decide_s=route.advice.decide_ms / 1000,
+            per_worker_s=route.advice.per_worker_ms / 1000,
+            valid_s=route.advice.valid_ms / 1000,
+        )
+    return Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        service=route.service,
+        urgency=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        slack_s=route.target_latency_ms / 1000,
+        advice=rules,
+    )
+
+
+def read_manifest(value: bytes) -> Manifest | None:
+    """Decodes a manifest; ``None`` for one that cannot be read."""
+    try:
+        wire = msgspec.json.decode(value, type=WireManifest)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        logger.error("manifest unreadable", detail=str(error)[:200])
+        return None
+    return Manifest(
+        version=wire.version,
+        queues=[to_queue(route) for route in wire.routes],
+        guarded_services=frozenset(s.name for s in wire.services if s.guarded),
+    )
--- /dev/null
+++ b/lacewinghold/platform/store.py
@@ -0,0 +1,289 @@
+"""The platform's metadata store as a store of this project."""
+
+from __future__ import annotations
+
+import base64
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Annotated, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from msgspec import Meta, Struct, field
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure, FailureError
+from lacewinghold.ids import LeaseId, Revision
+from lacewinghold.platform.http import JsonClient
+from lacewinghold.store.base import (
+    CallKind,
+    Delete,
+    KeyValue,
+    Put,
+    RangeReply,
+    Store,
+    Transaction,
+    TransactionReply,
+    WatchBatch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from lacewinghold.platform.http import HttpReply
+
+T = TypeVar("T")
+CALL_S = 0.8  # Sixty times slower than usual, a call still ends in a third of it.
+WATCH_WAIT_MS = 2000  # A silent connection is noticed after this and CALL_S.
+MAX_CONNECTIONS = 64
+PAGE_LIMIT = 10_000
+
+
+class WireItem(Struct):
+    """One key; ``deleted`` only in changes."""
+
+    key: str
+    revision: int
+    value: str = ""
+    created: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+
+class WirePage(Struct):
+    """One page of keys."""
+
+    items: list[WireItem]
+    at: int
+    has_more: bool = field(name="hasMore", default=False)
+
+
+class WireKey(WireItem):
+    """One key and the store's revision."""
+
+    at: int = 0
+
+
+class WireChanges(Struct):
+    """Changes after a revision."""
+
+    events: list[WireItem]
+    at: int
+
+
+class WireRevision(Struct):
+    """The revision of a write."""
+
+    revision: int
+
+
+class WireLease(Struct):
+    """A lease that was opened or renewed."""
+
+    ttl_ms: Annotated[float, Meta(ge=0)] = field(name="ttlMs")
+    lease: int = 0
+
+
+def to_key_value(item: WireItem) -> KeyValue:
+    """Returns a key in the project's form.
+
+    A value that is not base64 comes from a foreign writer and reads as empty.
+    """
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        value = b""
+    return KeyValue(item.key, value, item.created, item.revision, item.lease)
+
+
+class PlatformStore(Store):
+    """Calls the store; the outcomes are those of the base class.
+
+    :param address: IP address and port.
+    """
+
+    name = "platform"
+
+    def __init__(self, address: str) -> None:
+        super().__init__()
+        self.client = JsonClient(address, MAX_CONNECTIONS)
+
+    async def call(
+        self,
+        kind: CallKind,
+        method: str,
+        path: str,
+        body: object = None,
+        timeout_s: float = CALL_S,
+    ) -> Result[HttpReply, Failure]:
+        """Makes one call; a refusal surely had no effect."""
+        self.calls[kind] += 1
+        reply = await self.client.call(method, path, timeout_s, body)
+        if isinstance(reply, Err):
+            failure = reply.err_value
+            if failure.kind is ErrorKind.UNREACHABLE:
+                return Err(Failure(ErrorKind.STORE_UNAVAILABLE, failure.detail))
+            return reply
+        status = reply.ok_value.status
+        if status in (429, 503):
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, f"refused with {status}"))
+        return reply
+
+    def decode(self, reply: HttpReply, kind: type[T]) -> Result[T, Failure]:
+        """Decodes an answer."""
+        try:
+            return Ok(msgspec.json.decode(reply.body, type=kind))
+        except msgspec.DecodeError as error:
+            detail = f"status {reply.status}: {error}"
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+
+    async def range(
+        self, key: str, *, prefix: bool = False
+    ) -> Result[RangeReply, Failure]:
+        if prefix:
+            return await self.read_pages(key)
+        path = "/kv-key?" + urlencode({"key": key})
+        reply = await self.call(CallKind.READ, "GET", path)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        if reply.ok_value.status == 404:
+            return Ok(RangeReply(0, []))
+        found = self.decode(reply.ok_value, WireKey)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        item = found.ok_value
+        return Ok(RangeReply(item.at, [to_key_value(item)]))
+
+    async def read_pages(self, prefix: str) -> Result[RangeReply, Failure]:
+        """Reads all keys with a prefix; the revision is that of the first page."""
+        items: list[KeyValue] = []
+        revision: int | None = None
+        query = {"pathPrefix": prefix}
+        for _ in range(PAGE_LIMIT):
+            reply = await self.call(
+                CallKind.READ, "GET", "/kv-range?" + urlencode(query)
+            )
+            if isinstance(reply, Err):
+                return Err(reply.err_value)
+            page = self.decode(reply.ok_value, WirePage)
+            if isinstance(page, Err):
+                return Err(page.err_value)
+            items += [to_key_value(item) for item in page.ok_value.items]
+            if revision is None:
+                revision = page.ok_value.at
+            if not page.ok_value.has_more:
+                break
+            query["after"] = page.ok_value.items[-1].key
+        return Ok(RangeReply(revision or 0, items))
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[TransactionReply, Failure]:
+        body = {
+            "expect": [
+                {"key": compare.key, "revision": compare.revision}
+                for compare in transaction.compares
+            ],
+            "puts": [
+                {
+                    "key": operation.key,
+                    "value": base64.b64encode(operation.value).decode(),
+                    "lease": operation.lease,
+                }
+                for operation in transaction.operations
+                if isinstance(operation, Put)
+            ],
+            "remove": [
+                operation.key
+                for operation in transaction.operations
+                if isinstance(operation, Delete)
+            ],
+        }
+        reply = await self.call(CallKind.WRITE, "POST", "/kv-txn", body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        status = reply.ok_value.status
+        if status == 412:
+            return Ok(TransactionReply(False, 0))
+        if status != 200:
+            return Err(Failure(ErrorKind.INVALID, f"write refused with {status}"))
+        written = self.decode(reply.ok_value, WireRevision)
+        if isinstance(written, Err):
+            return Err(written.err_value)
+        return Ok(TransactionReply(True, written.ok_value.revision))
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
+        body = {"ttlMs": round(ttl_s * 1000)}
+        reply = await self.call(CallKind.LEASE, "POST", "/kv-lease", body)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        lease = self.decode(reply.ok_value, WireLease)
+        if isinstance(lease, Err):
+            return Err(lease.err_value)
+        return Ok(LeaseId(lease.ok_value.lease))
+
+    async def renew_lease(self, lease: LeaseId) -> Result[float, Failure]:
+        reply = await self.call(CallKind.LEASE, "POST", f"/kv-keep/{lease}")
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        if reply.ok_value.status == 404:
+            return Ok(0.0)
+        kept = self.decode(reply.ok_value, WireLease)
+        if isinstance(kept, Err):
+            return Err(kept.err_value)
+        return Ok(kept.ok_value.ttl_ms / 1000)
+
+    async def revoke_lease(self, lease: LeaseId) -> Result[None, Failure]:
+        reply = await self.call(CallKind.LEASE, "DELETE", f"/kv-lease-end/{lease}")
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(None)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, after: Revision
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        yield self.changes(prefix, after)
+
+    async def changes(self, prefix: str, after: int) -> AsyncIterator[WatchBatch]:
+        """Yields the changes of each call that waits for some."""
+        while True:
+            query = {
+                "pathPrefix": prefix,
+                "after": after,
+                "waitMs": WATCH_WAIT_MS,
+            }
+            reply = await self.call(
+                CallKind.WATCH,
+                "GET",
+                "/kv-watch?" + urlencode(query),
+                timeout_s=WATCH_WAIT_MS / 1000 + CALL_S,
+            )
+            if isinstance(reply, Err):
+                raise FailureError(reply.err_value)
+            if reply.ok_value.status == 410:
+                detail = f"no changes after revision {after}"
+                raise FailureError(Failure(ErrorKind.HISTORY_GONE, detail))
+            found = self.decode(reply.ok_value, WireChanges)
+            if isinstance(found, Err):
+                raise FailureError(found.err_value)
+            after = max(after, found.ok_value.at)
+            for batch in split_by_kind(found.ok_value.events, after):
+                yield batch
+
+
+def split_by_kind(events: list[WireItem], revision: int) -> list[WatchBatch]:
+    """Returns changes in batches, so that writes and removals keep their order.
+
+    :param revision: The store's revision after all of them.
+    """
+    batches = [WatchBatch(revision, [], [])]
+    for item in events:
+        last = batches[-1]
+        if item.deleted:
+            last.deletes.append(item.key)
+            continue
+        if last.deletes:
+            last = WatchBatch(revision, [], [])
+            batches.append(last)
+        last.puts.append(to_key_value(item))
+    return batches
--- /dev/null
+++ b/lacewinghold/platform/workers.py
@@ -0,0 +1,233 @@
+"""The platform's workers: their entries in the store, and calls to them."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from msgspec import Struct, field
+from result import Err
+
+from lacewinghold.errors import ErrorKind
+from lacewinghold.ids import Incarnation, WorkerId
+from lacewinghold.platform.http import JsonClient
+from lacewinghold.scheduler.ports import (
+    EndKind,
+    EndReport,
+    OrderOutcome,
+    OrderReply,
+    Resources,
+    RunReport,
+    ServerState,
+    WorkerCalls,
+    WorkerDialer,
+    WorkerEntry,
+    WorkerReport,
+)
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.ports import LookOrder, StartOrder, StopOrder
+
+logger = structlog.get_logger(__name__)
+WORKERS_PREFIX = "servers/"
+ORDER_S = 0.6  # Two round trips between regions and a slow worker.
+MAX_CONNECTIONS = 24  # The sites allow 64 to each worker.
+EXPECT_INSTANCE = "Lacewinghold-Expect-Instance"
+REASONS = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OLD_RUN,
+    "late": OrderOutcome.LATE,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+STATUSES = {
+    200: OrderOutcome.DONE,
+    400: OrderOutcome.INVALID,
+    421: OrderOutcome.OTHER_INCARNATION,
+    429: OrderOutcome.UNHEALTHY,
+    503: OrderOutcome.UNHEALTHY,
+}
+
+
+class WireCapacity(Struct):
+    """What a worker has."""
+
+    cpu: int = 0
+    mem_mb: int = field(name="memMb", default=0)
+    gpus: int = 0
+
+
+class WireWorker(Struct):
+    """A worker's entry; labels hold its kind and then its rack."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: WireCapacity
+    labels: list[str] = []
+    born: int = 0
+    remaining_ms: float | None = field(name="remainingMs", default=None)
+
+
+class WireReply(Struct):
+    """An answer to an order."""
+
+    clock_ms: float | None = field(name="clockMs", default=None)
+    reason: str = ""
+
+
+class WireLists(Struct):
+    """An answer to a look: rows of runs and of ends."""
+
+    clock_ms: float = field(name="clockMs")
+    running: list[list[object]] = []
+    ended: list[list[object]] = []
+    born: int | None = None
+
+
+def read_worker(key: str, value: bytes) -> WorkerEntry | None:
+    """Decodes a worker's entry; ``None`` for one of another writer."""
+    try:
+        wire = msgspec.json.decode(value, type=WireWorker)
+        state = ServerState(wire.state)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        logger.warning("foreign worker entry", key=key, detail=str(error)[:200])
+        return None
+    room = wire.capacity
+    remaining = None if wire.remaining_ms is None else wire.remaining_ms / 1000
+    return WorkerEntry(
+        worker=WorkerId(key.removeprefix(WORKERS_PREFIX)),
+        incarnation=Incarnation(wire.born),
+        service=wire.service,
+        address=wire.address,
+        data_centre=wire.zone,
+        state=state,
+        capacity=Resources(room.cpu, room.mem_mb, room.gpus),
+        labels=frozenset(wire.labels),
+        rack=wire.labels[1] if len(wire.labels) > 1 else "",
+        remaining_s=remaining,
+    )
+
+
+def read_run(row: list[object]) -> RunReport:
+    """Decodes a row of what runs: task, run, checkpoint, percent, and a figure."""
+    return RunReport(str(row[0]), int(str(row[1])), str(row[2]), float(str(row[3])))
+
+
+def read_end(row: list[object]) -> EndReport:
+    """Decodes a row of what ended: number, task, run, how, checkpoint."""
+    return EndReport(
+        int(str(row[0])),
+        str(row[1]),
+        int(str(row[2])),
+        EndKind(str(row[3])),
+        str(row[4]) if len(row) > 4 else "",
+    )
+
+
+class PlatformWorkerCalls(WorkerCalls):
+    """Calls to one incarnation of a worker."""
+
+    name = "platform"
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        self.entry = entry
+        self.client = JsonClient(entry.address, MAX_CONNECTIONS)
+        self.headers = {EXPECT_INSTANCE: str(entry.worker)}
+
+    async def order(self, path: str, body: object) -> OrderReply:
+        """Makes one call that changes something."""
+        reply = await self.client.call("POST", path, ORDER_S, body, self.headers)
+        if isinstance(reply, Err):
+            if reply.err_value.kind is ErrorKind.UNREACHABLE:
+                return OrderReply(OrderOutcome.NOT_SENT)
+            return OrderReply(OrderOutcome.UNKNOWN)
+        found = reply.ok_value
+        try:
+            wire = msgspec.json.decode(found.body, type=WireReply)
+        except msgspec.DecodeError:
+            wire = WireReply()
+        if found.status == 409:
+            outcome = REASONS.get(wire.reason, OrderOutcome.INVALID)
+        else:
+            outcome = STATUSES.get(found.status, OrderOutcome.UNKNOWN)
+        if outcome is OrderOutcome.INVALID:
+            logger.error("order invalid", path=path, status=found.status, body=body)
+        return OrderReply(outcome, wire.clock_ms)
+
+    async def start(self, order: StartOrder) -> OrderReply:
+        body: dict[str, object] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.program,
+            "untilMs": math.floor(order.lease_until_ms),
+            "fencingToken": order.epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self.order("/run-start", body)
+
+    async def stop(self, order: StopOrder) -> OrderReply:
+        body = {"task": order.task, "run": order.run, "fencingToken": order.epoch}
+        return await self.order("/run-stop", body)
+
+    async def look(self, order: LookOrder) -> WorkerReport | OrderOutcome:
+        body: dict[str, object] = {
+            "fencingToken": order.epoch,
+            "lastSeen": order.acknowledged,
+        }
+        if order.lease_until_ms is not None:
+            body["untilMs"] = math.floor(order.lease_until_ms)
+        if order.wait_s > 0:
+            body["waitMs"] = round(order.wait_s * 1000)
+        reply = await self.client.call(
+            "POST", "/hold", order.wait_s + ORDER_S, body, self.headers
+        )
+        if isinstance(reply, Err):
+            if reply.err_value.kind is ErrorKind.UNREACHABLE:
+                return OrderOutcome.NOT_SENT
+            return OrderOutcome.UNKNOWN
+        found = reply.ok_value
+        if found.status == 409:
+            return self.refusal(found.body)
+        if found.status != 200:
+            return STATUSES.get(found.status, OrderOutcome.UNKNOWN)
+        try:
+            lists = msgspec.json.decode(found.body, type=WireLists)
+            if lists.born is not None and lists.born != self.entry.incarnation:
+                return OrderOutcome.OTHER_INCARNATION
+            return WorkerReport(
+                lists.clock_ms,
+                [read_run(row) for row in lists.running],
+                [read_end(row) for row in lists.ended],
+            )
+        except (msgspec.DecodeError, ValueError, IndexError) as error:
+            logger.error(
+                "report unreadable", worker=self.entry.worker, detail=str(error)
+            )
+            return OrderOutcome.UNKNOWN
+
+    def refusal(self, body: bytes) -> OrderOutcome:
+        """Returns why a look was refused."""
+        try:
+            reason = msgspec.json.decode(body, type=WireReply).reason
+        except msgspec.DecodeError:
+            return OrderOutcome.UNKNOWN
+        return REASONS.get(reason, OrderOutcome.UNKNOWN)
+
+    async def close(self) -> None:
+        await self.client.close()
+
+
+class PlatformWorkerDialer(WorkerDialer):
+    """Opens calls to the platform's workers."""
+
+    name = "platform"
+
+    def open(self, entry: WorkerEntry) -> WorkerCalls:
+        return PlatformWorkerCalls(entry)
--- /dev/null
+++ b/lacewinghold/scheduler/advice.py
@@ -0,0 +1,194 @@
+"""Permissions of steps on workers, and who asks the advice service for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from msgspec import Struct, field
+from result import Err
+
+from lacewinghold.scheduler.policy import urgency_key
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.ids import Incarnation, WorkerId
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.ports import AdviceCalls
+
+logger = structlog.get_logger(__name__)
+MAX_WORKERS_A_CALL = 100  # The advice service takes no more.
+TICKET_MARGIN_S = 0.3  # Room for the way of a start to its worker.
+CALL_SLACK_S = 1.0  # Added to the time that an answer takes by the queue's rules.
+SLOW_CALL_S = 0.15  # Calls longer than this leave some lanes to quick ones.
+QUICK_LANES = 2  # Lanes that slow calls leave free, if there are more.
+RETRY_S = 0.2  # Pause after a call that failed.
+
+
+class Permission(Struct):
+    """A ticket for one incarnation of a worker."""
+
+    incarnation: Incarnation
+    text: str
+    valid_until: float
+
+
+class StepAdvice(Struct):
+    """What is known of a step: workers asked about, and permissions."""
+
+    asked: dict[WorkerId, Incarnation] = field(default_factory=dict)
+    permissions: dict[WorkerId, Permission] = field(default_factory=dict)
+    pending: bool = False
+    not_before: float = 0.0
+
+
+class Lane:
+    """One caller of the advice service; it makes one call at a time."""
+
+    def __init__(self, name: str, calls: AdviceCalls) -> None:
+        self.name = name
+        self.calls = calls
+        self.busy = False
+
+
+class AdviceBook:
+    """Keeps the permissions of all steps and spreads calls over the lanes."""
+
+    def __init__(self) -> None:
+        self.steps: dict[str, StepAdvice] = {}
+        self.wanted: dict[str, tuple[Step, list[WorkerNode]]] = {}
+        self.lanes: list[Lane] = []
+        self.changed = anyio.Event()
+        self.arrived: list[Step] = []
+        self.on_arrival = lambda: None
+        self.calls = 0
+        self.failed_calls = 0
+
+    def forget(self, step: Step) -> None:
+        """Forgets a step that needs no more starts."""
+        self.steps.pop(step.name, None)
+        self.wanted.pop(step.name, None)
+
+    def permitted(self, step: Step) -> frozenset[WorkerId] | None:
+        """Returns the workers that may run a step, ``None`` if nothing is known."""
+        known = self.steps.get(step.name)
+        if known is None or not known.asked:
+            return None
+        return frozenset(known.permissions)
+
+    def ticket(self, step: Step, node: WorkerNode, now: float) -> str | None:
+        """Returns a valid ticket, or ``None``."""
+        known = self.steps.get(step.name)
+        permission = known.permissions.get(node.id) if known else None
+        if permission is None or permission.incarnation != node.entry.incarnation:
+            return None
+        if now + TICKET_MARGIN_S > permission.valid_until:
+            return None
+        return permission.text
+
+    def drop_ticket(self, step: Step, worker: WorkerId) -> None:
+        """Forgets a ticket that a worker has refused."""
+        known = self.steps.get(step.name)
+        if known is not None and worker in known.permissions:
+            known.permissions[worker].valid_until = 0.0
+
+    def unasked(self, step: Step, nodes: list[WorkerNode]) -> list[WorkerNode]:
+        """Returns the workers of which nothing is known for a step."""
+        known = self.steps.get(step.name)
+        if known is None:
+            return nodes
+        found = []
+        for node in nodes:
+            if known.asked.get(node.id) != node.entry.incarnation:
+                found.append(node)
+        return found
+
+    def want(self, step: Step, nodes: list[WorkerNode], now: float) -> None:
+        """Asks for permissions, unless a call for the step is under way."""
+        known = self.steps.setdefault(step.name, StepAdvice())
+        if known.pending or now < known.not_before or not nodes:
+            return
+        self.wanted[step.name] = (step, nodes[:MAX_WORKERS_A_CALL])
+        self.changed.set()
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Hands wanted calls to free lanes until cancelled."""
+        while True:
+            await self.changed.wait()
+            self.changed = anyio.Event()
+            self.dispatch(tasks)
+
+    def dispatch(self, tasks: TaskGroup) -> None:
+        """Starts as many calls as there are lanes, the most urgent first."""
+        now = anyio.current_time()
+        order = sorted(self.wanted.values(), key=lambda w: urgency_key(w[0], now))
+        for step, nodes in order:
+            free = [lane for lane in self.lanes if not lane.busy]
+            slow = self.expected_s(step, nodes) > SLOW_CALL_S
+            keep = QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
+            if not free:
+                return
+            if len(free) <= keep:
+                continue
+            del self.wanted[step.name]
+            lane = free[0]
+            lane.busy = True
+            self.steps[step.name].pending = True
+            tasks.start_soon(self.ask, lane, step, nodes)
+
+    def expected_s(self, step: Step, nodes: list[WorkerNode]) -> float:
+        """Returns how long a call takes by the queue's rules, in seconds."""
+        rules = step.job.queue.advice
+        if rules is None:
+            return 0.0
+        return rules.decide_s + rules.per_worker_s * len(nodes)
+
+    async def ask(self, lane: Lane, step: Step, nodes: list[WorkerNode]) -> None:
+        """Makes one call and notes its answer."""
+        started = anyio.current_time()
+        rules = step.job.queue.advice
+        assert rules is not None
+        self.calls += 1
+        incarnations = {node.id: node.entry.incarnation for node in nodes}
+        answer = await lane.calls.ask(
+            step.name, list(incarnations), self.expected_s(step, nodes) + CALL_SLACK_S
+        )
+        now = anyio.current_time()
+        lane.busy = False
+        self.changed.set()
+        known = self.steps.get(step.name)
+        if known is None:
+            return
+        known.pending = False
+        if isinstance(answer, Err):
+            self.failed_calls += 1
+            known.not_before = now + RETRY_S
+            logger.info(
+                "advice failed",
+                step=step.name,
+                lane=lane.name,
+                detail=answer.err_value.detail,
+            )
+            self.on_arrival()
+            return
+        known.asked.update(incarnations)
+        for worker in incarnations:
+            known.permissions.pop(worker, None)
+        for ticket in answer.ok_value:
+            if ticket.worker not in incarnations:
+                continue
+            known.permissions[ticket.worker] = Permission(
+                incarnations[ticket.worker], ticket.text, now + rules.valid_s
+            )
+        logger.debug(
+            "advised",
+            step=step.name,
+            lane=lane.name,
+            asked=len(nodes),
+            permitted=len(answer.ok_value),
+            took_s=round(now - started, 3),
+        )
+        self.on_arrival()
--- /dev/null
+++ b/lacewinghold/scheduler/cell.py
@@ -0,0 +1,250 @@
+"""One entry instance of the cell: follows the store, answers callers, may decide."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+import structlog
+from msgspec import Struct
+
+from lacewinghold.scheduler.advice import AdviceBook, Lane
+from lacewinghold.scheduler.election import Election
+from lacewinghold.scheduler.front import JobFront
+from lacewinghold.scheduler.job_store import WAITING, JobStore
+from lacewinghold.scheduler.owner import CellOwner, CellState
+from lacewinghold.schema.generated.cell import WaitingJobs
+from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.codec import from_json
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lacewinghold.ids import InstanceId, WorkerId
+    from lacewinghold.scheduler.model import Job
+    from lacewinghold.scheduler.ports import (
+        AdviceCalls,
+        Manifest,
+        WorkerDialer,
+        WorkerEntry,
+    )
+    from lacewinghold.schema.generated.cell import CellJob
+    from lacewinghold.schema.generated.entry import EntrySettings
+    from lacewinghold.store.base import KeyValue, Store
+    from lacewinghold.util.clock import WallClock
+
+logger = structlog.get_logger(__name__)
+MANIFEST_PACE_S = 0.3  # Far below the time in which a manifest has to be in force.
+WORKERS_PACE_S = 0.25  # A draining worker has to be left alone within three seconds.
+WAITING_PACE_S = 0.5
+
+
+class OperatorKeys(Struct):
+    """Where the operators and workers write, and how it is read.
+
+    :param read_manifest: Decodes the manifest; ``None`` for a damaged one.
+    :param read_worker: Decodes the entry of a worker; ``None`` for a foreign one.
+    """
+
+    manifest_key: str
+    workers_prefix: str
+    read_manifest: Callable[[bytes], Manifest | None]
+    read_worker: Callable[[str, bytes], WorkerEntry | None]
+
+
+class CellPorts(Struct):
+    """What an instance is connected to; tests pass fakes."""
+
+    store: Store
+    dialer: WorkerDialer
+    advice: AdviceCalls | None
+    keys: OperatorKeys
+    clock: WallClock
+
+
+class CellInstance:
+    """One entry instance.
+
+    :param instance: Id of this process; another start has another one.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        ports: CellPorts,
+        instance: InstanceId,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.instance = instance
+        self.rng = rng
+        prefix = settings.store.prefix
+        self.jobs = JobStore(ports.store, prefix)
+        self.state = CellState()
+        self.election = Election(
+            ports.store,
+            prefix,
+            instance,
+            settings.listen.peer,
+            settings.store.lease_ms / 1000,
+            rng,
+        )
+        self.owner: CellOwner | None = None
+        self.front = JobFront(self)
+        self.waiting = WaitingJobs()
+        self.worker_keys: dict[str, WorkerId] = {}
+        self.leaving = False
+        keys = ports.keys
+        self.manifest_mirror = Mirror(
+            ports.store,
+            keys.manifest_key,
+            self.note_manifest,
+            self.note_manifest_gone,
+            MANIFEST_PACE_S,
+        )
+        self.worker_mirror = Mirror(
+            ports.store,
+            keys.workers_prefix,
+            self.note_worker,
+            self.note_worker_gone,
+            WORKERS_PACE_S,
+        )
+        self.waiting_mirror = Mirror(
+            ports.store,
+            prefix + WAITING,
+            self.note_waiting,
+            lambda key: None,
+            WAITING_PACE_S,
+        )
+
+    # What the store says
+
+    def note_manifest(self, item: KeyValue) -> None:
+        """Puts a manifest into force, unless a newer one is."""
+        if item.key != self.ports.keys.manifest_key:
+            return
+        manifest = self.ports.keys.read_manifest(item.value)
+        if manifest is None:
+            return
+        current = self.state.manifest
+        if current is not None and manifest.version <= current.version:
+            logger.warning(
+                "older manifest ignored", found=manifest.version, kept=current.version
+            )
+            return
+        self.state.manifest = manifest
+        logger.info(
+            "manifest in force", version=manifest.version, queues=len(manifest.queues)
+        )
+        if self.owner is not None:
+            self.owner.wake_planner()
+
+    def note_manifest_gone(self, key: str) -> None:
+        """Keeps the manifest in force although its key is gone."""
+        logger.warning("manifest removed; the last one stays in force", key=key)
+
+    def note_worker(self, item: KeyValue) -> None:
+        """Takes a worker's entry."""
+        entry = self.ports.keys.read_worker(item.key, item.value)
+        if entry is None:
+            self.note_worker_gone(item.key)
+            return
+        known = self.state.workers.get(entry.worker)
+        self.worker_keys[item.key] = entry.worker
+        self.state.workers[entry.worker] = entry
+        if known is None or known.state is not entry.state:
+            logger.info("worker entry", worker=entry.worker, state=entry.state.value)
+        if self.owner is not None and known != entry:
+            self.owner.update_workers()
+
+    def note_worker_gone(self, key: str) -> None:
+        """Notes that a worker's entry has lapsed or was removed."""
+        worker = self.worker_keys.pop(key, None)
+        if worker is None:
+            return
+        del self.state.workers[worker]
+        if self.owner is not None:
+            self.owner.update_workers()
+
+    def note_waiting(self, item: KeyValue) -> None:
+        """Takes the owner's list of waiting jobs."""
+        try:
+            self.waiting = from_json(item.value, WaitingJobs)
+        except msgspec.DecodeError as error:
+            logger.error("damaged record", key=item.key, detail=str(error))
+
+    # What the front asks
+
+    def note_accepted(self, record: CellJob) -> None:
+        """Gives an accepted job to the owner at once if it is here."""
+        if self.owner is not None and self.owner.loaded:
+            self.owner.accept(record)
+
+    def owned_job(self, job: str) -> Job | None:
+        """Returns a job if this instance surely decides about it."""
+        owner = self.owner
+        if owner is None or anyio.current_time() >= owner.ownership.valid_until:
+            return None
+        return owner.jobs.get(job)
+
+    def started(self, job: str) -> bool:
+        """Returns whether a task of a job surely has started."""
+        known = self.owned_job(job)
+        return known is not None and known.started
+
+    def waiting_jobs(self, queue: str) -> int:
+        """Returns how many jobs of a queue wait for their first start."""
+        return len(self.waiting.queues.get(queue, []))
+
+    def ready(self) -> bool:
+        """Returns whether this instance should get requests."""
+        return self.state.manifest is not None and not self.leaving
+
+    # Life
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.manifest_mirror.run)
+            tasks.start_soon(self.waiting_mirror.run)
+            tasks.start_soon(self.election.mirror.run)
+            tasks.start_soon(self.decide)
+
+    async def decide(self) -> None:
+        """Becomes the owner again and again, whenever nobody else is."""
+        while True:
+            await self.election.wait_for_turn()
+            ownership = await self.election.claim()
+            if ownership is None:
+                continue
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.election.keep, ownership)
+                tasks.start_soon(self.worker_mirror.run)
+                await self.worker_mirror.synced.wait()
+                book = AdviceBook()
+                if self.ports.advice is not None:
+                    book.lanes.append(Lane(str(self.instance), self.ports.advice))
+                self.owner = CellOwner(
+                    ownership,
+                    self.jobs,
+                    self.ports.dialer,
+                    self.state,
+                    book,
+                    self.ports.clock,
+                )
+                await self.owner.run()
+                self.owner = None
+                tasks.cancel_scope.cancel()
+            logger.info("ownership given up", term=ownership.term)
+
+    async def shut_down(self) -> None:
+        """Lets another instance decide."""
+        self.leaving = True
+        self.election.leaving = True
+        owner = self.owner
+        if owner is not None:
+            owner.ownership.lost.set()
+            await self.election.release(owner.ownership)
--- /dev/null
+++ b/lacewinghold/scheduler/driver.py
@@ -0,0 +1,223 @@
+"""Carries out the owner's orders on one worker and looks at what runs there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.scheduler.model import Run, RunState
+from lacewinghold.scheduler.ports import (
+    LookOrder,
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+    WorkerReport,
+)
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.ports import WorkerCalls
+
+logger = structlog.get_logger(__name__)
+LOOK_WAIT_S = 1.0  # Renews a lease of four seconds with three tries to spare.
+LOOK_RETRY_S = 0.1
+LISTED_AGAIN_S = 0.3  # Pause between looks while ends cannot be acknowledged.
+GATHER_S = 0.02  # Ends that come together are taken with one look.
+START_TRIES = 3
+ORDER_RETRY_S = 0.1
+STOP_RETRY_S = 0.2
+LOST_LOOKS = 2  # Looks that miss a run which had started before it is given up.
+
+
+class WorkerDriver:
+    """The task for one worker.
+
+    :param lease_s: Length of the lease that each look and start asks for.
+    """
+
+    def __init__(
+        self, owner: CellOwner, node: WorkerNode, calls: WorkerCalls, lease_s: float
+    ) -> None:
+        self.owner = owner
+        self.node = node
+        self.calls = calls
+        self.lease_s = lease_s
+        self.acknowledged = 0
+        self.processed = 0
+        self.ack_moved = anyio.Event()
+        self.foreign_stops: set[tuple[str, int]] = set()
+        self.scope = anyio.CancelScope()
+        self.tasks: TaskGroup | None = None
+        self.looks = 0
+
+    async def run(self) -> None:
+        """Serves the worker until it surely runs nothing any more."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                await self.look_until_dead()
+                tasks.cancel_scope.cancel()
+        self.tasks = None
+        with anyio.CancelScope(shield=True):
+            await self.calls.close()
+
+    async def look_until_dead(self) -> None:
+        """Looks again and again; a silent worker is dead once its lease has lapsed."""
+        node = self.node
+        while not node.dead:
+            waits = self.processed <= self.acknowledged
+            sent_at = anyio.current_time()
+            reply = await self.look(LOOK_WAIT_S if waits and node.fenced else 0.0)
+            if isinstance(reply, WorkerReport):
+                self.owner.apply_report(self, reply, sent_at)
+                await self.pause_after_look(reply)
+                continue
+            if reply is OrderOutcome.FENCED:
+                self.owner.note_fenced(node)
+                return
+            if reply is OrderOutcome.OTHER_INCARNATION:
+                self.owner.note_dead(self, "another incarnation answers")
+                return
+            node.silent_calls += 1
+            self.owner.note_silent(self)
+            await anyio.sleep(LOOK_RETRY_S)
+
+    async def look(self, wait_s: float) -> WorkerReport | OrderOutcome:
+        """Makes one look, with a lease once the worker's clock is known."""
+        self.looks += 1
+        until = None
+        if self.node.clock_ms is not None and self.owner.may_hold():
+            until = self.new_lease_end()
+        return await self.calls.look(
+            LookOrder(self.owner.epoch, self.acknowledged, until, wait_s)
+        )
+
+    def new_lease_end(self) -> float:
+        """Returns the end of a lease from now, and counts on it."""
+        until = self.node.lease_end(self.lease_s, anyio.current_time())
+        self.node.lease_until_ms = max(self.node.lease_until_ms, until)
+        return until
+
+    async def pause_after_look(self, report: WorkerReport) -> None:
+        """Waits until ends may be acknowledged, so that looks do not spin."""
+        if self.processed <= self.acknowledged:
+            if report.ends:
+                await anyio.sleep(GATHER_S)
+            return
+        with anyio.move_on_after(LISTED_AGAIN_S):
+            while self.processed > self.acknowledged:
+                event = self.ack_moved
+                await event.wait()
+
+    def acknowledge(self, number: int) -> None:
+        """Notes that all ends up to a number are durable."""
+        self.acknowledged = max(self.acknowledged, number)
+        self.ack_moved.set()
+        self.ack_moved = anyio.Event()
+
+    def begin(self, run: Run, ticket: str) -> None:
+        """Starts a run."""
+        if self.tasks is not None:
+            self.tasks.start_soon(self.start, run, ticket)
+
+    async def start(self, run: Run, ticket: str) -> None:
+        """Orders a start until the worker has answered, or gives the run up."""
+        task = run.task
+        for _ in range(START_TRIES):
+            if not self.here(run) or run.state is RunState.STOPPING:
+                return
+            if not self.owner.may_order():
+                break
+            reply = await self.calls.start(
+                StartOrder(
+                    task=task.name,
+                    run=run.number,
+                    program=task.step.job.record.program,
+                    lease_until_ms=self.new_lease_end(),
+                    epoch=self.owner.epoch,
+                    checkpoint=task.checkpoint,
+                    ticket=ticket,
+                )
+            )
+            if reply.clock_ms is not None:
+                self.node.note_clock(reply.clock_ms, anyio.current_time())
+            outcome = reply.outcome
+            if outcome is OrderOutcome.DONE:
+                run.settled = run.seen = True
+                if run.state is RunState.STARTING:
+                    run.state = RunState.RUNNING
+                self.owner.note_started(run)
+                return
+            if outcome is OrderOutcome.OLD_RUN:
+                run.settled = run.seen = True
+                return
+            if outcome in (OrderOutcome.LATE, OrderOutcome.UNKNOWN):
+                await anyio.sleep(ORDER_RETRY_S)
+                continue
+            if outcome is OrderOutcome.FENCED:
+                self.owner.note_fenced(self.node)
+                return
+            if outcome is OrderOutcome.OTHER_INCARNATION:
+                self.owner.note_dead(self, "another incarnation answers")
+                return
+            self.owner.note_refused(self, run, outcome)
+            return
+        logger.info("start given up", task=task.name, run=run.number, worker=self.node.id)
+        self.halt(run)
+
+    def here(self, run: Run) -> bool:
+        """Returns whether a run still counts on this worker."""
+        return self.node.runs.get((run.task.name, run.number)) is run
+
+    def halt(self, run: Run) -> None:
+        """Stops a run; its room stays counted until it surely has ended."""
+        if run.state is RunState.STOPPING or self.tasks is None:
+            return
+        run.state = RunState.STOPPING
+        run.settled = False
+        self.tasks.start_soon(self.stop, run)
+
+    async def stop(self, run: Run) -> None:
+        """Orders a stop until the worker has answered."""
+        while self.here(run):
+            done = await self.order_stop(run.task.name, run.number)
+            if done:
+                run.settled = True
+                return
+            await anyio.sleep(STOP_RETRY_S)
+
+    async def order_stop(self, task: str, number: int) -> bool:
+        """Makes one call to stop a run.
+
+        :returns: Whether the worker surely will not run it any more.
+        """
+        reply = await self.calls.stop(StopOrder(task, number, self.owner.epoch))
+        if reply.clock_ms is not None:
+            self.node.note_clock(reply.clock_ms, anyio.current_time())
+        if reply.outcome is OrderOutcome.FENCED:
+            self.owner.note_fenced(self.node)
+            return True
+        return reply.outcome in (
+            OrderOutcome.DONE,
+            OrderOutcome.OLD_RUN,
+            OrderOutcome.OTHER_INCARNATION,
+        )
+
+    def stop_foreign(self, task: str, number: int) -> None:
+        """Stops a run that should not be there."""
+        if (task, number) in self.foreign_stops or self.tasks is None:
+            return
+        self.foreign_stops.add((task, number))
+        logger.info("stopping a stray run", task=task, run=number, worker=self.node.id)
+        self.tasks.start_soon(self.stop_until_answered, task, number)
+
+    async def stop_until_answered(self, task: str, number: int) -> None:
+        """Orders a stop of a stray run until the worker has answered."""
+        while not await self.order_stop(task, number):
+            await anyio.sleep(STOP_RETRY_S)
+        self.foreign_stops.discard((task, number))
--- /dev/null
+++ b/lacewinghold/scheduler/election.py
@@ -0,0 +1,178 @@
+"""Which entry instance decides: an ownership record under a short lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+import structlog
+from msgspec import Struct
+from result import Err, Ok
+
+from lacewinghold.ids import Epoch
+from lacewinghold.scheduler.job_store import OWNER
+from lacewinghold.schema.generated.cell import CellOwnerRecord
+from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
+from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    import random
+
+    from lacewinghold.ids import InstanceId
+    from lacewinghold.store.base import KeyValue, Store
+
+logger = structlog.get_logger(__name__)
+RENEWALS_PER_LIFE = 4  # A lease survives two lost renewals and a slow one.
+MARGIN_SHARE = 0.1  # Part of a lease's life that is not relied on.
+NEAR_DELAY_S = 0.02  # Spread of the claims of instances near the store.
+FAR_DELAY_S = 0.4  # Instances far from the store let the near ones go first.
+FAR_S = 0.03  # A store call that takes longer comes from another region.
+RETRY_S = 0.1
+TERM_KEY = "term"
+
+
+class Ownership(Struct):
+    """One claim that was won.
+
+    :param epoch: Revision of the record, the fencing token.
+    :param term: Number of the claim, from 1.
+    :param valid_until: Until when it surely holds, on the runtime's clock.
+    """
+
+    epoch: Epoch
+    term: int
+    lease: int
+    valid_until: float
+    lost: anyio.Event
+
+
+class Election:
+    """Claims the ownership record when nobody holds it, and renews it.
+
+    :param instance: This process; another start has another id.
+    :param lease_s: Life of the lease in seconds.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        instance: InstanceId,
+        address: str,
+        lease_s: float,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.instance = instance
+        self.address = address
+        self.lease_s = lease_s
+        self.rng = rng
+        self.owner: CellOwnerRecord | None = None
+        self.call_s = 0.0
+        self.free = anyio.Event()
+        self.leaving = False
+        self.mirror = Mirror(store, prefix + OWNER, self.note_owner, self.note_free)
+
+    def note_owner(self, item: KeyValue) -> None:
+        """Notes who decides."""
+        try:
+            self.owner = from_json(item.value, CellOwnerRecord)
+        except msgspec.DecodeError as error:
+            logger.error("damaged record", key=item.key, detail=str(error))
+            return
+        logger.info(
+            "owner", owner=self.owner.instance, term=self.owner.term, revision=item.mod_revision
+        )
+
+    def note_free(self, key: str) -> None:
+        """Notes that nobody decides."""
+        logger.info("owner gone", owner=self.owner.instance if self.owner else "")
+        self.owner = None
+        self.free.set()
+
+    async def wait_for_turn(self) -> None:
+        """Returns when the record may be claimed by this instance."""
+        while True:
+            await self.mirror.synced.wait()
+            if self.owner is not None or self.leaving:
+                self.free = anyio.Event()
+                with anyio.move_on_after(1.0):
+                    await self.free.wait()
+                continue
+            far = self.call_s > FAR_S
+            await anyio.sleep(
+                self.rng.random() * NEAR_DELAY_S + (FAR_DELAY_S if far else 0.0)
+            )
+            if self.owner is None and not self.leaving:
+                return
+
+    async def claim(self) -> Ownership | None:
+        """Tries to become the owner.
+
+        :returns: The ownership, or ``None`` if another was first or the store failed.
+        """
+        started = anyio.current_time()
+        granted = await self.store.grant_lease(self.lease_s)
+        if isinstance(granted, Err):
+            await anyio.sleep(RETRY_S)
+            return None
+        self.call_s = anyio.current_time() - started
+        term_key = self.prefix + TERM_KEY
+        term_reply = await self.store.range(term_key)
+        if isinstance(term_reply, Err):
+            return None
+        items = term_reply.ok_value.items
+        term = int(items[0].value) + 1 if items else 1
+        term_revision = items[0].mod_revision if items else 0
+        record = CellOwnerRecord(
+            instance=self.instance, address=self.address, term=term
+        )
+        key = self.prefix + OWNER
+        reply = await self.store.commit(
+            Transaction(
+                [
+                    Compare(key, CompareTarget.MOD_REVISION, 0),
+                    Compare(term_key, CompareTarget.MOD_REVISION, term_revision),
+                ],
+                [
+                    Put(key, to_json(record), granted.ok_value),
+                    Put(term_key, str(term).encode()),
+                ],
+            )
+        )
+        if isinstance(reply, Err) or not reply.ok_value.succeeded:
+            # A claim with a lost reply lapses with its lease.
+            await self.store.revoke_lease(granted.ok_value)
+            await anyio.sleep(RETRY_S)
+            return None
+        ownership = Ownership(
+            epoch=Epoch(reply.ok_value.revision),
+            term=term,
+            lease=granted.ok_value,
+            valid_until=started + self.lease_s * (1 - MARGIN_SHARE),
+            lost=anyio.Event(),
+        )
+        logger.info("ownership taken", term=term, epoch=ownership.epoch)
+        return ownership
+
+    async def keep(self, ownership: Ownership) -> None:
+        """Renews the lease until the store says that it has ended."""
+        while True:
+            started = anyio.current_time()
+            with anyio.move_on_after(self.lease_s):
+                reply = await self.store.renew_lease(ownership.lease)
+                if isinstance(reply, Ok):
+                    if reply.ok_value <= 0:
+                        logger.warning("ownership lapsed", term=ownership.term)
+                        ownership.lost.set()
+                        return
+                    ownership.valid_until = started + self.lease_s * (1 - MARGIN_SHARE)
+            await anyio.sleep(self.lease_s / RENEWALS_PER_LIFE)
+
+    async def release(self, ownership: Ownership) -> None:
+        """Lets go, so that another instance need not wait for the lease to end."""
+        ownership.valid_until = 0.0
+        await self.store.revoke_lease(ownership.lease)
--- /dev/null
+++ b/lacewinghold/scheduler/front.py
@@ -0,0 +1,156 @@
+"""What callers may ask of any entry instance: submit, look at, cancel, count."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.scheduler.job_store import StoredJob, unknown
+from lacewinghold.scheduler.model import JobState
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.cell import CellInstance
+    from lacewinghold.scheduler.ports import Queue
+    from lacewinghold.schema.generated.cell import CellJob
+
+logger = structlog.get_logger(__name__)
+ACCEPT_TRIES = 3
+ACCEPT_RETRY_S = 0.1
+RETRY_AFTER_S = 1.0  # An outage of the store or a takeover seldom is over sooner.
+ANSWER_MARGIN_S = 0.25  # Kept of a caller's deadline for the way back.
+DEFAULT_DEADLINE_S = 3.0
+
+
+class JobFront:
+    """Answers callers from the store, and from the owner's memory where it is here.
+
+    :param instance: The entry instance.
+    """
+
+    def __init__(self, instance: CellInstance) -> None:
+        self.instance = instance
+
+    def find_queue(self, host: str, path: str) -> Result[Queue, Failure]:
+        """Returns the queue that a host and path name by the manifest in force."""
+        manifest = self.instance.state.manifest
+        if manifest is None:
+            detail = "the operators' manifest is not here yet"
+            return Err(
+                Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S)
+            )
+        queue = manifest.find(host, path)
+        if queue is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no queue for {host}{path}"))
+        return Ok(queue)
+
+    async def submit(
+        self, record: CellJob, deadline_s: float | None = None
+    ) -> Result[None, Failure]:
+        """Accepts a job once it is stored; the same id again is the same job.
+
+        :param deadline_s: How long the caller waits for the answer, in seconds.
+        :returns: ``NOT_RUN`` if it surely is not stored, ``OUTCOME_UNKNOWN`` if it
+            may be.
+        """
+        limit = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
+        result: Result[None, Failure] = Err(
+            Failure(ErrorKind.OUTCOME_UNKNOWN, "the store did not answer in time")
+        )
+        with anyio.move_on_after(limit):
+            result = await self.store_job(record)
+        self.log_submission(record, result)
+        return result
+
+    async def store_job(self, record: CellJob) -> Result[None, Failure]:
+        """Writes a job, and settles by reading when the answer is lost."""
+        failure = Failure(ErrorKind.STORE_UNAVAILABLE, "")
+        for attempt in range(ACCEPT_TRIES):
+            if attempt:
+                await anyio.sleep(ACCEPT_RETRY_S)
+            reply = await self.instance.jobs.accept(record)
+            if isinstance(reply, Ok):
+                if reply.ok_value:
+                    self.instance.note_accepted(record)
+                return Ok(None)
+            failure = reply.err_value
+            if unknown(failure):
+                return await self.settle(record)
+        detail = f"not accepted: {failure.detail}"
+        return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
+
+    async def settle(self, record: CellJob) -> Result[None, Failure]:
+        """Finds out whether a write without an answer took effect."""
+        for _ in range(ACCEPT_TRIES):
+            found = await self.instance.jobs.read(record.job)
+            if isinstance(found, Ok) and found.ok_value.record is not None:
+                return Ok(None)
+            await anyio.sleep(ACCEPT_RETRY_S)
+        detail = "the store did not answer; the job may be stored"
+        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+
+    def log_submission(self, record: CellJob, result: Result[None, Failure]) -> None:
+        """Logs what became of a submission."""
+        if isinstance(result, Ok):
+            logger.info("job accepted", job=record.job, queue=record.queue)
+            return
+        logger.info(
+            "job not accepted",
+            job=record.job,
+            queue=record.queue,
+            kind=result.err_value.kind.value,
+            detail=result.err_value.detail,
+        )
+
+    async def state(self, job: str) -> Result[JobState, Failure]:
+        """Returns a job's state; a final one only when it is durable."""
+        known = self.instance.owned_job(job)
+        if known is not None and known.reported is known.state:
+            return Ok(known.state)
+        if known is not None and known.state is JobState.RUNNING:
+            return Ok(JobState.RUNNING)
+        reply = await self.instance.jobs.read(job)
+        if isinstance(reply, Err):
+            return Err(self.unavailable(reply.err_value))
+        stored = reply.ok_value
+        if stored.record is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
+        return Ok(self.describe(job, stored))
+
+    def describe(self, job: str, stored: StoredJob) -> JobState:
+        """Returns the state of a stored job."""
+        if stored.outcome is not None:
+            return JobState(stored.outcome.state)
+        if stored.cancelled:
+            return JobState.CANCELLED
+        if self.instance.started(job):
+            return JobState.RUNNING
+        return JobState.QUEUED
+
+    def unavailable(self, failure: Failure) -> Failure:
+        """Returns the failure of a question that only the store can answer."""
+        return Failure(
+            ErrorKind.STORE_UNAVAILABLE, failure.detail, retry_after_s=RETRY_AFTER_S
+        )
+
+    async def cancel(self, job: str) -> Result[None, Failure]:
+        """Cancels a job; it is durable before this returns."""
+        reply = await self.instance.jobs.read(job)
+        if isinstance(reply, Err):
+            return Err(self.unavailable(reply.err_value))
+        stored = reply.ok_value
+        if stored.record is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
+        if stored.outcome is None and not stored.cancelled:
+            written = await self.instance.jobs.cancel(job, stored)
+            if isinstance(written, Err):
+                return Err(self.unavailable(written.err_value))
+        logger.info("job cancelled", job=job)
+        return Ok(None)
+
+    def waiting(self, queue: Queue) -> int:
+        """Returns how many accepted jobs of a queue have not started."""
+        return self.instance.waiting_jobs(queue.name)
--- /dev/null
+++ b/lacewinghold/scheduler/job_store.py
@@ -0,0 +1,126 @@
+"""Jobs in the platform's store: acceptance, cancellation, outcome, ends."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.schema.generated.cell import CellJob, JobOutcome
+from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.store.base import KeyValue, Store
+
+logger = structlog.get_logger(__name__)
+JOBS = "j/"
+ENDS = "l/"
+OWNER = "owner"
+MEMBERS = "m/"
+WAITING = "w"
+JOB_ID_LENGTH = 16
+
+
+class JobKey(Enum):
+    """The keys of one job, by their last letter."""
+
+    ACCEPTED = "a"
+    CANCELLED = "c"
+    OUTCOME = "e"
+
+
+class StoredJob(Struct):
+    """What the store holds of one job."""
+
+    record: CellJob | None = None
+    revision: int = 0
+    cancelled: bool = False
+    outcome: JobOutcome | None = None
+
+
+class JobStore:
+    """Reads and writes jobs.
+
+    :param prefix: Prefix of all keys of this program.
+    """
+
+    def __init__(self, store: Store, prefix: str) -> None:
+        self.store = store
+        self.prefix = prefix
+
+    def key(self, job: str, kind: JobKey) -> str:
+        """Returns a key of a job."""
+        return f"{self.prefix}{JOBS}{job}/{kind.value}"
+
+    def parse_key(self, key: str) -> tuple[str, JobKey] | None:
+        """Returns the job and kind of a key, ``None`` for a foreign one."""
+        job, _, kind = key.removeprefix(f"{self.prefix}{JOBS}").partition("/")
+        try:
+            return job, JobKey(kind)
+        except ValueError:
+            logger.warning("foreign key", key=key)
+            return None
+
+    async def accept(self, record: CellJob) -> Result[bool, Failure]:
+        """Stores a job.
+
+        :returns: Whether it is new; ``OUTCOME_UNKNOWN`` if it may be stored later.
+        """
+        key = self.key(record.job, JobKey.ACCEPTED)
+        absent = Compare(key, CompareTarget.MOD_REVISION, 0)
+        reply = await self.store.commit(
+            Transaction([absent], [Put(key, to_json(record))])
+        )
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(reply.ok_value.succeeded)
+
+    async def read(self, job: str) -> Result[StoredJob, Failure]:
+        """Reads what is stored of a job."""
+        reply = await self.store.range(f"{self.prefix}{JOBS}{job}/", prefix=True)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        found = StoredJob()
+        for item in reply.ok_value.items:
+            self.merge(found, item)
+        return Ok(found)
+
+    def merge(self, found: StoredJob, item: KeyValue) -> None:
+        """Adds one key to what is known of a job."""
+        parsed = self.parse_key(item.key)
+        if parsed is None:
+            return
+        try:
+            if parsed[1] is JobKey.ACCEPTED:
+                found.record = from_json(item.value, CellJob)
+                found.revision = item.mod_revision
+            elif parsed[1] is JobKey.OUTCOME:
+                found.outcome = from_json(item.value, JobOutcome)
+            else:
+                found.cancelled = True
+        except msgspec.DecodeError as error:
+            logger.error("damaged record", key=item.key, detail=str(error))
+
+    async def cancel(self, job: str, stored: StoredJob) -> Result[bool, Failure]:
+        """Stores the cancellation of a job.
+
+        :returns: Whether the job still is there.
+        """
+        accepted = self.key(job, JobKey.ACCEPTED)
+        there = Compare(accepted, CompareTarget.MOD_REVISION, stored.revision)
+        put = Put(self.key(job, JobKey.CANCELLED), b"{}")
+        reply = await self.store.commit(Transaction([there], [put]))
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(reply.ok_value.succeeded)
+
+
+def unknown(failure: Failure) -> bool:
+    """Returns whether a write may still take effect."""
+    return failure.kind is ErrorKind.OUTCOME_UNKNOWN
--- /dev/null
+++ b/lacewinghold/scheduler/nodes.py
@@ -0,0 +1,121 @@
+"""Workers as the owner sees them: room, clock, lease, health."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from lacewinghold.invariants import Invariant, require
+from lacewinghold.scheduler.ports import Resources, ServerState
+
+if TYPE_CHECKING:
+    from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.model import Run
+    from lacewinghold.scheduler.ports import WorkerEntry
+
+CLOCK_DRIFT = 0.02  # Workers' clocks may be this share slow, as the platform states.
+SUSPECT_AFTER_FAILURES = 2  # Runs that failed in a row, of different jobs.
+QUARANTINE_S = 4.0  # About the length of the troubles that make a worker fail.
+
+
+class WorkerNode:
+    """One incarnation of a worker.
+
+    :param entry: What the worker says of itself.
+    """
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        self.entry = entry
+        self.listed = True
+        self.fenced = False
+        self.dead = False
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.used = Resources()
+        self.clock_ms: float | None = None
+        self.clock_at = 0.0
+        self.lease_until_ms = 0.0
+        self.last_answer = -math.inf
+        self.silent_calls = 0
+        self.failed_jobs: list[str] = []
+        self.quarantined_until = -math.inf
+        self.slowness = 1.0
+
+    @property
+    def id(self) -> WorkerId:
+        """Returns the worker's id."""
+        return self.entry.worker
+
+    def free(self) -> Resources:
+        """Returns the room that no run may take."""
+        return self.entry.capacity.minus(self.used)
+
+    def usable(self, now: float) -> bool:
+        """Returns whether tasks may be started on the worker."""
+        return (
+            self.listed
+            and self.fenced
+            and not self.dead
+            and self.entry.state is ServerState.READY
+            and self.silent_calls == 0
+            and now >= self.quarantined_until
+        )
+
+    def add(self, run: Run) -> None:
+        """Takes room for a run.
+
+        :raises InvariantViolation: If it exceeds the capacity.
+        """
+        self.runs[(run.task.name, run.number)] = run
+        self.used = self.used.plus(run.room)
+
+    def check_capacity(self) -> None:
+        """Asserts that the runs fit on the worker."""
+        require(
+            Invariant.CAPACITY, self.used.within(self.entry.capacity), str(self.id)
+        )
+
+    def remove(self, run: Run) -> None:
+        """Gives the room of a run back."""
+        del self.runs[(run.task.name, run.number)]
+        self.used = self.used.minus(run.room)
+
+    def note_clock(self, clock_ms: float, now: float) -> None:
+        """Notes the worker's clock as told by an answer that came just now."""
+        self.last_answer = now
+        self.silent_calls = 0
+        if self.clock_ms is not None and clock_ms < self.earliest_clock(now):
+            return
+        self.clock_ms = clock_ms
+        self.clock_at = now
+
+    def earliest_clock(self, now: float) -> float:
+        """Returns a time in ms that the worker's clock surely has reached."""
+        assert self.clock_ms is not None
+        return self.clock_ms + (now - self.clock_at) * 1000 * (1 - CLOCK_DRIFT)
+
+    def lease_end(self, lease_s: float, now: float) -> float:
+        """Returns the end on the worker's clock of a lease from now."""
+        return math.floor(self.earliest_clock(now) + lease_s * 1000)
+
+    def lapsed(self, now: float) -> bool:
+        """Returns whether every lease that was asked for surely has ended."""
+        if self.clock_ms is None:
+            return False
+        return self.earliest_clock(now) > self.lease_until_ms
+
+    def note_failure(self, job: str, now: float) -> bool:
+        """Notes a run that failed.
+
+        :returns: Whether the worker is put under quarantine for it.
+        """
+        if job not in self.failed_jobs:
+            self.failed_jobs.append(job)
+        if len(self.failed_jobs) < SUSPECT_AFTER_FAILURES:
+            return False
+        self.failed_jobs.clear()
+        self.quarantined_until = now + QUARANTINE_S
+        return True
+
+    def note_success(self) -> None:
+        """Notes a run that was done."""
+        self.failed_jobs.clear()
--- /dev/null
+++ b/lacewinghold/scheduler/owner.py
@@ -0,0 +1,737 @@
+"""The owner of the cell: decides what runs where and sees it through."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from msgspec import Struct
+from result import Err
+
+from lacewinghold.invariants import Invariant, require
+from lacewinghold.scheduler.advice import AdviceBook
+from lacewinghold.scheduler.driver import LOST_LOOKS, WorkerDriver
+from lacewinghold.scheduler.end_log import EndLog
+from lacewinghold.scheduler.job_store import JOBS, WAITING, JobKey
+from lacewinghold.scheduler.model import (
+    Job,
+    JobState,
+    Run,
+    RunState,
+    Step,
+    Task,
+    TaskState,
+    is_ready,
+    make_job,
+)
+from lacewinghold.scheduler.nodes import CLOCK_DRIFT, WorkerNode
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.ports import EndKind, OrderOutcome
+from lacewinghold.schema.generated.cell import (
+    CellJob,
+    JobOutcome,
+    TaskEndEntry,
+    WaitingJobs,
+)
+from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.codec import from_json, to_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.ids import Epoch, WorkerId
+    from lacewinghold.scheduler.election import Ownership
+    from lacewinghold.scheduler.job_store import JobStore
+    from lacewinghold.scheduler.ports import (
+        EndReport,
+        Manifest,
+        WorkerDialer,
+        WorkerEntry,
+        WorkerReport,
+    )
+    from lacewinghold.store.base import KeyValue
+    from lacewinghold.util.clock import WallClock
+
+logger = structlog.get_logger(__name__)
+WORKER_LEASE_S = 4.0  # Longer than a takeover, shorter than the platform's bound.
+CUT_OFF_HOLD_S = 10.0  # How long an owner without the store goes on; an outage lasts less.
+RUNS_PER_TERM = 1000  # Run numbers of a term; a task starts far less often.
+FIRST_LOOKS_S = 0.5  # How long a new owner waits for all workers to answer.
+PLAN_PAUSE_S = 0.008  # Events that come together are planned together.
+PLAN_INTERVAL_S = 0.5  # Plans are made this often even without an event.
+WAITING_INTERVAL_S = 0.8  # The count of waiting jobs may be two seconds old.
+LOAD_RETRY_S = 0.1
+
+
+class CellState(Struct):
+    """What an instance knows whether or not it is the owner."""
+
+    manifest: Manifest | None = None
+    workers: dict[WorkerId, WorkerEntry] = {}
+
+
+class CellOwner:
+    """Decides under one ownership.
+
+    :param state: Manifest and worker entries, kept up to date by the instance.
+    """
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        jobs: JobStore,
+        dialer: WorkerDialer,
+        state: CellState,
+        book: AdviceBook,
+        clock: WallClock,
+    ) -> None:
+        self.ownership = ownership
+        self.job_store = jobs
+        self.dialer = dialer
+        self.state = state
+        self.book = book
+        self.clock = clock
+        self.log = EndLog(jobs, ownership.epoch, ownership.term)
+        self.jobs: dict[str, Job] = {}
+        self.steps: dict[str, Step] = {}
+        self.open_steps: dict[str, Step] = {}
+        self.unplaced: dict[str, CellJob] = {}
+        self.earlier: list[TaskEndEntry] = []
+        self.nodes: dict[WorkerId, WorkerNode] = {}
+        self.drivers: dict[WorkerId, WorkerDriver] = {}
+        self.wake = anyio.Event()
+        self.certain = False
+        self.loaded = False
+        self.taken_at = anyio.current_time()
+        self.tasks: TaskGroup | None = None
+        self.counts: Counter[str] = Counter()
+        self.waits: list[float] = []
+        self.mirror = Mirror(
+            jobs.store, jobs.prefix + JOBS, self.note_job_key, self.note_job_gone
+        )
+
+    @property
+    def epoch(self) -> Epoch:
+        """Returns the fencing token of all orders."""
+        return self.ownership.epoch
+
+    def may_hold(self) -> bool:
+        """Returns whether leases on workers may be renewed."""
+        now = anyio.current_time()
+        return now < self.ownership.valid_until + CUT_OFF_HOLD_S
+
+    def may_order(self) -> bool:
+        """Returns whether workers may be given orders."""
+        return self.may_hold() and not self.ownership.lost.is_set()
+
+    async def run(self) -> None:
+        """Recovers the cell and decides until the ownership is lost."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            tasks.start_soon(self.stop_when_lost, tasks)
+            await self.load()
+            tasks.start_soon(self.mirror.run)
+            tasks.start_soon(self.log.run)
+            tasks.start_soon(self.book.run, tasks)
+            self.book.on_arrival = self.wake_planner
+            self.update_workers()
+            tasks.start_soon(self.settle_uncertain)
+            tasks.start_soon(self.publish_waiting)
+            await self.plan_forever()
+
+    async def stop_when_lost(self, tasks: TaskGroup) -> None:
+        """Ends everything once another instance may decide."""
+        async with anyio.create_task_group() as waits:
+            waits.start_soon(self.cancel_after, self.ownership.lost, waits)
+            waits.start_soon(self.cancel_after, self.log.superseded, waits)
+        self.ownership.lost.set()
+        tasks.cancel_scope.cancel()
+
+    async def cancel_after(self, event: anyio.Event, waits: TaskGroup) -> None:
+        """Ends a group of waits once one event has come."""
+        await event.wait()
+        waits.cancel_scope.cancel()
+
+    async def load(self) -> None:
+        """Reads the jobs and the ends of earlier owners."""
+        while isinstance(await self.mirror.load(), Err):
+            await anyio.sleep(LOAD_RETRY_S)
+        while True:
+            ends = await self.log.load()
+            if not isinstance(ends, Err):
+                break
+            await anyio.sleep(LOAD_RETRY_S)
+        for entry in ends.ok_value:
+            self.replay(entry)
+        self.loaded = True
+        for job in list(self.jobs.values()):
+            self.refresh_job(job)
+        logger.info(
+            "cell loaded",
+            jobs=len(self.jobs),
+            ends=len(ends.ok_value),
+            term=self.ownership.term,
+            took_s=round(anyio.current_time() - self.taken_at, 3),
+        )
+
+    def replay(self, entry: TaskEndEntry) -> None:
+        """Applies an end that an earlier owner has stored."""
+        task = self.find_task(entry.task)
+        if task is None or task.state is TaskState.DONE:
+            return
+        task.last_run = max(task.last_run, entry.run)
+        if entry.done:
+            self.complete(task)
+        else:
+            self.count_failure(task, entry.run)
+
+    # Jobs
+
+    def note_job_key(self, item: KeyValue) -> None:
+        """Takes a job's key from the store."""
+        parsed = self.job_store.parse_key(item.key)
+        if parsed is None:
+            return
+        job_id, kind = parsed
+        if kind is JobKey.ACCEPTED:
+            self.accept(from_json(item.value, CellJob))
+            return
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        if kind is JobKey.CANCELLED:
+            self.cancel(job)
+            return
+        outcome = from_json(item.value, JobOutcome)
+        job.state = job.reported = JobState(outcome.state)
+        if not self.loaded:
+            return
+        self.close_job(job)
+
+    def note_job_gone(self, key: str) -> None:
+        """Forgets a job whose record was removed."""
+        parsed = self.job_store.parse_key(key)
+        if parsed is None or parsed[1] is not JobKey.ACCEPTED:
+            return
+        job = self.jobs.pop(parsed[0], None)
+        if job is None:
+            return
+        for step in job.steps:
+            self.steps.pop(step.name, None)
+            self.open_steps.pop(step.name, None)
+            self.book.forget(step)
+
+    def accept(self, record: CellJob) -> None:
+        """Takes an accepted job."""
+        if record.job in self.jobs:
+            return
+        queue = self.find_queue(record)
+        if queue is None:
+            self.unplaced[record.job] = record
+            return
+        age = max(0.0, self.clock.now() - record.accepted_at)
+        job = make_job(record, queue, anyio.current_time() - age)
+        self.jobs[job.id] = job
+        for step in job.steps:
+            self.steps[step.name] = step
+        if self.loaded:
+            logger.info("job taken", job=job.id, queue=queue.name, steps=len(job.steps))
+            self.refresh_job(job)
+
+    def find_queue(self, record: CellJob):
+        """Returns the queue of a job by the manifest in force."""
+        manifest = self.state.manifest
+        if manifest is None:
+            return None
+        return manifest.find(record.host, record.path)
+
+    def refresh_job(self, job: Job) -> None:
+        """Opens the steps that are ready, or ends the job."""
+        if job.ended():
+            return
+        if all(step.done() for step in job.steps):
+            self.end_job(job, JobState.COMPLETED, "")
+            return
+        for step in job.steps:
+            if step.done() or not is_ready(step):
+                continue
+            if step.name in self.open_steps:
+                continue
+            self.open_steps[step.name] = step
+        self.wake_planner()
+
+    def end_job(self, job: Job, state: JobState, reason: str) -> None:
+        """Ends a job; callers see it once it is durable."""
+        job.state = state
+        self.counts[f"jobs.{state.value}"] += 1
+        outcome = JobOutcome(state=state.value, at=self.clock.now(), reason=reason)
+        self.log.note_outcome(job.id, outcome, lambda: self.report(job))
+        logger.info(
+            "job ended",
+            job=job.id,
+            queue=job.queue.name,
+            state=state.value,
+            reason=reason,
+            age_s=round(anyio.current_time() - job.accepted_at, 3),
+            objective_s=round(job.objective_s, 3),
+        )
+        self.close_job(job)
+
+    def report(self, job: Job) -> None:
+        """Lets callers see a job's final state."""
+        job.reported = job.state
+
+    def close_job(self, job: Job) -> None:
+        """Stops what still runs of a job that has ended."""
+        for step in job.steps:
+            self.open_steps.pop(step.name, None)
+            self.book.forget(step)
+            for run in step.runs():
+                if run.task.state is not TaskState.DONE:
+                    self.halt(run)
+
+    def cancel(self, job: Job) -> None:
+        """Cancels a job, unless it has ended."""
+        job.cancelled = True
+        if job.ended() or not self.loaded:
+            return
+        self.end_job(job, JobState.CANCELLED, "cancelled by its caller")
+
+    def halt(self, run: Run) -> None:
+        """Stops a run."""
+        driver = self.drivers.get(run.worker)
+        if driver is not None:
+            driver.halt(run)
+
+    # Workers
+
+    def update_workers(self) -> None:
+        """Follows the workers' entries in the store."""
+        entries = self.state.workers
+        for worker, entry in entries.items():
+            node = self.nodes.get(worker)
+            if node is not None and node.entry.incarnation != entry.incarnation:
+                self.note_dead(self.drivers[worker], "it has started again")
+                node = None
+            if node is None:
+                self.add_node(entry)
+                continue
+            node.listed = True
+            node.entry = entry
+        for worker, node in self.nodes.items():
+            if worker not in entries and node.listed:
+                node.listed = False
+                logger.info("worker unlisted", worker=worker, runs=len(node.runs))
+        self.wake_planner()
+
+    def add_node(self, entry: WorkerEntry) -> None:
+        """Begins to serve a worker."""
+        if self.tasks is None:
+            return
+        node = WorkerNode(entry)
+        driver = WorkerDriver(self, node, self.dialer.open(entry), WORKER_LEASE_S)
+        self.nodes[entry.worker] = node
+        self.drivers[entry.worker] = driver
+        self.tasks.start_soon(driver.run)
+
+    def note_fenced(self, node: WorkerNode) -> None:
+        """Notes that a worker has seen a newer owner."""
+        logger.warning("fenced", worker=node.id, epoch=self.epoch)
+        self.ownership.lost.set()
+
+    def note_silent(self, driver: WorkerDriver) -> None:
+        """Notes that a worker did not answer; gives up what surely has lapsed."""
+        node = driver.node
+        now = anyio.current_time()
+        if node.silent_calls == 1:
+            logger.info("worker silent", worker=node.id, runs=len(node.runs))
+        gone = not node.listed and now - self.taken_at > self.hold_bound_s()
+        if node.clock_ms is None:
+            if gone:
+                self.note_dead(driver, "never answered and is not listed")
+            return
+        if not node.lapsed(now):
+            return
+        for run in list(node.runs.values()):
+            self.release(node, run, EndKind.LAPSED)
+        if not node.listed:
+            self.note_dead(driver, "its lease has lapsed and it is not listed")
+
+    def hold_bound_s(self) -> float:
+        """Returns how long runs of an earlier owner may live after a takeover."""
+        return CUT_OFF_HOLD_S + WORKER_LEASE_S * (1 + 2 * CLOCK_DRIFT)
+
+    def note_dead(self, driver: WorkerDriver, reason: str) -> None:
+        """Forgets a worker on which nothing runs any more."""
+        node = driver.node
+        if node.dead:
+            return
+        node.dead = True
+        logger.info("worker gone", worker=node.id, reason=reason, runs=len(node.runs))
+        for run in list(node.runs.values()):
+            self.release(node, run, EndKind.LAPSED)
+        if self.nodes.get(node.id) is node:
+            del self.nodes[node.id]
+            del self.drivers[node.id]
+        driver.scope.cancel()
+        self.wake_planner()
+
+    def apply_report(
+        self, driver: WorkerDriver, report: WorkerReport, sent_at: float
+    ) -> None:
+        """Takes what a worker says: ends first, then what runs."""
+        node = driver.node
+        now = anyio.current_time()
+        node.note_clock(report.clock_ms, now)
+        if not node.fenced:
+            node.fenced = True
+            logger.info(
+                "worker joined",
+                worker=node.id,
+                runs=len(report.runs),
+                ends=len(report.ends),
+            )
+        listed = set()
+        for item in report.runs:
+            listed.add((item.task, item.run))
+        for end in report.ends:
+            listed.add((end.task, end.run))
+            if end.number <= driver.processed:
+                continue
+            driver.processed = end.number
+            self.note_end(node, end)
+        for item in report.runs:
+            run = node.runs.get((item.task, item.run))
+            if run is None:
+                self.adopt(driver, item.task, item.run)
+                continue
+            run.seen = True
+            run.missed_looks = 0
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            if item.checkpoint and run.task.step.spec.checkpoints:
+                self.note_checkpoint(run.task, item.checkpoint)
+        self.release_missing(node, listed, sent_at)
+        number = driver.processed
+        if number > driver.acknowledged:
+            self.log.after_written(lambda: driver.acknowledge(number))
+        self.wake_planner()
+
+    def release_missing(
+        self, node: WorkerNode, listed: set[tuple[str, int]], sent_at: float
+    ) -> None:
+        """Gives up runs that a worker repeatedly does not list any more."""
+        for key, run in list(node.runs.items()):
+            if key in listed or not run.settled or run.began_at >= sent_at:
+                continue
+            run.missed_looks += 1
+            if run.missed_looks < LOST_LOOKS:
+                continue
+            logger.warning("run not listed", task=key[0], run=key[1], worker=node.id)
+            self.release(node, run, EndKind.LAPSED)
+
+    def adopt(self, driver: WorkerDriver, task_name: str, number: int) -> None:
+        """Takes over a run that an earlier owner has started, or stops it."""
+        node = driver.node
+        task = self.find_task(task_name)
+        if (
+            task is None
+            or task.state is not TaskState.WAITING
+            or task.step.job.ended()
+            or not is_ready(task.step)
+        ):
+            driver.stop_foreign(task_name, number)
+            return
+        run = Run(
+            task=task,
+            number=number,
+            worker=node.id,
+            room=task.step.room,
+            began_at=anyio.current_time(),
+            state=RunState.RUNNING,
+            seen=True,
+            settled=True,
+        )
+        task.run = run
+        task.state = TaskState.PLACED
+        task.last_run = max(task.last_run, number)
+        task.step.last_run = max(task.step.last_run, number)
+        task.step.job.started = True
+        task.step.job.state = JobState.RUNNING
+        node.add(run)
+
+    def find_task(self, name: str) -> Task | None:
+        """Returns a task by its name."""
+        step_name, _, index = name.rpartition(".")
+        step = self.steps.get(step_name)
+        if step is None or not index.isdecimal() or int(index) >= len(step.tasks):
+            return None
+        return step.tasks[int(index)]
+
+    # Runs
+
+    def note_started(self, run: Run) -> None:
+        """Notes that a worker has begun a run."""
+        self.counts["tasks.started"] += 1
+        job = run.task.step.job
+        if not job.started:
+            job.started = True
+            self.waits.append(anyio.current_time() - job.accepted_at)
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+
+    def note_refused(
+        self, driver: WorkerDriver, run: Run, outcome: OrderOutcome
+    ) -> None:
+        """Takes back a run that a worker surely did not begin."""
+        node = driver.node
+        logger.info(
+            "start refused",
+            task=run.task.name,
+            run=run.number,
+            worker=node.id,
+            outcome=outcome.value,
+        )
+        self.counts[f"refused.{outcome.value}"] += 1
+        if outcome is OrderOutcome.NO_TICKET:
+            self.book.drop_ticket(run.task.step, node.id)
+        if outcome in (OrderOutcome.NOT_SENT, OrderOutcome.UNHEALTHY):
+            node.silent_calls += 1
+        if driver.here(run):
+            self.release(node, run, EndKind.STOPPED)
+
+    def note_end(self, node: WorkerNode, end: EndReport) -> None:
+        """Takes one end from a worker's list."""
+        run = node.runs.get((end.task, end.run))
+        task = self.find_task(end.task)
+        if task is None:
+            return
+        if end.checkpoint and task.step.spec.checkpoints:
+            self.note_checkpoint(task, end.checkpoint)
+        if run is not None:
+            self.release(node, run, end.kind)
+        if task.state is TaskState.DONE or task.step.job.ended():
+            return
+        if end.kind is EndKind.DONE and not task.step.spec.long_running:
+            entry = TaskEndEntry(task=end.task, run=end.run, done=True)
+            self.log.note_end(entry, lambda: None)
+            node.note_success()
+            self.complete(task)
+            self.refresh_job(task.step.job)
+        elif end.kind is EndKind.FAILED and not task.step.spec.long_running:
+            entry = TaskEndEntry(task=end.task, run=end.run, done=False)
+            self.log.note_end(entry, lambda: None)
+            self.fail(node, task, end.run)
+
+    def complete(self, task: Task) -> None:
+        """Notes that a task is done; all at once they are done together."""
+        step = task.step
+        done = step.tasks if step.spec.all_at_once else [task]
+        for member in done:
+            if member.state is not TaskState.DONE:
+                member.state = TaskState.DONE
+                step.remaining -= 1
+        if step.done():
+            self.open_steps.pop(step.name, None)
+            self.book.forget(step)
+
+    def count_failure(self, task: Task, run: int) -> int:
+        """Counts a failed attempt, one for a whole all-at-once run.
+
+        :returns: The attempts that have failed.
+        """
+        if not task.step.spec.all_at_once:
+            task.failures += 1
+            return task.failures
+        if run > task.step.failed_run:
+            task.step.failed_run = run
+            task.step.failures += 1
+        return task.step.failures
+
+    def fail(self, node: WorkerNode, task: Task, run: int) -> None:
+        """Takes a failed run: another attempt, or the end of the job."""
+        now = anyio.current_time()
+        job = task.step.job
+        task.failed_on.add(node.id)
+        if node.note_failure(job.id, now):
+            logger.warning("worker quarantined", worker=node.id)
+        failures = self.count_failure(task, run)
+        logger.info(
+            "run failed", task=task.name, run=run, worker=node.id, failures=failures
+        )
+        if failures >= job.queue.max_attempts:
+            self.end_job(job, JobState.FAILED, f"{task.name} failed {failures} times")
+
+    def note_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keeps the newest checkpoint, of all members if they run together."""
+        members = task.step.tasks if task.step.spec.all_at_once else [task]
+        for member in members:
+            member.checkpoint = checkpoint
+
+    def release(self, node: WorkerNode, run: Run, kind: EndKind) -> None:
+        """Gives a run's room back and queues its task again, unless it is done."""
+        node.remove(run)
+        task = run.task
+        if task.run is run:
+            task.run = None
+        if task.state is TaskState.PLACED:
+            task.state = TaskState.WAITING
+        step = task.step
+        if step.spec.all_at_once and kind is not EndKind.DONE:
+            self.stop_members(step)
+        if step.job.ended() or step.done():
+            return
+        self.open_steps[step.name] = step
+        self.wake_planner()
+
+    def stop_members(self, step: Step) -> None:
+        """Stops the other tasks of an all-at-once run that cannot go on."""
+        if step.done():
+            return
+        for run in step.runs():
+            self.halt(run)
+
+    # Planning
+
+    def wake_planner(self) -> None:
+        """Has a plan made soon."""
+        self.wake.set()
+
+    async def plan_forever(self) -> None:
+        """Makes plans whenever something has changed."""
+        while True:
+            with anyio.move_on_after(PLAN_INTERVAL_S):
+                await self.wake.wait()
+            await anyio.sleep(PLAN_PAUSE_S)
+            self.wake = anyio.Event()
+            if self.may_order() and self.state.manifest is not None:
+                self.plan()
+
+    def plan(self) -> None:
+        """Makes one plan and carries it out."""
+        now = anyio.current_time()
+        for record in list(self.unplaced.values()):
+            if self.find_queue(record) is not None:
+                del self.unplaced[record.job]
+                self.accept(record)
+        usable = [node for node in self.nodes.values() if node.usable(now)]
+        steps = []
+        for step in list(self.open_steps.values()):
+            if not self.certain and step.job.accepted_at < self.taken_at:
+                continue
+            if not step.waiting():
+                del self.open_steps[step.name]
+                continue
+            self.want_advice(step, usable, now)
+            steps.append(step)
+        planner = Planner(
+            now, usable, self.permitted_by(usable), self.ticket_valid_at(now)
+        )
+        plan = planner.make(steps)
+        for step, workers in plan.renewals:
+            self.book.want(step, [self.nodes[worker] for worker in workers], now)
+        for placement in plan.placements:
+            self.start(placement.step, placement.tasks, now)
+
+    def want_advice(self, step: Step, usable: list[WorkerNode], now: float) -> None:
+        """Asks about workers of which nothing is known for a step."""
+        if step.job.queue.advice is None:
+            return
+        service = step.job.queue.service
+        nodes = [node for node in usable if node.entry.service == service]
+        unasked = self.book.unasked(step, nodes)
+        if unasked:
+            self.book.want(step, unasked, now)
+
+    def permitted_by(
+        self, usable: list[WorkerNode]
+    ) -> Callable[[Step], frozenset[WorkerId] | None]:
+        """Returns the lookup of the workers that may run a step."""
+        everyone = frozenset(node.id for node in usable)
+
+        def permitted(step: Step) -> frozenset[WorkerId] | None:
+            if step.job.queue.advice is None:
+                return everyone
+            return self.book.permitted(step)
+
+        return permitted
+
+    def ticket_valid_at(self, now: float) -> Callable[[Step, WorkerNode], bool]:
+        """Returns the check for a valid ticket."""
+
+        def valid(step: Step, node: WorkerNode) -> bool:
+            if step.job.queue.advice is None:
+                return True
+            return self.book.ticket(step, node, now) is not None
+
+        return valid
+
+    def start(
+        self, step: Step, tasks: list[tuple[Task, WorkerNode]], now: float
+    ) -> None:
+        """Starts tasks of a step on the workers chosen."""
+        floor = (self.ownership.term - 1) * RUNS_PER_TERM
+        number = 0
+        for task, _ in tasks:
+            number = max(number, task.last_run + 1, floor + 1)
+        for task, node in tasks:
+            require(Invariant.ONE_PLACE, task.run is None, task.name)
+            if not step.spec.all_at_once:
+                number = max(task.last_run + 1, floor + 1)
+            run = Run(task, number, node.id, step.room, now)
+            task.run = run
+            task.last_run = number
+            task.state = TaskState.PLACED
+            node.add(run)
+            node.check_capacity()
+            ticket = self.book.ticket(step, node, now) or ""
+            logger.info(
+                "task placed",
+                task=task.name,
+                run=number,
+                worker=node.id,
+                waited_s=round(now - step.job.accepted_at, 3),
+            )
+            self.drivers[node.id].begin(run, ticket)
+
+    # Recovery
+
+    async def settle_uncertain(self) -> None:
+        """Waits until no earlier owner's run can be where this one cannot see it."""
+        with anyio.move_on_after(FIRST_LOOKS_S):
+            while not self.all_fenced():
+                await anyio.sleep(PLAN_PAUSE_S)
+        bound = self.taken_at + self.hold_bound_s()
+        while not self.all_fenced() and anyio.current_time() < bound:
+            await anyio.sleep(LOAD_RETRY_S)
+        self.certain = True
+        logger.info(
+            "cell recovered",
+            term=self.ownership.term,
+            took_s=round(anyio.current_time() - self.taken_at, 3),
+            workers=len(self.nodes),
+        )
+        self.wake_planner()
+
+    def all_fenced(self) -> bool:
+        """Returns whether every worker known has seen this owner's epoch."""
+        return bool(self.nodes) and all(node.fenced for node in self.nodes.values())
+
+    async def publish_waiting(self) -> None:
+        """Publishes which jobs wait for their first start."""
+        published = b""
+        while True:
+            await anyio.sleep(WAITING_INTERVAL_S)
+            queues: dict[str, list[str]] = {}
+            for job in self.jobs.values():
+                if not job.started and not job.ended():
+                    queues.setdefault(job.queue.name, []).append(job.id)
+            value = to_json(WaitingJobs(queues=queues))
+            if value == published:
+                continue
+            published = value
+            self.log.note_value(self.job_store.prefix + WAITING, value)
--- /dev/null
+++ b/lacewinghold/scheduler/policy.py
@@ -0,0 +1,258 @@
+"""Decides which waiting tasks start where; pure, without input or output.
+
+It answers the load of a cell that is nearly full of unlike work: urgent steps go
+first, steps that need all tasks at once get room kept free for them, and small work
+fills the workers that are fullest already.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct, field
+
+from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
+from lacewinghold.scheduler.ports import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.model import Step, Task
+    from lacewinghold.scheduler.nodes import WorkerNode
+
+MAX_RESERVING = 2  # All-at-once steps that may keep room free at the same time.
+RESERVED_SHARE = 0.6  # Most of the workers that may be kept free for them.
+
+
+class Placement(Struct):
+    """Tasks of one step that start together, each with its worker."""
+
+    step: Step
+    tasks: list[tuple[Task, WorkerNode]]
+
+
+class Plan(Struct):
+    """What to do now.
+
+    :param placements: Starts that have room and permission.
+    :param renewals: Steps that have room but no valid permission, with the workers.
+    """
+
+    placements: list[Placement] = field(default_factory=list)
+    renewals: list[tuple[Step, list[WorkerId]]] = field(default_factory=list)
+
+
+def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
+    """Returns the sort key of a step: hopeless work last, then late, then urgent."""
+    job = step.job
+    age = now - job.accepted_at
+    lateness = 0
+    if age > job.objective_s:
+        lateness = 1
+    if age > job.objective_s * HOPELESS_MULTIPLE:
+        lateness = 2
+    return lateness, job.queue.urgency, job.due_at()
+
+
+def fitting_count(room: Resources, free: Resources, limit: int) -> int:
+    """Returns how many equal tasks fit into a room."""
+    count = limit
+    for size, available in (
+        (room.cpu_millis, free.cpu_millis),
+        (room.memory_mb, free.memory_mb),
+        (room.accelerators, free.accelerators),
+    ):
+        if size > 0:
+            count = min(count, available // size)
+    return max(0, count)
+
+
+def fullness(free: Resources, capacity: Resources) -> float:
+    """Returns how full a worker is by its scarcest resource, from 0 to 1."""
+    shares = [0.0]
+    if capacity.cpu_millis:
+        shares.append(1 - free.cpu_millis / capacity.cpu_millis)
+    if capacity.memory_mb:
+        shares.append(1 - free.memory_mb / capacity.memory_mb)
+    return max(shares)
+
+
+class Planner:
+    """Makes one plan over a snapshot of the free room.
+
+    :param nodes: Workers on which tasks may be started now.
+    :param permitted: Workers that may run a step; ``None`` if not known yet.
+    :param valid: Whether a valid ticket for a step and worker is at hand.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        nodes: Iterable[WorkerNode],
+        permitted: Callable[[Step], frozenset[WorkerId] | None],
+        valid: Callable[[Step, WorkerNode], bool],
+    ) -> None:
+        self.now = now
+        self.permitted = permitted
+        self.valid = valid
+        self.services: dict[str, list[WorkerNode]] = {}
+        self.free: dict[WorkerId, Resources] = {}
+        for node in nodes:
+            self.services.setdefault(node.entry.service, []).append(node)
+            self.free[node.id] = node.free()
+        self.reserved: dict[WorkerId, int] = {}
+        self.reserving = 0
+        self.plan = Plan()
+
+    def make(self, steps: Iterable[Step]) -> Plan:
+        """Returns the plan for all steps that are ready, most urgent first."""
+        for step in sorted(steps, key=lambda step: urgency_key(step, self.now)):
+            nodes = self.candidates(step)
+            if not nodes:
+                continue
+            if step.spec.all_at_once:
+                self.place_together(step, nodes)
+            else:
+                self.place_singly(step, nodes)
+        return self.plan
+
+    def candidates(self, step: Step) -> list[WorkerNode]:
+        """Returns the workers that may run a step and are not kept for others."""
+        permitted = self.permitted(step)
+        if permitted is None:
+            return []
+        urgency = step.job.queue.urgency
+        found = []
+        for node in self.services.get(step.job.queue.service, []):
+            if node.id not in permitted:
+                continue
+            label = step.spec.required_label
+            if label and label not in node.entry.labels:
+                continue
+            if self.reserved.get(node.id, urgency) < urgency:
+                continue
+            found.append(node)
+        return found
+
+    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, float, str]:
+        """Returns the sort key of a worker: near the data, then the fullest."""
+        remote = bool(step.spec.data_rack) and node.entry.rack != step.spec.data_rack
+        return remote, -fullness(self.free[node.id], node.entry.capacity), str(node.id)
+
+    def limit_on(self, step: Step, node: WorkerNode) -> int:
+        """Returns how many more tasks of a step a worker may take by its rules."""
+        if not step.spec.max_per_worker:
+            return step.spec.tasks
+        there = 0
+        for run in step.runs():
+            there += run.worker == node.id
+        return max(0, step.spec.max_per_worker - there)
+
+    def place_singly(self, step: Step, nodes: list[WorkerNode]) -> None:
+        """Places each task of a step for itself, as many as there is room for."""
+        waiting = step.waiting()
+        chosen: list[tuple[Task, WorkerNode]] = []
+        limits = {node.id: self.limit_on(step, node) for node in nodes}
+        for task in waiting:
+            node = self.best_node(step, task, nodes, limits)
+            if node is None:
+                if task.failed_on:
+                    continue
+                break
+            limits[node.id] -= 1
+            self.take(node, step.room)
+            chosen.append((task, node))
+        self.emit(step, chosen)
+
+    def best_node(
+        self,
+        step: Step,
+        task: Task,
+        nodes: list[WorkerNode],
+        limits: dict[WorkerId, int],
+    ) -> WorkerNode | None:
+        """Returns the worker for one task, or ``None`` if none has room."""
+        best: WorkerNode | None = None
+        best_rank: tuple[bool, float, str] | None = None
+        for node in nodes:
+            if limits[node.id] <= 0 or not step.room.within(self.free[node.id]):
+                continue
+            if node.id in task.failed_on and len(task.failed_on) < len(nodes):
+                continue
+            rank = self.rank(step, node)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = node, rank
+        return best
+
+    def place_together(self, step: Step, nodes: list[WorkerNode]) -> None:
+        """Places all tasks of a step, or keeps room free for them."""
+        tasks = step.waiting()
+        if len(tasks) < step.spec.tasks:
+            return
+        avoided = set().union(*(task.failed_on for task in tasks))
+        usable = [node for node in nodes if node.id not in avoided] or nodes
+        chosen = self.choose_together(step, tasks, usable)
+        if chosen is None and usable is not nodes:
+            chosen = self.choose_together(step, tasks, nodes)
+        if chosen is None:
+            self.reserve(step, nodes)
+            return
+        for _, node in chosen:
+            self.take(node, step.room)
+        self.emit(step, chosen)
+
+    def choose_together(
+        self, step: Step, tasks: list[Task], nodes: list[WorkerNode]
+    ) -> list[tuple[Task, WorkerNode]] | None:
+        """Returns a worker for each task, or ``None`` if not all have room."""
+        groups = [nodes]
+        if step.spec.one_rack:
+            racks: dict[str, list[WorkerNode]] = {}
+            for node in nodes:
+                racks.setdefault(node.entry.rack, []).append(node)
+            groups = [*racks.values(), nodes]
+        for group in groups:
+            chosen: list[tuple[Task, WorkerNode]] = []
+            for node in sorted(group, key=lambda node: self.rank(step, node)):
+                left = min(len(tasks) - len(chosen), self.limit_on(step, node))
+                count = fitting_count(step.room, self.free[node.id], left)
+                for _ in range(count):
+                    chosen.append((tasks[len(chosen)], node))
+                if len(chosen) == len(tasks):
+                    return chosen
+        return None
+
+    def reserve(self, step: Step, nodes: list[WorkerNode]) -> None:
+        """Keeps enough workers free of less urgent work for a step."""
+        if self.reserving >= MAX_RESERVING:
+            return
+        self.reserving += 1
+        bound = RESERVED_SHARE * len(self.free)
+        needed = step.spec.tasks
+        by_room = sorted(nodes, key=lambda node: -self.free[node.id].cpu_millis)
+        for node in by_room:
+            if needed <= 0 or len(self.reserved) >= bound:
+                return
+            count = fitting_count(step.room, node.entry.capacity, needed)
+            if count == 0:
+                continue
+            needed -= count
+            urgency = step.job.queue.urgency
+            self.reserved[node.id] = min(self.reserved.get(node.id, urgency), urgency)
+
+    def take(self, node: WorkerNode, room: Resources) -> None:
+        """Takes room from the snapshot."""
+        self.free[node.id] = self.free[node.id].minus(room)
+
+    def emit(self, step: Step, chosen: list[tuple[Task, WorkerNode]]) -> None:
+        """Adds starts with valid tickets to the plan, and asks for the others."""
+        lacking = [node.id for _, node in chosen if not self.valid(step, node)]
+        if lacking:
+            self.plan.renewals.append((step, sorted(set(lacking))))
+        if step.spec.all_at_once and lacking:
+            return
+        missing = set(lacking)
+        ready = [(task, node) for task, node in chosen if node.id not in missing]
+        if ready:
+            self.plan.placements.append(Placement(step, ready))
--- /dev/null
+++ b/lacewinghold/store/mirror.py
@@ -0,0 +1,123 @@
+"""Follows the keys under a prefix of the store: a snapshot, then its changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, FailureError
+from lacewinghold.ids import Revision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewinghold.errors import Failure
+    from lacewinghold.store.base import KeyValue, Store, WatchBatch
+
+logger = structlog.get_logger(__name__)
+RETRY_S = 0.15  # Pause after a failed call, so that an outage is not hammered.
+
+
+class Mirror:
+    """A copy of the keys under a prefix that trails the store by its age.
+
+    :param on_put: Called with each key that was written, oldest first.
+    :param on_delete: Called with each key that is gone.
+    :param pace_s: Least time between two looks for changes, in seconds.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        on_put: Callable[[KeyValue], None],
+        on_delete: Callable[[str], None],
+        pace_s: float = 0.0,
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.on_put = on_put
+        self.on_delete = on_delete
+        self.pace_s = pace_s
+        self.revisions: dict[str, int] = {}
+        self.revision = Revision(0)
+        self.synced = anyio.Event()
+        self.last_contact = -1.0
+        self.failing = False
+
+    async def load(self) -> Result[None, Failure]:
+        """Reads all keys and tells what differs from the copy."""
+        started = anyio.current_time()
+        reply = await self.store.range(self.prefix, prefix=True)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        found = {item.key for item in reply.ok_value.items}
+        for key in set(self.revisions) - found:
+            del self.revisions[key]
+            self.on_delete(key)
+        for item in sorted(reply.ok_value.items, key=lambda item: item.mod_revision):
+            self.put(item)
+        self.revision = Revision(max(self.revision, reply.ok_value.revision))
+        self.last_contact = started
+        self.synced.set()
+        return Ok(None)
+
+    def put(self, item: KeyValue) -> None:
+        """Tells a write, unless the copy has it or a later one."""
+        if self.revisions.get(item.key, 0) >= item.mod_revision:
+            return
+        self.revisions[item.key] = item.mod_revision
+        self.on_put(item)
+
+    def apply(self, batch: WatchBatch) -> None:
+        """Tells the changes of a batch."""
+        self.last_contact = anyio.current_time()
+        for item in batch.puts:
+            self.put(item)
+        for key in batch.deletes:
+            if self.revisions.pop(key, None) is not None:
+                self.on_delete(key)
+        self.revision = Revision(max(self.revision, batch.revision))
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            loaded = await self.load()
+            if isinstance(loaded, Ok):
+                self.note_contact()
+                await self.follow()
+                continue
+            self.note_failure(loaded.err_value.detail)
+            await anyio.sleep(RETRY_S)
+
+    async def follow(self) -> None:
+        """Follows changes until the history is gone."""
+        while True:
+            try:
+                async with self.store.watch(self.prefix, self.revision) as batches:
+                    async for batch in batches:
+                        self.note_contact()
+                        self.apply(batch)
+                        if self.pace_s and (batch.puts or batch.deletes):
+                            await anyio.sleep(self.pace_s)
+            except FailureError as error:
+                if error.failure.kind is ErrorKind.HISTORY_GONE:
+                    logger.warning("history gone", prefix=self.prefix)
+                    return
+                self.note_failure(error.failure.detail)
+                await anyio.sleep(RETRY_S)
+
+    def note_failure(self, detail: str) -> None:
+        """Logs once that the store cannot be followed."""
+        if not self.failing:
+            logger.warning("store lost", prefix=self.prefix, detail=detail)
+        self.failing = True
+
+    def note_contact(self) -> None:
+        """Logs once that the store is followed again."""
+        if self.failing:
+            logger.info("store regained", prefix=self.prefix)
+        self.failing = False
--- a/lacewinghold/util/http_server.py
+++ b/lacewinghold/util/http_server.py
@@ -26,10 +26,12 @@
     :param context: TLS context, or ``None`` for plain HTTP.
     """
 
-    def __init__(self, listen: str, grace_s: float, context: ssl.SSLContext | None):
+    def __init__(
+        self, listen: list[str], grace_s: float, context: ssl.SSLContext | None
+    ):
         super().__init__()
         self.context = context
-        self.bind = [listen]
+        self.bind = listen
         self.graceful_timeout = grace_s
         self.keep_alive_timeout = KEEP_ALIVE_S
         self.accesslog = None
@@ -49,7 +51,7 @@
 
 async def serve_http(
     app: Any,
-    listen: str,
+    listen: str | list[str],
     shutdown: Callable[[], Awaitable[None]],
     grace_s: float,
     tls: Tls | None = None,
@@ -57,12 +59,13 @@
 ) -> None:
     """Serves until ``shutdown`` returns, then finishes what is in progress.
 
-    :param listen: IP address and port.
+    :param listen: IP address and port, or several.
     :param grace_s: Longest time in seconds for requests in progress.
     :param started: Called with the addresses once they accept connections.
     """
     context = None if tls is None else make_server_context(tls)
-    config = ServerConfig(listen, grace_s, context)
+    addresses = [listen] if isinstance(listen, str) else listen
+    config = ServerConfig(addresses, grace_s, context)
     async with anyio.create_task_group() as tasks:
         if tls is not None and context is not None:
             tasks.start_soon(CertificateReloader(tls, context).run)
--- a/tools/binary_main.py
+++ b/tools/binary_main.py
@@ -46,7 +46,17 @@
         return [Path(named)]
     name = f"lacewinghold-{os.getuid()}"
     runtime = os.environ.get("XDG_RUNTIME_DIR", f"/run/user/{os.getuid()}")
-    return [Path(runtime) / name, Path("/run") / name, Path("/dev/shm") / name]
+    return [Path(runtime) / name, Path("/run") / name, *memory_mounts(name)]
+
+
+def memory_mounts(name: str) -> list[Path]:
+    """Returns a folder on each file system in memory, by its mount point."""
+    found = []
+    for line in Path("/proc/self/mounts").read_text().splitlines():
+        _, point, kind, *_ = line.split(" ")
+        if kind in MEMORY_FILE_SYSTEMS:
+            found.append(Path(point.encode().decode("unicode_escape")) / name)
+    return sorted(found)
 
 
 def choose() -> Path:
--- a/tools/generate_schema.py
+++ b/tools/generate_schema.py
@@ -20,6 +20,8 @@
     "worker": "lacewinghold.schema.base.TolerantStruct",
     "records": "lacewinghold.schema.base.TolerantStruct",
     "messages": "lacewinghold.schema.base.PackedStruct",
+    "cell": "lacewinghold.schema.base.TolerantStruct",
+    "entry": "lacewinghold.schema.base.StrictStruct",
 }
 
 
