--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -11,6 +11,7 @@
 import structlog
 
 from lacewinghold.ids import InstanceId
+from lacewinghold.peers.nng import NngTransport
 from lacewinghold.platform.advice import PlatformAdvice
 from lacewinghold.platform.front import PlatformFront
 from lacewinghold.platform.manifest import MANIFEST_KEY, read_manifest
@@ -36,6 +37,7 @@
     """Returns the adapters to the platform."""
     return CellPorts(
         store=PlatformStore(settings.store.address),
+        transport=NngTransport(settings.listen.peer),
         dialer=PlatformWorkerDialer(),
         advice=PlatformAdvice(settings.advice) if settings.advice else None,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
--- a/lacewinghold/errors.py
+++ b/lacewinghold/errors.py
@@ -68,9 +68,7 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(504, 8, False, "The outcome is unknown"),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, 7, True, "Not run: no store"),
     ErrorKind.STORE_REGRESSED: Answer(503, 9, False, "The store is behind its past"),
-    ErrorKind.HISTORY_GONE: Answer(
-        503, 9, False, "The store has dropped its history"
-    ),
+    ErrorKind.HISTORY_GONE: Answer(503, 9, False, "The store has dropped its history"),
     ErrorKind.NOT_OWNER: Answer(503, 7, True, "Not run: the owner is changing"),
     ErrorKind.LEASE_LAPSED: Answer(503, 7, True, "Not run: the lease has lapsed"),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, 8, True, "Not run before the deadline"),
--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -164,7 +164,10 @@
         queue = found.ok_value
         job = call.path[len(queue.prefix) :]
         if not job:
-            return Ok({"waiting": front.waiting(queue)})
+            count = await front.waiting(queue)
+            if isinstance(count, Err):
+                return Err(count.err_value)
+            return Ok({"waiting": count.ok_value})
         if call.method == "POST":
             return await self.submit(call, queue.name, job)
         if call.method == "DELETE":
@@ -212,9 +215,7 @@
             status = HTTPStatus.NOT_FOUND
             if failure.field == "job":
                 status = HTTPStatus.GONE
-        await self.reply(
-            send, status, {"error": failure.detail}, failure.retry_after_s
-        )
+        await self.reply(send, status, {"error": failure.detail}, failure.retry_after_s)
 
     async def reply(
         self, send: Any, status: int, body: object, retry_after_s: float | None
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,6 +13,8 @@
 from lacewinghold.scheduler.policy import urgency_key
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
 
     from lacewinghold.ids import Incarnation, WorkerId
@@ -26,6 +29,7 @@
 SLOW_CALL_S = 0.15  # Calls longer than this leave some lanes to quick ones.
 QUICK_LANES = 2  # Lanes that slow calls leave free, if there are more.
 RETRY_S = 0.2  # Pause after a call that failed.
+LANE_PAUSE_S = 2.0  # A lane that failed is left alone this long.
 
 
 class Permission(Struct):
@@ -52,6 +56,8 @@
         self.name = name
         self.calls = calls
         self.busy = False
+        self.far = False
+        self.blocked_until = -math.inf
 
 
 class AdviceBook:
@@ -62,8 +68,7 @@
         self.wanted: dict[str, tuple[Step, list[WorkerNode]]] = {}
         self.lanes: list[Lane] = []
         self.changed = anyio.Event()
-        self.arrived: list[Step] = []
-        self.on_arrival = lambda: None
+        self.on_arrival: Callable[[], None] = lambda: None
         self.calls = 0
         self.failed_calls = 0
 
@@ -126,7 +131,7 @@
         now = anyio.current_time()
         order = sorted(self.wanted.values(), key=lambda w: urgency_key(w[0], now))
         for step, nodes in order:
-            free = [lane for lane in self.lanes if not lane.busy]
+            free = self.free_lanes(now)
             slow = self.expected_s(step, nodes) > SLOW_CALL_S
             keep = QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
             if not free:
@@ -139,6 +144,12 @@
             self.steps[step.name].pending = True
             tasks.start_soon(self.ask, lane, step, nodes)
 
+    def free_lanes(self, now: float) -> list[Lane]:
+        """Returns the lanes that may call now; else those that failed."""
+        idle = [lane for lane in self.lanes if not lane.busy]
+        sound = [lane for lane in idle if now >= lane.blocked_until]
+        return sound or idle
+
     def expected_s(self, step: Step, nodes: list[WorkerNode]) -> float:
         """Returns how long a call takes by the queue's rules, in seconds."""
         rules = step.job.queue.advice
@@ -166,6 +177,7 @@
         if isinstance(answer, Err):
             self.failed_calls += 1
             known.not_before = now + RETRY_S
+            lane.blocked_until = now + LANE_PAUSE_S
             logger.info(
                 "advice failed",
                 step=step.name,
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -5,24 +5,27 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
 import structlog
 from msgspec import Struct
 
+from lacewinghold.peers.links import PeerLinks
 from lacewinghold.scheduler.advice import AdviceBook, Lane
 from lacewinghold.scheduler.election import Election
 from lacewinghold.scheduler.front import JobFront
-from lacewinghold.scheduler.job_store import WAITING, JobStore
+from lacewinghold.scheduler.job_store import JobStore
+from lacewinghold.scheduler.members import MemberAdvice, Members, Membership
+from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.owner import CellOwner, CellState
-from lacewinghold.schema.generated.cell import WaitingJobs
+from lacewinghold.scheduler.peer_calls import PeerCalls
+from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.mirror import Mirror
-from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
     from lacewinghold.ids import InstanceId, WorkerId
+    from lacewinghold.peers.base import PeerTransport
     from lacewinghold.scheduler.model import Job
     from lacewinghold.scheduler.ports import (
         AdviceCalls,
@@ -38,7 +41,6 @@
 logger = structlog.get_logger(__name__)
 MANIFEST_PACE_S = 0.3  # Far below the time in which a manifest has to be in force.
 WORKERS_PACE_S = 0.25  # A draining worker has to be left alone within three seconds.
-WAITING_PACE_S = 0.5
 
 
 class OperatorKeys(Struct):
@@ -58,6 +60,7 @@
     """What an instance is connected to; tests pass fakes."""
 
     store: Store
+    transport: PeerTransport
     dialer: WorkerDialer
     advice: AdviceCalls | None
     keys: OperatorKeys
@@ -93,8 +96,16 @@
             rng,
         )
         self.owner: CellOwner | None = None
+        self.peers = PeerLinks(
+            instance, ports.transport, self.address_of, self.is_paid, rng
+        )
+        self.peer_calls = PeerCalls(self)
+        member = CellMember(
+            instance=instance, address=settings.listen.peer, region=settings.region
+        )
+        self.membership = Membership(ports.store, prefix, member)
+        self.members = Members(ports.store, prefix, self.update_lane)
         self.front = JobFront(self)
-        self.waiting = WaitingJobs()
         self.worker_keys: dict[str, WorkerId] = {}
         self.leaving = False
         keys = ports.keys
@@ -112,13 +123,6 @@
             self.note_worker_gone,
             WORKERS_PACE_S,
         )
-        self.waiting_mirror = Mirror(
-            ports.store,
-            prefix + WAITING,
-            self.note_waiting,
-            lambda key: None,
-            WAITING_PACE_S,
-        )
 
     # What the store says
 
@@ -169,13 +173,6 @@
         if self.owner is not None:
             self.owner.update_workers()
 
-    def note_waiting(self, item: KeyValue) -> None:
-        """Takes the owner's list of waiting jobs."""
-        try:
-            self.waiting = from_json(item.value, WaitingJobs)
-        except msgspec.DecodeError as error:
-            logger.error("damaged record", key=item.key, detail=str(error))
-
     # What the front asks
 
     def note_accepted(self, record: CellJob) -> None:
@@ -183,21 +180,72 @@
         if self.owner is not None and self.owner.loaded:
             self.owner.accept(record)
 
-    def owned_job(self, job: str) -> Job | None:
-        """Returns a job if this instance surely decides about it."""
+    def note_cancelled(self, job: str) -> None:
+        """Cancels a job if it is decided here; the cancellation is stored."""
+        owner = self.owner
+        if owner is not None and job in owner.jobs:
+            owner.cancel(owner.jobs[job])
+
+    def deciding(self) -> CellOwner | None:
+        """Returns the owner if it is here and surely nobody else decides."""
         owner = self.owner
-        if owner is None or anyio.current_time() >= owner.ownership.valid_until:
+        if owner is None or not owner.loaded:
             return None
-        return owner.jobs.get(job)
+        if anyio.current_time() >= owner.ownership.valid_until:
+            return None
+        return owner
 
-    def started(self, job: str) -> bool:
-        """Returns whether a task of a job surely has started."""
-        known = self.owned_job(job)
-        return known is not None and known.started
+    def owned_job(self, job: str) -> Job | None:
+        """Returns a job if this instance surely decides about it."""
+        owner = self.deciding()
+        return None if owner is None else owner.jobs.get(job)
 
-    def waiting_jobs(self, queue: str) -> int:
-        """Returns how many jobs of a queue wait for their first start."""
-        return len(self.waiting.queues.get(queue, []))
+    def owned_state(self, job: str) -> JobState | None:
+        """Returns a job's state as callers may see it, if it is decided here."""
+        known = self.owned_job(job)
+        if known is None:
+            return None
+        if not known.ended():
+            return JobState.RUNNING if known.started else JobState.QUEUED
+        if known.reported is known.state:
+            return known.state
+        return JobState.RUNNING
+
+    def owned_waiting(self, queue: str) -> int | None:
+        """Returns how many jobs of a queue wait, if they are decided here."""
+        owner = self.deciding()
+        return None if owner is None else owner.count_waiting(queue)
+
+    # Members
+
+    def address_of(self, instance: InstanceId) -> str | None:
+        """Returns the address of a member, or ``None`` if it is unknown."""
+        member = self.members.members.get(instance)
+        if member is not None:
+            return member.address
+        record = self.election.owner
+        if record is not None and record.instance == instance:
+            return record.address
+        return None
+
+    def is_paid(self, instance: InstanceId) -> bool:
+        """Returns whether a member surely is in another region."""
+        member = self.members.members.get(instance)
+        return member is not None and member.region != self.settings.region
+
+    def update_lane(self, instance: InstanceId) -> None:
+        """Adds or removes the lane for advice over a member."""
+        if self.owner is None or instance == self.instance:
+            return
+        lanes = self.owner.book.lanes
+        if instance not in self.members.members:
+            lanes[:] = [lane for lane in lanes if lane.name != instance]
+            return
+        if all(lane.name != instance for lane in lanes):
+            lane = Lane(instance, MemberAdvice(self.peers, instance))
+            lane.far = self.is_paid(instance)
+            lanes.append(lane)
+            lanes.sort(key=lambda lane: lane.far)
 
     def ready(self) -> bool:
         """Returns whether this instance should get requests."""
@@ -209,7 +257,8 @@
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.manifest_mirror.run)
-            tasks.start_soon(self.waiting_mirror.run)
+            tasks.start_soon(self.peers.run)
+            tasks.start_soon(self.membership.run)
             tasks.start_soon(self.election.mirror.run)
             tasks.start_soon(self.decide)
 
@@ -223,6 +272,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.election.keep, ownership)
                 tasks.start_soon(self.worker_mirror.run)
+                tasks.start_soon(self.members.mirror.run)
                 await self.worker_mirror.synced.wait()
                 book = AdviceBook()
                 if self.ports.advice is not None:
@@ -235,6 +285,8 @@
                     book,
                     self.ports.clock,
                 )
+                for member in list(self.members.members):
+                    self.update_lane(member)
                 await self.owner.run()
                 self.owner = None
                 tasks.cancel_scope.cancel()
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -167,7 +167,9 @@
                 return
             self.owner.note_refused(self, run, outcome)
             return
-        logger.info("start given up", task=task.name, run=run.number, worker=self.node.id)
+        logger.info(
+            "start given up", task=task.name, run=run.number, worker=self.node.id
+        )
         self.halt(run)
 
     def here(self, run: Run) -> bool:
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     import random
 
-    from lacewinghold.ids import InstanceId
+    from lacewinghold.ids import InstanceId, LeaseId
     from lacewinghold.store.base import KeyValue, Store
 
 logger = structlog.get_logger(__name__)
@@ -43,7 +43,7 @@
 
     epoch: Epoch
     term: int
-    lease: int
+    lease: LeaseId
     valid_until: float
     lost: anyio.Event
 
@@ -84,7 +84,10 @@
             logger.error("damaged record", key=item.key, detail=str(error))
             return
         logger.info(
-            "owner", owner=self.owner.instance, term=self.owner.term, revision=item.mod_revision
+            "owner",
+            owner=self.owner.instance,
+            term=self.owner.term,
+            revision=item.mod_revision,
         )
 
     def note_free(self, key: str) -> None:
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -39,9 +39,7 @@
         manifest = self.instance.state.manifest
         if manifest is None:
             detail = "the operators' manifest is not here yet"
-            return Err(
-                Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S)
-            )
+            return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
         queue = manifest.find(host, path)
         if queue is None:
             return Err(Failure(ErrorKind.NOT_FOUND, f"no queue for {host}{path}"))
@@ -75,6 +73,7 @@
             if isinstance(reply, Ok):
                 if reply.ok_value:
                     self.instance.note_accepted(record)
+                    await self.instance.peer_calls.tell_accepted(record)
                 return Ok(None)
             failure = reply.err_value
             if unknown(failure):
@@ -107,28 +106,24 @@
 
     async def state(self, job: str) -> Result[JobState, Failure]:
         """Returns a job's state; a final one only when it is durable."""
-        known = self.instance.owned_job(job)
-        if known is not None and known.reported is known.state:
-            return Ok(known.state)
-        if known is not None and known.state is JobState.RUNNING:
-            return Ok(JobState.RUNNING)
+        known = self.instance.owned_state(job)
+        if known is None:
+            known = await self.instance.peer_calls.ask_state(job)
+        if known is not None:
+            return Ok(known)
         reply = await self.instance.jobs.read(job)
         if isinstance(reply, Err):
             return Err(self.unavailable(reply.err_value))
         stored = reply.ok_value
         if stored.record is None:
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
-        return Ok(self.describe(job, stored))
+        return Ok(self.describe(stored))
 
-    def describe(self, job: str, stored: StoredJob) -> JobState:
-        """Returns the state of a stored job."""
+    def describe(self, stored: StoredJob) -> JobState:
+        """Returns the state of a stored job; who decides about it is not reached."""
         if stored.outcome is not None:
             return JobState(stored.outcome.state)
-        if stored.cancelled:
-            return JobState.CANCELLED
-        if self.instance.started(job):
-            return JobState.RUNNING
-        return JobState.QUEUED
+        return JobState.CANCELLED if stored.cancelled else JobState.QUEUED
 
     def unavailable(self, failure: Failure) -> Failure:
         """Returns the failure of a question that only the store can answer."""
@@ -148,9 +143,22 @@
             written = await self.instance.jobs.cancel(job, stored)
             if isinstance(written, Err):
                 return Err(self.unavailable(written.err_value))
+            self.instance.note_cancelled(job)
+            await self.instance.peer_calls.tell_cancelled(job)
         logger.info("job cancelled", job=job)
         return Ok(None)
 
-    def waiting(self, queue: Queue) -> int:
-        """Returns how many accepted jobs of a queue have not started."""
-        return self.instance.waiting_jobs(queue.name)
+    async def waiting(self, queue: Queue) -> Result[int, Failure]:
+        """Returns how many accepted jobs of a queue have not started.
+
+        Without the owner it counts all jobs that have not ended.
+        """
+        count = self.instance.owned_waiting(queue.name)
+        if count is None:
+            count = await self.instance.peer_calls.ask_waiting(queue.name)
+        if count is not None:
+            return Ok(count)
+        counted = await self.instance.jobs.count_unfinished(queue.name)
+        if isinstance(counted, Err):
+            return Err(self.unavailable(counted.err_value))
+        return counted
--- /dev/null
+++ b/lacewinghold/scheduler/members.py
@@ -0,0 +1,152 @@
+"""Entry instances of the cell: who they are, and what they ask of each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import InstanceId, WorkerId
+from lacewinghold.scheduler.job_store import MEMBERS
+from lacewinghold.scheduler.ports import AdviceCalls, Ticket
+from lacewinghold.schema.generated.cell import CellMember
+from lacewinghold.schema.generated.messages import (
+    CellAdvice,
+    CellAdviseCall,
+    MessageKind,
+)
+from lacewinghold.store.base import Put, Transaction
+from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.codec import from_json, to_json, unpack
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from lacewinghold.ids import LeaseId
+    from lacewinghold.peers.links import PeerLinks
+    from lacewinghold.store.base import KeyValue, Store
+
+logger = structlog.get_logger(__name__)
+MEMBER_LEASE_S = 4.0  # A dead member is asked in vain this long.
+RENEW_S = 1.0
+RETRY_S = 0.3
+MIRROR_PACE_S = 0.5
+LINK_SLACK_S = 0.3  # Way to a member and back, beside the call that it makes.
+
+
+class Membership:
+    """This instance's entry among the members, under a lease of its own."""
+
+    def __init__(self, store: Store, prefix: str, member: CellMember) -> None:
+        self.store = store
+        self.key = f"{prefix}{MEMBERS}{member.instance}"
+        self.member = member
+        self.lease: LeaseId | None = None
+
+    async def run(self) -> None:
+        """Enters and stays until cancelled."""
+        while True:
+            kept = await (self.enter() if self.lease is None else self.renew())
+            await anyio.sleep(RENEW_S if kept else RETRY_S)
+
+    async def enter(self) -> bool:
+        """Opens a lease and writes the entry under it."""
+        granted = await self.store.grant_lease(MEMBER_LEASE_S)
+        if isinstance(granted, Err):
+            return False
+        put = Put(self.key, to_json(self.member), granted.ok_value)
+        written = await self.store.commit(Transaction([], [put]))
+        if isinstance(written, Err):
+            return False
+        self.lease = granted.ok_value
+        logger.info("member entered", lease=self.lease)
+        return True
+
+    async def renew(self) -> bool:
+        """Renews the lease, or forgets it once the store has."""
+        assert self.lease is not None
+        renewed = await self.store.renew_lease(self.lease)
+        if isinstance(renewed, Err):
+            return False
+        if renewed.ok_value <= 0:
+            logger.warning("member lapsed", lease=self.lease)
+            self.lease = None
+            return False
+        return True
+
+
+class Members:
+    """The owner's copy of who the members are.
+
+    :param changed: Called with a member that came or left.
+    """
+
+    def __init__(
+        self, store: Store, prefix: str, changed: Callable[[InstanceId], None]
+    ) -> None:
+        self.prefix = prefix + MEMBERS
+        self.members: dict[InstanceId, CellMember] = {}
+        self.changed = changed
+        self.mirror = Mirror(
+            store, self.prefix, self.note, self.note_gone, MIRROR_PACE_S
+        )
+
+    def note(self, item: KeyValue) -> None:
+        """Takes a member's entry."""
+        try:
+            member = from_json(item.value, CellMember)
+        except msgspec.DecodeError as error:
+            logger.error("damaged record", key=item.key, detail=str(error))
+            return
+        instance = InstanceId(member.instance)
+        self.members[instance] = member
+        self.changed(instance)
+
+    def note_gone(self, key: str) -> None:
+        """Forgets a member whose lease has ended."""
+        instance = InstanceId(key.removeprefix(self.prefix))
+        if self.members.pop(instance, None) is not None:
+            self.changed(instance)
+
+
+class MemberAdvice(AdviceCalls):
+    """Has another member call the advice service."""
+
+    name = "member"
+
+    def __init__(self, links: PeerLinks, member: InstanceId) -> None:
+        self.links = links
+        self.member = member
+
+    async def ask(
+        self, step: str, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Result[list[Ticket], Failure]:
+        call = CellAdviseCall(step, list(workers), timeout_s)
+        reply = await self.links.call(
+            self.member, MessageKind.CELL_ADVISE, call, timeout_s + LINK_SLACK_S
+        )
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        advice = unpack(reply.ok_value, CellAdvice)
+        tickets = []
+        for worker, text in zip(advice.workers, advice.tickets, strict=True):
+            tickets.append(Ticket(worker, text))
+        return Ok(tickets)
+
+
+async def advise_for_peer(
+    advice: AdviceCalls | None, body: bytes
+) -> Result[CellAdvice, Failure]:
+    """Calls the advice service for the owner."""
+    call = unpack(body, CellAdviseCall)
+    if advice is None:
+        return Err(Failure(ErrorKind.UNREACHABLE, "no advice service is configured"))
+    answer = await advice.ask(call.step, call.workers, call.timeout_s)
+    if isinstance(answer, Err):
+        return Err(answer.err_value)
+    workers = [ticket.worker for ticket in answer.ok_value]
+    return Ok(CellAdvice(workers, [ticket.text for ticket in answer.ok_value]))
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -70,9 +70,7 @@
 
     def check_capacity(self) -> None:
         """Asserts that the runs fit on the worker."""
-        require(
-            Invariant.CAPACITY, self.used.within(self.entry.capacity), str(self.id)
-        )
+        require(Invariant.CAPACITY, self.used.within(self.entry.capacity), str(self.id))
 
     def remove(self, run: Run) -> None:
         """Gives the room of a run back."""
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -11,10 +11,9 @@
 from result import Err
 
 from lacewinghold.invariants import Invariant, require
-from lacewinghold.scheduler.advice import AdviceBook
 from lacewinghold.scheduler.driver import LOST_LOOKS, WorkerDriver
 from lacewinghold.scheduler.end_log import EndLog
-from lacewinghold.scheduler.job_store import JOBS, WAITING, JobKey
+from lacewinghold.scheduler.job_store import JOBS, JobKey
 from lacewinghold.scheduler.model import (
     Job,
     JobState,
@@ -33,10 +32,9 @@
     CellJob,
     JobOutcome,
     TaskEndEntry,
-    WaitingJobs,
 )
 from lacewinghold.store.mirror import Mirror
-from lacewinghold.util.codec import from_json, to_json
+from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,11 +42,13 @@
     from anyio.abc import TaskGroup
 
     from lacewinghold.ids import Epoch, WorkerId
+    from lacewinghold.scheduler.advice import AdviceBook
     from lacewinghold.scheduler.election import Ownership
     from lacewinghold.scheduler.job_store import JobStore
     from lacewinghold.scheduler.ports import (
         EndReport,
         Manifest,
+        Queue,
         WorkerDialer,
         WorkerEntry,
         WorkerReport,
@@ -58,12 +58,12 @@
 
 logger = structlog.get_logger(__name__)
 WORKER_LEASE_S = 4.0  # Longer than a takeover, shorter than the platform's bound.
-CUT_OFF_HOLD_S = 10.0  # How long an owner without the store goes on; an outage lasts less.
+CUT_OFF_HOLD_S = 10.0  # An owner goes on this long without the store.
 RUNS_PER_TERM = 1000  # Run numbers of a term; a task starts far less often.
 FIRST_LOOKS_S = 0.5  # How long a new owner waits for all workers to answer.
 PLAN_PAUSE_S = 0.008  # Events that come together are planned together.
 PLAN_INTERVAL_S = 0.5  # Plans are made this often even without an event.
-WAITING_INTERVAL_S = 0.8  # The count of waiting jobs may be two seconds old.
+JOBS_PACE_S = 0.4  # Members tell of jobs at once; the store tells of those missed.
 LOAD_RETRY_S = 0.1
 
 
@@ -111,7 +111,11 @@
         self.counts: Counter[str] = Counter()
         self.waits: list[float] = []
         self.mirror = Mirror(
-            jobs.store, jobs.prefix + JOBS, self.note_job_key, self.note_job_gone
+            jobs.store,
+            jobs.prefix + JOBS,
+            self.note_job_key,
+            self.note_job_gone,
+            JOBS_PACE_S,
         )
 
     @property
@@ -140,7 +144,6 @@
             self.book.on_arrival = self.wake_planner
             self.update_workers()
             tasks.start_soon(self.settle_uncertain)
-            tasks.start_soon(self.publish_waiting)
             await self.plan_forever()
 
     async def stop_when_lost(self, tasks: TaskGroup) -> None:
@@ -242,7 +245,7 @@
             logger.info("job taken", job=job.id, queue=queue.name, steps=len(job.steps))
             self.refresh_job(job)
 
-    def find_queue(self, record: CellJob):
+    def find_queue(self, record: CellJob) -> Queue | None:
         """Returns the queue of a job by the manifest in force."""
         manifest = self.state.manifest
         if manifest is None:
@@ -721,17 +724,11 @@
         """Returns whether every worker known has seen this owner's epoch."""
         return bool(self.nodes) and all(node.fenced for node in self.nodes.values())
 
-    async def publish_waiting(self) -> None:
-        """Publishes which jobs wait for their first start."""
-        published = b""
-        while True:
-            await anyio.sleep(WAITING_INTERVAL_S)
-            queues: dict[str, list[str]] = {}
-            for job in self.jobs.values():
-                if not job.started and not job.ended():
-                    queues.setdefault(job.queue.name, []).append(job.id)
-            value = to_json(WaitingJobs(queues=queues))
-            if value == published:
-                continue
-            published = value
-            self.log.note_value(self.job_store.prefix + WAITING, value)
+    def count_waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue wait for their first start."""
+        count = 0
+        for job in self.jobs.values():
+            count += job.queue.name == queue and not job.started and not job.ended()
+        for record in self.unplaced.values():
+            count += record.queue == queue
+        return count
--- /dev/null
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -0,0 +1,138 @@
+"""What the entry instances of a cell ask of each other, over their links."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import InstanceId
+from lacewinghold.scheduler.members import advise_for_peer
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.schema.generated.cell import CellJob
+from lacewinghold.schema.generated.messages import (
+    CellAccepted,
+    CellAdvice,
+    CellJobCall,
+    CellJobState,
+    CellWaiting,
+    CellWaitingCall,
+    MessageKind,
+)
+from lacewinghold.util.codec import from_json, to_json, unpack
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.cell import CellInstance
+
+logger = structlog.get_logger(__name__)
+OWNER_CALL_S = 0.4  # Several round trips between regions; the store answers after it.
+
+
+class PeerCalls:
+    """Both ends of the calls between members.
+
+    :param instance: The entry instance.
+    """
+
+    def __init__(self, instance: CellInstance) -> None:
+        self.instance = instance
+        self.links = instance.peers
+        self.links.on(MessageKind.CELL_ADVISE, self.serve_advise)
+        self.links.on(MessageKind.CELL_ACCEPTED, self.serve_accepted)
+        self.links.on(MessageKind.CELL_STATE, self.serve_state)
+        self.links.on(MessageKind.CELL_CANCELLED, self.serve_cancelled)
+        self.links.on(MessageKind.CELL_WAITING, self.serve_waiting)
+
+    def owner(self) -> InstanceId | None:
+        """Returns the owner, if it is another instance."""
+        record = self.instance.election.owner
+        if record is None or record.instance == self.instance.instance:
+            return None
+        return InstanceId(record.instance)
+
+    # Calls to the owner
+
+    async def tell_accepted(self, record: CellJob) -> None:
+        """Tells the owner of a stored job; it would find it in the store as well."""
+        owner = self.owner()
+        if owner is not None:
+            note = CellAccepted(to_json(record))
+            await self.links.notify(owner, MessageKind.CELL_ACCEPTED, note)
+
+    async def tell_cancelled(self, job: str) -> None:
+        """Tells the owner of a stored cancellation."""
+        owner = self.owner()
+        if owner is not None:
+            await self.links.notify(owner, MessageKind.CELL_CANCELLED, CellJobCall(job))
+
+    async def ask_state(self, job: str) -> JobState | None:
+        """Returns a job's state by the owner, ``None`` if it does not know it."""
+        owner = self.owner()
+        if owner is None:
+            return None
+        reply = await self.links.call(
+            owner, MessageKind.CELL_STATE, CellJobCall(job), OWNER_CALL_S
+        )
+        if isinstance(reply, Err):
+            return None
+        return JobState(unpack(reply.ok_value, CellJobState).state)
+
+    async def ask_waiting(self, queue: str) -> int | None:
+        """Returns the owner's count of waiting jobs, ``None`` without an answer."""
+        owner = self.owner()
+        if owner is None:
+            return None
+        reply = await self.links.call(
+            owner, MessageKind.CELL_WAITING, CellWaitingCall(queue), OWNER_CALL_S
+        )
+        if isinstance(reply, Err):
+            return None
+        return unpack(reply.ok_value, CellWaiting).count
+
+    # Calls of peers
+
+    async def serve_advise(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellAdvice, Failure]:
+        """Calls the advice service for the owner."""
+        return await advise_for_peer(self.instance.ports.advice, body)
+
+    async def serve_accepted(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellJobState, Failure]:
+        """Takes a job that a member has stored."""
+        try:
+            record = from_json(unpack(body, CellAccepted).record, CellJob)
+        except msgspec.DecodeError as error:
+            logger.error("damaged record", peer=peer, detail=str(error))
+            return Err(Failure(ErrorKind.INVALID, str(error)))
+        self.instance.note_accepted(record)
+        return Ok(CellJobState(JobState.QUEUED.value))
+
+    async def serve_cancelled(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellJobState, Failure]:
+        """Takes a cancellation that a member has stored."""
+        self.instance.note_cancelled(unpack(body, CellJobCall).job)
+        return Ok(CellJobState(JobState.CANCELLED.value))
+
+    async def serve_state(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellJobState, Failure]:
+        """Tells a job's state if this instance surely decides about it."""
+        state = self.instance.owned_state(unpack(body, CellJobCall).job)
+        if state is None:
+            return Err(Failure(ErrorKind.NOT_OWNER, "not decided here"))
+        return Ok(CellJobState(state.value))
+
+    async def serve_waiting(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellWaiting, Failure]:
+        """Tells how many jobs of a queue wait, if this instance decides."""
+        count = self.instance.owned_waiting(unpack(body, CellWaitingCall).queue)
+        if count is None:
+            return Err(Failure(ErrorKind.NOT_OWNER, "not decided here"))
+        return Ok(CellWaiting(count))
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -12,7 +12,6 @@
 from msgspec import Struct, field
 
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
-from lacewinghold.scheduler.ports import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -20,6 +19,7 @@
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.model import Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.ports import Resources
 
 MAX_RESERVING = 2  # All-at-once steps that may keep room free at the same time.
 RESERVED_SHARE = 0.6  # Most of the workers that may be kept free for them.
