--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.cell import CellInstance
+    from lacewinghold.scheduler.ports import Queue
 
 READY_PATH = b"/ready"
 DEADLINE_HEADER = b"lacewinghold-deadline-ms"
@@ -169,7 +170,7 @@
                 return Err(count.err_value)
             return Ok({"waiting": count.ok_value})
         if call.method == "POST":
-            return await self.submit(call, queue.name, job)
+            return await self.submit(call, queue, job)
         if call.method == "DELETE":
             cancelled = await front.cancel(job)
             if isinstance(cancelled, Err):
@@ -180,7 +181,9 @@
             return Err(state.err_value)
         return Ok({"state": state.ok_value.value})
 
-    async def submit(self, call: Call, queue: str, job: str) -> Result[object, Failure]:
+    async def submit(
+        self, call: Call, queue: Queue, job: str
+    ) -> Result[object, Failure]:
         """Decodes a job and submits it."""
         parsed = parse_json(call.body, WireJob)
         if isinstance(parsed, Err):
@@ -188,7 +191,8 @@
         wire = parsed.ok_value
         record = CellJob(
             job=job,
-            queue=queue,
+            queue=queue.name,
+            rules=queue.to_rules(),
             host=call.host,
             path=call.path,
             program=wire.spec,
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -26,6 +26,7 @@
 
     from lacewinghold.ids import InstanceId, WorkerId
     from lacewinghold.peers.base import PeerTransport
+    from lacewinghold.scheduler.election import Ownership
     from lacewinghold.scheduler.model import Job
     from lacewinghold.scheduler.ports import (
         AdviceCalls,
@@ -144,7 +145,7 @@
             "manifest in force", version=manifest.version, queues=len(manifest.queues)
         )
         if self.owner is not None:
-            self.owner.wake_planner()
+            self.owner.update_queues()
 
     def note_manifest_gone(self, key: str) -> None:
         """Keeps the manifest in force although its key is gone."""
@@ -223,9 +224,9 @@
         member = self.members.members.get(instance)
         if member is not None:
             return member.address
-        record = self.election.owner
-        if record is not None and record.instance == instance:
-            return record.address
+        for record in (self.election.owner, self.election.earlier):
+            if record is not None and record.instance == instance:
+                return record.address
         return None
 
     def is_paid(self, instance: InstanceId) -> bool:
@@ -269,28 +270,35 @@
             ownership = await self.election.claim()
             if ownership is None:
                 continue
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.election.keep, ownership)
-                tasks.start_soon(self.worker_mirror.run)
-                tasks.start_soon(self.members.mirror.run)
-                await self.worker_mirror.synced.wait()
-                book = AdviceBook()
-                if self.ports.advice is not None:
-                    book.lanes.append(Lane(str(self.instance), self.ports.advice))
-                self.owner = CellOwner(
-                    ownership,
-                    self.jobs,
-                    self.ports.dialer,
-                    self.state,
-                    book,
-                    self.ports.clock,
-                )
+            await self.decide_under(ownership)
+            logger.info("ownership given up", term=ownership.term)
+
+    async def decide_under(self, ownership: Ownership) -> None:
+        """Decides until the ownership is lost."""
+        book = AdviceBook()
+        if self.ports.advice is not None:
+            book.lanes.append(Lane(str(self.instance), self.ports.advice))
+        owner = CellOwner(
+            ownership, self.jobs, self.ports.dialer, self.state, book, self.ports.clock
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.election.keep, ownership)
+            tasks.start_soon(self.members.mirror.run)
+            with anyio.move_on_after(self.settings.store.lease_ms / 1000) as scope:
+                await self.worker_mirror.load_until_done()
+            if not scope.cancelled_caught:
+                tasks.start_soon(self.worker_mirror.run_loaded)
+                earlier = self.election.earlier
+                if earlier is None or earlier.instance == self.instance:
+                    owner.earlier_stopped.set()
+                else:
+                    tasks.start_soon(self.peer_calls.stop_earlier, owner, earlier)
+                self.owner = owner
                 for member in list(self.members.members):
                     self.update_lane(member)
-                await self.owner.run()
+                await owner.run()
                 self.owner = None
-                tasks.cancel_scope.cancel()
-            logger.info("ownership given up", term=ownership.term)
+            tasks.cancel_scope.cancel()
 
     async def shut_down(self) -> None:
         """Lets another instance decide."""
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -50,7 +50,8 @@
         self.acknowledged = 0
         self.processed = 0
         self.ack_moved = anyio.Event()
-        self.foreign_stops: set[tuple[str, int]] = set()
+        self.stopping_strays: set[tuple[str, int]] = set()
+        self.unknown_since: float | None = None
         self.scope = anyio.CancelScope()
         self.tasks: TaskGroup | None = None
         self.looks = 0
@@ -210,11 +211,11 @@
             OrderOutcome.OTHER_INCARNATION,
         )
 
-    def stop_foreign(self, task: str, number: int) -> None:
-        """Stops a run that should not be there."""
-        if (task, number) in self.foreign_stops or self.tasks is None:
+    def stop_stray(self, task: str, number: int) -> None:
+        """Stops a run of a job that nobody knows."""
+        if (task, number) in self.stopping_strays or self.tasks is None:
             return
-        self.foreign_stops.add((task, number))
+        self.stopping_strays.add((task, number))
         logger.info("stopping a stray run", task=task, run=number, worker=self.node.id)
         self.tasks.start_soon(self.stop_until_answered, task, number)
 
@@ -222,4 +223,4 @@
         """Orders a stop of a stray run until the worker has answered."""
         while not await self.order_stop(task, number):
             await anyio.sleep(STOP_RETRY_S)
-        self.foreign_stops.discard((task, number))
+        self.stopping_strays.discard((task, number))
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -71,6 +71,7 @@
         self.lease_s = lease_s
         self.rng = rng
         self.owner: CellOwnerRecord | None = None
+        self.earlier: CellOwnerRecord | None = None
         self.call_s = 0.0
         self.free = anyio.Event()
         self.leaving = False
@@ -79,10 +80,11 @@
     def note_owner(self, item: KeyValue) -> None:
         """Notes who decides."""
         try:
-            self.owner = from_json(item.value, CellOwnerRecord)
+            found = from_json(item.value, CellOwnerRecord)
         except msgspec.DecodeError as error:
             logger.error("damaged record", key=item.key, detail=str(error))
             return
+        self.earlier, self.owner = self.owner or self.earlier, found
         logger.info(
             "owner",
             owner=self.owner.instance,
@@ -93,6 +95,7 @@
     def note_free(self, key: str) -> None:
         """Notes that nobody decides."""
         logger.info("owner gone", owner=self.owner.instance if self.owner else "")
+        self.earlier = self.owner or self.earlier
         self.owner = None
         self.free.set()
 
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -23,6 +23,7 @@
 ENDS = "l/"
 OWNER = "owner"
 MEMBERS = "m/"
+ROSTER = "roster"
 
 
 class JobKey(Enum):
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -28,6 +28,8 @@
         self.entry = entry
         self.listed = True
         self.fenced = False
+        self.enrolled = False
+        self.strays: set[tuple[str, int]] = set()
         self.dead = False
         self.runs: dict[tuple[str, int], Run] = {}
         self.used = Resources()
@@ -54,6 +56,8 @@
         return (
             self.listed
             and self.fenced
+            and self.enrolled
+            and not self.strays
             and not self.dead
             and self.entry.state is ServerState.READY
             and self.silent_calls == 0
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -8,12 +8,13 @@
 import anyio
 import structlog
 from msgspec import Struct
-from result import Err
+from result import Ok
 
+from lacewinghold.ids import Incarnation, WorkerId
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.scheduler.driver import LOST_LOOKS, WorkerDriver
 from lacewinghold.scheduler.end_log import EndLog
-from lacewinghold.scheduler.job_store import JOBS, JobKey
+from lacewinghold.scheduler.job_store import JOBS, ROSTER, JobKey
 from lacewinghold.scheduler.model import (
     Job,
     JobState,
@@ -27,21 +28,30 @@
 )
 from lacewinghold.scheduler.nodes import CLOCK_DRIFT, WorkerNode
 from lacewinghold.scheduler.policy import Planner
-from lacewinghold.scheduler.ports import EndKind, OrderOutcome
+from lacewinghold.scheduler.ports import (
+    EndKind,
+    OrderOutcome,
+    Resources,
+    ServerState,
+    WorkerEntry,
+    stored_queue,
+)
 from lacewinghold.schema.generated.cell import (
     CellJob,
+    EnrolledWorker,
     JobOutcome,
     TaskEndEntry,
+    WorkerRoster,
 )
 from lacewinghold.store.mirror import Mirror
-from lacewinghold.util.codec import from_json
+from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from anyio.abc import TaskGroup
 
-    from lacewinghold.ids import Epoch, WorkerId
+    from lacewinghold.ids import Epoch
     from lacewinghold.scheduler.advice import AdviceBook
     from lacewinghold.scheduler.election import Ownership
     from lacewinghold.scheduler.job_store import JobStore
@@ -50,7 +60,6 @@
         Manifest,
         Queue,
         WorkerDialer,
-        WorkerEntry,
         WorkerReport,
     )
     from lacewinghold.store.base import KeyValue
@@ -60,11 +69,11 @@
 WORKER_LEASE_S = 4.0  # Longer than a takeover, shorter than the platform's bound.
 CUT_OFF_HOLD_S = 10.0  # An owner goes on this long without the store.
 RUNS_PER_TERM = 1000  # Run numbers of a term; a task starts far less often.
-FIRST_LOOKS_S = 0.5  # How long a new owner waits for all workers to answer.
 PLAN_PAUSE_S = 0.008  # Events that come together are planned together.
 PLAN_INTERVAL_S = 0.5  # Plans are made this often even without an event.
 JOBS_PACE_S = 0.4  # Members tell of jobs at once; the store tells of those missed.
 LOAD_RETRY_S = 0.1
+UNKNOWN_JOB_S = 2.0  # The store tells of a job within this time.
 
 
 class CellState(Struct):
@@ -99,12 +108,12 @@
         self.jobs: dict[str, Job] = {}
         self.steps: dict[str, Step] = {}
         self.open_steps: dict[str, Step] = {}
-        self.unplaced: dict[str, CellJob] = {}
-        self.earlier: list[TaskEndEntry] = []
+        self.earlier_workers: list[EnrolledWorker] = []
         self.nodes: dict[WorkerId, WorkerNode] = {}
         self.drivers: dict[WorkerId, WorkerDriver] = {}
         self.wake = anyio.Event()
         self.certain = False
+        self.earlier_stopped = anyio.Event()
         self.loaded = False
         self.taken_at = anyio.current_time()
         self.tasks: TaskGroup | None = None
@@ -138,7 +147,7 @@
             self.tasks = tasks
             tasks.start_soon(self.stop_when_lost, tasks)
             await self.load()
-            tasks.start_soon(self.mirror.run)
+            tasks.start_soon(self.mirror.run_loaded)
             tasks.start_soon(self.log.run)
             tasks.start_soon(self.book.run, tasks)
             self.book.on_arrival = self.wake_planner
@@ -161,17 +170,21 @@
 
     async def load(self) -> None:
         """Reads the jobs and the ends of earlier owners."""
-        while isinstance(await self.mirror.load(), Err):
-            await anyio.sleep(LOAD_RETRY_S)
+        await self.mirror.load_until_done()
         while True:
             ends = await self.log.load()
-            if not isinstance(ends, Err):
+            roster = await self.job_store.store.range(self.job_store.prefix + ROSTER)
+            if isinstance(ends, Ok) and isinstance(roster, Ok):
                 break
             await anyio.sleep(LOAD_RETRY_S)
         for entry in ends.ok_value:
             self.replay(entry)
+        for item in roster.ok_value.items:
+            self.earlier_workers = from_json(item.value, WorkerRoster).workers
         self.loaded = True
         for job in list(self.jobs.values()):
+            if job.cancelled:
+                self.cancel(job)
             self.refresh_job(job)
         logger.info(
             "cell loaded",
@@ -205,6 +218,7 @@
             return
         job = self.jobs.get(job_id)
         if job is None:
+            logger.error("key of an unknown job", key=item.key)
             return
         if kind is JobKey.CANCELLED:
             self.cancel(job)
@@ -233,9 +247,6 @@
         if record.job in self.jobs:
             return
         queue = self.find_queue(record)
-        if queue is None:
-            self.unplaced[record.job] = record
-            return
         age = max(0.0, self.clock.now() - record.accepted_at)
         job = make_job(record, queue, anyio.current_time() - age)
         self.jobs[job.id] = job
@@ -245,12 +256,18 @@
             logger.info("job taken", job=job.id, queue=queue.name, steps=len(job.steps))
             self.refresh_job(job)
 
-    def find_queue(self, record: CellJob) -> Queue | None:
-        """Returns the queue of a job by the manifest in force."""
+    def find_queue(self, record: CellJob) -> Queue:
+        """Returns the queue of a job by the manifest, or as it was at acceptance."""
         manifest = self.state.manifest
-        if manifest is None:
-            return None
-        return manifest.find(record.host, record.path)
+        found = None if manifest is None else manifest.find(record.host, record.path)
+        return found or stored_queue(record)
+
+    def update_queues(self) -> None:
+        """Applies a new manifest to the jobs that have not ended."""
+        for job in self.jobs.values():
+            if not job.ended():
+                job.queue = self.find_queue(job.record)
+        self.wake_planner()
 
     def refresh_job(self, job: Job) -> None:
         """Opens the steps that are ready, or ends the job."""
@@ -315,6 +332,9 @@
     def update_workers(self) -> None:
         """Follows the workers' entries in the store."""
         entries = self.state.workers
+        for enrolled in self.earlier_workers:
+            self.add_earlier(enrolled)
+        self.earlier_workers = []
         for worker, entry in entries.items():
             node = self.nodes.get(worker)
             if node is not None and node.entry.incarnation != entry.incarnation:
@@ -331,6 +351,49 @@
                 logger.info("worker unlisted", worker=worker, runs=len(node.runs))
         self.wake_planner()
 
+    def add_earlier(self, enrolled: EnrolledWorker) -> None:
+        """Asks a worker of an earlier owner that is not listed any more."""
+        worker = WorkerId(enrolled.worker)
+        listed = self.state.workers.get(worker)
+        if listed is not None and listed.incarnation == enrolled.incarnation:
+            return
+        entry = WorkerEntry(
+            worker=worker,
+            incarnation=Incarnation(enrolled.incarnation),
+            service=enrolled.service,
+            address=enrolled.address,
+            data_centre=enrolled.data_centre,
+            state=ServerState.DRAINING,
+            capacity=Resources(),
+            labels=frozenset(),
+        )
+        if listed is None:
+            self.add_node(entry)
+
+    def write_roster(self) -> None:
+        """Stores which workers a later owner has to ask; then they may be used."""
+        workers = []
+        enrolling = list(self.nodes.values())
+        for node in enrolling:
+            entry = node.entry
+            workers.append(
+                EnrolledWorker(
+                    worker=entry.worker,
+                    incarnation=entry.incarnation,
+                    service=entry.service,
+                    address=entry.address,
+                    data_centre=entry.data_centre,
+                )
+            )
+
+        def written() -> None:
+            for node in enrolling:
+                node.enrolled = True
+            self.wake_planner()
+
+        value = to_json(WorkerRoster(workers=workers))
+        self.log.note_value(self.job_store.prefix + ROSTER, value, written)
+
     def add_node(self, entry: WorkerEntry) -> None:
         """Begins to serve a worker."""
         if self.tasks is None:
@@ -340,6 +403,7 @@
         self.nodes[entry.worker] = node
         self.drivers[entry.worker] = driver
         self.tasks.start_soon(driver.run)
+        self.write_roster()
 
     def note_fenced(self, node: WorkerNode) -> None:
         """Notes that a worker has seen a newer owner."""
@@ -352,7 +416,7 @@
         now = anyio.current_time()
         if node.silent_calls == 1:
             logger.info("worker silent", worker=node.id, runs=len(node.runs))
-        gone = not node.listed and now - self.taken_at > self.hold_bound_s()
+        gone = not node.listed and now > self.certain_at()
         if node.clock_ms is None:
             if gone:
                 self.note_dead(driver, "never answered and is not listed")
@@ -364,10 +428,6 @@
         if not node.listed:
             self.note_dead(driver, "its lease has lapsed and it is not listed")
 
-    def hold_bound_s(self) -> float:
-        """Returns how long runs of an earlier owner may live after a takeover."""
-        return CUT_OFF_HOLD_S + WORKER_LEASE_S * (1 + 2 * CLOCK_DRIFT)
-
     def note_dead(self, driver: WorkerDriver, reason: str) -> None:
         """Forgets a worker on which nothing runs any more."""
         node = driver.node
@@ -405,8 +465,11 @@
             listed.add((end.task, end.run))
             if end.number <= driver.processed:
                 continue
+            if self.is_unknown(driver, end.task):
+                break
             driver.processed = end.number
             self.note_end(node, end)
+        node.strays.intersection_update(listed)
         for item in report.runs:
             run = node.runs.get((item.task, item.run))
             if run is None:
@@ -441,13 +504,10 @@
         """Takes over a run that an earlier owner has started, or stops it."""
         node = driver.node
         task = self.find_task(task_name)
-        if (
-            task is None
-            or task.state is not TaskState.WAITING
-            or task.step.job.ended()
-            or not is_ready(task.step)
-        ):
-            driver.stop_foreign(task_name, number)
+        if task is None:
+            node.strays.add((task_name, number))
+            if not self.is_unknown(driver, task_name):
+                driver.stop_stray(task_name, number)
             return
         run = Run(
             task=task,
@@ -459,13 +519,29 @@
             seen=True,
             settled=True,
         )
+        node.add(run)
+        task.last_run = max(task.last_run, number)
+        if task.state is not TaskState.WAITING or task.step.job.ended():
+            logger.info("superfluous run", task=task.name, run=number, worker=node.id)
+            driver.halt(run)
+            return
         task.run = run
         task.state = TaskState.PLACED
-        task.last_run = max(task.last_run, number)
-        task.step.last_run = max(task.step.last_run, number)
         task.step.job.started = True
         task.step.job.state = JobState.RUNNING
-        node.add(run)
+
+    def is_unknown(self, driver: WorkerDriver, task_name: str) -> bool:
+        """Returns whether a task's job may still come from the store.
+
+        A job that was accepted while this owner took over is found a little later.
+        """
+        now = anyio.current_time()
+        if self.find_task(task_name) is not None:
+            driver.unknown_since = None
+            return False
+        if driver.unknown_since is None:
+            driver.unknown_since = now
+        return now - driver.unknown_since < UNKNOWN_JOB_S
 
     def find_task(self, name: str) -> Task | None:
         """Returns a task by its name."""
@@ -579,8 +655,9 @@
         """Gives a run's room back and queues its task again, unless it is done."""
         node.remove(run)
         task = run.task
-        if task.run is run:
-            task.run = None
+        if task.run is not run:
+            return
+        task.run = None
         if task.state is TaskState.PLACED:
             task.state = TaskState.WAITING
         step = task.step
@@ -617,10 +694,6 @@
     def plan(self) -> None:
         """Makes one plan and carries it out."""
         now = anyio.current_time()
-        for record in list(self.unplaced.values()):
-            if self.find_queue(record) is not None:
-                del self.unplaced[record.job]
-                self.accept(record)
         usable = [node for node in self.nodes.values() if node.usable(now)]
         steps = []
         for step in list(self.open_steps.values()):
@@ -705,13 +778,10 @@
 
     async def settle_uncertain(self) -> None:
         """Waits until no earlier owner's run can be where this one cannot see it."""
-        with anyio.move_on_after(FIRST_LOOKS_S):
-            while not self.all_fenced():
-                await anyio.sleep(PLAN_PAUSE_S)
-        bound = self.taken_at + self.hold_bound_s()
-        while not self.all_fenced() and anyio.current_time() < bound:
-            await anyio.sleep(LOAD_RETRY_S)
+        while not self.all_fenced() and anyio.current_time() < self.certain_at():
+            await anyio.sleep(PLAN_PAUSE_S)
         self.certain = True
+        self.stop_incomplete()
         logger.info(
             "cell recovered",
             term=self.ownership.term,
@@ -720,6 +790,21 @@
         )
         self.wake_planner()
 
+    def stop_incomplete(self) -> None:
+        """Stops all-at-once runs of which the earlier owner started only a part."""
+        for step in self.open_steps.values():
+            if step.spec.all_at_once and 0 < len(step.runs()) < step.spec.tasks:
+                self.stop_members(step)
+
+    def certain_at(self) -> float:
+        """Returns when runs of earlier owners surely have ended wherever they were.
+
+        An owner that has stopped renews no lease after the takeover; one that may
+        go on does so for its hold.
+        """
+        hold_s = 0.0 if self.earlier_stopped.is_set() else CUT_OFF_HOLD_S
+        return self.taken_at + hold_s + WORKER_LEASE_S * (1 + 2 * CLOCK_DRIFT)
+
     def all_fenced(self) -> bool:
         """Returns whether every worker known has seen this owner's epoch."""
         return bool(self.nodes) and all(node.fenced for node in self.nodes.values())
@@ -729,6 +814,4 @@
         count = 0
         for job in self.jobs.values():
             count += job.queue.name == queue and not job.started and not job.ended()
-        for record in self.unplaced.values():
-            count += record.queue == queue
         return count
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 import structlog
 from result import Err, Ok, Result
@@ -20,14 +21,19 @@
     CellJobState,
     CellWaiting,
     CellWaitingCall,
+    CellYieldCall,
+    CellYielded,
     MessageKind,
 )
 from lacewinghold.util.codec import from_json, to_json, unpack
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.cell import CellInstance
+    from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.schema.generated.cell import CellOwnerRecord
 
 logger = structlog.get_logger(__name__)
+YIELD_RETRY_S = 0.05
 OWNER_CALL_S = 0.4  # Several round trips between regions; the store answers after it.
 
 
@@ -45,6 +51,7 @@
         self.links.on(MessageKind.CELL_STATE, self.serve_state)
         self.links.on(MessageKind.CELL_CANCELLED, self.serve_cancelled)
         self.links.on(MessageKind.CELL_WAITING, self.serve_waiting)
+        self.links.on(MessageKind.CELL_YIELD, self.serve_yield)
 
     def owner(self) -> InstanceId | None:
         """Returns the owner, if it is another instance."""
@@ -92,8 +99,37 @@
             return None
         return unpack(reply.ok_value, CellWaiting).count
 
+    async def stop_earlier(self, owner: CellOwner, earlier: CellOwnerRecord) -> None:
+        """Asks the earlier owner to stop until it, or its next start, has answered."""
+        peer = InstanceId(earlier.instance)
+        while not owner.earlier_stopped.is_set():
+            reply = await self.links.call(
+                peer,
+                MessageKind.CELL_YIELD,
+                CellYieldCall(owner.ownership.term),
+                OWNER_CALL_S,
+            )
+            if isinstance(reply, Ok):
+                answer = unpack(reply.ok_value, CellYielded)
+                logger.info("earlier owner stopped", asked=peer, by=answer.instance)
+                owner.earlier_stopped.set()
+                return
+            await anyio.sleep(YIELD_RETRY_S)
+
     # Calls of peers
 
+    async def serve_yield(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellYielded, Failure]:
+        """Stops deciding for a newer owner."""
+        term = unpack(body, CellYieldCall).term
+        owner = self.instance.owner
+        if owner is not None and owner.ownership.term < term:
+            owner.ownership.lost.set()
+            while self.instance.owner is owner:
+                await anyio.sleep(YIELD_RETRY_S)
+        return Ok(CellYielded(self.instance.instance))
+
     async def serve_advise(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellAdvice, Failure]:
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -8,6 +8,8 @@
 
 from msgspec import Struct, field
 
+from lacewinghold.schema.generated.cell import QueueRules
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -15,6 +17,7 @@
 
     from lacewinghold.errors import Failure
     from lacewinghold.ids import Epoch, Incarnation, WorkerId
+    from lacewinghold.schema.generated.cell import CellJob
 
 
 class Resources(Struct, frozen=True):
@@ -80,6 +83,42 @@
     slack_s: float = 0.0
     advice: AdviceRules | None = None
 
+    def to_rules(self) -> QueueRules:
+        """Returns the rules as they are stored with a job."""
+        rules = QueueRules(
+            service=self.service,
+            urgency=self.urgency,
+            max_attempts=self.max_attempts,
+            stretch=self.stretch,
+            slack_s=self.slack_s,
+        )
+        if self.advice is not None:
+            rules.advice_decide_s = self.advice.decide_s
+            rules.advice_per_worker_s = self.advice.per_worker_s
+            rules.advice_valid_s = self.advice.valid_s
+        return rules
+
+
+def stored_queue(record: CellJob) -> Queue:
+    """Returns the queue of a job as it was when the job was accepted."""
+    rules = record.rules
+    advice = None
+    if rules.advice_decide_s >= 0:
+        advice = AdviceRules(
+            rules.advice_decide_s, rules.advice_per_worker_s, rules.advice_valid_s
+        )
+    return Queue(
+        name=record.queue,
+        host=record.host,
+        prefix=record.path,
+        service=rules.service,
+        urgency=rules.urgency,
+        max_attempts=rules.max_attempts,
+        stretch=rules.stretch,
+        slack_s=rules.slack_s,
+        advice=advice,
+    )
+
 
 class Manifest(Struct, frozen=True):
     """One version of the operators' manifest."""
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -82,17 +82,27 @@
                 self.on_delete(key)
         self.revision = Revision(max(self.revision, batch.revision))
 
-    async def run(self) -> None:
-        """Follows until cancelled."""
+    async def load_until_done(self) -> None:
+        """Reads all keys, again and again until the store answers."""
         while True:
             loaded = await self.load()
             if isinstance(loaded, Ok):
                 self.note_contact()
-                await self.follow()
-                continue
+                return
             self.note_failure(loaded.err_value.detail)
             await anyio.sleep(RETRY_S)
 
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            await self.load_until_done()
+            await self.follow()
+
+    async def run_loaded(self) -> None:
+        """Follows until cancelled, after a load that is done already."""
+        await self.follow()
+        await self.run()
+
     async def follow(self) -> None:
         """Follows changes until the history is gone."""
         while True:
