--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -129,6 +129,7 @@
     async def start(self, run: Run, ticket: str) -> None:
         """Orders a start until the worker has answered, or gives the run up."""
         task = run.task
+        may_come = False
         for _ in range(START_TRIES):
             if not self.here(run) or run.state is RunState.STOPPING:
                 return
@@ -157,6 +158,7 @@
             if outcome is OrderOutcome.OLD_RUN:
                 run.settled = run.seen = True
                 return
+            may_come = may_come or outcome is OrderOutcome.UNKNOWN
             if outcome in (OrderOutcome.LATE, OrderOutcome.UNKNOWN):
                 await anyio.sleep(ORDER_RETRY_S)
                 continue
@@ -166,6 +168,9 @@
             if outcome is OrderOutcome.OTHER_INCARNATION:
                 self.owner.note_dead(self, "another incarnation answers")
                 return
+            if may_come:
+                # An earlier try without an answer may still be carried out.
+                break
             self.owner.note_refused(self, run, outcome)
             return
         logger.info(
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -71,7 +71,7 @@
     state: TaskState = TaskState.WAITING
     run: Run | None = None
     last_run: int = 0
-    failures: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     failed_on: set[WorkerId] = field(default_factory=set)
     checkpoint: str = ""
 
@@ -86,8 +86,7 @@
     tasks: list[Task]
     room: Resources
     remaining: int = 0
-    failures: int = 0
-    failed_run: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     last_run: int = 0
 
     def done(self) -> bool:
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -619,17 +619,15 @@
             self.book.forget(step)
 
     def count_failure(self, task: Task, run: int) -> int:
-        """Counts a failed attempt, one for a whole all-at-once run.
+        """Counts a failed attempt, once however often it is told.
 
         :returns: The attempts that have failed.
         """
-        if not task.step.spec.all_at_once:
-            task.failures += 1
-            return task.failures
-        if run > task.step.failed_run:
-            task.step.failed_run = run
-            task.step.failures += 1
-        return task.step.failures
+        failed_runs = task.failed_runs
+        if task.step.spec.all_at_once:
+            failed_runs = task.step.failed_runs
+        failed_runs.add(run)
+        return len(failed_runs)
 
     def fail(self, node: WorkerNode, task: Task, run: int) -> None:
         """Takes a failed run: another attempt, or the end of the job."""
