--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -89,10 +89,18 @@
             await anyio.sleep(LOOK_RETRY_S)
 
     async def look(self, wait_s: float) -> WorkerReport | OrderOutcome:
-        """Makes one look, with a lease once the worker's clock is known."""
+        """Makes one look, with a lease once the worker's clock is known.
+
+        Looks at a silent worker ask for no lease, so that the last one lapses.
+        """
         self.looks += 1
         until = None
-        if self.node.clock_ms is not None and self.owner.may_hold():
+        node = self.node
+        if (
+            node.clock_ms is not None
+            and not node.silent_calls
+            and self.owner.may_hold()
+        ):
             until = self.new_lease_end()
         return await self.calls.look(
             LookOrder(self.owner.epoch, self.acknowledged, until, wait_s)
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -30,7 +30,7 @@
 FAR_DELAY_S = 0.4  # Instances far from the store let the near ones go first.
 FAR_S = 0.03  # A store call that takes longer comes from another region.
 RETRY_S = 0.1
-TERM_KEY = "term"
+TERM_KEY = "term"  # The last owner, kept when its lease has ended.
 
 
 class Ownership(Struct):
@@ -80,11 +80,10 @@
     def note_owner(self, item: KeyValue) -> None:
         """Notes who decides."""
         try:
-            found = from_json(item.value, CellOwnerRecord)
+            self.owner = from_json(item.value, CellOwnerRecord)
         except msgspec.DecodeError as error:
             logger.error("damaged record", key=item.key, detail=str(error))
             return
-        self.earlier, self.owner = self.owner or self.earlier, found
         logger.info(
             "owner",
             owner=self.owner.instance,
@@ -95,7 +94,6 @@
     def note_free(self, key: str) -> None:
         """Notes that nobody decides."""
         logger.info("owner gone", owner=self.owner.instance if self.owner else "")
-        self.earlier = self.owner or self.earlier
         self.owner = None
         self.free.set()
 
@@ -131,8 +129,9 @@
         if isinstance(term_reply, Err):
             return None
         items = term_reply.ok_value.items
-        term = int(items[0].value) + 1 if items else 1
         term_revision = items[0].mod_revision if items else 0
+        self.earlier = from_json(items[0].value, CellOwnerRecord) if items else None
+        term = self.earlier.term + 1 if self.earlier else 1
         record = CellOwnerRecord(
             instance=self.instance, address=self.address, term=term
         )
@@ -145,7 +144,7 @@
                 ],
                 [
                     Put(key, to_json(record), granted.ok_value),
-                    Put(term_key, str(term).encode()),
+                    Put(term_key, to_json(record)),
                 ],
             )
         )
