--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -8,6 +8,8 @@
 
 from msgspec import Struct, field
 
+# Entries are decoded, for which their types are looked up at run time.
+from lacewinghold.ids import Incarnation, WorkerId  # noqa: TC001
 from lacewinghold.schema.generated.cell import QueueRules
 
 if TYPE_CHECKING:
@@ -16,7 +18,7 @@
     from result import Result
 
     from lacewinghold.errors import Failure
-    from lacewinghold.ids import Epoch, Incarnation, WorkerId
+    from lacewinghold.ids import Epoch
     from lacewinghold.schema.generated.cell import CellJob
 
 
--- /dev/null
+++ b/lacewinghold/testing/step_cell.py
@@ -0,0 +1,286 @@
+"""A cell of entry instances on stand-ins, for tests of the scheduler."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewinghold.ids import Incarnation, InstanceId, RegionId, WorkerId
+from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
+from lacewinghold.scheduler.model import JobState, room_of
+from lacewinghold.scheduler.ports import (
+    AdviceCalls,
+    AdviceRules,
+    Manifest,
+    Queue,
+    Resources,
+    ServerState,
+    Ticket,
+    WorkerEntry,
+)
+from lacewinghold.schema.generated.cell import CellJob, StepSpec
+from lacewinghold.schema.generated.entry import (
+    EntryBounds,
+    EntryListen,
+    EntrySettings,
+    PlatformStore,
+)
+from lacewinghold.store.base import Put, Transaction
+from lacewinghold.testing.gate import Gate
+from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
+from lacewinghold.testing.step_worker import (
+    Behaviour,
+    MemoryWorkerDialer,
+    StepWorker,
+    World,
+)
+from lacewinghold.testing.store import MemoryStore, StoreState
+from lacewinghold.util.clock import WallClock
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.errors import Failure
+
+REGION = RegionId("region-a")
+HOST = "jobs.example"
+MANIFEST_KEY = "operators/manifest"
+WORKERS_PREFIX = "workers/"
+LEASE_MS = 1500
+CAPACITY = Resources(cpu_millis=4000, memory_mb=8000)
+SETTLE_S = 1.0
+POLL_S = 0.05
+
+
+class StoredManifest(Struct):
+    """A manifest as the stand-in operators write it."""
+
+    version: int
+    queues: list[Queue]
+
+
+def read_manifest(value: bytes) -> Manifest | None:
+    """Decodes a stand-in manifest."""
+    stored = msgspec.json.decode(value, type=StoredManifest)
+    return Manifest(stored.version, stored.queues)
+
+
+def read_worker(key: str, value: bytes) -> WorkerEntry | None:
+    """Decodes the entry of a stand-in worker."""
+    try:
+        return msgspec.json.decode(value, type=WorkerEntry)
+    except msgspec.DecodeError:
+        return None
+
+
+class MemoryAdvice(AdviceCalls):
+    """Permits every worker, after the time that the rules state."""
+
+    name = "memory"
+
+    def __init__(self, call_s: float) -> None:
+        self.call_s = call_s
+
+    async def ask(
+        self, step: str, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Result[list[Ticket], Failure]:
+        await anyio.sleep(self.call_s)
+        return Ok([Ticket(worker, f"{step}/{worker}") for worker in workers])
+
+
+class Member(Struct):
+    """One process of the cell."""
+
+    instance: CellInstance
+    store: MemoryStore
+    gate: Gate
+    scope: anyio.CancelScope
+
+
+class StepCell:
+    """Entry instances over one store, one network and some workers.
+
+    :param queues: Queues of the manifest; one without advice if none are given.
+    """
+
+    def __init__(
+        self, tasks: TaskGroup, seed: int = 1, queues: list[Queue] | None = None
+    ) -> None:
+        self.tasks = tasks
+        self.rng = random.Random(seed)
+        self.state = StoreState()
+        self.network = MemoryNetwork(lambda one, other: 0.001)
+        self.queues = queues or [Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)]
+        self.behaviours: dict[str, Behaviour] = {}
+        self.jobs: dict[str, CellJob] = {}
+        self.world = World(self.behave, self.room)
+        self.members: list[Member] = []
+        self.operator = MemoryStore(self.state)
+        self.clock = WallClock(start=1_700_000_000.0)
+        self.starts = 0
+
+    def behave(self, task: str, run: int) -> Behaviour:
+        """Returns what a run does: by its task, its job, or a second of work."""
+        job = task.partition(".")[0]
+        return (
+            self.behaviours.get(f"{task}#{run}")
+            or self.behaviours.get(task)
+            or self.behaviours.get(job)
+            or Behaviour(1.0)
+        )
+
+    def room(self, task: str) -> Resources:
+        """Returns the room that a task takes."""
+        job, _, step, _ = task.split(".")
+        return room_of(self.jobs[job].steps[int(step)])
+
+    async def start(self, instances: int = 3, workers: int = 4) -> None:
+        """Starts the cell and waits until it has an owner."""
+        await self.put(
+            MANIFEST_KEY, msgspec.json.encode(StoredManifest(1, self.queues))
+        )
+        for number in range(workers):
+            await self.add_worker(f"w{number}")
+        for _ in range(instances):
+            self.add_member()
+        await self.wait_for_owner()
+        await anyio.sleep(SETTLE_S)
+
+    async def put(self, key: str, value: bytes) -> None:
+        """Writes a key as the operators or a worker would."""
+        await self.operator.commit(Transaction([], [Put(key, value)]))
+
+    async def add_worker(self, name: str, incarnation: int = 1) -> StepWorker:
+        """Adds a worker, or the next incarnation of one."""
+        entry = WorkerEntry(
+            worker=WorkerId(name),
+            incarnation=Incarnation(incarnation),
+            service="service",
+            address=name,
+            data_centre="dc",
+            state=ServerState.READY,
+            capacity=CAPACITY,
+            labels=frozenset(),
+        )
+        worker = self.world.workers.get(entry.worker)
+        if worker is None:
+            rate = self.rng.choice([0.98, 1.0, 1.0])
+            worker = StepWorker(self.world, entry, self.tasks, rate)
+        worker.entry = entry
+        await self.put(WORKERS_PREFIX + name, msgspec.json.encode(entry))
+        return worker
+
+    async def restart_worker(self, worker: StepWorker) -> None:
+        """Crashes a worker; it comes back as another incarnation."""
+        worker.crash()
+        await self.add_worker(str(worker.id), worker.incarnation + 1)
+
+    def add_member(self) -> Member:
+        """Starts an entry instance."""
+        self.starts += 1
+        name = InstanceId(f"entry-{self.starts}")
+        gate = Gate()
+        store = MemoryStore(self.state, gate)
+        settings = EntrySettings(
+            instance=name,
+            region=REGION,
+            data_centre="dc",
+            listen=EntryListen(callers="c", ready="r", peer=name),
+            store=PlatformStore(address="s", lease_ms=LEASE_MS),
+            bounds=EntryBounds(
+                max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
+            ),
+        )
+        ports = CellPorts(
+            store=store,
+            transport=MemoryTransport(self.network, name, REGION, gate),
+            dialer=MemoryWorkerDialer(self.world, gate),
+            advice=MemoryAdvice(0.02),
+            keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
+            clock=self.clock,
+        )
+        instance = CellInstance(settings, ports, name, self.rng)
+        member = Member(instance, store, gate, anyio.CancelScope())
+        self.members.append(member)
+        self.tasks.start_soon(self.run_member, member)
+        return member
+
+    async def run_member(self, member: Member) -> None:
+        """Runs an entry instance until it is killed."""
+        with member.scope:
+            await member.instance.run()
+
+    def kill(self, member: Member) -> None:
+        """Ends an entry instance at once, without a word."""
+        self.members.remove(member)
+        self.network.nodes.pop(member.instance.instance, None)
+        member.scope.cancel()
+
+    def owner(self) -> Member | None:
+        """Returns the member that surely decides."""
+        for member in self.members:
+            if member.instance.deciding() is not None:
+                return member
+        return None
+
+    async def wait_for_owner(self) -> Member:
+        """Waits until a member decides."""
+        while True:
+            owner = self.owner()
+            if owner is not None:
+                return owner
+            await anyio.sleep(POLL_S)
+
+    def make_job(self, job: str, steps: list[StepSpec], queue: int = 0) -> CellJob:
+        """Returns a job's record."""
+        rules = self.queues[queue]
+        record = CellJob(
+            job=job,
+            queue=rules.name,
+            host=rules.host,
+            path=rules.prefix + job,
+            program="work",
+            steps=steps,
+            accepted_at=self.clock.now(),
+            rules=rules.to_rules(),
+        )
+        self.jobs[job] = record
+        return record
+
+    async def submit(
+        self, job: str, steps: list[StepSpec], queue: int = 0
+    ) -> Result[None, Failure]:
+        """Submits a job to any member."""
+        member = self.rng.choice(self.members)
+        record = self.make_job(job, steps, queue)
+        return await member.instance.front.submit(record)
+
+    async def state_of(self, job: str) -> JobState | None:
+        """Returns a job's state by any member, ``None`` without an answer."""
+        member = self.rng.choice(self.members)
+        found = await member.instance.front.state(job)
+        return None if isinstance(found, Err) else found.ok_value
+
+    async def wait_for(self, job: str, state: JobState, limit_s: float) -> bool:
+        """Waits for a job's state.
+
+        :returns: Whether it was reached in time.
+        """
+        with anyio.move_on_after(limit_s):
+            while await self.state_of(job) is not state:
+                await anyio.sleep(POLL_S)
+            return True
+        return False
+
+
+def advised(queue: Queue, call_s: float, valid_s: float) -> Queue:
+    """Returns a queue that asks for advice."""
+    rules = AdviceRules(call_s, 0.0, valid_s)
+    return msgspec.structs.replace(queue, advice=rules)
--- /dev/null
+++ b/lacewinghold/testing/step_worker.py
@@ -0,0 +1,362 @@
+"""Stand-in workers that run the tasks of steps, with the faults of real ones."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct, field
+
+from lacewinghold.scheduler.ports import (
+    EndKind,
+    EndReport,
+    OrderOutcome,
+    OrderReply,
+    Resources,
+    RunReport,
+    WorkerCalls,
+    WorkerDialer,
+    WorkerReport,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.ids import Incarnation, WorkerId
+    from lacewinghold.scheduler.ports import (
+        LookOrder,
+        StartOrder,
+        StopOrder,
+        WorkerEntry,
+    )
+    from lacewinghold.testing.gate import Gate
+
+CALL_S = 0.002
+LATE_BY_S = 2.0
+LOST_AFTER_S = 0.6
+STOP_S = 0.05
+
+
+class OrderFault(StrEnum):
+    """How an order goes wrong."""
+
+    REPLY_LOST = "reply_lost"
+    CARRIED_OUT_LATE = "carried_out_late"
+    NOT_SENT = "not_sent"
+
+
+class Behaviour(Struct, frozen=True):
+    """What a run of a task does.
+
+    :param seconds: How long it works.
+    """
+
+    seconds: float
+    fails: bool = False
+
+
+class Executing(Struct, eq=False):
+    """A run at work."""
+
+    task: str
+    run: int
+    room: Resources
+    started_at: float
+    scope: anyio.CancelScope
+    kind: EndKind | None = None
+
+
+class Started(Struct, frozen=True):
+    """A start as the world saw it."""
+
+    at: float
+    task: str
+    run: int
+    worker: WorkerId
+
+
+class World(Struct):
+    """What all stand-in workers share, and every broken promise that they saw.
+
+    :param behave: Tells what a run of a task does.
+    :param room: Tells the room that a task takes.
+    """
+
+    behave: Callable[[str, int], Behaviour]
+    room: Callable[[str], Resources]
+    workers: dict[WorkerId, StepWorker] = field(default_factory=dict)
+    starts: list[Started] = field(default_factory=list)
+    done: set[str] = field(default_factory=set)
+    failures: Counter[str] = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+
+    def check_start(self, worker: StepWorker, task: str, run: int) -> None:
+        """Notes what a start breaks."""
+        if task in self.done:
+            self.violations.append(f"{task} run {run} starts after it was done")
+        for other in self.workers.values():
+            for (name, number), _ in other.runs.items():
+                if name == task:
+                    self.violations.append(
+                        f"{task} run {run} on {worker.id} beside {number} on {other.id}"
+                    )
+        used = worker.used().plus(self.room(task))
+        if not used.within(worker.entry.capacity):
+            self.violations.append(f"{worker.id} is over its capacity by {task}")
+
+
+class StepWorker:
+    """One worker: fence, lease on its own clock, ends until acknowledged.
+
+    :param clock_rate: Its clock against the runtime's.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        entry: WorkerEntry,
+        tasks: TaskGroup,
+        clock_rate: float = 1.0,
+    ) -> None:
+        self.world = world
+        self.entry = entry
+        self.tasks = tasks
+        self.clock_rate = clock_rate
+        self.fence = 0
+        self.lease_until_ms = 0.0
+        self.runs: dict[tuple[str, int], Executing] = {}
+        self.highest: dict[str, int] = {}
+        self.ends: list[EndReport] = []
+        self.next_end = 1
+        self.changed = anyio.Event()
+        self.silent = False
+        self.faults: list[OrderFault] = []
+        world.workers[entry.worker] = self
+        tasks.start_soon(self.expire)
+
+    @property
+    def id(self) -> WorkerId:
+        """Returns the worker's id."""
+        return self.entry.worker
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Returns the present incarnation."""
+        return self.entry.incarnation
+
+    def clock_ms(self) -> float:
+        """Returns the worker's own steady clock."""
+        return anyio.current_time() * 1000 * self.clock_rate
+
+    def used(self) -> Resources:
+        """Returns the room that runs take."""
+        total = Resources()
+        for run in self.runs.values():
+            total = total.plus(run.room)
+        return total
+
+    def crash(self) -> None:
+        """Ends everything without a trace and begins another incarnation."""
+        self.void_ends()
+        for run in list(self.runs.values()):
+            run.kind = EndKind.LAPSED
+            run.scope.cancel()
+        self.runs.clear()
+        self.ends.clear()
+        self.highest.clear()
+        self.fence = 0
+        self.next_end = 1
+
+    async def expire(self) -> None:
+        """Ends all runs whenever the lease has ended."""
+        while True:
+            await anyio.sleep(0.05)
+            if self.clock_ms() > self.lease_until_ms:
+                self.void_ends()
+                for run in list(self.runs.values()):
+                    self.end(run, EndKind.LAPSED)
+
+    def void_ends(self) -> None:
+        """Forgets that tasks are done whose ends nobody had acknowledged in time.
+
+        After the lease has lapsed their owner may start them again.
+        """
+        for end in self.ends:
+            if end.kind is EndKind.DONE:
+                self.world.done.discard(end.task)
+
+    def extend(self, until_ms: float) -> None:
+        """Extends the lease; it never shortens."""
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
+    def admit(self, epoch: int) -> bool:
+        """Returns whether an epoch is the newest seen."""
+        if epoch < self.fence:
+            return False
+        self.fence = epoch
+        return True
+
+    def start(self, order: StartOrder) -> OrderOutcome:
+        """Carries out a start."""
+        if not self.admit(order.epoch):
+            return OrderOutcome.FENCED
+        if order.lease_until_ms < self.clock_ms():
+            return OrderOutcome.LATE
+        self.extend(order.lease_until_ms)
+        key = (order.task, order.run)
+        if key in self.runs:
+            return OrderOutcome.DONE
+        if order.run <= self.highest.get(order.task, 0):
+            return OrderOutcome.OLD_RUN
+        self.world.check_start(self, order.task, order.run)
+        self.highest[order.task] = order.run
+        now = anyio.current_time()
+        self.world.starts.append(Started(now, order.task, order.run, self.id))
+        run = Executing(
+            order.task,
+            order.run,
+            self.world.room(order.task),
+            now,
+            anyio.CancelScope(),
+        )
+        self.runs[key] = run
+        self.tasks.start_soon(self.work, run)
+        return OrderOutcome.DONE
+
+    async def work(self, run: Executing) -> None:
+        """Works until the run is done or ended."""
+        behaviour = self.world.behave(run.task, run.run)
+        with run.scope:
+            await anyio.sleep(behaviour.seconds)
+        if run.kind is None:
+            self.end(run, EndKind.FAILED if behaviour.fails else EndKind.DONE)
+
+    def end(self, run: Executing, kind: EndKind) -> None:
+        """Ends a run and lists its end."""
+        run.kind = kind
+        run.scope.cancel()
+        if self.runs.pop((run.task, run.run), None) is None:
+            return
+        if kind is EndKind.DONE:
+            self.world.done.add(run.task)
+        if kind is EndKind.FAILED:
+            self.world.failures[run.task] += 1
+        self.ends.append(EndReport(self.next_end, run.task, run.run, kind, ""))
+        self.next_end += 1
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def stop(self, order: StopOrder) -> OrderOutcome:
+        """Carries out a stop."""
+        if not self.admit(order.epoch):
+            return OrderOutcome.FENCED
+        run = self.runs.get((order.task, order.run))
+        self.highest[order.task] = max(order.run, self.highest.get(order.task, 0))
+        if run is not None:
+            await anyio.sleep(STOP_S)
+            self.end(run, EndKind.STOPPED)
+        return OrderOutcome.DONE
+
+    async def look(self, order: LookOrder) -> WorkerReport | OrderOutcome:
+        """Answers a look."""
+        if not self.admit(order.epoch):
+            return OrderOutcome.FENCED
+        if order.lease_until_ms is not None:
+            self.extend(order.lease_until_ms)
+        self.ends = [end for end in self.ends if end.number > order.acknowledged]
+        if order.wait_s and not self.ends:
+            with anyio.move_on_after(order.wait_s):
+                await self.changed.wait()
+        runs = [RunReport(run.task, run.run, "", 50.0) for run in self.runs.values()]
+        return WorkerReport(self.clock_ms(), runs, list(self.ends))
+
+
+class MemoryWorkerCalls(WorkerCalls):
+    """Calls to a stand-in worker, with faults."""
+
+    name = "memory"
+
+    def __init__(self, worker: StepWorker, entry: WorkerEntry, gate: Gate) -> None:
+        self.worker = worker
+        self.incarnation = entry.incarnation
+        self.gate = gate
+
+    async def reach(self) -> OrderOutcome | None:
+        """Returns why the worker is not reached, ``None`` if it is."""
+        await self.gate.pass_through()
+        if self.worker.silent:
+            await anyio.sleep(LOST_AFTER_S)
+            return OrderOutcome.UNKNOWN
+        await anyio.sleep(CALL_S)
+        if self.incarnation != self.worker.incarnation:
+            return OrderOutcome.OTHER_INCARNATION
+        return None
+
+    def next_fault(self) -> OrderFault | None:
+        """Returns the fault of the present order, if it has one."""
+        return self.worker.faults.pop(0) if self.worker.faults else None
+
+    async def start(self, order: StartOrder) -> OrderReply:
+        missed = await self.reach()
+        if missed is not None:
+            return OrderReply(missed)
+        fault = self.next_fault()
+        if fault is OrderFault.NOT_SENT:
+            return OrderReply(OrderOutcome.NOT_SENT)
+        if fault is OrderFault.CARRIED_OUT_LATE:
+            self.worker.tasks.start_soon(self.start_late, order)
+            await anyio.sleep(LOST_AFTER_S)
+            return OrderReply(OrderOutcome.UNKNOWN)
+        outcome = self.worker.start(order)
+        await self.gate.pass_through()
+        if fault is OrderFault.REPLY_LOST:
+            await anyio.sleep(LOST_AFTER_S)
+            return OrderReply(OrderOutcome.UNKNOWN)
+        return OrderReply(outcome, self.worker.clock_ms())
+
+    async def start_late(self, order: StartOrder) -> None:
+        """Carries a start out after its sender gave up."""
+        await anyio.sleep(LATE_BY_S)
+        if self.incarnation == self.worker.incarnation:
+            self.worker.start(order)
+
+    async def stop(self, order: StopOrder) -> OrderReply:
+        missed = await self.reach()
+        if missed is not None:
+            return OrderReply(missed)
+        outcome = await self.worker.stop(order)
+        await self.gate.pass_through()
+        return OrderReply(outcome, self.worker.clock_ms())
+
+    async def look(self, order: LookOrder) -> WorkerReport | OrderOutcome:
+        missed = await self.reach()
+        if missed is not None:
+            return missed
+        report = await self.worker.look(order)
+        await self.gate.pass_through()
+        if self.worker.silent:
+            return OrderOutcome.UNKNOWN
+        return report
+
+    async def close(self) -> None:
+        return
+
+
+class MemoryWorkerDialer(WorkerDialer):
+    """Opens calls to stand-in workers.
+
+    :param gate: Of the entry instance that calls.
+    """
+
+    name = "memory"
+
+    def __init__(self, world: World, gate: Gate) -> None:
+        self.world = world
+        self.gate = gate
+
+    def open(self, entry: WorkerEntry) -> WorkerCalls:
+        return MemoryWorkerCalls(self.world.workers[entry.worker], entry, self.gate)
--- /dev/null
+++ b/tests/test_scheduler/test_whole_path.py
@@ -0,0 +1,103 @@
+"""Jobs from submission to their end, on a calm cell."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import Queue
+from lacewinghold.testing.step_cell import HOST, advised
+from lacewinghold.testing.step_worker import Behaviour
+from tests.test_scheduler.support import run_cell, step
+
+FAST = Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)
+
+
+def test_steps_run_in_order():
+    async def program(cell):
+        await cell.submit("a", [step(3), step(2, after=[0])])
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        ends_of_first = min(s.at for s in cell.world.starts if ".0.0." in s.task) + 1.0
+        for start in cell.world.starts:
+            if ".0.1." in start.task:
+                assert start.at >= ends_of_first
+
+    run_cell(program)
+
+
+@pytest.mark.parametrize("advice", [False, True])
+def test_all_at_once_starts_together(advice):
+    queues = [advised(FAST, 0.1, 2.5)] if advice else [FAST]
+
+    async def program(cell):
+        await cell.submit("a", [step(6, cpu=2000, all_at_once=True)])
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        at = [start.at for start in cell.world.starts]
+        assert len(at) == 6
+        assert max(at) - min(at) < 0.1
+
+    run_cell(program, queues=queues)
+
+
+def test_room_is_kept_for_all_at_once_work():
+    """Small work of less urgent queues must not starve a step that needs much room."""
+    slow = Queue("slow", HOST, "/slow/", "service", 5, 2, 2.0, 1)
+
+    async def program(cell):
+        for number in range(60):
+            await cell.submit(f"s{number}", [step(2, cpu=1500)], queue=1)
+        await anyio.sleep(0.5)
+        await cell.submit("big", [step(4, cpu=4000, all_at_once=True)])
+        assert await cell.wait_for("big", JobState.COMPLETED, 5)
+
+    run_cell(program, queues=[FAST, slow])
+
+
+def test_failed_attempts_end_the_job():
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(0.2, fails=True)
+        await cell.submit("a", [step()])
+        assert await cell.wait_for("a", JobState.FAILED, 5)
+        assert cell.world.failures["a.0.0.0"] == 2
+        workers = {start.worker for start in cell.world.starts}
+        assert len(workers) == 2
+
+    run_cell(program)
+
+
+def test_the_same_id_is_one_job():
+    async def program(cell):
+        for _ in range(3):
+            assert (await cell.submit("a", [step()])).is_ok()
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        assert len(cell.world.starts) == 1
+
+    run_cell(program)
+
+
+def test_cancelled_work_stops_and_frees_its_room():
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step(8, cpu=2000)])
+        await anyio.sleep(0.5)
+        await cell.members[0].instance.front.cancel("a")
+        assert await cell.wait_for("a", JobState.CANCELLED, 1)
+        await cell.submit("b", [step(8, cpu=2000)])
+        assert await cell.wait_for("b", JobState.COMPLETED, 3)
+
+    run_cell(program)
+
+
+def test_waiting_jobs_are_counted_at_every_instance():
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step(16)])
+        await cell.submit("b", [step(1)])
+        await cell.submit("c", [step(1)])
+        await anyio.sleep(0.5)
+        for member in cell.members:
+            count = await member.instance.front.waiting(cell.queues[0])
+            assert count.ok_value == 2
+
+    run_cell(program)
--- /dev/null
+++ b/tests/test_scheduler/test_workers.py
@@ -0,0 +1,74 @@
+"""Workers that lose answers, crash, fall silent or fail what they start."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.testing.step_worker import Behaviour, OrderFault
+from tests.test_scheduler.support import run_cell, step
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        [OrderFault.REPLY_LOST],
+        [OrderFault.CARRIED_OUT_LATE],
+        [OrderFault.REPLY_LOST, OrderFault.NOT_SENT],
+        [OrderFault.CARRIED_OUT_LATE, OrderFault.NOT_SENT],
+        [OrderFault.CARRIED_OUT_LATE] * 3,
+        [OrderFault.NOT_SENT],
+    ],
+)
+def test_a_start_without_an_answer_runs_once_at_a_time(faults):
+    async def program(cell):
+        for worker in cell.world.workers.values():
+            worker.faults = list(faults)
+        cell.behaviours["a"] = Behaviour(2.5)
+        await cell.submit("a", [step(4)])
+        assert await cell.wait_for("a", JobState.COMPLETED, 20)
+
+    run_cell(program)
+
+
+def test_runs_on_a_silent_worker_start_again_once_its_lease_has_lapsed():
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(3)
+        await cell.submit("a", [step(4, cpu=4000)])
+        await anyio.sleep(0.5)
+        silent = next(iter(cell.world.workers.values()))
+        silent.silent = True
+        assert await cell.wait_for("a", JobState.COMPLETED, 12)
+
+    run_cell(program, workers=4)
+
+
+def test_runs_start_again_when_a_worker_restarts():
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(2)
+        await cell.submit("a", [step(8)])
+        await anyio.sleep(0.5)
+        worker = cell.world.workers[cell.world.starts[0].worker]
+        await cell.restart_worker(worker)
+        assert await cell.wait_for("a", JobState.COMPLETED, 6)
+
+    run_cell(program)
+
+
+def test_a_worker_that_fails_everything_is_left_alone():
+    async def program(cell):
+        bad = next(iter(cell.world.workers))
+
+        def behave(task, run):
+            started = cell.world.starts[-1]
+            return Behaviour(0.3, fails=started.worker == bad)
+
+        cell.world.behave = behave
+        for number in range(12):
+            await cell.submit(f"j{number}", [step(1)])
+            await anyio.sleep(0.2)
+        for number in range(12):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 8)
+
+    run_cell(program)
