--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -18,6 +18,7 @@
 from lacewinghold.scheduler.owner import CellOwner, CellState
 from lacewinghold.scheduler.peer_calls import PeerCalls
 from lacewinghold.schema.generated.cell import CellMember
+from lacewinghold.store.health import WatchedStore
 from lacewinghold.store.mirror import Mirror
 
 if TYPE_CHECKING:
@@ -86,10 +87,11 @@
         self.instance = instance
         self.rng = rng
         prefix = settings.store.prefix
-        self.jobs = JobStore(ports.store, prefix)
+        self.store = WatchedStore(ports.store)
+        self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
         self.election = Election(
-            ports.store,
+            self.store,
             prefix,
             instance,
             settings.listen.peer,
@@ -104,21 +106,21 @@
         member = CellMember(
             instance=instance, address=settings.listen.peer, region=settings.region
         )
-        self.membership = Membership(ports.store, prefix, member)
-        self.members = Members(ports.store, prefix, self.update_lane)
+        self.membership = Membership(self.store, prefix, member)
+        self.members = Members(self.store, prefix, self.update_lane)
         self.front = JobFront(self)
         self.worker_keys: dict[str, WorkerId] = {}
         self.leaving = False
         keys = ports.keys
         self.manifest_mirror = Mirror(
-            ports.store,
+            self.store,
             keys.manifest_key,
             self.note_manifest,
             self.note_manifest_gone,
             MANIFEST_PACE_S,
         )
         self.worker_mirror = Mirror(
-            ports.store,
+            self.store,
             keys.workers_prefix,
             self.note_worker,
             self.note_worker_gone,
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
 import structlog
 from msgspec import Struct
-from result import Err, Ok
+from result import Err
 
 from lacewinghold.ids import Epoch
 from lacewinghold.scheduler.job_store import OWNER
@@ -24,7 +25,7 @@
     from lacewinghold.store.base import KeyValue, Store
 
 logger = structlog.get_logger(__name__)
-RENEWALS_PER_LIFE = 4  # A lease survives two lost renewals and a slow one.
+RENEWALS_PER_LIFE = 5  # A lease survives three renewals without an answer.
 MARGIN_SHARE = 0.1  # Part of a lease's life that is not relied on.
 NEAR_DELAY_S = 0.02  # Spread of the claims of instances near the store.
 FAR_DELAY_S = 0.4  # Instances far from the store let the near ones go first.
@@ -164,20 +165,31 @@
         return ownership
 
     async def keep(self, ownership: Ownership) -> None:
-        """Renews the lease until the store says that it has ended."""
-        while True:
-            started = anyio.current_time()
-            with anyio.move_on_after(self.lease_s):
-                reply = await self.store.renew_lease(ownership.lease)
-                if isinstance(reply, Ok):
-                    if reply.ok_value <= 0:
-                        logger.warning("ownership lapsed", term=ownership.term)
-                        ownership.lost.set()
-                        return
-                    ownership.valid_until = started + self.lease_s * (1 - MARGIN_SHARE)
-            await anyio.sleep(self.lease_s / RENEWALS_PER_LIFE)
+        """Renews the lease until the store says that it has ended.
+
+        Renewals overlap, so that one without an answer does not cost the ownership.
+        """
+        async with anyio.create_task_group() as tasks:
+            while not ownership.lost.is_set():
+                tasks.start_soon(self.renew, ownership)
+                await anyio.sleep(self.lease_s / RENEWALS_PER_LIFE)
+            tasks.cancel_scope.cancel()
+
+    async def renew(self, ownership: Ownership) -> None:
+        """Makes one renewal."""
+        started = anyio.current_time()
+        reply = await self.store.renew_lease(ownership.lease)
+        if isinstance(reply, Err):
+            return
+        if reply.ok_value <= 0:
+            if not ownership.lost.is_set():
+                logger.warning("ownership lapsed", term=ownership.term)
+            ownership.lost.set()
+            return
+        valid_until = started + self.lease_s * (1 - MARGIN_SHARE)
+        ownership.valid_until = max(ownership.valid_until, valid_until)
 
     async def release(self, ownership: Ownership) -> None:
         """Lets go, so that another instance need not wait for the lease to end."""
-        ownership.valid_until = 0.0
+        ownership.valid_until = -math.inf
         await self.store.revoke_lease(ownership.lease)
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -18,7 +18,6 @@
     from lacewinghold.schema.generated.cell import CellJob
 
 logger = structlog.get_logger(__name__)
-ACCEPT_TRIES = 3
 ACCEPT_RETRY_S = 0.1
 RETRY_AFTER_S = 1.0  # An outage of the store or a takeover seldom is over sooner.
 ANSWER_MARGIN_S = 0.25  # Kept of a caller's deadline for the way back.
@@ -54,43 +53,58 @@
         :returns: ``NOT_RUN`` if it surely is not stored, ``OUTCOME_UNKNOWN`` if it
             may be.
         """
-        limit = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
-        result: Result[None, Failure] = Err(
-            Failure(ErrorKind.OUTCOME_UNKNOWN, "the store did not answer in time")
-        )
-        with anyio.move_on_after(limit):
-            result = await self.store_job(record)
+        limit_s = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
+        if self.instance.store.down:
+            result = await self.submit_elsewhere(record, limit_s)
+        else:
+            result = await self.store_here(record, limit_s)
         self.log_submission(record, result)
         return result
 
-    async def store_job(self, record: CellJob) -> Result[None, Failure]:
-        """Writes a job, and settles by reading when the answer is lost."""
-        failure = Failure(ErrorKind.STORE_UNAVAILABLE, "")
-        for attempt in range(ACCEPT_TRIES):
-            if attempt:
-                await anyio.sleep(ACCEPT_RETRY_S)
-            reply = await self.instance.jobs.accept(record)
-            if isinstance(reply, Ok):
-                if reply.ok_value:
+    async def submit_elsewhere(
+        self, record: CellJob, limit_s: float
+    ) -> Result[None, Failure]:
+        """Submits a job through the owner while the store does not serve here."""
+        reply = await self.instance.peer_calls.submit(record, limit_s)
+        if isinstance(reply, Ok):
+            return reply
+        failure = reply.err_value
+        if unknown(failure):
+            return Err(failure)
+        detail = f"not accepted: {failure.detail}"
+        return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
+
+    async def store_here(
+        self, record: CellJob, limit_s: float
+    ) -> Result[None, Failure]:
+        """Stores a job from here, within a time.
+
+        A write without an answer is made again: it is conditional, so that it takes
+        effect once, and the second answer tells what became of both.
+        """
+        give_up_at = anyio.current_time() + limit_s
+        sent = False
+        failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the store does not serve")
+        while sent or not self.instance.store.down:
+            scope = anyio.move_on_at(give_up_at)
+            with scope:
+                reply = await self.instance.jobs.accept(record)
+                if isinstance(reply, Ok):
                     self.instance.note_accepted(record)
                     await self.instance.peer_calls.tell_accepted(record)
-                return Ok(None)
-            failure = reply.err_value
-            if unknown(failure):
-                return await self.settle(record)
+                    return Ok(None)
+                failure = reply.err_value
+                sent = sent or unknown(failure)
+                await anyio.sleep(ACCEPT_RETRY_S)
+            if scope.cancelled_caught or anyio.current_time() >= give_up_at:
+                sent = sent or scope.cancelled_caught
+                break
+        if sent:
+            detail = "the store did not answer; the job may be stored"
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
         detail = f"not accepted: {failure.detail}"
         return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
 
-    async def settle(self, record: CellJob) -> Result[None, Failure]:
-        """Finds out whether a write without an answer took effect."""
-        for _ in range(ACCEPT_TRIES):
-            found = await self.instance.jobs.read(record.job)
-            if isinstance(found, Ok) and found.ok_value.record is not None:
-                return Ok(None)
-            await anyio.sleep(ACCEPT_RETRY_S)
-        detail = "the store did not answer; the job may be stored"
-        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
-
     def log_submission(self, record: CellJob, result: Result[None, Failure]) -> None:
         """Logs what became of a submission."""
         if isinstance(result, Ok):
@@ -133,6 +147,14 @@
 
     async def cancel(self, job: str) -> Result[None, Failure]:
         """Cancels a job; it is durable before this returns."""
+        if self.instance.store.down:
+            forwarded = await self.instance.peer_calls.cancel(job)
+            if isinstance(forwarded, Ok):
+                return forwarded
+        return await self.cancel_here(job)
+
+    async def cancel_here(self, job: str) -> Result[None, Failure]:
+        """Cancels a job by calls to the store from here."""
         reply = await self.instance.jobs.read(job)
         if isinstance(reply, Err):
             return Err(self.unavailable(reply.err_value))
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -19,6 +19,7 @@
     CellAdvice,
     CellJobCall,
     CellJobState,
+    CellSubmitCall,
     CellWaiting,
     CellWaitingCall,
     CellYieldCall,
@@ -34,6 +35,7 @@
 
 logger = structlog.get_logger(__name__)
 YIELD_RETRY_S = 0.05
+FORWARD_CALL_S = 1.5  # The owner makes two calls to the store for it.
 OWNER_CALL_S = 0.4  # Several round trips between regions; the store answers after it.
 
 
@@ -52,6 +54,8 @@
         self.links.on(MessageKind.CELL_CANCELLED, self.serve_cancelled)
         self.links.on(MessageKind.CELL_WAITING, self.serve_waiting)
         self.links.on(MessageKind.CELL_YIELD, self.serve_yield)
+        self.links.on(MessageKind.CELL_SUBMIT, self.serve_submit)
+        self.links.on(MessageKind.CELL_CANCEL, self.serve_cancel)
 
     def owner(self) -> InstanceId | None:
         """Returns the owner, if it is another instance."""
@@ -99,6 +103,25 @@
             return None
         return unpack(reply.ok_value, CellWaiting).count
 
+    async def submit(self, record: CellJob, limit_s: float) -> Result[None, Failure]:
+        """Has the owner store a job, since the store does not serve this instance."""
+        owner = self.owner()
+        if owner is None:
+            return Err(Failure(ErrorKind.UNREACHABLE, "no other owner is known"))
+        call = CellSubmitCall(to_json(record), limit_s)
+        reply = await self.links.call(owner, MessageKind.CELL_SUBMIT, call, limit_s)
+        return Err(reply.err_value) if isinstance(reply, Err) else Ok(None)
+
+    async def cancel(self, job: str) -> Result[None, Failure]:
+        """Has the owner cancel a job."""
+        owner = self.owner()
+        if owner is None:
+            return Err(Failure(ErrorKind.UNREACHABLE, "no other owner is known"))
+        reply = await self.links.call(
+            owner, MessageKind.CELL_CANCEL, CellJobCall(job), FORWARD_CALL_S
+        )
+        return Err(reply.err_value) if isinstance(reply, Err) else Ok(None)
+
     async def stop_earlier(self, owner: CellOwner, earlier: CellOwnerRecord) -> None:
         """Asks the earlier owner to stop until it, or its next start, has answered."""
         peer = InstanceId(earlier.instance)
@@ -155,6 +178,27 @@
         self.instance.note_cancelled(unpack(body, CellJobCall).job)
         return Ok(CellJobState(JobState.CANCELLED.value))
 
+    async def serve_submit(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellJobState, Failure]:
+        """Stores a job for a member that the store does not serve."""
+        call = unpack(body, CellSubmitCall)
+        record = from_json(call.record, CellJob)
+        stored = await self.instance.front.store_here(record, call.limit_s)
+        if isinstance(stored, Err):
+            return Err(stored.err_value)
+        return Ok(CellJobState(JobState.QUEUED.value))
+
+    async def serve_cancel(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellJobState, Failure]:
+        """Cancels a job for a member that the store does not serve."""
+        job = unpack(body, CellJobCall).job
+        cancelled = await self.instance.front.cancel_here(job)
+        if isinstance(cancelled, Err):
+            return Err(cancelled.err_value)
+        return Ok(CellJobState(JobState.CANCELLED.value))
+
     async def serve_state(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellJobState, Failure]:
--- /dev/null
+++ b/lacewinghold/store/health.py
@@ -0,0 +1,109 @@
+"""Watches whether the store answers, so that nobody waits for one that is down."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, TypeVar
+
+import anyio
+import structlog
+from result import Err, Result
+
+from lacewinghold.errors import ErrorKind, FailureError
+from lacewinghold.store.base import (
+    RangeReply,
+    Store,
+    Transaction,
+    TransactionReply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable
+
+    from lacewinghold.errors import Failure
+    from lacewinghold.ids import LeaseId, Revision
+    from lacewinghold.store.base import WatchBatch
+
+T = TypeVar("T")
+logger = structlog.get_logger(__name__)
+OUTAGE_KINDS = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN)
+FAILURES_DOWN = 3  # One lost answer is not an outage; the lease is renewed often.
+
+
+class WatchedStore(Store):
+    """Passes all calls on and notes whether they are answered.
+
+    :param inner: The client that makes the calls.
+    """
+
+    name = "watched"
+
+    def __init__(self, inner: Store) -> None:
+        self.inner = inner
+        self.calls = inner.calls
+        self.failures = 0
+        self.last_answer = anyio.current_time()
+
+    @property
+    def down(self) -> bool:
+        """Returns whether the store surely does not serve this instance now."""
+        return self.failures >= FAILURES_DOWN
+
+    def note(self, failure: Failure | None) -> None:
+        """Notes the outcome of a call."""
+        if failure is None or failure.kind not in OUTAGE_KINDS:
+            if self.down:
+                logger.info(
+                    "store serves again",
+                    silent_s=round(anyio.current_time() - self.last_answer, 3),
+                )
+            self.failures = 0
+            self.last_answer = anyio.current_time()
+            return
+        self.failures += 1
+        if self.failures == FAILURES_DOWN:
+            logger.warning("store does not serve", detail=failure.detail)
+
+    async def watched(self, call: Awaitable[Result[T, Failure]]) -> Result[T, Failure]:
+        """Makes one call."""
+        reply = await call
+        self.note(reply.err_value if isinstance(reply, Err) else None)
+        return reply
+
+    async def range(
+        self, key: str, *, prefix: bool = False
+    ) -> Result[RangeReply, Failure]:
+        return await self.watched(self.inner.range(key, prefix=prefix))
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[TransactionReply, Failure]:
+        return await self.watched(self.inner.commit(transaction))
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
+        return await self.watched(self.inner.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease: LeaseId) -> Result[float, Failure]:
+        return await self.watched(self.inner.renew_lease(lease))
+
+    async def revoke_lease(self, lease: LeaseId) -> Result[None, Failure]:
+        return await self.watched(self.inner.revoke_lease(lease))
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, after: Revision
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        try:
+            async with self.inner.watch(prefix, after) as batches:
+                yield self.noted(batches)
+        except FailureError as error:
+            self.note(error.failure)
+            raise
+
+    async def noted(
+        self, batches: AsyncIterator[WatchBatch]
+    ) -> AsyncIterator[WatchBatch]:
+        """Yields batches and notes that the store has answered."""
+        async for batch in batches:
+            self.note(None)
+            yield batch
--- /dev/null
+++ b/tests/test_scheduler/test_store_outage.py
@@ -0,0 +1,75 @@
+"""Submissions while the store is down, refuses some instances or loses answers."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.errors import ErrorKind
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.testing.store import Outage, StoreFault
+from tests.test_scheduler.support import run_cell, step
+
+
+def other_member(cell):
+    """Returns a member that does not decide."""
+    owner = cell.owner()
+    return next(member for member in cell.members if member is not owner)
+
+
+def test_an_instance_that_the_store_refuses_submits_through_the_owner():
+    async def program(cell):
+        member = other_member(cell)
+        member.store.reachable = False
+        await anyio.sleep(3)
+        record = cell.make_job("a", [step()])
+        assert (await member.instance.front.submit(record)).is_ok()
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+
+    run_cell(program)
+
+
+def test_nobody_waits_for_a_store_that_is_down():
+    async def program(cell):
+        cell.state.outage = Outage.DOWN
+        await anyio.sleep(3)
+        asked = anyio.current_time()
+        result = await cell.submit("a", [step()])
+        assert result.err_value.kind is ErrorKind.NOT_RUN
+        assert result.err_value.retry_after_s
+        assert anyio.current_time() - asked < 0.5
+        cell.state.outage = Outage.NONE
+        await anyio.sleep(10)
+        assert not cell.world.starts
+
+    run_cell(program)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.REPLY_LOST, StoreFault.DELAYED])
+def test_a_lost_answer_is_settled_by_writing_again(fault):
+    async def program(cell):
+        member = other_member(cell)
+        member.store.faults = [fault]
+        record = cell.make_job("a", [step()])
+        assert (await member.instance.front.submit(record)).is_ok()
+        assert await cell.wait_for("a", JobState.COMPLETED, 8)
+        assert len(cell.world.starts) == 1
+
+    run_cell(program)
+
+
+def test_a_write_that_may_come_late_is_never_called_not_run():
+    async def program(cell):
+        member = other_member(cell)
+        member.store.faults = [StoreFault.DELAYED]
+        record = cell.make_job("a", [step()])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cut_soon, member)
+            result = await member.instance.front.submit(record)
+        assert result.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+    async def cut_soon(member):
+        await anyio.sleep(0.5)
+        member.store.reachable = False
+
+    run_cell(program)
