--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -452,6 +452,10 @@
         node.note_clock(report.clock_ms, now)
         if not node.fenced:
             node.fenced = True
+            # An earlier owner may have renewed the lease until just now.
+            node.lease_until_ms = max(
+                node.lease_until_ms, report.clock_ms + WORKER_LEASE_S * 1000
+            )
             logger.info(
                 "worker joined",
                 worker=node.id,
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -128,3 +128,38 @@
             assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 15)
 
     run_cell(program, seed=seed)
+
+
+def test_runs_of_a_worker_that_falls_silent_at_the_takeover_are_waited_for():
+    """The earlier owner's lease counts until it has lapsed by the worker's clock."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(3.5)
+        await cell.submit("a", [step(4, cpu=4000)])
+        await anyio.sleep(0.5)
+        worker = cell.world.workers[cell.world.starts[0].worker]
+        hush_after_first_look(worker, worker.fence)
+        await take_over(cell)
+        await anyio.sleep(8)
+        assert await cell.wait_for("a", JobState.COMPLETED, 10)
+
+    run_cell(program, workers=8)
+
+
+def hush_after_first_look(worker, epoch):
+    """Makes a worker silent once it has answered a look of a newer owner."""
+    answer = worker.look
+
+    async def look(order):
+        report = await answer(order)
+        if order.epoch > epoch:
+            worker.tasks.start_soon(hush_soon, worker)
+        return report
+
+    worker.look = look
+
+
+async def hush_soon(worker):
+    """Makes a worker silent after its answer has left."""
+    await anyio.sleep(0.0001)
+    worker.silent = True
