--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -283,6 +283,8 @@
         owner = CellOwner(
             ownership, self.jobs, self.ports.dialer, self.state, book, self.ports.clock
         )
+        # A newer owner that asks this one to stop must find it from now on.
+        self.owner = owner
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.election.keep, ownership)
             tasks.start_soon(self.members.mirror.run)
@@ -295,12 +297,11 @@
                     owner.earlier_stopped.set()
                 else:
                     tasks.start_soon(self.peer_calls.stop_earlier, owner, earlier)
-                self.owner = owner
                 for member in list(self.members.members):
                     self.update_lane(member)
                 await owner.run()
-                self.owner = None
             tasks.cancel_scope.cancel()
+        self.owner = None
 
     async def shut_down(self) -> None:
         """Lets another instance decide."""
