--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -40,7 +40,7 @@
         self.silent_calls = 0
         self.failed_jobs: list[str] = []
         self.quarantined_until = -math.inf
-        self.slowness = 1.0
+        self.slow = False
 
     @property
     def id(self) -> WorkerId:
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -27,6 +27,7 @@
     make_job,
 )
 from lacewinghold.scheduler.nodes import CLOCK_DRIFT, WorkerNode
+from lacewinghold.scheduler.pace import STUCK_SHARE, PaceBook
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import (
     EndKind,
@@ -73,6 +74,8 @@
 PLAN_INTERVAL_S = 0.5  # Plans are made this often even without an event.
 JOBS_PACE_S = 0.4  # Members tell of jobs at once; the store tells of those missed.
 LOAD_RETRY_S = 0.1
+PACE_INTERVAL_S = 0.25
+MOVE_GAIN = 1.8  # A restart elsewhere has to save this much of a run.
 UNKNOWN_JOB_S = 2.0  # The store tells of a job within this time.
 
 
@@ -117,6 +120,7 @@
         self.loaded = False
         self.taken_at = anyio.current_time()
         self.tasks: TaskGroup | None = None
+        self.pace = PaceBook()
         self.counts: Counter[str] = Counter()
         self.waits: list[float] = []
         self.mirror = Mirror(
@@ -153,6 +157,7 @@
             self.book.on_arrival = self.wake_planner
             self.update_workers()
             tasks.start_soon(self.settle_uncertain)
+            tasks.start_soon(self.watch_pace)
             await self.plan_forever()
 
     async def stop_when_lost(self, tasks: TaskGroup) -> None:
@@ -438,6 +443,7 @@
         for run in list(node.runs.values()):
             self.release(node, run, EndKind.LAPSED)
         if self.nodes.get(node.id) is node:
+            self.pace.forget(node.id)
             del self.nodes[node.id]
             del self.drivers[node.id]
         driver.scope.cancel()
@@ -481,6 +487,13 @@
                 continue
             run.seen = True
             run.missed_looks = 0
+            self.pace.note(
+                node.id,
+                (item.task, item.run),
+                item.percent,
+                run.task.step.spec.expected_ms / 1000,
+                now,
+            )
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             if item.checkpoint and run.task.step.spec.checkpoints:
@@ -596,6 +609,13 @@
         if end.checkpoint and task.step.spec.checkpoints:
             self.note_checkpoint(task, end.checkpoint)
         if run is not None:
+            if end.kind is EndKind.DONE and not task.checkpoint:
+                self.pace.finish(
+                    node.id,
+                    (end.task, end.run),
+                    task.step.spec.expected_ms / 1000,
+                    anyio.current_time(),
+                )
             self.release(node, run, end.kind)
         if task.state is TaskState.DONE or task.step.job.ended():
             return
@@ -656,6 +676,7 @@
     def release(self, node: WorkerNode, run: Run, kind: EndKind) -> None:
         """Gives a run's room back and queues its task again, unless it is done."""
         node.remove(run)
+        self.pace.forget_run(node.id, (run.task.name, run.number))
         task = run.task
         if task.run is not run:
             return
@@ -697,6 +718,7 @@
         """Makes one plan and carries it out."""
         now = anyio.current_time()
         usable = [node for node in self.nodes.values() if node.usable(now)]
+        usable = [node for node in usable if not node.slow] or usable
         steps = []
         for step in list(self.open_steps.values()):
             if not self.certain and step.job.accepted_at < self.taken_at:
@@ -766,6 +788,8 @@
             task.state = TaskState.PLACED
             node.add(run)
             node.check_capacity()
+            if not task.checkpoint:
+                self.pace.start(node.id, (task.name, number), now)
             ticket = self.book.ticket(step, node, now) or ""
             logger.info(
                 "task placed",
@@ -776,6 +800,50 @@
             )
             self.drivers[node.id].begin(run, ticket)
 
+    # Slow and stuck workers
+
+    async def watch_pace(self) -> None:
+        """Leaves slow workers alone and moves work off them, until cancelled."""
+        while True:
+            await anyio.sleep(PACE_INTERVAL_S)
+            slow = self.pace.judge(self.nodes, anyio.current_time())
+            for node in self.nodes.values():
+                if node.slow is not (node.id in slow):
+                    node.slow = node.id in slow
+                    logger.info(
+                        "worker pace",
+                        worker=node.id,
+                        slow=node.slow,
+                        share=round(slow.get(node.id, 1.0), 3),
+                    )
+                if node.slow:
+                    self.move_off(node, slow[node.id])
+            self.wake_planner()
+
+    def move_off(self, node: WorkerNode, share: float) -> None:
+        """Stops the runs of a slow worker that are done sooner elsewhere."""
+        now = anyio.current_time()
+        for run in list(node.runs.values()):
+            step = run.task.step
+            if run.state is not RunState.RUNNING or step.done() or step.job.ended():
+                continue
+            if step.spec.long_running:
+                continue
+            if share > STUCK_SHARE and (step.spec.all_at_once or share >= 1.0):
+                continue
+            expected_s = step.spec.expected_ms / 1000
+            left_s = expected_s / max(share, STUCK_SHARE) - (now - run.began_at)
+            if left_s < MOVE_GAIN * expected_s:
+                continue
+            logger.info(
+                "run moved",
+                task=run.task.name,
+                run=run.number,
+                worker=node.id,
+                share=round(share, 3),
+            )
+            self.halt(run)
+
     # Recovery
 
     async def settle_uncertain(self) -> None:
--- /dev/null
+++ b/lacewinghold/scheduler/pace.py
@@ -0,0 +1,146 @@
+"""Tells slow and stuck workers from their runs' progress; pure.
+
+It answers the load of workers that turn slow or stand still while they answer every
+look: estimates of run times are far off, so that workers are compared with each other.
+"""
+
+from __future__ import annotations
+
+import math
+from statistics import median
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lacewinghold.ids import WorkerId
+
+MEMORY_S = 1.5  # Progress further back hardly counts.
+MIN_OBSERVED_S = 1.5  # Run seconds that have been seen before a worker is judged.
+SLOW_SHARE = 0.45  # Speed against the median below which a worker counts as slow.
+STUCK_SHARE = 0.05
+MIN_JUDGED = 4  # Workers that are needed for a median to mean something.
+MAX_SLOW_SHARE = 0.34  # More slow workers than this are the load, not a fault.
+SLOW_HOLD_S = 3.0  # A worker without runs is tried again after this.
+
+
+class Mark(Struct):
+    """What was last seen of one run."""
+
+    at: float
+    percent: float
+
+
+class WorkerPace(Struct):
+    """Progress of one worker's runs, weighted towards the last seconds.
+
+    :param work_s: Estimated seconds of work done.
+    :param run_s: Seconds that runs have spent on it.
+    """
+
+    work_s: float = 0.0
+    run_s: float = 0.0
+    updated_at: float = -math.inf
+
+    def add(self, work_s: float, run_s: float, now: float) -> None:
+        """Adds what one run has done."""
+        if now > self.updated_at:
+            keep = math.exp((self.updated_at - now) / MEMORY_S)
+            self.work_s *= keep
+            self.run_s *= keep
+            self.updated_at = now
+        self.work_s += work_s
+        self.run_s += run_s
+
+    def speed(self) -> float:
+        """Returns estimated seconds of work in a second."""
+        return self.work_s / self.run_s if self.run_s else 1.0
+
+
+class PaceBook:
+    """Compares the progress of all workers."""
+
+    def __init__(self) -> None:
+        self.marks: dict[tuple[WorkerId, str, int], Mark] = {}
+        self.paces: dict[WorkerId, WorkerPace] = {}
+        self.slow_until: dict[WorkerId, float] = {}
+
+    def start(self, worker: WorkerId, run: tuple[str, int], now: float) -> None:
+        """Notes that a run begins from nothing."""
+        self.marks[(worker, *run)] = Mark(now, 0.0)
+
+    def finish(
+        self, worker: WorkerId, run: tuple[str, int], expected_s: float, now: float
+    ) -> None:
+        """Notes that a run is done."""
+        mark = self.marks.pop((worker, *run), None)
+        if mark is None or now <= mark.at or expected_s <= 0:
+            return
+        done_s = (100 - mark.percent) / 100 * expected_s
+        self.paces.setdefault(worker, WorkerPace()).add(done_s, now - mark.at, now)
+
+    def note(
+        self,
+        worker: WorkerId,
+        run: tuple[str, int],
+        percent: float,
+        expected_s: float,
+        now: float,
+    ) -> None:
+        """Notes the progress of a run."""
+        key = (worker, *run)
+        mark = self.marks.get(key)
+        self.marks[key] = Mark(now, percent)
+        if mark is None or now <= mark.at or expected_s <= 0:
+            return
+        if percent >= 100 or percent < mark.percent:
+            return
+        done = (percent - mark.percent) / 100 * expected_s
+        self.paces.setdefault(worker, WorkerPace()).add(done, now - mark.at, now)
+
+    def forget_run(self, worker: WorkerId, run: tuple[str, int]) -> None:
+        """Forgets a run that has ended."""
+        self.marks.pop((worker, *run), None)
+
+    def forget(self, worker: WorkerId) -> None:
+        """Forgets a worker."""
+        self.paces.pop(worker, None)
+        self.slow_until.pop(worker, None)
+        for key in [key for key in self.marks if key[0] == worker]:
+            del self.marks[key]
+
+    def shares(self) -> dict[WorkerId, float]:
+        """Returns the speed of each worker that can be judged against the median."""
+        judged = {}
+        for worker, pace in self.paces.items():
+            if pace.run_s >= MIN_OBSERVED_S:
+                judged[worker] = pace.speed()
+        if len(judged) < MIN_JUDGED:
+            return {}
+        middle = median(judged.values())
+        if middle <= 0:
+            return {}
+        return {worker: speed / middle for worker, speed in judged.items()}
+
+    def judge(self, workers: Iterable[WorkerId], now: float) -> dict[WorkerId, float]:
+        """Returns the slow workers with their speed against the median."""
+        known = set(workers)
+        shares = self.shares()
+        slow = {}
+        for worker, share in shares.items():
+            if worker in known and share < SLOW_SHARE:
+                slow[worker] = share
+        if len(slow) > MAX_SLOW_SHARE * len(known):
+            return {}
+        for worker in slow:
+            self.slow_until[worker] = now + SLOW_HOLD_S
+        for worker, until in list(self.slow_until.items()):
+            if now >= until:
+                # Its next runs are judged afresh.
+                del self.slow_until[worker]
+                self.paces.pop(worker, None)
+            elif worker in known and worker not in slow and worker not in shares:
+                slow[worker] = 1.0
+        return slow
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -138,7 +138,8 @@
     def rank(self, step: Step, node: WorkerNode) -> tuple[bool, float, str]:
         """Returns the sort key of a worker: near the data, then the fullest."""
         remote = bool(step.spec.data_rack) and node.entry.rack != step.spec.data_rack
-        return remote, -fullness(self.free[node.id], node.entry.capacity), str(node.id)
+        full = fullness(self.free[node.id], node.entry.capacity)
+        return remote, -full, str(node.id)
 
     def limit_on(self, step: Step, node: WorkerNode) -> int:
         """Returns how many more tasks of a step a worker may take by its rules."""
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -66,6 +66,7 @@
     run: int
     room: Resources
     started_at: float
+    behaviour: Behaviour
     scope: anyio.CancelScope
     kind: EndKind | None = None
 
@@ -221,6 +222,7 @@
             order.run,
             self.world.room(order.task),
             now,
+            self.world.behave(order.task, order.run),
             anyio.CancelScope(),
         )
         self.runs[key] = run
@@ -229,11 +231,10 @@
 
     async def work(self, run: Executing) -> None:
         """Works until the run is done or ended."""
-        behaviour = self.world.behave(run.task, run.run)
         with run.scope:
-            await anyio.sleep(behaviour.seconds)
+            await anyio.sleep(run.behaviour.seconds)
         if run.kind is None:
-            self.end(run, EndKind.FAILED if behaviour.fails else EndKind.DONE)
+            self.end(run, EndKind.FAILED if run.behaviour.fails else EndKind.DONE)
 
     def end(self, run: Executing, kind: EndKind) -> None:
         """Ends a run and lists its end."""
@@ -271,9 +272,15 @@
         if order.wait_s and not self.ends:
             with anyio.move_on_after(order.wait_s):
                 await self.changed.wait()
-        runs = [RunReport(run.task, run.run, "", 50.0) for run in self.runs.values()]
+        runs = [self.report(run) for run in self.runs.values()]
         return WorkerReport(self.clock_ms(), runs, list(self.ends))
 
+    def report(self, run: Executing) -> RunReport:
+        """Returns how far a run is."""
+        worked_s = anyio.current_time() - run.started_at
+        percent = 100 * worked_s / run.behaviour.seconds
+        return RunReport(run.task, run.run, "", min(99.0, percent))
+
 
 class MemoryWorkerCalls(WorkerCalls):
     """Calls to a stand-in worker, with faults."""
--- /dev/null
+++ b/tests/test_scheduler/test_pace.py
@@ -0,0 +1,72 @@
+"""Slow and stuck workers are told from far-off estimates."""
+
+from __future__ import annotations
+
+import random
+
+from lacewinghold.scheduler.pace import STUCK_SHARE, PaceBook
+
+LOOK_S = 0.25
+
+
+def play(speeds, seconds=4.0, estimate_error=0.5, seed=1):
+    """Plays runs on workers of given speeds.
+
+    :returns: The book and the time at the end.
+    """
+    rng = random.Random(seed)
+    book = PaceBook()
+    runs = {}
+    now = 0.0
+    while now < seconds:
+        now += LOOK_S
+        for worker, speed in enumerate(speeds):
+            for slot in range(4):
+                key = (worker, slot)
+                real_s, expected_s, done_s, number = runs.get(key, (0, 0, 0, 0))
+                done_s += LOOK_S * speed
+                if done_s >= real_s:
+                    book.forget_run(f"w{worker}", (f"t{slot}", number))
+                    real_s = rng.uniform(1, 4)
+                    error = rng.uniform(1 - estimate_error, 1 + estimate_error)
+                    runs[key] = (real_s, real_s * error, 0.0, number + 1)
+                    continue
+                runs[key] = (real_s, expected_s, done_s, number)
+                percent = 100 * done_s / real_s
+                book.note(f"w{worker}", (f"t{slot}", number), percent, expected_s, now)
+    return book, now
+
+
+def names(count):
+    """Returns the ids of workers."""
+    return [f"w{number}" for number in range(count)]
+
+
+def test_slow_workers_are_found_among_far_off_estimates():
+    speeds = [1.0] * 21 + [0.22] * 3
+    for seed in range(20):
+        book, now = play(speeds, seed=seed)
+        assert set(book.judge(names(24), now)) == {"w21", "w22", "w23"}
+
+
+def test_no_worker_is_called_slow_when_all_are_alike():
+    for seed in range(20):
+        book, now = play([1.0] * 24, seed=seed)
+        assert book.judge(names(24), now) == {}
+
+
+def test_a_worker_that_stands_still_is_stuck():
+    book, now = play([1.0] * 23 + [0.0])
+    assert book.judge(names(24), now)["w23"] < STUCK_SHARE
+
+
+def test_a_load_that_slows_most_workers_is_no_fault():
+    book, now = play([1.0] * 12 + [0.2] * 12)
+    assert book.judge(names(24), now) == {}
+
+
+def test_a_slow_worker_is_tried_again():
+    book, now = play([1.0] * 23 + [0.2])
+    assert "w23" in book.judge(names(24), now)
+    later = now + 10
+    assert "w23" not in book.judge(["w23"], later)
--- a/tests/test_scheduler/test_worker_faults.py
+++ b/tests/test_scheduler/test_worker_faults.py
@@ -72,3 +72,21 @@
             assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 8)
 
     run_cell(program)
+
+
+def test_work_on_a_worker_that_stands_still_is_moved():
+    async def program(cell):
+        bad = next(iter(cell.world.workers))
+
+        def behave(task, run):
+            stuck = cell.world.starts[-1].worker == bad
+            return Behaviour(1000 if stuck else 1.0)
+
+        cell.world.behave = behave
+        for number in range(24):
+            await cell.submit(f"j{number}", [step(2)])
+            await anyio.sleep(0.1)
+        for number in range(24):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 8)
+
+    run_cell(program, workers=8)
