--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 setup: $(VENV)/ready
 
-$(VENV)/ready: requirements.lock
+$(VENV)/ready: requirements.lock requirements-run.lock
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
 	touch $@
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -68,14 +68,14 @@
     from lacewinghold.cmd import fail
     from lacewinghold.cmd.settings import load
     from lacewinghold.schema.generated.entry import EntrySettings
-    from lacewinghold.util.logging import configure_logging
+    from lacewinghold.util.logging import configure_bounded_logging
     from lacewinghold.util.runtime import load_trio
 
     loaded = load(path, EntrySettings)
     if isinstance(loaded, Err):
         failure = loaded.err_value
         return fail(describe(path, failure), failure.answer.exit_code)
-    configure_logging(loaded.ok_value.log_level)
+    configure_bounded_logging(loaded.ok_value.log_level)
     load_trio()
     from lacewinghold.entry import serve_entry
 
--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -24,6 +24,7 @@
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
 from lacewinghold.util.clock import WallClock
 from lacewinghold.util.http_server import serve_http
+from lacewinghold.util.metrics_http import MetricsApp
 
 if TYPE_CHECKING:
     from lacewinghold.schema.generated.entry import EntrySettings
@@ -57,6 +58,8 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch_signals, instance, stop)
         tasks.start_soon(instance.run)
+        if listen.metrics:
+            tasks.start_soon(serve_metrics, instance, stop)
         await serve_http(
             PlatformFront(instance),
             [listen.callers, listen.ready],
@@ -68,6 +71,12 @@
     logger.info("stopped")
 
 
+async def serve_metrics(instance: CellInstance, stop: anyio.Event) -> None:
+    """Serves the metrics until the listeners stop."""
+    app = MetricsApp(instance.render_metrics)
+    await serve_http(app, instance.settings.listen.metrics, stop.wait, 0.0)
+
+
 async def watch_signals(instance: CellInstance, stop: anyio.Event) -> None:
     """Hands the ownership over at SIGTERM, then stops the listeners."""
     with anyio.open_signal_receiver(
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -18,6 +18,7 @@
     from anyio.abc import TaskGroup
 
     from lacewinghold.ids import Incarnation, WorkerId
+    from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.ports import AdviceCalls
@@ -63,14 +64,13 @@
 class AdviceBook:
     """Keeps the permissions of all steps and spreads calls over the lanes."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: CellMetrics) -> None:
+        self.metrics = metrics
         self.steps: dict[str, StepAdvice] = {}
         self.wanted: dict[str, tuple[Step, list[WorkerNode]]] = {}
         self.lanes: list[Lane] = []
         self.changed = anyio.Event()
         self.on_arrival: Callable[[], None] = lambda: None
-        self.calls = 0
-        self.failed_calls = 0
 
     def forget(self, step: Step) -> None:
         """Forgets a step that needs no more starts."""
@@ -162,7 +162,6 @@
         started = anyio.current_time()
         rules = step.job.queue.advice
         assert rules is not None
-        self.calls += 1
         incarnations = {node.id: node.entry.incarnation for node in nodes}
         answer = await lane.calls.ask(
             step.name, list(incarnations), self.expected_s(step, nodes) + CALL_SLACK_S
@@ -170,12 +169,13 @@
         now = anyio.current_time()
         lane.busy = False
         self.changed.set()
+        result = "failed" if isinstance(answer, Err) else "answered"
+        self.metrics.advice_seconds.labels(result).observe(now - started)
         known = self.steps.get(step.name)
         if known is None:
             return
         known.pending = False
         if isinstance(answer, Err):
-            self.failed_calls += 1
             known.not_before = now + RETRY_S
             lane.blocked_until = now + LANE_PAUSE_S
             logger.info(
@@ -195,7 +195,7 @@
             known.permissions[ticket.worker] = Permission(
                 incarnations[ticket.worker], ticket.text, now + rules.valid_s
             )
-        logger.debug(
+        logger.info(
             "advised",
             step=step.name,
             lane=lane.name,
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -14,6 +14,7 @@
 from lacewinghold.scheduler.front import JobFront
 from lacewinghold.scheduler.job_store import JobStore
 from lacewinghold.scheduler.members import MemberAdvice, Members, Membership
+from lacewinghold.scheduler.metrics import CellMetrics
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.owner import CellOwner, CellState
 from lacewinghold.scheduler.peer_calls import PeerCalls
@@ -90,6 +91,7 @@
         self.store = WatchedStore(ports.store)
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
+        self.metrics = CellMetrics()
         self.election = Election(
             self.store,
             prefix,
@@ -251,6 +253,15 @@
             lanes.append(lane)
             lanes.sort(key=lambda lane: lane.far)
 
+    def render_metrics(self) -> bytes:
+        """Returns the metrics as text."""
+        owner = self.deciding()
+        self.metrics.deciding.set(owner is not None)
+        self.metrics.workers.set(len(owner.nodes) if owner else 0)
+        self.metrics.open_steps.set(len(owner.open_steps) if owner else 0)
+        self.metrics.note_calls(self.store.calls)
+        return self.metrics.render()
+
     def ready(self) -> bool:
         """Returns whether this instance should get requests."""
         return self.state.manifest is not None and not self.leaving
@@ -278,11 +289,17 @@
 
     async def decide_under(self, ownership: Ownership) -> None:
         """Decides until the ownership is lost."""
-        book = AdviceBook()
+        book = AdviceBook(self.metrics)
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
         owner = CellOwner(
-            ownership, self.jobs, self.ports.dialer, self.state, book, self.ports.clock
+            ownership,
+            self.jobs,
+            self.ports.dialer,
+            self.state,
+            book,
+            self.ports.clock,
+            self.metrics,
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -57,12 +57,14 @@
         checked = check_job(record)
         if isinstance(checked, Err):
             return checked
+        started = anyio.current_time()
         limit_s = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
         if self.instance.store.down:
             result = await self.submit_elsewhere(record, limit_s)
         else:
             result = await self.store_here(record, limit_s)
-        self.log_submission(record, result)
+        took_s = anyio.current_time() - started
+        self.log_submission(record, result, took_s)
         return result
 
     async def submit_elsewhere(
@@ -109,17 +111,29 @@
         detail = f"not accepted: {failure.detail}"
         return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
 
-    def log_submission(self, record: CellJob, result: Result[None, Failure]) -> None:
-        """Logs what became of a submission."""
+    def log_submission(
+        self, record: CellJob, result: Result[None, Failure], took_s: float
+    ) -> None:
+        """Logs and counts what became of a submission."""
+        self.instance.metrics.submission_seconds.observe(took_s)
         if isinstance(result, Ok):
-            logger.info("job accepted", job=record.job, queue=record.queue)
+            self.instance.metrics.submissions.labels("accepted").inc()
+            logger.info(
+                "job accepted",
+                job=record.job,
+                queue=record.queue,
+                took_s=round(took_s, 3),
+            )
             return
+        self.instance.metrics.submissions.labels(result.err_value.kind.value).inc()
         logger.info(
             "job not accepted",
             job=record.job,
             queue=record.queue,
             kind=result.err_value.kind.value,
             detail=result.err_value.detail,
+            retry_after_s=result.err_value.retry_after_s,
+            took_s=round(took_s, 3),
         )
 
     async def state(self, job: str) -> Result[JobState, Failure]:
@@ -128,6 +142,7 @@
         if known is None:
             known = await self.instance.peer_calls.ask_state(job)
         if known is not None:
+            logger.info("state answered", job=job, state=known.value, by="owner")
             return Ok(known)
         reply = await self.instance.jobs.read(job)
         if isinstance(reply, Err):
@@ -135,7 +150,9 @@
         stored = reply.ok_value
         if stored.record is None:
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
-        return Ok(self.describe(stored))
+        state = self.describe(stored)
+        logger.info("state answered", job=job, state=state.value, by="store")
+        return Ok(state)
 
     def describe(self, stored: StoredJob) -> JobState:
         """Returns the state of a stored job; who decides about it is not reached."""
--- /dev/null
+++ b/lacewinghold/scheduler/metrics.py
@@ -0,0 +1,102 @@
+"""Counters and latency histograms of one entry instance of the cell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+if TYPE_CHECKING:
+    from collections import Counter as Counts
+
+    from lacewinghold.store.base import CallKind
+
+# From one call on one machine to the longest deadline of a caller.
+CALL_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+# From a start at once to a job that waits out an hour's outage.
+JOB_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0, 3600.0)
+
+
+class CellMetrics:
+    """The metrics, with a unit in each name that has one."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        registry = self.registry
+        self.submissions = Counter(
+            "lacewinghold_submissions",
+            "Submissions by their answer.",
+            ["result"],
+            registry=registry,
+        )
+        self.submission_seconds = Histogram(
+            "lacewinghold_submission_seconds",
+            "From a submission to its answer.",
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
+        self.first_start_seconds = Histogram(
+            "lacewinghold_first_start_seconds",
+            "From a job's acceptance to its first start.",
+            buckets=JOB_BUCKETS_S,
+            registry=registry,
+        )
+        self.job_seconds = Histogram(
+            "lacewinghold_job_seconds",
+            "From a job's acceptance to its end.",
+            ["state"],
+            buckets=JOB_BUCKETS_S,
+            registry=registry,
+        )
+        self.runs_ended = Counter(
+            "lacewinghold_runs_ended",
+            "Runs by how they ended.",
+            ["how"],
+            registry=registry,
+        )
+        self.starts = Counter(
+            "lacewinghold_starts",
+            "Orders to start by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.advice_seconds = Histogram(
+            "lacewinghold_advice_seconds",
+            "Calls to the advice service.",
+            ["result"],
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
+        self.store_calls = Gauge(
+            "lacewinghold_store_calls",
+            "Calls to the store since the start, by kind.",
+            ["kind"],
+            registry=registry,
+        )
+        self.takeover_seconds = Histogram(
+            "lacewinghold_takeover_seconds",
+            "From a claim of the ownership until all jobs may be placed.",
+            buckets=JOB_BUCKETS_S,
+            registry=registry,
+        )
+        self.deciding = Gauge(
+            "lacewinghold_deciding", "Whether this instance decides.", registry=registry
+        )
+        self.workers = Gauge(
+            "lacewinghold_workers", "Workers that the owner serves.", registry=registry
+        )
+        self.open_steps = Gauge(
+            "lacewinghold_open_steps",
+            "Steps that are ready and not done.",
+            registry=registry,
+        )
+
+    def note_calls(self, calls: Counts[CallKind]) -> None:
+        """Takes over the store's counts."""
+        for kind, count in calls.items():
+            self.store_calls.labels(kind.value).set(count)
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        return generate_latest(self.registry)
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -28,7 +27,7 @@
 )
 from lacewinghold.scheduler.nodes import CLOCK_DRIFT, WorkerNode
 from lacewinghold.scheduler.pace import STUCK_SHARE, PaceBook
-from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.policy import Planner, fullness
 from lacewinghold.scheduler.ports import (
     EndKind,
     OrderOutcome,
@@ -56,6 +55,7 @@
     from lacewinghold.scheduler.advice import AdviceBook
     from lacewinghold.scheduler.election import Ownership
     from lacewinghold.scheduler.job_store import JobStore
+    from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.ports import (
         EndReport,
         Manifest,
@@ -100,6 +100,7 @@
         state: CellState,
         book: AdviceBook,
         clock: WallClock,
+        metrics: CellMetrics,
     ) -> None:
         self.ownership = ownership
         self.job_store = jobs
@@ -107,6 +108,7 @@
         self.state = state
         self.book = book
         self.clock = clock
+        self.metrics = metrics
         self.log = EndLog(jobs, ownership.epoch, ownership.term)
         self.jobs: dict[str, Job] = {}
         self.steps: dict[str, Step] = {}
@@ -121,8 +123,6 @@
         self.taken_at = anyio.current_time()
         self.tasks: TaskGroup | None = None
         self.pace = PaceBook()
-        self.counts: Counter[str] = Counter()
-        self.waits: list[float] = []
         self.mirror = Mirror(
             jobs.store,
             jobs.prefix + JOBS,
@@ -292,7 +292,8 @@
     def end_job(self, job: Job, state: JobState, reason: str) -> None:
         """Ends a job; callers see it once it is durable."""
         job.state = state
-        self.counts[f"jobs.{state.value}"] += 1
+        age_s = anyio.current_time() - job.accepted_at
+        self.metrics.job_seconds.labels(state.value).observe(age_s)
         outcome = JobOutcome(state=state.value, at=self.clock.now(), reason=reason)
         self.log.note_outcome(job.id, outcome, lambda: self.report(job))
         logger.info(
@@ -301,7 +302,7 @@
             queue=job.queue.name,
             state=state.value,
             reason=reason,
-            age_s=round(anyio.current_time() - job.accepted_at, 3),
+            age_s=round(age_s, 3),
             objective_s=round(job.objective_s, 3),
         )
         self.close_job(job)
@@ -572,11 +573,12 @@
 
     def note_started(self, run: Run) -> None:
         """Notes that a worker has begun a run."""
-        self.counts["tasks.started"] += 1
+        self.metrics.starts.labels(OrderOutcome.DONE.value).inc()
         job = run.task.step.job
         if not job.started:
             job.started = True
-            self.waits.append(anyio.current_time() - job.accepted_at)
+            waited_s = anyio.current_time() - job.accepted_at
+            self.metrics.first_start_seconds.observe(waited_s)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
 
@@ -592,7 +594,7 @@
             worker=node.id,
             outcome=outcome.value,
         )
-        self.counts[f"refused.{outcome.value}"] += 1
+        self.metrics.starts.labels(outcome.value).inc()
         if outcome is OrderOutcome.NO_TICKET:
             self.book.drop_ticket(run.task.step, node.id)
         if outcome in (OrderOutcome.NOT_SENT, OrderOutcome.UNHEALTHY):
@@ -602,6 +604,15 @@
 
     def note_end(self, node: WorkerNode, end: EndReport) -> None:
         """Takes one end from a worker's list."""
+        self.metrics.runs_ended.labels(end.kind.value).inc()
+        logger.info(
+            "run ended",
+            task=end.task,
+            run=end.run,
+            worker=node.id,
+            how=end.kind.value,
+            number=end.number,
+        )
         run = node.runs.get((end.task, end.run))
         task = self.find_task(end.task)
         if task is None:
@@ -797,6 +808,8 @@
                 run=number,
                 worker=node.id,
                 waited_s=round(now - step.job.accepted_at, 3),
+                epoch=self.epoch,
+                full=round(fullness(node.free(), node.entry.capacity), 2),
             )
             self.drivers[node.id].begin(run, ticket)
 
@@ -851,6 +864,7 @@
         while not self.all_fenced() and anyio.current_time() < self.certain_at():
             await anyio.sleep(PLAN_PAUSE_S)
         self.certain = True
+        self.metrics.takeover_seconds.observe(anyio.current_time() - self.taken_at)
         self.stop_incomplete()
         logger.info(
             "cell recovered",
--- a/lacewinghold/util/logging.py
+++ b/lacewinghold/util/logging.py
@@ -1,26 +1,51 @@
-"""Structured logs as JSON lines on standard error."""
+"""Structured logs as JSON lines."""
 
 from __future__ import annotations
 
 import logging
 import sys
+from typing import TYPE_CHECKING
 
 import structlog
 
+from lacewinghold.util.bounded_log import EventBudget, NonBlockingWriter
+
+if TYPE_CHECKING:
+    from structlog.typing import Processor
+
+
+def processors(*first: Processor) -> list[Processor]:
+    """Returns what every line passes through."""
+    return [
+        *first,
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.format_exc_info,
+        structlog.processors.JSONRenderer(),
+    ]
+
 
 def configure_logging(level: str) -> None:
-    """Sends log events of a level and above to standard error as JSON lines."""
+    """Sends log events of a level and above to standard error."""
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=processors(),
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=False,
     )
+
+
+def configure_bounded_logging(level: str) -> None:
+    """Sends log events to standard output, in bounds and without ever blocking."""
+    writer = NonBlockingWriter(sys.stdout.fileno())
+    structlog.configure(
+        processors=processors(EventBudget()),
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=lambda *arguments: writer,
+        cache_logger_on_first_use=True,
+    )
