--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,10 @@
 
 setup: $(VENV)/ready
 
-$(VENV)/ready: requirements.lock requirements-run.lock
+$(VENV)/ready: requirements.lock requirements-run.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $@
 
 demo: setup
--- a/lacewinghold/cmd/__init__.py
+++ b/lacewinghold/cmd/__init__.py
@@ -18,6 +18,7 @@
         audit,
         demo,
         document,
+        explain,
         jobs,
         serve,
         settings,
@@ -30,7 +31,8 @@
     )
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True)
-    for module in (serve, stand_in, demo, settings, jobs, workers, audit, document):
+    modules = (serve, stand_in, demo, settings, jobs, workers, audit, document)
+    for module in (*modules, explain):
         module.add_parsers(commands)
     return parser
 
--- /dev/null
+++ b/lacewinghold/cmd/explain.py
@@ -0,0 +1,179 @@
+"""Tells the story of one job from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    import argparse
+    from collections.abc import Iterable, Iterator
+
+JOB_FIELDS = ("job", "task", "step")
+# What an engineer has to know beside the job's own lines.
+CELL_EVENTS = frozenset(
+    {
+        "started",
+        "stopping",
+        "ownership taken",
+        "ownership given up",
+        "ownership lapsed",
+        "cell recovered",
+        "manifest in force",
+        "store does not serve",
+        "store serves again",
+        "fenced",
+        "superseded",
+        "log stalled",
+        "log goes on",
+        "log lines dropped",
+    }
+)
+WORKER_EVENTS = frozenset(
+    {
+        "worker silent",
+        "worker gone",
+        "worker quarantined",
+        "worker pace",
+        "worker unlisted",
+    }
+)
+HIDDEN = ("event", "instance", "level", "timestamp")
+NOT_FOUND = 4
+
+
+class Line(Struct, frozen=True):
+    """One log line."""
+
+    timestamp: str
+    instance: str
+    event: str
+    fields: dict[str, Any]
+
+
+class Story(Struct):
+    """The lines about one job, in order, and what is missing."""
+
+    job: str
+    lines: list[Line]
+    missing: list[str]
+
+
+def add_parsers(commands: Any) -> None:
+    """Adds ``explain``."""
+    parser = commands.add_parser("explain", help="tell a job's story from logs")
+    parser.add_argument("job", help="id of the job")
+    parser.add_argument("files", nargs="+", type=Path, help="logs; - is standard input")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.set_defaults(run=run)
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[Line]:
+    """Yields the log lines; what stands before the JSON object is passed over."""
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(text[start:])
+        except ValueError:
+            continue
+        if not isinstance(fields, dict) or "event" not in fields:
+            continue
+        yield Line(
+            str(fields.get("timestamp", "")),
+            str(fields.get("instance", "?")),
+            str(fields["event"]),
+            {name: value for name, value in fields.items() if name not in HIDDEN},
+        )
+
+
+def is_about(line: Line, job: str) -> bool:
+    """Returns whether a line is about a job."""
+    for name in JOB_FIELDS:
+        value = str(line.fields.get(name, ""))
+        if value == job or value.startswith(job + "."):
+            return True
+    return False
+
+
+def tell(job: str, lines: Iterable[Line]) -> Story:
+    """Returns the story of a job: its lines and, between them, the cell's.
+
+    Lines are ordered by their time stamps; those of one process keep their order.
+    """
+    ordered = sorted(lines, key=lambda line: line.timestamp)
+    about = [line for line in ordered if is_about(line, job)]
+    if not about:
+        return Story(job, [], ["no line names the job"])
+    first, last = about[0].timestamp, about[-1].timestamp
+    workers = {line.fields["worker"] for line in about if "worker" in line.fields}
+    chosen = []
+    for line in ordered:
+        if is_about(line, job):
+            chosen.append(line)
+            continue
+        if not first <= line.timestamp <= last:
+            continue
+        named = line.fields.get("worker") in workers
+        if line.event in CELL_EVENTS or (named and line.event in WORKER_EVENTS):
+            chosen.append(line)
+    return Story(job, chosen, find_missing(about, chosen))
+
+
+def find_missing(about: list[Line], chosen: list[Line]) -> list[str]:
+    """Returns what a whole story would have and this one lacks."""
+    events = {line.event for line in about}
+    missing = []
+    if not events & {"job accepted", "job not accepted"}:
+        missing.append("the submission: the log of the instance that was asked")
+    if "job accepted" in events and "job taken" not in events:
+        missing.append("the owner's side: the log of the owner at that time")
+    if "job taken" in events and "job ended" not in events:
+        missing.append("the end: it had not come when the logs end")
+    for line in chosen:
+        if "suppressed" in line.fields or line.event == "log lines dropped":
+            missing.append(f"lines: {line.event!r} says that some were left out")
+            break
+    return missing
+
+
+def describe(line: Line) -> str:
+    """Returns a line for people."""
+    fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
+    return f"{line.timestamp}  {line.instance:<22} {line.event:<20} {fields}"
+
+
+def run(options: argparse.Namespace) -> int:
+    """Runs ``explain``."""
+    from lacewinghold.cmd import fail
+
+    lines: list[Line] = []
+    for path in options.files:
+        try:
+            texts = sys.stdin if str(path) == "-" else path.read_text().splitlines()
+        except OSError as error:
+            return fail(f"{path}: {error.strerror}", 2)
+        lines += read_lines(texts)
+    story = tell(options.job, lines)
+    if options.json:
+        shown = [
+            {
+                "timestamp": line.timestamp,
+                "instance": line.instance,
+                "event": line.event,
+                **line.fields,
+            }
+            for line in story.lines
+        ]
+        print(json.dumps({"job": story.job, "lines": shown, "missing": story.missing}))
+    else:
+        for line in story.lines:
+            print(describe(line))
+        for text in story.missing:
+            print(f"missing: {text}")
+    return 0 if story.lines else NOT_FOUND
--- /dev/null
+++ b/tests/test_cmd/test_explain.py
@@ -0,0 +1,58 @@
+"""``explain`` merges the logs of several processes into one story."""
+
+from __future__ import annotations
+
+import json
+
+from lacewinghold.cmd import main
+
+FRONT = [
+    {"event": "job accepted", "job": "a1", "queue": "fast", "timestamp": "T1"},
+    {"event": "job accepted", "job": "b2", "queue": "fast", "timestamp": "T2"},
+]
+OWNER = [
+    {"event": "job taken", "job": "a1", "timestamp": "T3"},
+    {"event": "task placed", "task": "a1.0.0.0", "worker": "w1", "timestamp": "T4"},
+    {"event": "worker silent", "worker": "w1", "timestamp": "T5"},
+    {"event": "worker silent", "worker": "w2", "timestamp": "T5"},
+    {"event": "ownership taken", "term": 2, "timestamp": "T6"},
+    {"event": "job ended", "job": "a1", "state": "failed", "timestamp": "T7"},
+    {"event": "ownership taken", "term": 3, "timestamp": "T8"},
+]
+
+
+def write(path, lines, instance, prefix=""):
+    """Writes a log."""
+    texts = [prefix + json.dumps({**line, "instance": instance}) for line in lines]
+    path.write_text("\n".join([*texts, "not a log line", ""]))
+    return str(path)
+
+
+def test_the_story_has_the_jobs_lines_and_the_cells_between_them(tmp_path, capsys):
+    front = write(tmp_path / "front", FRONT, "entry-1", prefix="  12.5 front-1 ")
+    owner = write(tmp_path / "owner", OWNER, "entry-2")
+    assert main(["explain", "a1", owner, front, "--json"]) == 0
+    story = json.loads(capsys.readouterr().out)
+    assert [line["event"] for line in story["lines"]] == [
+        "job accepted",
+        "job taken",
+        "task placed",
+        "worker silent",
+        "ownership taken",
+        "job ended",
+    ]
+    assert story["lines"][3]["worker"] == "w1"
+    assert story["missing"] == []
+
+
+def test_it_says_what_is_missing(tmp_path, capsys):
+    front = write(tmp_path / "front", FRONT, "entry-1")
+    assert main(["explain", "a1", front]) == 0
+    assert "missing: the owner's side" in capsys.readouterr().out
+
+
+def test_a_job_that_no_line_names_is_not_found(tmp_path, capsys):
+    front = write(tmp_path / "front", FRONT, "entry-1")
+    assert main(["explain", "zz", front]) == 4
+    assert "no line names the job" in capsys.readouterr().out
+    assert main(["explain", "zz", str(tmp_path / "none")]) == 2
