--- a/lacewinghold/scheduler/job_checks.py
+++ b/lacewinghold/scheduler/job_checks.py
@@ -58,4 +58,7 @@
         return invalid("$.steps", f"found {total} tasks; at most {MAX_TASKS}")
     if record.occurrences < 0 or record.interval_ms < 0:
         return invalid("$.occurrences", "found a negative repetition")
+    if total * max(1, record.occurrences) > MAX_TASKS:
+        detail = f"found {record.occurrences} of {total} tasks; at most {MAX_TASKS}"
+        return invalid("$.occurrences", detail)
     return Ok(None)
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -77,7 +77,12 @@
 
 
 class Step(Struct, eq=False):
-    """One step of a job, or of one of its occurrences."""
+    """One step of a job, or of one of its occurrences.
+
+    :param due_at: When its objective begins to count, on the runtime's clock; an
+        occurrence starts no sooner.
+    :param after: Steps that must be done first.
+    """
 
     name: str
     job: Job
@@ -85,6 +90,8 @@
     spec: StepSpec
     tasks: list[Task]
     room: Resources
+    due_at: float
+    after: list[Step]
     remaining: int = 0
     failed_runs: set[int] = field(default_factory=set)
     last_run: int = 0
@@ -127,9 +134,9 @@
         """Returns whether no task of the job is to be started any more."""
         return self.state not in (JobState.QUEUED, JobState.RUNNING)
 
-    def due_at(self) -> float:
-        """Returns when the job should be complete, on the runtime's clock."""
-        return self.accepted_at + self.objective_s
+    def timed(self) -> bool:
+        """Returns whether the job has times at which it is due."""
+        return self.record.occurrences > 0
 
 
 def room_of(spec: StepSpec) -> Resources:
@@ -152,30 +159,49 @@
     return max(finish, default=0.0)
 
 
-def make_job(record: CellJob, queue: Queue, accepted_at: float) -> Job:
+def make_job(
+    record: CellJob, queue: Queue, accepted_at: float, wall_base: float
+) -> Job:
     """Returns a job with all its tasks waiting.
 
     :param accepted_at: The runtime's clock in seconds.
+    :param wall_base: Wall time minus the runtime's clock in seconds.
     """
     objective_s = queue.stretch * chain_s(record.steps) + queue.slack_s
     job = Job(record, queue, [], accepted_at, objective_s)
-    for number, spec in enumerate(record.steps):
+    for occurrence in range(max(1, record.occurrences)):
+        due_at = accepted_at
+        if record.occurrences:
+            due_ms = record.first_due_ms + occurrence * record.interval_ms
+            due_at = due_ms / 1000 - wall_base
+        job.steps += make_steps(job, occurrence, due_at)
+    return job
+
+
+def make_steps(job: Job, occurrence: int, due_at: float) -> list[Step]:
+    """Returns the steps of one occurrence."""
+    steps: list[Step] = []
+    for number, spec in enumerate(job.record.steps):
         step = Step(
-            name=f"{record.job}.0.{number}",
+            name=f"{job.id}.{occurrence}.{number}",
             job=job,
             number=number,
             spec=spec,
             tasks=[],
             room=room_of(spec),
+            due_at=due_at,
+            after=[steps[earlier] for earlier in spec.after],
             remaining=spec.tasks,
         )
         for index in range(spec.tasks):
-            name = task_name(record.job, 0, number, index)
+            name = task_name(job.id, occurrence, number, index)
             step.tasks.append(Task(name=name, step=step, index=index))
-        job.steps.append(step)
-    return job
+        steps.append(step)
+    return steps
 
 
-def is_ready(step: Step) -> bool:
-    """Returns whether all steps before a step are done."""
-    return all(step.job.steps[number].done() for number in step.spec.after)
+def is_ready(step: Step, now: float) -> bool:
+    """Returns whether a step is due and all steps before it are done."""
+    if step.job.timed() and now < step.due_at:
+        return False
+    return all(earlier.done() for earlier in step.after)
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -41,6 +41,8 @@
         self.failed_jobs: list[str] = []
         self.quarantined_until = -math.inf
         self.slow = False
+        self.serving = 0
+        self.filling = 0
 
     @property
     def id(self) -> WorkerId:
@@ -71,6 +73,13 @@
         """
         self.runs[(run.task.name, run.number)] = run
         self.used = self.used.plus(run.room)
+        self.count_kind(run, 1)
+
+    def count_kind(self, run: Run, change: int) -> None:
+        """Counts runs that serve callers of their own, and runs that fill."""
+        spec = run.task.step.spec
+        self.serving += change * (spec.latency_target_ms > 0)
+        self.filling += change * spec.fills
 
     def check_capacity(self) -> None:
         """Asserts that the runs fit on the worker."""
@@ -80,6 +89,7 @@
         """Gives the room of a run back."""
         del self.runs[(run.task.name, run.number)]
         self.used = self.used.minus(run.room)
+        self.count_kind(run, -1)
 
     def note_clock(self, clock_ms: float, now: float) -> None:
         """Notes the worker's clock as told by an answer that came just now."""
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -113,6 +113,7 @@
         self.jobs: dict[str, Job] = {}
         self.steps: dict[str, Step] = {}
         self.open_steps: dict[str, Step] = {}
+        self.due_later: dict[str, Job] = {}
         self.earlier_workers: list[EnrolledWorker] = []
         self.nodes: dict[WorkerId, WorkerNode] = {}
         self.drivers: dict[WorkerId, WorkerDriver] = {}
@@ -253,7 +254,8 @@
             return
         queue = self.find_queue(record)
         age = max(0.0, self.clock.now() - record.accepted_at)
-        job = make_job(record, queue, anyio.current_time() - age)
+        accepted_at = anyio.current_time() - age
+        job = make_job(record, queue, accepted_at, self.clock.base)
         self.jobs[job.id] = job
         for step in job.steps:
             self.steps[step.name] = step
@@ -281,14 +283,22 @@
         if all(step.done() for step in job.steps):
             self.end_job(job, JobState.COMPLETED, "")
             return
+        now = anyio.current_time()
         for step in job.steps:
-            if step.done() or not is_ready(step):
-                continue
-            if step.name in self.open_steps:
+            if step.done() or step.name in self.open_steps:
                 continue
-            self.open_steps[step.name] = step
+            if is_ready(step, now):
+                self.open_steps[step.name] = step
+            elif now < step.due_at and job.timed():
+                self.due_later.setdefault(step.job.id, step.job)
         self.wake_planner()
 
+    def open_due(self) -> None:
+        """Opens the steps of occurrences that have become due."""
+        for job in list(self.due_later.values()):
+            del self.due_later[job.id]
+            self.refresh_job(job)
+
     def end_job(self, job: Job, state: JobState, reason: str) -> None:
         """Ends a job; callers see it once it is durable."""
         job.state = state
@@ -728,6 +738,7 @@
     def plan(self) -> None:
         """Makes one plan and carries it out."""
         now = anyio.current_time()
+        self.open_due()
         usable = [node for node in self.nodes.values() if node.usable(now)]
         usable = [node for node in usable if not node.slow] or usable
         steps = []
@@ -743,11 +754,25 @@
             now, usable, self.permitted_by(usable), self.ticket_valid_at(now)
         )
         plan = planner.make(steps)
+        self.make_way(steps)
         for step, workers in plan.renewals:
             self.book.want(step, [self.nodes[worker] for worker in workers], now)
         for placement in plan.placements:
             self.start(placement.step, placement.tasks, now)
 
+    def make_way(self, steps: list[Step]) -> None:
+        """Stops work that fills where it keeps work that serves from starting."""
+        for step in steps:
+            if step.spec.latency_target_ms <= 0 or not step.waiting():
+                continue
+            for node in self.nodes.values():
+                if not node.filling or not step.room.within(node.free()):
+                    continue
+                for run in list(node.runs.values()):
+                    if run.task.step.spec.fills:
+                        self.halt(run)
+                break
+
     def want_advice(self, step: Step, usable: list[WorkerNode], now: float) -> None:
         """Asks about workers of which nothing is known for a step."""
         if step.job.queue.advice is None:
@@ -897,5 +922,7 @@
         """Returns how many jobs of a queue wait for their first start."""
         count = 0
         for job in self.jobs.values():
-            count += job.queue.name == queue and not job.started and not job.ended()
+            if job.queue.name != queue or job.started or job.ended() or job.timed():
+                continue
+            count += 1
         return count
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -46,13 +46,13 @@
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
     """Returns the sort key of a step: hopeless work last, then late, then urgent."""
     job = step.job
-    age = now - job.accepted_at
+    age = now - step.due_at
     lateness = 0
     if age > job.objective_s:
         lateness = 1
     if age > job.objective_s * HOPELESS_MULTIPLE:
         lateness = 2
-    return lateness, job.queue.urgency, job.due_at()
+    return lateness, job.queue.urgency, step.due_at + job.objective_s
 
 
 def fitting_count(room: Resources, free: Resources, limit: int) -> int:
@@ -132,9 +132,17 @@
                 continue
             if self.reserved.get(node.id, urgency) < urgency:
                 continue
+            if self.disturbs(step, node):
+                continue
             found.append(node)
         return found
 
+    def disturbs(self, step: Step, node: WorkerNode) -> bool:
+        """Returns whether work that fills and work that serves would meet there."""
+        if step.spec.fills:
+            return node.serving > 0
+        return step.spec.latency_target_ms > 0 and node.filling > 0
+
     def rank(self, step: Step, node: WorkerNode) -> tuple[bool, float, str]:
         """Returns the sort key of a worker: near the data, then the fullest."""
         remote = bool(step.spec.data_rack) and node.entry.rack != step.spec.data_rack
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -120,7 +120,7 @@
         self.queues = queues or [Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)]
         self.behaviours: dict[str, Behaviour] = {}
         self.jobs: dict[str, CellJob] = {}
-        self.world = World(self.behave, self.room)
+        self.world = World(self.behave, self.room, self.lasts)
         self.members: list[Member] = []
         self.operator = MemoryStore(self.state)
         self.clock = WallClock(start=1_700_000_000.0)
@@ -138,8 +138,16 @@
 
     def room(self, task: str) -> Resources:
         """Returns the room that a task takes."""
+        return room_of(self.spec_of(task))
+
+    def lasts(self, task: str) -> bool:
+        """Returns whether a task runs until its job is cancelled."""
+        return self.spec_of(task).long_running
+
+    def spec_of(self, task: str) -> StepSpec:
+        """Returns the step of a task."""
         job, _, step, _ = task.split(".")
-        return room_of(self.jobs[job].steps[int(step)])
+        return self.jobs[job].steps[int(step)]
 
     async def start(self, instances: int = 3, workers: int = 4) -> None:
         """Starts the cell and waits until it has an owner."""
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -85,10 +85,12 @@
 
     :param behave: Tells what a run of a task does.
     :param room: Tells the room that a task takes.
+    :param lasts: Tells whether a task is to be started again however it ends.
     """
 
     behave: Callable[[str, int], Behaviour]
     room: Callable[[str], Resources]
+    lasts: Callable[[str], bool]
     workers: dict[WorkerId, StepWorker] = field(default_factory=dict)
     starts: list[Started] = field(default_factory=list)
     done: set[str] = field(default_factory=set)
@@ -242,7 +244,7 @@
         run.scope.cancel()
         if self.runs.pop((run.task, run.run), None) is None:
             return
-        if kind is EndKind.DONE:
+        if kind is EndKind.DONE and not self.world.lasts(run.task):
             self.world.done.add(run.task)
         if kind is EndKind.FAILED:
             self.world.failures[run.task] += 1
--- a/lacewinghold/util/clock.py
+++ b/lacewinghold/util/clock.py
@@ -11,12 +11,22 @@
 class WallClock:
     """Wall time as an offset of the runtime's monotonic clock.
 
+    The system's is read anew each time: the monotonic clock does not count the time
+    in which a machine is suspended.
+
     :param start: Wall time at construction in seconds since 1970, or ``None``
         for the system's. Tests pass a fixed one.
     """
 
     def __init__(self, start: float | None = None) -> None:
-        self.base = (time.time() if start is None else start) - anyio.current_time()
+        self.fixed = None if start is None else start - anyio.current_time()
+
+    @property
+    def base(self) -> float:
+        """Returns the offset in seconds."""
+        if self.fixed is not None:
+            return self.fixed
+        return time.time() - anyio.current_time()
 
     def now(self) -> float:
         """Returns seconds since 1970."""
