--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -149,7 +149,7 @@
             "manifest in force", version=manifest.version, queues=len(manifest.queues)
         )
         if self.owner is not None:
-            self.owner.update_queues()
+            self.owner.table.update_queues()
 
     def note_manifest_gone(self, key: str) -> None:
         """Keeps the manifest in force although its key is gone."""
@@ -167,7 +167,7 @@
         if known is None or known.state is not entry.state:
             logger.info("worker entry", worker=entry.worker, state=entry.state.value)
         if self.owner is not None and known != entry:
-            self.owner.update_workers()
+            self.owner.fleet.update_workers()
 
     def note_worker_gone(self, key: str) -> None:
         """Notes that a worker's entry has lapsed or was removed."""
@@ -176,20 +176,20 @@
             return
         del self.state.workers[worker]
         if self.owner is not None:
-            self.owner.update_workers()
+            self.owner.fleet.update_workers()
 
     # What the front asks
 
     def note_accepted(self, record: CellJob) -> None:
         """Gives an accepted job to the owner at once if it is here."""
         if self.owner is not None and self.owner.loaded:
-            self.owner.accept(record)
+            self.owner.table.accept(record)
 
     def note_cancelled(self, job: str) -> None:
         """Cancels a job if it is decided here; the cancellation is stored."""
         owner = self.owner
-        if owner is not None and job in owner.jobs:
-            owner.cancel(owner.jobs[job])
+        if owner is not None and job in owner.table.jobs:
+            owner.table.cancel(owner.table.jobs[job])
 
     def deciding(self) -> CellOwner | None:
         """Returns the owner if it is here and surely nobody else decides."""
@@ -203,7 +203,7 @@
     def owned_job(self, job: str) -> Job | None:
         """Returns a job if this instance surely decides about it."""
         owner = self.deciding()
-        return None if owner is None else owner.jobs.get(job)
+        return None if owner is None else owner.table.jobs.get(job)
 
     def owned_state(self, job: str) -> JobState | None:
         """Returns a job's state as callers may see it, if it is decided here."""
@@ -220,7 +220,7 @@
     def owned_waiting(self, queue: str) -> int | None:
         """Returns how many jobs of a queue wait, if they are decided here."""
         owner = self.deciding()
-        return None if owner is None else owner.count_waiting(queue)
+        return None if owner is None else owner.table.count_waiting(queue)
 
     # Members
 
@@ -257,8 +257,8 @@
         """Returns the metrics as text."""
         owner = self.deciding()
         self.metrics.deciding.set(owner is not None)
-        self.metrics.workers.set(len(owner.nodes) if owner else 0)
-        self.metrics.open_steps.set(len(owner.open_steps) if owner else 0)
+        self.metrics.workers.set(len(owner.fleet.nodes) if owner else 0)
+        self.metrics.open_steps.set(len(owner.table.open_steps) if owner else 0)
         self.metrics.note_calls(self.store.calls)
         return self.metrics.render()
 
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -75,17 +75,17 @@
             sent_at = anyio.current_time()
             reply = await self.look(LOOK_WAIT_S if waits and node.fenced else 0.0)
             if isinstance(reply, WorkerReport):
-                self.owner.apply_report(self, reply, sent_at)
+                self.owner.fleet.apply_report(self, reply, sent_at)
                 await self.pause_after_look(reply)
                 continue
             if reply is OrderOutcome.FENCED:
                 self.owner.note_fenced(node)
                 return
             if reply is OrderOutcome.OTHER_INCARNATION:
-                self.owner.note_dead(self, "another incarnation answers")
+                self.owner.fleet.note_dead(self, "another incarnation answers")
                 return
             node.silent_calls += 1
-            self.owner.note_silent(self)
+            self.owner.fleet.note_silent(self)
             await anyio.sleep(LOOK_RETRY_S)
 
     async def look(self, wait_s: float) -> WorkerReport | OrderOutcome:
@@ -161,7 +161,7 @@
                 run.settled = run.seen = True
                 if run.state is RunState.STARTING:
                     run.state = RunState.RUNNING
-                self.owner.note_started(run)
+                self.owner.runs.note_started(run)
                 return
             if outcome is OrderOutcome.OLD_RUN:
                 run.settled = run.seen = True
@@ -174,12 +174,12 @@
                 self.owner.note_fenced(self.node)
                 return
             if outcome is OrderOutcome.OTHER_INCARNATION:
-                self.owner.note_dead(self, "another incarnation answers")
+                self.owner.fleet.note_dead(self, "another incarnation answers")
                 return
             if may_come:
                 # An earlier try without an answer may still be carried out.
                 break
-            self.owner.note_refused(self, run, outcome)
+            self.owner.runs.note_refused(self, run, outcome)
             return
         logger.info(
             "start given up", task=task.name, run=run.number, worker=self.node.id
--- /dev/null
+++ b/lacewinghold/scheduler/fleet.py
@@ -0,0 +1,276 @@
+"""The workers that the owner serves, and what they say runs there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.ids import Incarnation, WorkerId
+from lacewinghold.scheduler.driver import LOST_LOOKS, WorkerDriver
+from lacewinghold.scheduler.job_store import ROSTER
+from lacewinghold.scheduler.model import JobState, Run, RunState, TaskState
+from lacewinghold.scheduler.nodes import WorkerNode
+from lacewinghold.scheduler.ports import (
+    EndKind,
+    Resources,
+    ServerState,
+    WorkerEntry,
+)
+from lacewinghold.schema.generated.cell import EnrolledWorker, WorkerRoster
+from lacewinghold.util.codec import to_json
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.ports import WorkerReport
+
+logger = structlog.get_logger(__name__)
+WORKER_LEASE_S = 4.0  # Longer than a takeover, shorter than the platform's bound.
+UNKNOWN_JOB_S = 2.0  # The store tells of a job within this time.
+
+
+class Fleet:
+    """Nodes and drivers by worker.
+
+    :param owner: The owner that gives the orders.
+    """
+
+    def __init__(self, owner: CellOwner) -> None:
+        self.owner = owner
+        self.nodes: dict[WorkerId, WorkerNode] = {}
+        self.drivers: dict[WorkerId, WorkerDriver] = {}
+        self.earlier_workers: list[EnrolledWorker] = []
+
+    def halt(self, run: Run) -> None:
+        """Stops a run."""
+        driver = self.drivers.get(run.worker)
+        if driver is not None:
+            driver.halt(run)
+
+    def update_workers(self) -> None:
+        """Follows the workers' entries in the store."""
+        entries = self.owner.state.workers
+        for enrolled in self.earlier_workers:
+            self.add_earlier(enrolled)
+        self.earlier_workers = []
+        for worker, entry in entries.items():
+            node = self.nodes.get(worker)
+            if node is not None and node.entry.incarnation != entry.incarnation:
+                self.note_dead(self.drivers[worker], "it has started again")
+                node = None
+            if node is None:
+                self.add_node(entry)
+                continue
+            node.listed = True
+            node.entry = entry
+        for worker, node in self.nodes.items():
+            if worker not in entries and node.listed:
+                node.listed = False
+                logger.info("worker unlisted", worker=worker, runs=len(node.runs))
+        self.owner.planning.wake()
+
+    def add_earlier(self, enrolled: EnrolledWorker) -> None:
+        """Asks a worker of an earlier owner that is not listed any more."""
+        worker = WorkerId(enrolled.worker)
+        listed = self.owner.state.workers.get(worker)
+        if listed is not None and listed.incarnation == enrolled.incarnation:
+            return
+        entry = WorkerEntry(
+            worker=worker,
+            incarnation=Incarnation(enrolled.incarnation),
+            service=enrolled.service,
+            address=enrolled.address,
+            data_centre=enrolled.data_centre,
+            state=ServerState.DRAINING,
+            capacity=Resources(),
+            labels=frozenset(),
+        )
+        if listed is None:
+            self.add_node(entry)
+
+    def write_roster(self) -> None:
+        """Stores which workers a later owner has to ask; then they may be used."""
+        workers = []
+        enrolling = list(self.nodes.values())
+        for node in enrolling:
+            entry = node.entry
+            workers.append(
+                EnrolledWorker(
+                    worker=entry.worker,
+                    incarnation=entry.incarnation,
+                    service=entry.service,
+                    address=entry.address,
+                    data_centre=entry.data_centre,
+                )
+            )
+
+        def written() -> None:
+            for node in enrolling:
+                node.enrolled = True
+            self.owner.planning.wake()
+
+        value = to_json(WorkerRoster(workers=workers))
+        self.owner.log.note_value(self.owner.job_store.prefix + ROSTER, value, written)
+
+    def add_node(self, entry: WorkerEntry) -> None:
+        """Begins to serve a worker."""
+        if self.owner.tasks is None:
+            return
+        node = WorkerNode(entry)
+        driver = WorkerDriver(
+            self.owner, node, self.owner.dialer.open(entry), WORKER_LEASE_S
+        )
+        self.nodes[entry.worker] = node
+        self.drivers[entry.worker] = driver
+        self.owner.tasks.start_soon(driver.run)
+        self.write_roster()
+
+    def note_silent(self, driver: WorkerDriver) -> None:
+        """Notes that a worker did not answer; gives up what surely has lapsed."""
+        node = driver.node
+        now = anyio.current_time()
+        if node.silent_calls == 1:
+            logger.info("worker silent", worker=node.id, runs=len(node.runs))
+        gone = not node.listed and now > self.owner.certain_at()
+        if node.clock_ms is None:
+            if gone:
+                self.note_dead(driver, "never answered and is not listed")
+            return
+        if not node.lapsed(now):
+            return
+        for run in list(node.runs.values()):
+            self.owner.runs.release(node, run, EndKind.LAPSED)
+        if not node.listed:
+            self.note_dead(driver, "its lease has lapsed and it is not listed")
+
+    def note_dead(self, driver: WorkerDriver, reason: str) -> None:
+        """Forgets a worker on which nothing runs any more."""
+        node = driver.node
+        if node.dead:
+            return
+        node.dead = True
+        logger.info("worker gone", worker=node.id, reason=reason, runs=len(node.runs))
+        for run in list(node.runs.values()):
+            self.owner.runs.release(node, run, EndKind.LAPSED)
+        if self.nodes.get(node.id) is node:
+            self.owner.pace.forget(node.id)
+            del self.nodes[node.id]
+            del self.drivers[node.id]
+        driver.scope.cancel()
+        self.owner.planning.wake()
+
+    def apply_report(
+        self, driver: WorkerDriver, report: WorkerReport, sent_at: float
+    ) -> None:
+        """Takes what a worker says: ends first, then what runs."""
+        node = driver.node
+        now = anyio.current_time()
+        node.note_clock(report.clock_ms, now)
+        if not node.fenced:
+            node.fenced = True
+            # An earlier owner may have renewed the lease until just now.
+            node.lease_until_ms = max(
+                node.lease_until_ms, report.clock_ms + WORKER_LEASE_S * 1000
+            )
+            logger.info(
+                "worker joined",
+                worker=node.id,
+                runs=len(report.runs),
+                ends=len(report.ends),
+            )
+        listed = set()
+        for item in report.runs:
+            listed.add((item.task, item.run))
+        for end in report.ends:
+            listed.add((end.task, end.run))
+            if end.number <= driver.processed:
+                continue
+            if self.is_unknown(driver, end.task):
+                break
+            driver.processed = end.number
+            self.owner.runs.note_end(node, end)
+        node.strays.intersection_update(listed)
+        for item in report.runs:
+            run = node.runs.get((item.task, item.run))
+            if run is None:
+                self.adopt(driver, item.task, item.run)
+                continue
+            run.seen = True
+            run.missed_looks = 0
+            self.owner.pace.note(
+                node.id,
+                (item.task, item.run),
+                item.percent,
+                run.task.step.spec.expected_ms / 1000,
+                now,
+            )
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            if item.checkpoint and run.task.step.spec.checkpoints:
+                self.owner.runs.note_checkpoint(run.task, item.checkpoint)
+        self.release_missing(node, listed, sent_at)
+        number = driver.processed
+        if number > driver.acknowledged:
+            self.owner.log.after_written(lambda: driver.acknowledge(number))
+        self.owner.planning.wake()
+
+    def release_missing(
+        self, node: WorkerNode, listed: set[tuple[str, int]], sent_at: float
+    ) -> None:
+        """Gives up runs that a worker repeatedly does not list any more."""
+        for key, run in list(node.runs.items()):
+            if key in listed or not run.settled or run.began_at >= sent_at:
+                continue
+            run.missed_looks += 1
+            if run.missed_looks < LOST_LOOKS:
+                continue
+            logger.warning("run not listed", task=key[0], run=key[1], worker=node.id)
+            self.owner.runs.release(node, run, EndKind.LAPSED)
+
+    def adopt(self, driver: WorkerDriver, task_name: str, number: int) -> None:
+        """Takes over a run that an earlier owner has started, or stops it."""
+        node = driver.node
+        task = self.owner.table.find_task(task_name)
+        if task is None:
+            node.strays.add((task_name, number))
+            if not self.is_unknown(driver, task_name):
+                driver.stop_stray(task_name, number)
+            return
+        run = Run(
+            task=task,
+            number=number,
+            worker=node.id,
+            room=task.step.room,
+            began_at=anyio.current_time(),
+            state=RunState.RUNNING,
+            seen=True,
+            settled=True,
+        )
+        node.add(run)
+        task.last_run = max(task.last_run, number)
+        if task.state is not TaskState.WAITING or task.step.job.ended():
+            logger.info("superfluous run", task=task.name, run=number, worker=node.id)
+            driver.halt(run)
+            return
+        task.run = run
+        task.state = TaskState.PLACED
+        task.step.job.started = True
+        task.step.job.state = JobState.RUNNING
+
+    def is_unknown(self, driver: WorkerDriver, task_name: str) -> bool:
+        """Returns whether a task's job may still come from the store.
+
+        A job that was accepted while this owner took over is found a little later.
+        """
+        now = anyio.current_time()
+        if self.owner.table.find_task(task_name) is not None:
+            driver.unknown_since = None
+            return False
+        if driver.unknown_since is None:
+            driver.unknown_since = now
+        return now - driver.unknown_since < UNKNOWN_JOB_S
+
+    def all_fenced(self) -> bool:
+        """Returns whether every worker known has seen this owner's epoch."""
+        return bool(self.nodes) and all(node.fenced for node in self.nodes.values())
--- /dev/null
+++ b/lacewinghold/scheduler/job_table.py
@@ -0,0 +1,223 @@
+"""The owner's jobs: taken from the store, opened step by step, ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.scheduler.job_store import JobKey
+from lacewinghold.scheduler.model import (
+    Job,
+    JobState,
+    Step,
+    Task,
+    TaskState,
+    is_ready,
+    make_job,
+)
+from lacewinghold.scheduler.ports import stored_queue
+from lacewinghold.schema.generated.cell import CellJob, JobOutcome
+from lacewinghold.util.codec import from_json
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.ports import Queue
+    from lacewinghold.schema.generated.cell import TaskEndEntry
+    from lacewinghold.store.base import KeyValue
+
+logger = structlog.get_logger(__name__)
+
+
+class JobTable:
+    """All jobs that the store holds, and the steps that may run now.
+
+    :param owner: The owner whose jobs these are.
+    """
+
+    def __init__(self, owner: CellOwner) -> None:
+        self.owner = owner
+        self.jobs: dict[str, Job] = {}
+        self.steps: dict[str, Step] = {}
+        self.open_steps: dict[str, Step] = {}
+        self.due_later: dict[str, Job] = {}
+
+    def note_job_key(self, item: KeyValue) -> None:
+        """Takes a job's key from the store."""
+        parsed = self.owner.job_store.parse_key(item.key)
+        if parsed is None:
+            return
+        job_id, kind = parsed
+        if kind is JobKey.ACCEPTED:
+            self.accept(from_json(item.value, CellJob))
+            return
+        job = self.jobs.get(job_id)
+        if job is None:
+            logger.error("key of an unknown job", key=item.key)
+            return
+        if kind is JobKey.CANCELLED:
+            self.cancel(job)
+            return
+        outcome = from_json(item.value, JobOutcome)
+        job.state = job.reported = JobState(outcome.state)
+        if not self.owner.loaded:
+            return
+        self.close_job(job)
+
+    def note_job_gone(self, key: str) -> None:
+        """Forgets a job whose record was removed."""
+        parsed = self.owner.job_store.parse_key(key)
+        if parsed is None or parsed[1] is not JobKey.ACCEPTED:
+            return
+        job = self.jobs.pop(parsed[0], None)
+        if job is None:
+            return
+        for step in job.steps:
+            self.steps.pop(step.name, None)
+            self.open_steps.pop(step.name, None)
+            self.owner.book.forget(step)
+
+    def accept(self, record: CellJob) -> None:
+        """Takes an accepted job."""
+        if record.job in self.jobs:
+            return
+        queue = self.find_queue(record)
+        age = max(0.0, self.owner.clock.now() - record.accepted_at)
+        accepted_at = anyio.current_time() - age
+        job = make_job(record, queue, accepted_at, self.owner.clock.base)
+        job.known_at = anyio.current_time()
+        job.earlier = not self.owner.loaded
+        self.jobs[job.id] = job
+        for step in job.steps:
+            self.steps[step.name] = step
+        if self.owner.loaded:
+            logger.info("job taken", job=job.id, queue=queue.name, steps=len(job.steps))
+            self.refresh_job(job)
+
+    def find_queue(self, record: CellJob) -> Queue:
+        """Returns the queue of a job by the manifest, or as it was at acceptance."""
+        manifest = self.owner.state.manifest
+        found = None if manifest is None else manifest.find(record.host, record.path)
+        return found or stored_queue(record)
+
+    def update_queues(self) -> None:
+        """Applies a new manifest to the jobs that have not ended."""
+        for job in self.jobs.values():
+            if not job.ended():
+                job.queue = self.find_queue(job.record)
+        self.owner.planning.wake()
+
+    def refresh_job(self, job: Job) -> None:
+        """Opens the steps that are ready, or ends the job."""
+        if job.ended():
+            return
+        if all(step.done() for step in job.steps):
+            self.end_job(job, JobState.COMPLETED, "")
+            return
+        now = anyio.current_time()
+        for step in job.steps:
+            if step.done() or step.name in self.open_steps:
+                continue
+            if is_ready(step, now):
+                self.open_steps[step.name] = step
+            elif now < step.due_at and job.timed():
+                self.due_later.setdefault(step.job.id, step.job)
+        self.owner.planning.wake()
+
+    def open_due(self) -> None:
+        """Opens the steps of occurrences that have become due."""
+        for job in list(self.due_later.values()):
+            del self.due_later[job.id]
+            self.refresh_job(job)
+
+    def end_job(self, job: Job, state: JobState, reason: str) -> None:
+        """Ends a job; callers see it once it is durable."""
+        job.state = state
+        age_s = anyio.current_time() - job.accepted_at
+        self.owner.metrics.job_seconds.labels(state.value).observe(age_s)
+        outcome = JobOutcome(
+            state=state.value, at=self.owner.clock.now(), reason=reason
+        )
+        self.owner.log.note_outcome(job.id, outcome, lambda: self.report(job))
+        logger.info(
+            "job ended",
+            job=job.id,
+            queue=job.queue.name,
+            state=state.value,
+            reason=reason,
+            age_s=round(age_s, 3),
+            objective_s=round(job.objective_s, 3),
+        )
+        self.close_job(job)
+
+    def report(self, job: Job) -> None:
+        """Lets callers see a job's final state."""
+        job.reported = job.state
+
+    def close_job(self, job: Job) -> None:
+        """Stops what still runs of a job that has ended."""
+        for step in job.steps:
+            self.open_steps.pop(step.name, None)
+            self.owner.book.forget(step)
+            for run in step.runs():
+                if run.task.state is not TaskState.DONE:
+                    self.owner.fleet.halt(run)
+
+    def cancel(self, job: Job) -> None:
+        """Cancels a job, unless it has ended."""
+        job.cancelled = True
+        if job.ended() or not self.owner.loaded:
+            return
+        self.end_job(job, JobState.CANCELLED, "cancelled by its caller")
+
+    def complete(self, task: Task) -> None:
+        """Notes that a task is done; all at once they are done together."""
+        step = task.step
+        done = step.tasks if step.spec.all_at_once else [task]
+        for member in done:
+            if member.state is not TaskState.DONE:
+                member.state = TaskState.DONE
+                step.remaining -= 1
+        if step.done():
+            self.open_steps.pop(step.name, None)
+            self.owner.book.forget(step)
+
+    def count_failure(self, task: Task, run: int) -> int:
+        """Counts a failed attempt, once however often it is told.
+
+        :returns: The attempts that have failed.
+        """
+        failed_runs = task.failed_runs
+        if task.step.spec.all_at_once:
+            failed_runs = task.step.failed_runs
+        failed_runs.add(run)
+        return len(failed_runs)
+
+    def replay(self, entry: TaskEndEntry) -> None:
+        """Applies an end that an earlier owner has stored."""
+        task = self.find_task(entry.task)
+        if task is None or task.state is TaskState.DONE:
+            return
+        task.last_run = max(task.last_run, entry.run)
+        if entry.done:
+            self.complete(task)
+        else:
+            self.count_failure(task, entry.run)
+
+    def find_task(self, name: str) -> Task | None:
+        """Returns a task by its name."""
+        step_name, _, index = name.rpartition(".")
+        step = self.steps.get(step_name)
+        if step is None or not index.isdecimal() or int(index) >= len(step.tasks):
+            return None
+        return step.tasks[int(index)]
+
+    def count_waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue wait for their first start."""
+        count = 0
+        for job in self.jobs.values():
+            if job.queue.name != queue or job.started or job.ended() or job.timed():
+                continue
+            count += 1
+        return count
--- a/lacewinghold/scheduler/members.py
+++ b/lacewinghold/scheduler/members.py
@@ -32,7 +32,7 @@
 
 logger = structlog.get_logger(__name__)
 MEMBER_LEASE_S = 4.0  # A dead member is asked in vain this long.
-RENEW_S = 1.0
+RENEW_S = 0.5  # Also tells soon that the store has fallen silent.
 RETRY_S = 0.3
 MIRROR_PACE_S = 0.5
 LINK_SLACK_S = 0.3  # Way to a member and back, beside the call that it makes.
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -113,6 +113,8 @@
     """One accepted job.
 
     :param objective_s: Seconds from acceptance to completion that callers expect.
+    :param known_at: When this owner learned of it, on the runtime's clock.
+    :param earlier: Whether an earlier owner may have started tasks of it.
     """
 
     record: CellJob
@@ -120,6 +122,8 @@
     steps: list[Step]
     accepted_at: float
     objective_s: float
+    known_at: float = 0.0
+    earlier: bool = False
     state: JobState = JobState.QUEUED
     reported: JobState = JobState.QUEUED
     cancelled: bool = False
--- /dev/null
+++ b/lacewinghold/scheduler/runs.py
@@ -0,0 +1,154 @@
+"""Runs from their start to the end that a worker lists."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.scheduler.model import JobState, TaskState
+from lacewinghold.scheduler.ports import EndKind, OrderOutcome
+from lacewinghold.schema.generated.cell import TaskEndEntry
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.driver import WorkerDriver
+    from lacewinghold.scheduler.job_table import JobTable
+    from lacewinghold.scheduler.model import Run, Step, Task
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.ports import EndReport
+
+logger = structlog.get_logger(__name__)
+
+
+class Runs:
+    """What becomes of runs.
+
+    :param owner: The owner that has started them.
+    """
+
+    def __init__(self, owner: CellOwner) -> None:
+        self.owner = owner
+
+    @property
+    def table(self) -> JobTable:
+        """Returns the owner's jobs."""
+        return self.owner.table
+
+    def note_started(self, run: Run) -> None:
+        """Notes that a worker has begun a run."""
+        self.owner.metrics.starts.labels(OrderOutcome.DONE.value).inc()
+        job = run.task.step.job
+        if not job.started:
+            job.started = True
+            waited_s = anyio.current_time() - job.accepted_at
+            self.owner.metrics.first_start_seconds.observe(waited_s)
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+
+    def note_refused(
+        self, driver: WorkerDriver, run: Run, outcome: OrderOutcome
+    ) -> None:
+        """Takes back a run that a worker surely did not begin."""
+        node = driver.node
+        logger.info(
+            "start refused",
+            task=run.task.name,
+            run=run.number,
+            worker=node.id,
+            outcome=outcome.value,
+        )
+        self.owner.metrics.starts.labels(outcome.value).inc()
+        if outcome is OrderOutcome.NO_TICKET:
+            self.owner.book.drop_ticket(run.task.step, node.id)
+        if outcome in (OrderOutcome.NOT_SENT, OrderOutcome.UNHEALTHY):
+            node.silent_calls += 1
+        if driver.here(run):
+            self.release(node, run, EndKind.STOPPED)
+
+    def note_end(self, node: WorkerNode, end: EndReport) -> None:
+        """Takes one end from a worker's list."""
+        self.owner.metrics.runs_ended.labels(end.kind.value).inc()
+        logger.info(
+            "run ended",
+            task=end.task,
+            run=end.run,
+            worker=node.id,
+            how=end.kind.value,
+            number=end.number,
+        )
+        run = node.runs.get((end.task, end.run))
+        task = self.table.find_task(end.task)
+        if task is None:
+            return
+        if end.checkpoint and task.step.spec.checkpoints:
+            self.note_checkpoint(task, end.checkpoint)
+        if run is not None:
+            if end.kind is EndKind.DONE and not task.checkpoint:
+                self.owner.pace.finish(
+                    node.id,
+                    (end.task, end.run),
+                    task.step.spec.expected_ms / 1000,
+                    anyio.current_time(),
+                )
+            self.release(node, run, end.kind)
+        if task.state is TaskState.DONE or task.step.job.ended():
+            return
+        if end.kind is EndKind.DONE and not task.step.spec.long_running:
+            entry = TaskEndEntry(task=end.task, run=end.run, done=True)
+            self.owner.log.note_end(entry, lambda: None)
+            node.note_success()
+            self.table.complete(task)
+            self.table.refresh_job(task.step.job)
+        elif end.kind is EndKind.FAILED and not task.step.spec.long_running:
+            entry = TaskEndEntry(task=end.task, run=end.run, done=False)
+            self.owner.log.note_end(entry, lambda: None)
+            self.fail(node, task, end.run)
+
+    def fail(self, node: WorkerNode, task: Task, run: int) -> None:
+        """Takes a failed run: another attempt, or the end of the job."""
+        now = anyio.current_time()
+        job = task.step.job
+        task.failed_on.add(node.id)
+        if node.note_failure(job.id, now):
+            logger.warning("worker quarantined", worker=node.id)
+        failures = self.table.count_failure(task, run)
+        logger.info(
+            "run failed", task=task.name, run=run, worker=node.id, failures=failures
+        )
+        if failures >= job.queue.max_attempts:
+            self.table.end_job(
+                job, JobState.FAILED, f"{task.name} failed {failures} times"
+            )
+
+    def note_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keeps the newest checkpoint, of all members if they run together."""
+        members = task.step.tasks if task.step.spec.all_at_once else [task]
+        for member in members:
+            member.checkpoint = checkpoint
+
+    def release(self, node: WorkerNode, run: Run, kind: EndKind) -> None:
+        """Gives a run's room back and queues its task again, unless it is done."""
+        node.remove(run)
+        self.owner.pace.forget_run(node.id, (run.task.name, run.number))
+        task = run.task
+        if task.run is not run:
+            return
+        task.run = None
+        if task.state is TaskState.PLACED:
+            task.state = TaskState.WAITING
+        step = task.step
+        if step.spec.all_at_once and kind is not EndKind.DONE:
+            self.stop_members(step)
+        if step.job.ended() or step.done():
+            return
+        self.table.open_steps[step.name] = step
+        self.owner.planning.wake()
+
+    def stop_members(self, step: Step) -> None:
+        """Stops the other tasks of an all-at-once run that cannot go on."""
+        if step.done():
+            return
+        for run in step.runs():
+            self.owner.fleet.halt(run)
--- /dev/null
+++ b/lacewinghold/scheduler/slow_workers.py
@@ -0,0 +1,71 @@
+"""Leaves slow and stuck workers alone and moves work off them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.scheduler.model import RunState
+from lacewinghold.scheduler.pace import STUCK_SHARE
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.owner import CellOwner
+
+logger = structlog.get_logger(__name__)
+PACE_INTERVAL_S = 0.25
+MOVE_GAIN = 1.8  # A restart elsewhere has to save this much of a run.
+
+
+class SlowWorkers:
+    """Acts on what the runs' progress tells of the workers.
+
+    :param owner: The owner that has started the runs.
+    """
+
+    def __init__(self, owner: CellOwner) -> None:
+        self.owner = owner
+
+    async def run(self) -> None:
+        """Leaves slow workers alone and moves work off them, until cancelled."""
+        while True:
+            await anyio.sleep(PACE_INTERVAL_S)
+            slow = self.owner.pace.judge(self.owner.fleet.nodes, anyio.current_time())
+            for node in self.owner.fleet.nodes.values():
+                if node.slow is not (node.id in slow):
+                    node.slow = node.id in slow
+                    logger.info(
+                        "worker pace",
+                        worker=node.id,
+                        slow=node.slow,
+                        share=round(slow.get(node.id, 1.0), 3),
+                    )
+                if node.slow:
+                    self.move_off(node, slow[node.id])
+            self.owner.planning.wake()
+
+    def move_off(self, node: WorkerNode, share: float) -> None:
+        """Stops the runs of a slow worker that are done sooner elsewhere."""
+        now = anyio.current_time()
+        for run in list(node.runs.values()):
+            step = run.task.step
+            if run.state is not RunState.RUNNING or step.done() or step.job.ended():
+                continue
+            if step.spec.long_running:
+                continue
+            if share > STUCK_SHARE and (step.spec.all_at_once or share >= 1.0):
+                continue
+            expected_s = step.spec.expected_ms / 1000
+            left_s = expected_s / max(share, STUCK_SHARE) - (now - run.began_at)
+            if left_s < MOVE_GAIN * expected_s:
+                continue
+            logger.info(
+                "run moved",
+                task=run.task.name,
+                run=run.number,
+                worker=node.id,
+                share=round(share, 3),
+            )
+            self.owner.fleet.halt(run)
--- a/lacewinghold/store/health.py
+++ b/lacewinghold/store/health.py
@@ -28,6 +28,7 @@
 logger = structlog.get_logger(__name__)
 OUTAGE_KINDS = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN)
 FAILURES_DOWN = 3  # One lost answer is not an outage; the lease is renewed often.
+SILENT_S = 0.4  # A call across regions to a store 60 times slower takes 0.3 s.
 
 
 class WatchedStore(Store):
@@ -43,16 +44,28 @@
         self.calls = inner.calls
         self.failures = 0
         self.last_answer = anyio.current_time()
+        self.outstanding: dict[int, float] = {}
+        self.next_call = 0
 
     @property
     def down(self) -> bool:
-        """Returns whether the store surely does not serve this instance now."""
-        return self.failures >= FAILURES_DOWN
+        """Returns whether the store does not serve this instance now.
+
+        Either several calls in a row have failed, or one has been waiting for long
+        and nothing was answered meanwhile.
+        """
+        if self.failures >= FAILURES_DOWN:
+            return True
+        now = anyio.current_time()
+        if now - self.last_answer < SILENT_S:
+            return False
+        oldest = min(self.outstanding.values(), default=now)
+        return now - oldest > SILENT_S
 
     def note(self, failure: Failure | None) -> None:
         """Notes the outcome of a call."""
         if failure is None or failure.kind not in OUTAGE_KINDS:
-            if self.down:
+            if self.failures >= FAILURES_DOWN:
                 logger.info(
                     "store serves again",
                     silent_s=round(anyio.current_time() - self.last_answer, 3),
@@ -66,7 +79,13 @@
 
     async def watched(self, call: Awaitable[Result[T, Failure]]) -> Result[T, Failure]:
         """Makes one call."""
-        reply = await call
+        number = self.next_call
+        self.next_call += 1
+        self.outstanding[number] = anyio.current_time()
+        try:
+            reply = await call
+        finally:
+            del self.outstanding[number]
         self.note(reply.err_value if isinstance(reply, Err) else None)
         return reply
 
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -95,12 +95,33 @@
         return Ok([Ticket(worker, f"{step}/{worker}") for worker in workers])
 
 
+class PairedGate(Gate):
+    """A gate that is passed only while another one is open as well.
+
+    :param other: The gate of the whole instance.
+    """
+
+    def __init__(self, other: Gate) -> None:
+        super().__init__()
+        self.other = other
+
+    async def pass_through(self) -> None:
+        """Waits while either gate is closed."""
+        await super().pass_through()
+        await self.other.pass_through()
+
+
 class Member(Struct):
-    """One process of the cell."""
+    """One process of the cell.
+
+    :param gate: Pauses the process.
+    :param gate_store: Holds up its calls to the store and their answers.
+    """
 
     instance: CellInstance
     store: MemoryStore
     gate: Gate
+    gate_store: Gate
     scope: anyio.CancelScope
 
 
@@ -195,7 +216,8 @@
         self.starts += 1
         name = InstanceId(f"entry-{self.starts}")
         gate = Gate()
-        store = MemoryStore(self.state, gate)
+        gate_store = PairedGate(gate)
+        store = MemoryStore(self.state, gate_store)
         settings = EntrySettings(
             instance=name,
             region=REGION,
@@ -215,7 +237,7 @@
             clock=self.clock,
         )
         instance = CellInstance(settings, ports, name, self.rng)
-        member = Member(instance, store, gate, anyio.CancelScope())
+        member = Member(instance, store, gate, gate_store, anyio.CancelScope())
         self.members.append(member)
         self.tasks.start_soon(self.run_member, member)
         return member
--- a/tests/test_scheduler/test_store_outage.py
+++ b/tests/test_scheduler/test_store_outage.py
@@ -73,3 +73,22 @@
         member.store.reachable = False
 
     run_cell(program)
+
+
+def test_callers_at_the_onset_of_a_silent_outage_are_refused_soon():
+    """Only calls on their way when the store falls silent end as unknown."""
+
+    async def program(cell):
+        for member in cell.members:
+            member.gate_store.close()
+        await anyio.sleep(1.0)
+        asked = anyio.current_time()
+        for number, member in enumerate(cell.members):
+            record = cell.make_job(f"j{number}", [step()])
+            result = await member.instance.front.submit(record)
+            assert result.err_value.kind is ErrorKind.NOT_RUN
+        assert anyio.current_time() - asked < 0.1
+        for member in cell.members:
+            member.gate_store.open()
+
+    run_cell(program)
