--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -71,7 +71,7 @@
         """Looks again and again; a silent worker is dead once its lease has lapsed."""
         node = self.node
         while not node.dead:
-            waits = self.processed <= self.acknowledged
+            waits = self.processed <= self.acknowledged and not node.strays
             sent_at = anyio.current_time()
             reply = await self.look(LOOK_WAIT_S if waits and node.fenced else 0.0)
             if isinstance(reply, WorkerReport):
@@ -114,6 +114,9 @@
 
     async def pause_after_look(self, report: WorkerReport) -> None:
         """Waits until ends may be acknowledged, so that looks do not spin."""
+        if self.node.strays:
+            await anyio.sleep(LOOK_RETRY_S)
+            return
         if self.processed <= self.acknowledged:
             if report.ends:
                 await anyio.sleep(GATHER_S)
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -49,7 +49,12 @@
             driver.halt(run)
 
     def update_workers(self) -> None:
-        """Follows the workers' entries in the store."""
+        """Follows the workers' entries in the store, once the jobs are loaded.
+
+        What a worker says can be understood only by the jobs and stored ends.
+        """
+        if not self.owner.loaded:
+            return
         entries = self.owner.state.workers
         for enrolled in self.earlier_workers:
             self.add_earlier(enrolled)
@@ -272,5 +277,8 @@
         return now - driver.unknown_since < UNKNOWN_JOB_S
 
     def all_fenced(self) -> bool:
-        """Returns whether every worker known has seen this owner's epoch."""
-        return bool(self.nodes) and all(node.fenced for node in self.nodes.values())
+        """Returns whether every worker has told this owner all that runs there."""
+        for node in self.nodes.values():
+            if not node.fenced or node.strays:
+                return False
+        return bool(self.nodes)
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -205,6 +205,17 @@
         else:
             self.count_failure(task, entry.run)
 
+    def end_if_exhausted(self, job: Job) -> None:
+        """Ends a job whose attempts an earlier owner has seen used up."""
+        for step in job.steps:
+            failures = len(step.failed_runs)
+            for task in step.tasks:
+                if task.state is not TaskState.DONE:
+                    failures = max(failures, len(task.failed_runs))
+            if step.done() or failures < job.queue.max_attempts or job.ended():
+                continue
+            self.end_job(job, JobState.FAILED, f"{step.name} failed {failures} times")
+
     def find_task(self, name: str) -> Task | None:
         """Returns a task by its name."""
         step_name, _, index = name.rpartition(".")
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -148,6 +148,7 @@
         for job in list(self.table.jobs.values()):
             if job.cancelled:
                 self.table.cancel(job)
+            self.table.end_if_exhausted(job)
             self.table.refresh_job(job)
         logger.info(
             "cell loaded",
--- a/lacewinghold/store/health.py
+++ b/lacewinghold/store/health.py
@@ -28,7 +28,7 @@
 logger = structlog.get_logger(__name__)
 OUTAGE_KINDS = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN)
 FAILURES_DOWN = 3  # One lost answer is not an outage; the lease is renewed often.
-SILENT_S = 0.4  # A call across regions to a store 60 times slower takes 0.3 s.
+SILENT_S = 0.6  # Twice a call across regions to a store 60 times slower.
 
 
 class WatchedStore(Store):
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import anyio
+import msgspec
 import pytest
 
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.schema.generated.cell import EndBatch, TaskEndEntry
+from lacewinghold.testing.step_cell import WORKERS_PREFIX
 from lacewinghold.testing.step_worker import Behaviour
+from lacewinghold.util.codec import to_json
 from tests.test_scheduler.support import run_cell, step
 
 
@@ -163,3 +167,52 @@
     """Makes a worker silent after its answer has left."""
     await anyio.sleep(0.0001)
     worker.silent = True
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_workers_are_looked_at_only_once_the_jobs_are_loaded(seed):
+    """Entries of workers that change during a takeover must not hurry it."""
+
+    async def rewrite_entries(cell):
+        while True:
+            for worker in list(cell.world.workers.values()):
+                left_s = 1000 - anyio.current_time()
+                entry = msgspec.structs.replace(worker.entry, remaining_s=left_s)
+                key = WORKERS_PREFIX + str(worker.id)
+                await cell.put(key, msgspec.json.encode(entry))
+            await anyio.sleep(0.002)
+
+    async def program(cell):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rewrite_entries, cell)
+            for number in range(20):
+                cell.behaviours[f"j{number}"] = Behaviour(3.0)
+                await cell.submit(f"j{number}", [step(1)])
+            await anyio.sleep(0.5)
+            cell.state.latency_s = 0.05
+            await take_over(cell)
+            await anyio.sleep(3)
+            cell.state.latency_s = 0.002
+            tasks.cancel_scope.cancel()
+        for number in range(20):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 20)
+
+    run_cell(program, seed=seed, workers=6)
+
+
+def test_attempts_that_are_used_up_end_the_job_at_the_next_owner():
+    """The ends are stored, and their owner died before it stored the outcome."""
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(6)
+        await cell.submit("full", [step(16)])
+        await cell.submit("a", [step()])
+        await anyio.sleep(0.2)
+        ends = [TaskEndEntry(task="a.0.0.0", run=run, done=False) for run in (1, 2)]
+        await cell.put("lacewinghold/l/00000001/99999999", to_json(EndBatch(ends=ends)))
+        await take_over(cell)
+        assert await cell.wait_for("a", JobState.FAILED, 5)
+        await anyio.sleep(8)
+        assert not [s for s in cell.world.starts if s.task.startswith("a.")]
+
+    run_cell(program)
