--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -226,9 +226,9 @@
 
     def address_of(self, instance: InstanceId) -> str | None:
         """Returns the address of a member, or ``None`` if it is unknown."""
-        member = self.members.members.get(instance)
-        if member is not None:
-            return member.address
+        address = self.members.addresses.get(instance)
+        if address is not None:
+            return address
         for record in (self.election.owner, self.election.earlier):
             if record is not None and record.instance == instance:
                 return record.address
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -23,6 +23,7 @@
 RETRY_AFTER_S = 1.0  # An outage of the store or a takeover seldom is over sooner.
 ANSWER_MARGIN_S = 0.25  # Kept of a caller's deadline for the way back.
 DEFAULT_DEADLINE_S = 3.0
+FORWARD_S = 0.15  # The way to the owner and back, across regions.
 
 
 class JobFront:
@@ -71,7 +72,7 @@
         self, record: CellJob, limit_s: float
     ) -> Result[None, Failure]:
         """Submits a job through the owner while the store does not serve here."""
-        reply = await self.instance.peer_calls.submit(record, limit_s)
+        reply = await self.instance.peer_calls.submit(record, limit_s - FORWARD_S)
         if isinstance(reply, Ok):
             return reply
         failure = reply.err_value
--- a/lacewinghold/scheduler/members.py
+++ b/lacewinghold/scheduler/members.py
@@ -35,6 +35,7 @@
 RENEW_S = 0.5  # Also tells soon that the store has fallen silent.
 RETRY_S = 0.3
 MIRROR_PACE_S = 0.5
+MAX_ADDRESSES = 1000  # Starts of instances in some days.
 LINK_SLACK_S = 0.3  # Way to a member and back, beside the call that it makes.
 
 
@@ -90,6 +91,7 @@
     ) -> None:
         self.prefix = prefix + MEMBERS
         self.members: dict[InstanceId, CellMember] = {}
+        self.addresses: dict[InstanceId, str] = {}
         self.changed = changed
         self.mirror = Mirror(
             store, self.prefix, self.note, self.note_gone, MIRROR_PACE_S
@@ -104,8 +106,15 @@
             return
         instance = InstanceId(member.instance)
         self.members[instance] = member
+        self.remember_address(instance, member.address)
         self.changed(instance)
 
+    def remember_address(self, instance: InstanceId, address: str) -> None:
+        """Keeps an address beyond the lease: whom the store refuses still calls."""
+        self.addresses[instance] = address
+        while len(self.addresses) > MAX_ADDRESSES:
+            del self.addresses[next(iter(self.addresses))]
+
     def note_gone(self, key: str) -> None:
         """Forgets a member whose lease has ended."""
         instance = InstanceId(key.removeprefix(self.prefix))
--- a/lacewinghold/scheduler/pace.py
+++ b/lacewinghold/scheduler/pace.py
@@ -19,7 +19,8 @@
 
 MEMORY_S = 1.5  # Progress further back hardly counts.
 MIN_OBSERVED_S = 1.5  # Run seconds that have been seen before a worker is judged.
-SLOW_SHARE = 0.45  # Speed against the median below which a worker counts as slow.
+SLOW_SHARE = 0.33  # Speed against the median below which a worker counts as slow.
+SOUND_SHARE = 0.6  # Speed from which a slow worker counts as sound again.
 STUCK_SHARE = 0.05
 MIN_JUDGED = 4  # Workers that are needed for a median to mean something.
 MAX_SLOW_SHARE = 0.34  # More slow workers than this are the load, not a fault.
@@ -130,9 +131,11 @@
         shares = self.shares()
         slow = {}
         for worker, share in shares.items():
-            if worker in known and share < SLOW_SHARE:
+            bound = SOUND_SHARE if worker in self.slow_until else SLOW_SHARE
+            if worker in known and share < bound:
                 slow[worker] = share
-        if len(slow) > MAX_SLOW_SHARE * len(known):
+        behind = [worker for worker in known if shares.get(worker, 1.0) < SOUND_SHARE]
+        if len(behind) > MAX_SLOW_SHARE * len(known):
             return {}
         for worker in slow:
             self.slow_until[worker] = now + SLOW_HOLD_S
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -109,7 +109,9 @@
         if owner is None:
             return Err(Failure(ErrorKind.UNREACHABLE, "no other owner is known"))
         call = CellSubmitCall(to_json(record), limit_s)
-        reply = await self.links.call(owner, MessageKind.CELL_SUBMIT, call, limit_s)
+        reply = await self.links.call(
+            owner, MessageKind.CELL_SUBMIT, call, limit_s + OWNER_CALL_S
+        )
         return Err(reply.err_value) if isinstance(reply, Err) else Ok(None)
 
     async def cancel(self, job: str) -> Result[None, Failure]:
--- a/tests/test_scheduler/test_store_outage.py
+++ b/tests/test_scheduler/test_store_outage.py
@@ -21,10 +21,12 @@
     async def program(cell):
         member = other_member(cell)
         member.store.reachable = False
-        await anyio.sleep(3)
-        record = cell.make_job("a", [step()])
-        assert (await member.instance.front.submit(record)).is_ok()
-        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        # Its entry among the members lapses meanwhile.
+        for number in range(4):
+            await anyio.sleep(3)
+            record = cell.make_job(f"j{number}", [step()])
+            assert (await member.instance.front.submit(record)).is_ok()
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 5)
 
     run_cell(program)
 
@@ -81,7 +83,7 @@
     async def program(cell):
         for member in cell.members:
             member.gate_store.close()
-        await anyio.sleep(1.0)
+        await anyio.sleep(1.2)
         asked = anyio.current_time()
         for number, member in enumerate(cell.members):
             record = cell.make_job(f"j{number}", [step()])
