--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -32,7 +32,6 @@
 
 logger = structlog.get_logger(__name__)
 WORKERS_PREFIX = "servers/"
-ORDER_S = 0.6  # Two round trips between regions and a slow worker.
 MAX_CONNECTIONS = 24  # The sites allow 64 to each worker.
 EXPECT_INSTANCE = "Lacewinghold-Expect-Instance"
 REASONS = {
@@ -138,9 +137,9 @@
         self.client = JsonClient(entry.address, MAX_CONNECTIONS)
         self.headers = {EXPECT_INSTANCE: str(entry.worker)}
 
-    async def order(self, path: str, body: object) -> OrderReply:
+    async def order(self, path: str, body: object, timeout_s: float) -> OrderReply:
         """Makes one call that changes something."""
-        reply = await self.client.call("POST", path, ORDER_S, body, self.headers)
+        reply = await self.client.call("POST", path, timeout_s, body, self.headers)
         if isinstance(reply, Err):
             if reply.err_value.kind is ErrorKind.UNREACHABLE:
                 return OrderReply(OrderOutcome.NOT_SENT)
@@ -158,7 +157,7 @@
             logger.error("order invalid", path=path, status=found.status, body=body)
         return OrderReply(outcome, wire.clock_ms)
 
-    async def start(self, order: StartOrder) -> OrderReply:
+    async def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
         body: dict[str, object] = {
             "task": order.task,
             "run": order.run,
@@ -170,13 +169,15 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self.order("/run-start", body)
+        return await self.order("/run-start", body, timeout_s)
 
-    async def stop(self, order: StopOrder) -> OrderReply:
+    async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
         body = {"task": order.task, "run": order.run, "fencingToken": order.epoch}
-        return await self.order("/run-stop", body)
+        return await self.order("/run-stop", body, timeout_s)
 
-    async def look(self, order: LookOrder) -> WorkerReport | OrderOutcome:
+    async def look(
+        self, order: LookOrder, timeout_s: float
+    ) -> WorkerReport | OrderOutcome:
         body: dict[str, object] = {
             "fencingToken": order.epoch,
             "lastSeen": order.acknowledged,
@@ -186,7 +187,7 @@
         if order.wait_s > 0:
             body["waitMs"] = round(order.wait_s * 1000)
         reply = await self.client.call(
-            "POST", "/hold", order.wait_s + ORDER_S, body, self.headers
+            "POST", "/hold", order.wait_s + timeout_s, body, self.headers
         )
         if isinstance(reply, Err):
             if reply.err_value.kind is ErrorKind.UNREACHABLE:
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -24,12 +24,14 @@
     from lacewinghold.scheduler.ports import WorkerCalls
 
 logger = structlog.get_logger(__name__)
-LOOK_WAIT_S = 1.0  # Renews a lease of four seconds with three tries to spare.
+LOOK_WAIT_S = 0.6  # A look that is lost hides ends for this and LOOK_TIMEOUT_S.
+LOOK_TIMEOUT_S = 0.4  # Several round trips between regions.
 LOOK_RETRY_S = 0.1
 LISTED_AGAIN_S = 0.3  # Pause between looks while ends cannot be acknowledged.
 GATHER_S = 0.02  # Ends that come together are taken with one look.
-START_TRIES = 3
-ORDER_RETRY_S = 0.1
+START_TIMEOUTS_S = (0.25, 0.5, 1.0)  # From two round trips to a slowed worker.
+ORDER_RETRY_S = 0.02
+STOP_TIMEOUT_S = 0.6
 STOP_RETRY_S = 0.2
 LOST_LOOKS = 2  # Looks that miss a run which had started before it is given up.
 
@@ -103,7 +105,8 @@
         ):
             until = self.new_lease_end()
         return await self.calls.look(
-            LookOrder(self.owner.epoch, self.acknowledged, until, wait_s)
+            LookOrder(self.owner.epoch, self.acknowledged, until, wait_s),
+            LOOK_TIMEOUT_S,
         )
 
     def new_lease_end(self) -> float:
@@ -141,7 +144,7 @@
         """Orders a start until the worker has answered, or gives the run up."""
         task = run.task
         may_come = False
-        for _ in range(START_TRIES):
+        for timeout_s in START_TIMEOUTS_S:
             if not self.here(run) or run.state is RunState.STOPPING:
                 return
             if not self.owner.may_order():
@@ -155,7 +158,8 @@
                     epoch=self.owner.epoch,
                     checkpoint=task.checkpoint,
                     ticket=ticket,
-                )
+                ),
+                timeout_s,
             )
             if reply.clock_ms is not None:
                 self.node.note_clock(reply.clock_ms, anyio.current_time())
@@ -215,7 +219,8 @@
 
         :returns: Whether the worker surely will not run it any more.
         """
-        reply = await self.calls.stop(StopOrder(task, number, self.owner.epoch))
+        order = StopOrder(task, number, self.owner.epoch)
+        reply = await self.calls.stop(order, STOP_TIMEOUT_S)
         if reply.clock_ms is not None:
             self.node.note_clock(reply.clock_ms, anyio.current_time())
         if reply.outcome is OrderOutcome.FENCED:
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -14,6 +14,7 @@
     from lacewinghold.scheduler.ports import WorkerEntry
 
 CLOCK_DRIFT = 0.02  # Workers' clocks may be this share slow, as the platform states.
+LAPSE_MARGIN_MS = 100  # A worker may notice the end of a lease a little late.
 SUSPECT_AFTER_FAILURES = 2  # Runs that failed in a row, of different jobs.
 QUARANTINE_S = 4.0  # About the length of the troubles that make a worker fail.
 
@@ -113,7 +114,7 @@
         """Returns whether every lease that was asked for surely has ended."""
         if self.clock_ms is None:
             return False
-        return self.earliest_clock(now) > self.lease_until_ms
+        return self.earliest_clock(now) > self.lease_until_ms + LAPSE_MARGIN_MS
 
     def note_failure(self, job: str, now: float) -> bool:
         """Notes a run that failed.
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -267,15 +267,17 @@
     name: ClassVar[str]
 
     @abstractmethod
-    async def start(self, order: StartOrder) -> OrderReply:
+    async def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
         """Starts a task; the same run twice is one start."""
 
     @abstractmethod
-    async def stop(self, order: StopOrder) -> OrderReply:
+    async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
         """Stops a run, or refuses it in advance if it is not there yet."""
 
     @abstractmethod
-    async def look(self, order: LookOrder) -> WorkerReport | OrderOutcome:
+    async def look(
+        self, order: LookOrder, timeout_s: float
+    ) -> WorkerReport | OrderOutcome:
         """Renews the lease and returns what runs and what ended."""
 
     @abstractmethod
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -37,7 +37,6 @@
 
 CALL_S = 0.002
 LATE_BY_S = 2.0
-LOST_AFTER_S = 0.6
 STOP_S = 0.05
 
 
@@ -294,11 +293,11 @@
         self.incarnation = entry.incarnation
         self.gate = gate
 
-    async def reach(self) -> OrderOutcome | None:
+    async def reach(self, timeout_s: float) -> OrderOutcome | None:
         """Returns why the worker is not reached, ``None`` if it is."""
         await self.gate.pass_through()
         if self.worker.silent:
-            await anyio.sleep(LOST_AFTER_S)
+            await anyio.sleep(timeout_s)
             return OrderOutcome.UNKNOWN
         await anyio.sleep(CALL_S)
         if self.incarnation != self.worker.incarnation:
@@ -309,8 +308,8 @@
         """Returns the fault of the present order, if it has one."""
         return self.worker.faults.pop(0) if self.worker.faults else None
 
-    async def start(self, order: StartOrder) -> OrderReply:
-        missed = await self.reach()
+    async def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
+        missed = await self.reach(timeout_s)
         if missed is not None:
             return OrderReply(missed)
         fault = self.next_fault()
@@ -318,12 +317,12 @@
             return OrderReply(OrderOutcome.NOT_SENT)
         if fault is OrderFault.CARRIED_OUT_LATE:
             self.worker.tasks.start_soon(self.start_late, order)
-            await anyio.sleep(LOST_AFTER_S)
+            await anyio.sleep(timeout_s)
             return OrderReply(OrderOutcome.UNKNOWN)
         outcome = self.worker.start(order)
         await self.gate.pass_through()
         if fault is OrderFault.REPLY_LOST:
-            await anyio.sleep(LOST_AFTER_S)
+            await anyio.sleep(timeout_s)
             return OrderReply(OrderOutcome.UNKNOWN)
         return OrderReply(outcome, self.worker.clock_ms())
 
@@ -333,16 +332,18 @@
         if self.incarnation == self.worker.incarnation:
             self.worker.start(order)
 
-    async def stop(self, order: StopOrder) -> OrderReply:
-        missed = await self.reach()
+    async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
+        missed = await self.reach(timeout_s)
         if missed is not None:
             return OrderReply(missed)
         outcome = await self.worker.stop(order)
         await self.gate.pass_through()
         return OrderReply(outcome, self.worker.clock_ms())
 
-    async def look(self, order: LookOrder) -> WorkerReport | OrderOutcome:
-        missed = await self.reach()
+    async def look(
+        self, order: LookOrder, timeout_s: float
+    ) -> WorkerReport | OrderOutcome:
+        missed = await self.reach(timeout_s)
         if missed is not None:
             return missed
         report = await self.worker.look(order)
--- a/tests/test_platform/test_platform_workers.py
+++ b/tests/test_platform/test_platform_workers.py
@@ -78,7 +78,7 @@
 
 
 def test_a_start_names_the_worker_and_carries_whole_milliseconds():
-    reply_, calls = use(lambda c: c.start(START), reply(200, {"clockMs": 11}))
+    reply_, calls = use(lambda c: c.start(START, 1), reply(200, {"clockMs": 11}))
     assert reply_.outcome is OrderOutcome.DONE
     assert reply_.clock_ms == 11
     assert calls == [
@@ -117,7 +117,7 @@
     ],
 )
 def test_outcomes_of_an_order(answer, outcome):
-    found, _ = use(lambda c: c.stop(StopOrder("j.0.1.2", 3, 9)), answer)
+    found, _ = use(lambda c: c.stop(StopOrder("j.0.1.2", 3, 9), 1), answer)
     assert found.outcome is outcome
 
 
@@ -129,7 +129,7 @@
         "born": ENTRY["born"],
     }
     report, calls = use(
-        lambda c: c.look(LookOrder(9, 57, 500.9, 1.0)), reply(200, body)
+        lambda c: c.look(LookOrder(9, 57, 500.9, 1.0), 1), reply(200, body)
     )
     assert isinstance(report, WorkerReport)
     assert report.runs[0].task == "j.0.1.17"
@@ -145,7 +145,7 @@
 
 def test_lists_of_another_start_of_the_worker_are_not_taken():
     body = {"clockMs": 1, "running": [], "ended": [], "born": 5}
-    found, _ = use(lambda c: c.look(LookOrder(9, 0)), reply(200, body))
+    found, _ = use(lambda c: c.look(LookOrder(9, 0), 1), reply(200, body))
     assert found is OrderOutcome.OTHER_INCARNATION
 
 
@@ -161,5 +161,5 @@
     ],
 )
 def test_outcomes_of_a_look(answer, outcome):
-    found, _ = use(lambda c: c.look(LookOrder(9, 0)), answer)
+    found, _ = use(lambda c: c.look(LookOrder(9, 0), 1), answer)
     assert found is outcome
--- a/tests/test_scheduler/test_worker_faults.py
+++ b/tests/test_scheduler/test_worker_faults.py
@@ -90,3 +90,15 @@
             assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 8)
 
     run_cell(program, workers=8)
+
+
+def test_a_lost_answer_to_a_start_costs_a_quick_job_little():
+    """A second of work has to be done 2.1 s after its acceptance."""
+
+    async def program(cell):
+        for worker in cell.world.workers.values():
+            worker.faults = [OrderFault.CARRIED_OUT_LATE]
+        await cell.submit("a", [step(1)])
+        assert await cell.wait_for("a", JobState.COMPLETED, 1.6)
+
+    run_cell(program)
