--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -42,6 +42,7 @@
     from lacewinghold.util.clock import WallClock
 
 logger = structlog.get_logger(__name__)
+FORGET_MARGIN_S = 30.0  # Clocks differ, and a caller's last question takes a while.
 MANIFEST_PACE_S = 0.3  # Far below the time in which a manifest has to be in force.
 WORKERS_PACE_S = 0.25  # A draining worker has to be left alone within three seconds.
 
@@ -300,6 +301,7 @@
             book,
             self.ports.clock,
             self.metrics,
+            self.settings.bounds.status_s + FORGET_MARGIN_S,
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
--- a/lacewinghold/scheduler/end_log.py
+++ b/lacewinghold/scheduler/end_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import anyio
@@ -16,7 +17,7 @@
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from lacewinghold.errors import Failure
     from lacewinghold.scheduler.job_store import JobStore
@@ -24,16 +25,28 @@
 logger = structlog.get_logger(__name__)
 MAX_OPERATIONS = 28  # The store takes 32 entries a write; the condition is one.
 RETRY_S = 0.1  # Pause after a failed write.
+MAX_IN_FLIGHT = 4  # Writes to a slow store that overlap.
 GATHER_S = 0.03  # Ends that arrive within this time share a write.
 
 
 class PendingBatch(Struct):
-    """What waits for the next write."""
+    """What one or more writes carry.
+
+    :param stored: Called once this batch is durable.
+    :param settled: Called once this batch and all before it are.
+    """
 
     ends: list[TaskEndEntry] = field(default_factory=list)
     outcomes: list[tuple[str, JobOutcome]] = field(default_factory=list)
     values: dict[str, bytes] = field(default_factory=dict)
-    written: list[Callable[[], None]] = field(default_factory=list)
+    removals: list[str] = field(default_factory=list)
+    stored: list[Callable[[], None]] = field(default_factory=list)
+    settled: list[Callable[[], None]] = field(default_factory=list)
+    durable: bool = False
+
+    def empty(self) -> bool:
+        """Returns whether there is nothing to write."""
+        return not (self.ends or self.outcomes or self.values or self.removals)
 
 
 class EndLog:
@@ -52,67 +65,83 @@
         self.term = term
         self.sequence = 0
         self.pending = PendingBatch()
+        self.in_flight: deque[PendingBatch] = deque()
+        self.slots = anyio.Semaphore(MAX_IN_FLIGHT)
         self.wake = anyio.Event()
         self.superseded = anyio.Event()
         self.writes = 0
-        self.removals: list[str] = []
         self.failing = False
+        self.open_jobs: dict[str, set[str]] = {}
 
     def key(self, sequence: int) -> str:
-        """Returns the key of a batch."""
+        """Returns the key of a batch of ends."""
         return f"{self.jobs.prefix}{ENDS}{self.term:08d}/{sequence:08d}"
 
-    def note_end(self, entry: TaskEndEntry, written: Callable[[], None]) -> None:
-        """Queues an end; ``written`` is called once it is durable."""
+    def note_end(self, entry: TaskEndEntry) -> None:
+        """Queues an end."""
         self.pending.ends.append(entry)
-        self.pending.written.append(written)
         self.wake.set()
 
     def note_outcome(
-        self, job: str, outcome: JobOutcome, written: Callable[[], None]
+        self, job: str, outcome: JobOutcome, stored: Callable[[], None]
     ) -> None:
-        """Queues a job's outcome."""
+        """Queues a job's outcome; ``stored`` is called once it is durable."""
         self.pending.outcomes.append((job, outcome))
-        self.pending.written.append(written)
+        self.pending.stored.append(stored)
         self.wake.set()
 
-    def note_value(
-        self, key: str, value: bytes, written: Callable[[], None] | None = None
-    ) -> None:
-        """Queues a key that only the owner may write."""
+    def note_value(self, key: str, value: bytes, stored: Callable[[], None]) -> None:
+        """Queues a key of its own, which is never written with another value.
+
+        A write that is carried out late must not undo a newer one.
+        """
         self.pending.values[key] = value
-        if written is not None:
-            self.pending.written.append(written)
+        self.pending.stored.append(stored)
         self.wake.set()
 
-    def after_written(self, written: Callable[[], None]) -> None:
+    def remove(self, keys: Iterable[str]) -> None:
+        """Queues the removal of keys that nobody needs any more."""
+        self.pending.removals += keys
+        self.wake.set()
+
+    def after_written(self, settled: Callable[[], None]) -> None:
         """Calls back once all that is queued now is durable."""
-        self.pending.written.append(written)
+        self.pending.settled.append(settled)
         self.wake.set()
 
     async def run(self) -> None:
-        """Writes until cancelled or superseded."""
-        while True:
-            await self.wake.wait()
-            await anyio.sleep(GATHER_S)
-            self.wake = anyio.Event()
-            batch, self.pending = self.pending, PendingBatch()
-            while batch.ends or batch.outcomes or batch.values or self.removals:
-                if not await self.write_part(batch):
-                    return
-            for call in batch.written:
+        """Writes until cancelled or superseded; a slow store gets several at once."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self.wake.wait()
+                await anyio.sleep(GATHER_S)
+                await self.slots.acquire()
+                self.wake = anyio.Event()
+                batch, self.pending = self.pending, PendingBatch()
+                self.in_flight.append(batch)
+                tasks.start_soon(self.write_batch, batch)
+
+    async def write_batch(self, batch: PendingBatch) -> None:
+        """Writes a batch, and tells what is durable by it."""
+        while not batch.empty():
+            if not await self.write(self.next_operations(batch)):
+                return
+        batch.durable = True
+        self.slots.release()
+        for call in batch.stored:
+            call()
+        while self.in_flight and self.in_flight[0].durable:
+            for call in self.in_flight.popleft().settled:
                 call()
 
-    async def write_part(self, batch: PendingBatch) -> bool:
-        """Writes as much of a batch as one write takes.
-
-        :returns: Whether this instance still is the owner.
-        """
+    def next_operations(self, batch: PendingBatch) -> list[Put | Delete]:
+        """Returns as much of a batch as one write takes."""
         operations: list[Put | Delete] = []
         if batch.ends:
             self.sequence += 1
-            value = to_json(EndBatch(ends=batch.ends))
-            operations.append(Put(self.key(self.sequence), value))
+            key = self.key(self.sequence)
+            self.open_jobs[key] = {entry.task.partition(".")[0] for entry in batch.ends}
+            operations.append(Put(key, to_json(EndBatch(ends=batch.ends))))
             batch.ends = []
         operations += [Put(key, value) for key, value in batch.values.items()]
         batch.values = {}
@@ -122,9 +151,19 @@
             operations.append(Put(key, to_json(outcome)))
         batch.outcomes = batch.outcomes[room:]
         room = MAX_OPERATIONS - len(operations)
-        operations += [Delete(key) for key in self.removals[:room]]
-        self.removals = self.removals[room:]
-        return await self.write(operations)
+        operations += [Delete(key) for key in batch.removals[:room]]
+        batch.removals = batch.removals[room:]
+        return operations
+
+    def forget_job(self, job: str) -> None:
+        """Removes a job's keys, and the batches of ends that no job needs any more."""
+        keys = [self.jobs.key(job, kind) for kind in JobKey]
+        for key, jobs in list(self.open_jobs.items()):
+            jobs.discard(job)
+            if not jobs:
+                del self.open_jobs[key]
+                keys.append(key)
+        self.remove(keys)
 
     async def write(self, operations: list[Put | Delete]) -> bool:
         """Writes operations until they are durable or ownership is lost."""
@@ -157,7 +196,9 @@
         found: list[TaskEndEntry] = []
         for item in sorted(reply.ok_value.items, key=lambda item: item.key):
             try:
-                found += from_json(item.value, EndBatch).ends
+                ends = from_json(item.value, EndBatch).ends
+                found += ends
+                self.open_jobs[item.key] = {e.task.partition(".")[0] for e in ends}
             except msgspec.DecodeError as error:
                 logger.error("damaged record", key=item.key, detail=str(error))
         return Ok(found)
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -41,6 +41,8 @@
         self.nodes: dict[WorkerId, WorkerNode] = {}
         self.drivers: dict[WorkerId, WorkerDriver] = {}
         self.earlier_workers: list[EnrolledWorker] = []
+        self.old_rosters: list[str] = []
+        self.rosters = 0
 
     def halt(self, run: Run) -> None:
         """Stops a run."""
@@ -110,13 +112,19 @@
                 )
             )
 
-        def written() -> None:
+        self.rosters += 1
+        term = self.owner.ownership.term
+        key = f"{self.owner.job_store.prefix}{ROSTER}{term:08d}/{self.rosters:08d}"
+
+        def stored() -> None:
             for node in enrolling:
                 node.enrolled = True
+            self.owner.log.remove(self.old_rosters)
+            self.old_rosters = [key]
             self.owner.planning.wake()
 
         value = to_json(WorkerRoster(workers=workers))
-        self.owner.log.note_value(self.owner.job_store.prefix + ROSTER, value, written)
+        self.owner.log.note_value(key, value, stored)
 
     def add_node(self, entry: WorkerEntry) -> None:
         """Begins to serve a worker."""
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -23,7 +23,7 @@
 ENDS = "l/"
 OWNER = "owner"
 MEMBERS = "m/"
-ROSTER = "roster"
+ROSTER = "r/"
 
 
 class JobKey(Enum):
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -61,6 +61,7 @@
             return
         outcome = from_json(item.value, JobOutcome)
         job.state = job.reported = JobState(outcome.state)
+        job.ended_at = outcome.at
         if not self.owner.loaded:
             return
         self.close_job(job)
@@ -154,6 +155,17 @@
     def report(self, job: Job) -> None:
         """Lets callers see a job's final state."""
         job.reported = job.state
+        job.ended_at = self.owner.clock.now()
+
+    def forget_ended(self, before: float) -> None:
+        """Removes jobs that ended before a wall time and take no room any more."""
+        for job in list(self.jobs.values()):
+            if job.ended_at is None or job.ended_at >= before:
+                continue
+            if any(step.runs() for step in job.steps):
+                continue
+            job.ended_at = None
+            self.owner.log.forget_job(job.id)
 
     def close_job(self, job: Job) -> None:
         """Stops what still runs of a job that has ended."""
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -38,6 +38,7 @@
 JOBS_PACE_S = 0.4  # Members tell of jobs at once; the store tells of those missed.
 LOAD_RETRY_S = 0.1
 FENCE_CHECK_S = 0.01
+FORGET_INTERVAL_S = 5.0
 
 
 class CellState(Struct):
@@ -51,6 +52,7 @@
     """Decides under one ownership.
 
     :param state: Manifest and worker entries, kept up to date by the instance.
+    :param status_s: How long an ended job can be asked for, in seconds.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         book: AdviceBook,
         clock: WallClock,
         metrics: CellMetrics,
+        status_s: float,
     ) -> None:
         self.ownership = ownership
         self.job_store = jobs
@@ -70,6 +73,7 @@
         self.book = book
         self.clock = clock
         self.metrics = metrics
+        self.status_s = status_s
         self.log = EndLog(jobs, ownership.epoch, ownership.term)
         self.pace = PaceBook()
         self.table = JobTable(self)
@@ -116,8 +120,17 @@
             self.fleet.update_workers()
             tasks.start_soon(self.settle_uncertain)
             tasks.start_soon(SlowWorkers(self).run)
+            tasks.start_soon(self.forget_old_jobs)
             await self.planning.run()
 
+    async def forget_old_jobs(self) -> None:
+        """Removes jobs from the store once nobody may ask for them any more."""
+        while True:
+            await anyio.sleep(FORGET_INTERVAL_S)
+            if anyio.current_time() >= self.ownership.valid_until:
+                continue
+            self.table.forget_ended(self.clock.now() - self.status_s)
+
     async def stop_when_lost(self, tasks: TaskGroup) -> None:
         """Ends everything once another instance may decide."""
         async with anyio.create_task_group() as waits:
@@ -136,13 +149,16 @@
         await self.mirror.load_until_done()
         while True:
             ends = await self.log.load()
-            roster = await self.job_store.store.range(self.job_store.prefix + ROSTER)
+            roster = await self.job_store.store.range(
+                self.job_store.prefix + ROSTER, prefix=True
+            )
             if isinstance(ends, Ok) and isinstance(roster, Ok):
                 break
             await anyio.sleep(LOAD_RETRY_S)
         for entry in ends.ok_value:
             self.table.replay(entry)
-        for item in roster.ok_value.items:
+        for item in sorted(roster.ok_value.items, key=lambda item: item.key):
+            self.fleet.old_rosters.append(item.key)
             self.fleet.earlier_workers = from_json(item.value, WorkerRoster).workers
         self.loaded = True
         for job in list(self.table.jobs.values()):
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -97,13 +97,13 @@
             return
         if end.kind is EndKind.DONE and not task.step.spec.long_running:
             entry = TaskEndEntry(task=end.task, run=end.run, done=True)
-            self.owner.log.note_end(entry, lambda: None)
+            self.owner.log.note_end(entry)
             node.note_success()
             self.table.complete(task)
             self.table.refresh_job(task.step.job)
         elif end.kind is EndKind.FAILED and not task.step.spec.long_running:
             entry = TaskEndEntry(task=end.task, run=end.run, done=False)
-            self.owner.log.note_end(entry, lambda: None)
+            self.owner.log.note_end(entry)
             self.fail(node, task, end.run)
 
     def fail(self, node: WorkerNode, task: Task, run: int) -> None:
--- a/tests/test_scheduler/test_whole_path.py
+++ b/tests/test_scheduler/test_whole_path.py
@@ -101,3 +101,20 @@
             assert count.ok_value == 2
 
     run_cell(program)
+
+
+def test_ended_jobs_are_shown_for_their_time_and_then_leave_the_store():
+    async def program(cell):
+        for number in range(40):
+            await cell.submit(f"j{number}", [step(1)])
+        for number in range(40):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 30)
+        await anyio.sleep(100)
+        assert await cell.state_of("j0") is JobState.COMPLETED
+        await anyio.sleep(100)
+        assert await cell.state_of("j0") is None
+        kept = [key for key in cell.state.keys if "/j/" in key or "/l/" in key]
+        assert kept == []
+        assert len([key for key in cell.state.keys if "/r/" in key]) <= 2
+
+    run_cell(program)
