--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -76,7 +76,7 @@
         if isinstance(reply, Ok):
             return reply
         failure = reply.err_value
-        if unknown(failure):
+        if unknown(failure) or failure.kind is ErrorKind.NOT_RUN:
             return Err(failure)
         detail = f"not accepted: {failure.detail}"
         return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -110,8 +110,10 @@
         """Takes a failed run: another attempt, or the end of the job."""
         now = anyio.current_time()
         job = task.step.job
+        # A task that has failed elsewhere as well says little of this worker.
+        suspect = not task.failed_on
         task.failed_on.add(node.id)
-        if node.note_failure(job.id, now):
+        if suspect and node.note_failure(job.id, now):
             logger.warning("worker quarantined", worker=node.id)
         failures = self.table.count_failure(task, run)
         logger.info(
