--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -231,3 +231,17 @@
             assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 6)
 
     run_cell(program, workers=40)
+
+
+def test_a_worker_that_is_silent_during_a_takeover_is_waited_for():
+    """Its runs go on until its lease has lapsed, and nobody else can see them."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(3.5)
+        await cell.submit("a", [step(1)])
+        await anyio.sleep(0.5)
+        cell.world.workers[cell.world.starts[0].worker].silent = True
+        await take_over(cell)
+        assert await cell.wait_for("a", JobState.COMPLETED, 30)
+
+    run_cell(program)
--- a/tests/test_scheduler/test_worker_faults.py
+++ b/tests/test_scheduler/test_worker_faults.py
@@ -26,8 +26,11 @@
         for worker in cell.world.workers.values():
             worker.faults = list(faults)
         cell.behaviours["a"] = Behaviour(2.5)
-        await cell.submit("a", [step(4)])
+        cell.behaviours["b"] = Behaviour(2.5)
+        await cell.submit("a", [step(1)])
+        await cell.submit("b", [step(4)])
         assert await cell.wait_for("a", JobState.COMPLETED, 20)
+        assert await cell.wait_for("b", JobState.COMPLETED, 20)
 
     run_cell(program)
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -50,7 +50,63 @@
 RECOVERY = "lacewinghold.shards.recovery:Recovery."
 CLAIM = "lacewinghold.coordination.ownership:ShardOwnership."
 LOG = "lacewinghold.coordination.ledger:Ledger."
+TAKEOVER = "tests/test_scheduler/test_takeover.py"
+WORKER_FAULTS = "tests/test_scheduler/test_worker_faults.py"
+STORE_OUTAGE = "tests/test_scheduler/test_store_outage.py"
+CELL = "lacewinghold.scheduler."
+CELL_MUTANTS = [
+    Mutant(
+        "unanswered start",
+        CELL + "driver:WorkerDriver.start",
+        "if may_come:",
+        "if False:",
+        (WORKER_FAULTS,),
+    ),
+    Mutant(
+        "lease of a silent worker",
+        CELL + "driver:WorkerDriver.look",
+        "and not node.silent_calls",
+        "",
+        (WORKER_FAULTS,),
+    ),
+    Mutant(
+        "cancellation at load",
+        CELL + "owner:CellOwner.load",
+        "if job.cancelled:",
+        "if False:",
+        (TAKEOVER,),
+    ),
+    Mutant(
+        "jobs of earlier owners",
+        CELL + "planning:PlanLoop.may_start",
+        "job.earlier and not self.owner.certain",
+        "False",
+        (TAKEOVER,),
+    ),
+    Mutant(
+        "strays take room",
+        CELL + "fleet:Fleet.adopt",
+        "node.add(run)",
+        "node.runs[(task_name, number)] = run",
+        (TAKEOVER,),
+    ),
+    Mutant(
+        "unknown is not refused",
+        CELL + "front:JobFront.store_here",
+        "if sent:",
+        "if False:",
+        (STORE_OUTAGE,),
+    ),
+    Mutant(
+        "address of a lapsed member",
+        CELL + "cell:CellInstance.address_of",
+        "self.members.addresses.get(instance)",
+        "None",
+        (STORE_OUTAGE,),
+    ),
+]
 MUTANTS = [
+    *CELL_MUTANTS,
     Mutant("fence", WORKER + "find_stale", "command.epoch < self.seen_epoch", "False"),
     Mutant(
         "command number",
