--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -298,6 +298,7 @@
             self.jobs,
             self.ports.dialer,
             self.state,
+            self.worker_mirror,
             book,
             self.ports.clock,
             self.metrics,
@@ -308,18 +309,14 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.election.keep, ownership)
             tasks.start_soon(self.members.mirror.run)
-            with anyio.move_on_after(self.settings.store.lease_ms / 1000) as scope:
-                await self.worker_mirror.load_until_done()
-            if not scope.cancelled_caught:
-                tasks.start_soon(self.worker_mirror.run_loaded)
-                earlier = self.election.earlier
-                if earlier is None or earlier.instance == self.instance:
-                    owner.earlier_stopped.set()
-                else:
-                    tasks.start_soon(self.peer_calls.stop_earlier, owner, earlier)
-                for member in list(self.members.members):
-                    self.update_lane(member)
-                await owner.run()
+            earlier = self.election.earlier
+            if earlier is None or earlier.instance == self.instance:
+                owner.earlier_stopped.set()
+            else:
+                tasks.start_soon(self.peer_calls.stop_earlier, owner, earlier)
+            for member in list(self.members.members):
+                self.update_lane(member)
+            await owner.run()
             tasks.cancel_scope.cancel()
         self.owner = None
 
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -9,7 +9,7 @@
 import msgspec
 import structlog
 from msgspec import Struct
-from result import Err
+from result import Err, Result
 
 from lacewinghold.ids import Epoch
 from lacewinghold.scheduler.job_store import OWNER
@@ -21,8 +21,9 @@
 if TYPE_CHECKING:
     import random
 
+    from lacewinghold.errors import Failure
     from lacewinghold.ids import InstanceId, LeaseId
-    from lacewinghold.store.base import KeyValue, Store
+    from lacewinghold.store.base import KeyValue, RangeReply, Store
 
 logger = structlog.get_logger(__name__)
 RENEWALS_PER_LIFE = 5  # A lease survives three renewals without an answer.
@@ -30,6 +31,8 @@
 NEAR_DELAY_S = 0.02  # Spread of the claims of instances near the store.
 FAR_DELAY_S = 0.4  # Instances far from the store let the near ones go first.
 FAR_S = 0.03  # A store call that takes longer comes from another region.
+AGE_DELAY_S = 0.1  # More than the spread, less than a lease.
+AGE_FULL_S = 60.0  # A rolling restart of seven instances takes less.
 RETRY_S = 0.1
 TERM_KEY = "term"  # The last owner, kept when its lease has ended.
 
@@ -74,6 +77,7 @@
         self.owner: CellOwnerRecord | None = None
         self.earlier: CellOwnerRecord | None = None
         self.call_s = 0.0
+        self.started_at = anyio.current_time()
         self.free = anyio.Event()
         self.leaving = False
         self.mirror = Mirror(store, prefix + OWNER, self.note_owner, self.note_free)
@@ -107,28 +111,35 @@
                 with anyio.move_on_after(1.0):
                     await self.free.wait()
                 continue
-            far = self.call_s > FAR_S
-            await anyio.sleep(
-                self.rng.random() * NEAR_DELAY_S + (FAR_DELAY_S if far else 0.0)
-            )
+            await anyio.sleep(self.claim_delay_s())
             if self.owner is None and not self.leaving:
                 return
 
+    def claim_delay_s(self) -> float:
+        """Returns how long others may go first: those near the store, and the young.
+
+        In a rolling restart the instance that started last is stopped last.
+        """
+        delay_s = self.rng.random() * NEAR_DELAY_S
+        if self.call_s > FAR_S:
+            delay_s += FAR_DELAY_S
+        age_s = anyio.current_time() - self.started_at
+        return delay_s + min(1.0, age_s / AGE_FULL_S) * AGE_DELAY_S
+
     async def claim(self) -> Ownership | None:
         """Tries to become the owner.
 
         :returns: The ownership, or ``None`` if another was first or the store failed.
         """
         started = anyio.current_time()
-        granted = await self.store.grant_lease(self.lease_s)
-        if isinstance(granted, Err):
+        granted, term_reply = await self.prepare()
+        if isinstance(granted, Err) or isinstance(term_reply, Err):
             await anyio.sleep(RETRY_S)
             return None
-        self.call_s = anyio.current_time() - started
+        # The shortest call tells the way; later ones may meet a slow store.
+        call_s = anyio.current_time() - started
+        self.call_s = min(self.call_s or call_s, call_s)
         term_key = self.prefix + TERM_KEY
-        term_reply = await self.store.range(term_key)
-        if isinstance(term_reply, Err):
-            return None
         items = term_reply.ok_value.items
         term_revision = items[0].mod_revision if items else 0
         self.earlier = from_json(items[0].value, CellOwnerRecord) if items else None
@@ -164,6 +175,20 @@
         logger.info("ownership taken", term=term, epoch=ownership.epoch)
         return ownership
 
+    async def prepare(
+        self,
+    ) -> tuple[Result[LeaseId, Failure], Result[RangeReply, Failure]]:
+        """Opens a lease and reads who decided last, both at the same time."""
+        found: list[Result[RangeReply, Failure]] = []
+
+        async def read_term() -> None:
+            found.append(await self.store.range(self.prefix + TERM_KEY))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read_term)
+            granted = await self.store.grant_lease(self.lease_s)
+        return granted, found[0]
+
     async def keep(self, ownership: Ownership) -> None:
         """Renews the lease until the store says that it has ended.
 
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -31,6 +31,7 @@
     from lacewinghold.scheduler.job_store import JobStore
     from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.ports import Manifest, WorkerDialer, WorkerEntry
+    from lacewinghold.schema.generated.cell import TaskEndEntry
     from lacewinghold.util.clock import WallClock
 
 logger = structlog.get_logger(__name__)
@@ -52,6 +53,7 @@
     """Decides under one ownership.
 
     :param state: Manifest and worker entries, kept up to date by the instance.
+    :param workers: Follows the workers' entries into ``state`` while this decides.
     :param status_s: How long an ended job can be asked for, in seconds.
     """
 
@@ -61,6 +63,7 @@
         jobs: JobStore,
         dialer: WorkerDialer,
         state: CellState,
+        workers: Mirror,
         book: AdviceBook,
         clock: WallClock,
         metrics: CellMetrics,
@@ -70,6 +73,7 @@
         self.job_store = jobs
         self.dialer = dialer
         self.state = state
+        self.workers = workers
         self.book = book
         self.clock = clock
         self.metrics = metrics
@@ -85,6 +89,7 @@
         self.loaded = False
         self.taken_at = anyio.current_time()
         self.tasks: TaskGroup | None = None
+        self.stored_ends: list[TaskEndEntry] = []
         self.mirror = Mirror(
             jobs.store,
             jobs.prefix + JOBS,
@@ -114,6 +119,7 @@
             tasks.start_soon(self.stop_when_lost, tasks)
             await self.load()
             tasks.start_soon(self.mirror.run_loaded)
+            tasks.start_soon(self.workers.run_loaded)
             tasks.start_soon(self.log.run)
             tasks.start_soon(self.book.run, tasks)
             self.book.on_arrival = self.planning.wake
@@ -145,21 +151,14 @@
         waits.cancel_scope.cancel()
 
     async def load(self) -> None:
-        """Reads the jobs and the ends of earlier owners."""
-        await self.mirror.load_until_done()
-        while True:
-            ends = await self.log.load()
-            roster = await self.job_store.store.range(
-                self.job_store.prefix + ROSTER, prefix=True
-            )
-            if isinstance(ends, Ok) and isinstance(roster, Ok):
-                break
-            await anyio.sleep(LOAD_RETRY_S)
-        for entry in ends.ok_value:
+        """Reads jobs, stored ends, workers and the roster, all at the same time."""
+        async with anyio.create_task_group() as loads:
+            loads.start_soon(self.mirror.load_until_done)
+            loads.start_soon(self.workers.load_until_done)
+            loads.start_soon(self.read_ends)
+            loads.start_soon(self.read_roster)
+        for entry in self.stored_ends:
             self.table.replay(entry)
-        for item in sorted(roster.ok_value.items, key=lambda item: item.key):
-            self.fleet.old_rosters.append(item.key)
-            self.fleet.earlier_workers = from_json(item.value, WorkerRoster).workers
         self.loaded = True
         for job in list(self.table.jobs.values()):
             if job.cancelled:
@@ -169,11 +168,33 @@
         logger.info(
             "cell loaded",
             jobs=len(self.table.jobs),
-            ends=len(ends.ok_value),
+            ends=len(self.stored_ends),
             term=self.ownership.term,
             took_s=round(anyio.current_time() - self.taken_at, 3),
         )
 
+    async def read_ends(self) -> None:
+        """Reads the ends that earlier owners have stored."""
+        while True:
+            ends = await self.log.load()
+            if isinstance(ends, Ok):
+                self.stored_ends = ends.ok_value
+                return
+            await anyio.sleep(LOAD_RETRY_S)
+
+    async def read_roster(self) -> None:
+        """Reads which workers the earlier owner has used."""
+        while True:
+            roster = await self.job_store.store.range(
+                self.job_store.prefix + ROSTER, prefix=True
+            )
+            if isinstance(roster, Ok):
+                break
+            await anyio.sleep(LOAD_RETRY_S)
+        for item in sorted(roster.ok_value.items, key=lambda item: item.key):
+            self.fleet.old_rosters.append(item.key)
+            self.fleet.earlier_workers = from_json(item.value, WorkerRoster).workers
+
     def note_fenced(self, node: WorkerNode) -> None:
         """Notes that a worker has seen a newer owner."""
         logger.warning("fenced", worker=node.id, epoch=self.epoch)
