--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -33,6 +33,7 @@
 ORDER_RETRY_S = 0.02
 STOP_TIMEOUT_S = 0.6
 STOP_RETRY_S = 0.2
+TRY_AGAIN = (OrderOutcome.LATE, OrderOutcome.UNKNOWN)
 LOST_LOOKS = 2  # Looks that miss a run which had started before it is given up.
 
 
@@ -56,7 +57,6 @@
         self.unknown_since: float | None = None
         self.scope = anyio.CancelScope()
         self.tasks: TaskGroup | None = None
-        self.looks = 0
 
     async def run(self) -> None:
         """Serves the worker until it surely runs nothing any more."""
@@ -95,7 +95,6 @@
 
         Looks at a silent worker ask for no lease, so that the last one lapses.
         """
-        self.looks += 1
         until = None
         node = self.node
         if (
@@ -142,57 +141,63 @@
 
     async def start(self, run: Run, ticket: str) -> None:
         """Orders a start until the worker has answered, or gives the run up."""
-        task = run.task
         may_come = False
         for timeout_s in START_TIMEOUTS_S:
             if not self.here(run) or run.state is RunState.STOPPING:
                 return
             if not self.owner.may_order():
                 break
-            reply = await self.calls.start(
-                StartOrder(
-                    task=task.name,
-                    run=run.number,
-                    program=task.step.job.record.program,
-                    lease_until_ms=self.new_lease_end(),
-                    epoch=self.owner.epoch,
-                    checkpoint=task.checkpoint,
-                    ticket=ticket,
-                ),
-                timeout_s,
-            )
+            reply = await self.calls.start(self.start_order(run, ticket), timeout_s)
             if reply.clock_ms is not None:
                 self.node.note_clock(reply.clock_ms, anyio.current_time())
-            outcome = reply.outcome
-            if outcome is OrderOutcome.DONE:
-                run.settled = run.seen = True
-                if run.state is RunState.STARTING:
-                    run.state = RunState.RUNNING
-                self.owner.runs.note_started(run)
-                return
-            if outcome is OrderOutcome.OLD_RUN:
-                run.settled = run.seen = True
-                return
-            may_come = may_come or outcome is OrderOutcome.UNKNOWN
-            if outcome in (OrderOutcome.LATE, OrderOutcome.UNKNOWN):
+            if reply.outcome in TRY_AGAIN:
+                may_come = may_come or reply.outcome is OrderOutcome.UNKNOWN
                 await anyio.sleep(ORDER_RETRY_S)
                 continue
-            if outcome is OrderOutcome.FENCED:
-                self.owner.note_fenced(self.node)
-                return
-            if outcome is OrderOutcome.OTHER_INCARNATION:
-                self.owner.fleet.note_dead(self, "another incarnation answers")
+            if self.settle_start(run, reply.outcome, may_come=may_come):
                 return
-            if may_come:
-                # An earlier try without an answer may still be carried out.
-                break
-            self.owner.runs.note_refused(self, run, outcome)
-            return
+            break
         logger.info(
-            "start given up", task=task.name, run=run.number, worker=self.node.id
+            "start given up", task=run.task.name, run=run.number, worker=self.node.id
         )
         self.halt(run)
 
+    def start_order(self, run: Run, ticket: str) -> StartOrder:
+        """Returns the order to start a run, with a lease from now."""
+        task = run.task
+        return StartOrder(
+            task=task.name,
+            run=run.number,
+            program=task.step.job.record.program,
+            lease_until_ms=self.new_lease_end(),
+            epoch=self.owner.epoch,
+            checkpoint=task.checkpoint,
+            ticket=ticket,
+        )
+
+    def settle_start(self, run: Run, outcome: OrderOutcome, *, may_come: bool) -> bool:
+        """Acts on the answer to a start.
+
+        :param may_come: Whether an earlier try without an answer may still be
+            carried out.
+        :returns: Whether it settles what becomes of the run.
+        """
+        if outcome in (OrderOutcome.DONE, OrderOutcome.OLD_RUN):
+            run.settled = True
+        if outcome is OrderOutcome.DONE:
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            self.owner.runs.note_started(run)
+        elif outcome is OrderOutcome.FENCED:
+            self.owner.note_fenced(self.node)
+        elif outcome is OrderOutcome.OTHER_INCARNATION:
+            self.owner.fleet.note_dead(self, "another incarnation answers")
+        elif outcome is not OrderOutcome.OLD_RUN:
+            if may_come:
+                return False
+            self.owner.runs.note_refused(self, run, outcome)
+        return True
+
     def here(self, run: Run) -> bool:
         """Returns whether a run still counts on this worker."""
         return self.node.runs.get((run.task.name, run.number)) is run
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.ports import WorkerReport
+    from lacewinghold.scheduler.ports import EndReport, RunReport, WorkerReport
 
 logger = structlog.get_logger(__name__)
 WORKER_LEASE_S = 4.0  # Longer than a takeover, shorter than the platform's bound.
@@ -180,58 +180,70 @@
     def apply_report(
         self, driver: WorkerDriver, report: WorkerReport, sent_at: float
     ) -> None:
-        """Takes what a worker says: ends first, then what runs."""
+        """Takes what a worker says: ends first, then what runs.
+
+        :param sent_at: When the look was sent, on the runtime's clock.
+        """
         node = driver.node
-        now = anyio.current_time()
-        node.note_clock(report.clock_ms, now)
+        node.note_clock(report.clock_ms, anyio.current_time())
         if not node.fenced:
-            node.fenced = True
-            # An earlier owner may have renewed the lease until just now.
-            node.lease_until_ms = max(
-                node.lease_until_ms, report.clock_ms + WORKER_LEASE_S * 1000
-            )
-            logger.info(
-                "worker joined",
-                worker=node.id,
-                runs=len(report.runs),
-                ends=len(report.ends),
-            )
-        listed = set()
-        for item in report.runs:
-            listed.add((item.task, item.run))
-        for end in report.ends:
-            listed.add((end.task, end.run))
-            if end.number <= driver.processed:
-                continue
-            if self.is_unknown(driver, end.task):
-                break
-            driver.processed = end.number
-            self.owner.runs.note_end(node, end)
+            self.note_first_look(node, report)
+        listed = {(item.task, item.run) for item in report.runs}
+        listed |= {(end.task, end.run) for end in report.ends}
+        self.take_ends(driver, report.ends)
         node.strays.intersection_update(listed)
         for item in report.runs:
             run = node.runs.get((item.task, item.run))
             if run is None:
                 self.adopt(driver, item.task, item.run)
-                continue
-            run.seen = True
-            run.missed_looks = 0
-            self.owner.pace.note(
-                node.id,
-                (item.task, item.run),
-                item.percent,
-                run.task.step.spec.expected_ms / 1000,
-                now,
-            )
-            if run.state is RunState.STARTING:
-                run.state = RunState.RUNNING
-            if item.checkpoint and run.task.step.spec.checkpoints:
-                self.owner.runs.note_checkpoint(run.task, item.checkpoint)
+            else:
+                self.note_progress(node, run, item)
         self.release_missing(node, listed, sent_at)
         number = driver.processed
         if number > driver.acknowledged:
             self.owner.log.after_written(lambda: driver.acknowledge(number))
         self.owner.planning.wake()
 
+    def note_first_look(self, node: WorkerNode, report: WorkerReport) -> None:
+        """Notes that a worker refuses earlier owners from now on."""
+        node.fenced = True
+        # An earlier owner may have renewed the lease until just now.
+        node.lease_until_ms = max(
+            node.lease_until_ms, report.clock_ms + WORKER_LEASE_S * 1000
+        )
+        logger.info(
+            "worker joined",
+            worker=node.id,
+            runs=len(report.runs),
+            ends=len(report.ends),
+        )
+
+    def take_ends(self, driver: WorkerDriver, ends: list[EndReport]) -> None:
+        """Takes the ends that are new, up to the first of a job not known yet."""
+        for end in ends:
+            if end.number <= driver.processed:
+                continue
+            if self.is_unknown(driver, end.task):
+                return
+            driver.processed = end.number
+            self.owner.runs.note_end(driver.node, end)
+
+    def note_progress(self, node: WorkerNode, run: Run, item: RunReport) -> None:
+        """Takes what a worker says of a run that it was told to start."""
+        run.missed_looks = 0
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+        spec = run.task.step.spec
+        self.owner.pace.note(
+            node.id,
+            (item.task, item.run),
+            item.percent,
+            spec.expected_ms / 1000,
+            anyio.current_time(),
+        )
+        if item.checkpoint and spec.checkpoints:
+            self.owner.runs.note_checkpoint(run.task, item.checkpoint)
+
     def release_missing(
         self, node: WorkerNode, listed: set[tuple[str, int]], sent_at: float
     ) -> None:
@@ -261,7 +273,6 @@
             room=task.step.room,
             began_at=anyio.current_time(),
             state=RunState.RUNNING,
-            seen=True,
             settled=True,
         )
         node.add(run)
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -46,7 +46,6 @@
 class Run(Struct, eq=False):
     """One run of a task; it takes room until it surely has ended.
 
-    :param seen: Whether the worker has confirmed the start.
     :param began_at: When the start was decided, on the runtime's clock.
     :param settled: Whether no order of this run is under way any more.
     """
@@ -57,7 +56,6 @@
     room: Resources
     began_at: float
     state: RunState = RunState.STARTING
-    seen: bool = False
     settled: bool = False
     missed_looks: int = 0
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -57,7 +57,7 @@
 CELL_MUTANTS = [
     Mutant(
         "unanswered start",
-        CELL + "driver:WorkerDriver.start",
+        CELL + "driver:WorkerDriver.settle_start",
         "if may_come:",
         "if False:",
         (WORKER_FAULTS,),
