--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -201,6 +201,10 @@
             return None
         return owner
 
+    def knows(self, job: str) -> bool:
+        """Returns whether a job surely is stored, by what this instance has read."""
+        return self.owner is not None and job in self.owner.table.jobs
+
     def owned_job(self, job: str) -> Job | None:
         """Returns a job if this instance surely decides about it."""
         owner = self.deciding()
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -60,7 +60,7 @@
             return checked
         started = anyio.current_time()
         limit_s = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
-        if self.instance.store.down:
+        if self.instance.store.down and self.instance.owner is None:
             result = await self.submit_elsewhere(record, limit_s)
         else:
             result = await self.store_here(record, limit_s)
@@ -87,8 +87,11 @@
         """Stores a job from here, within a time.
 
         A write without an answer is made again: it is conditional, so that it takes
-        effect once, and the second answer tells what became of both.
+        effect once, and the second answer tells what became of both. A job that is
+        known here is stored already, whether or not the store serves.
         """
+        if self.instance.knows(record.job):
+            return Ok(None)
         give_up_at = anyio.current_time() + limit_s
         sent = False
         failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the store does not serve")
--- a/tests/test_scheduler/test_store_outage.py
+++ b/tests/test_scheduler/test_store_outage.py
@@ -7,6 +7,7 @@
 
 from lacewinghold.errors import ErrorKind
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.testing.step_worker import Behaviour
 from lacewinghold.testing.store import Outage, StoreFault
 from tests.test_scheduler.support import run_cell, step
 
@@ -94,3 +95,20 @@
             member.gate_store.open()
 
     run_cell(program)
+
+
+def test_an_accepted_job_is_never_refused_when_it_comes_again():
+    """A refusal would say that the job does not run, and it does."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(10)
+        await cell.submit("a", [step()])
+        await anyio.sleep(0.5)
+        cell.state.outage = Outage.DOWN
+        await anyio.sleep(3)
+        for member in cell.members:
+            result = await member.instance.front.submit(cell.jobs["a"])
+            assert result.is_ok(), result.err_value
+        cell.state.outage = Outage.NONE
+
+    run_cell(program)
