--- a/lacewinghold/peers/nng.py
+++ b/lacewinghold/peers/nng.py
@@ -73,6 +73,9 @@
                 return bytes(await self.inbound.arecv())
             except pynng.Timeout:
                 continue
+            except pynng.Closed:
+                # The transport is being closed; its receiver is cancelled next.
+                await anyio.sleep_forever()
 
     def open(self, address: str) -> pynng.Push0:
         """Opens a socket to an address; it connects when it can."""
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -60,14 +60,17 @@
 
     async def run(self) -> None:
         """Serves the worker until it surely runs nothing any more."""
-        with self.scope:
-            async with anyio.create_task_group() as tasks:
-                self.tasks = tasks
-                await self.look_until_dead()
-                tasks.cancel_scope.cancel()
-        self.tasks = None
-        with anyio.CancelScope(shield=True):
-            await self.calls.close()
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    self.tasks = tasks
+                    await self.look_until_dead()
+                    tasks.cancel_scope.cancel()
+        finally:
+            # Other workers' tasks may still want a stop here while all are cancelled.
+            self.tasks = None
+            with anyio.CancelScope(shield=True):
+                await self.calls.close()
 
     async def look_until_dead(self) -> None:
         """Looks again and again; a silent worker is dead once its lease has lapsed."""
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -245,3 +245,23 @@
         assert await cell.wait_for("a", JobState.COMPLETED, 30)
 
     run_cell(program)
+
+
+def test_a_stop_that_is_wanted_while_an_owner_ends_does_not_end_the_process():
+    """The tasks of the workers end one after the other."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step(4)])
+        await anyio.sleep(0.5)
+        owner = cell.owner().instance.owner
+        run = owner.table.jobs["a"].steps[0].runs()[0]
+        driver = owner.fleet.drivers[run.worker]
+        owner.ownership.lost.set()
+        with anyio.move_on_after(1):
+            while driver.tasks is not None:
+                await anyio.sleep(0.001)
+        owner.fleet.halt(run)
+        await cell.wait_for_owner()
+
+    run_cell(program)
