--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -299,6 +299,14 @@
             driver.unknown_since = now
         return now - driver.unknown_since < UNKNOWN_JOB_S
 
+    def fullness(self) -> float:
+        """Returns the share of all workers' cores that runs take."""
+        used = total = 0
+        for node in self.nodes.values():
+            used += node.used.cpu_millis
+            total += node.entry.capacity.cpu_millis
+        return used / total if total else 0.0
+
     def all_fenced(self) -> bool:
         """Returns whether every worker has told this owner all that runs there."""
         for node in self.nodes.values():
--- a/lacewinghold/scheduler/pace.py
+++ b/lacewinghold/scheduler/pace.py
@@ -24,7 +24,7 @@
 STUCK_SHARE = 0.05
 MIN_JUDGED = 4  # Workers that are needed for a median to mean something.
 MAX_SLOW_SHARE = 0.34  # More slow workers than this are the load, not a fault.
-SLOW_HOLD_S = 3.0  # A worker without runs is tried again after this.
+SLOW_HOLD_S = 3.0  # A slow worker is tried again this long after its last run.
 
 
 class Mark(Struct):
@@ -138,7 +138,8 @@
         if len(behind) > MAX_SLOW_SHARE * len(known):
             return {}
         for worker in slow:
-            self.slow_until[worker] = now + SLOW_HOLD_S
+            # Without runs nothing more is seen of it, and the hold runs out.
+            self.slow_until[worker] = self.paces[worker].updated_at + SLOW_HOLD_S
         for worker, until in list(self.slow_until.items()):
             if now >= until:
                 # Its next runs are judged afresh.
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -10,6 +10,7 @@
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner, fullness
+from lacewinghold.scheduler.waiting import WaitLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,7 @@
     def __init__(self, owner: CellOwner) -> None:
         self.owner = owner
         self.wanted = anyio.Event()
+        self.waits = WaitLog(owner)
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -87,6 +89,7 @@
             )
         for placement in plan.placements:
             self.start(placement.step, placement.tasks, now)
+        self.waits.note(steps, usable, now)
 
     def make_way(self, steps: list[Step]) -> None:
         """Stops work that fills where it keeps work that serves from starting."""
--- /dev/null
+++ b/lacewinghold/scheduler/waiting.py
@@ -0,0 +1,68 @@
+"""Says why steps wait, so that a late job can be explained afterwards."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from lacewinghold.scheduler.policy import fitting_count
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.owner import CellOwner
+
+logger = structlog.get_logger(__name__)
+FIRST_TOLD_S = 2.0  # Longer than a step waits in a cell that has room.
+TOLD_AGAIN_S = 4.0  # Several reasons of one long wait, without a line a plan.
+
+
+class WaitLog:
+    """Logs what steps lack that wait for long.
+
+    :param owner: The owner that plans them.
+    """
+
+    def __init__(self, owner: CellOwner) -> None:
+        self.owner = owner
+        self.tell_at: dict[str, float] = {}
+
+    def note(self, steps: list[Step], usable: list[WorkerNode], now: float) -> None:
+        """Logs the steps that a plan has left waiting for too long."""
+        waiting = {step.name: step for step in steps if step.waiting()}
+        for name in [name for name in self.tell_at if name not in waiting]:
+            del self.tell_at[name]
+        for name, step in waiting.items():
+            tell_at = self.tell_at.setdefault(name, now + FIRST_TOLD_S)
+            if now < tell_at:
+                continue
+            self.tell_at[name] = now + TOLD_AGAIN_S
+            self.tell(step, usable, now)
+
+    def tell(self, step: Step, usable: list[WorkerNode], now: float) -> None:
+        """Logs what one step lacks."""
+        service = step.job.queue.service
+        nodes = [node for node in usable if node.entry.service == service]
+        permitted = self.owner.planning.permitted_by(nodes)(step)
+        valid = self.owner.planning.ticket_valid_at(now)
+        known = self.owner.book.steps.get(step.name)
+        allowed = [node for node in nodes if permitted and node.id in permitted]
+        room_for = 0
+        for node in allowed:
+            room_for += fitting_count(step.room, node.free(), step.spec.tasks)
+        logger.info(
+            "step waits",
+            step=step.name,
+            age_s=round(now - step.due_at, 3),
+            tasks=len(step.waiting()),
+            runs=len(step.runs()),
+            together=step.spec.all_at_once,
+            workers=len(nodes),
+            asked=0 if known is None else len(known.asked),
+            asking=known is not None and known.pending,
+            permitted=len(allowed),
+            tickets=sum(valid(step, node) for node in allowed),
+            room_for=room_for,
+            full=round(self.owner.fleet.fullness(), 2),
+        )
--- a/tests/test_scheduler/test_pace.py
+++ b/tests/test_scheduler/test_pace.py
@@ -4,7 +4,7 @@
 
 import random
 
-from lacewinghold.scheduler.pace import STUCK_SHARE, PaceBook
+from lacewinghold.scheduler.pace import SLOW_HOLD_S, STUCK_SHARE, PaceBook
 
 LOOK_S = 0.25
 
@@ -65,8 +65,30 @@
     assert book.judge(names(24), now) == {}
 
 
-def test_a_slow_worker_is_tried_again():
+def judge_until(book, now, until):
+    """Judges as often as the owner does.
+
+    :returns: The times at which worker 23 counted as slow.
+    """
+    slow_at = []
+    while now < until:
+        now += LOOK_S
+        if "w23" in book.judge(names(24), now):
+            slow_at.append(now)
+    return slow_at
+
+
+def test_a_slow_worker_that_is_left_alone_is_tried_again():
+    """Others are still judged; without runs of its own it must not stay out."""
     book, now = play([1.0] * 23 + [0.2])
-    assert "w23" in book.judge(names(24), now)
-    later = now + 10
-    assert "w23" not in book.judge(["w23"], later)
+    slow_at = judge_until(book, now, now + 10)
+    assert slow_at[0] == now + LOOK_S
+    assert slow_at[-1] <= now + SLOW_HOLD_S
+
+
+def test_a_worker_stays_slow_while_its_runs_are():
+    book, now = play([1.0] * 23 + [0.2])
+    for _ in range(40):
+        now += LOOK_S
+        book.note("w23", ("t", 1), 1.0, 20.0, now)
+        assert "w23" in book.judge(names(24), now)
