--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -21,6 +21,7 @@
     FailureError,
     InvariantViolation,
 )
+from lacewinghold.events import Event
 from lacewinghold.schema.generated.document import Role
 
 if TYPE_CHECKING:
@@ -65,11 +66,11 @@
                 # Nobody reads this answer.
                 return Response(status_code=400)
             except InvariantViolation as error:
-                logger.error("invariant violated", path=path, detail=str(error))
+                logger.error(Event.INVARIANT_VIOLATED, path=path, detail=str(error))
                 failure = Failure(ErrorKind.INVARIANT_VIOLATED, str(error))
                 return problem_response(failure)
             except Exception:
-                logger.exception("request failed", path=path)
+                logger.exception(Event.REQUEST_FAILED, path=path)
                 detail = "see the log of this entry instance"
                 return problem_response(Failure(ErrorKind.INTERNAL, detail))
 
--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from lacewinghold.cmd.settings import describe, load_checked
+from lacewinghold.events import Event
 
 if TYPE_CHECKING:
     import argparse
@@ -132,8 +133,9 @@
 
     from lacewinghold.api.app import make_app
     from lacewinghold.application import EntryInstance
-    from lacewinghold.metrics import Reporter
+    from lacewinghold.metrics import EntryMetrics
     from lacewinghold.util.http_server import serve_http
+    from lacewinghold.util.statsd_sender import StatsdSender
 
     structlog.contextvars.bind_contextvars(instance=settings.instance)
     trust = make_trust(settings)
@@ -147,19 +149,23 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_signals, instance, stop, tasks)
             tasks.start_soon(instance.run)
-            tasks.start_soon(Reporter(instance, settings.statsd).run)
+            metrics = EntryMetrics(instance)
+            sender = StatsdSender(
+                metrics.registry, metrics.refresh, settings.statsd, settings.instance
+            )
+            tasks.start_soon(sender.run)
             await serve_http(
                 make_app(instance),
                 settings.listen.http,
                 stop.wait,
                 settings.shutdown_limit_s,
                 settings.tls,
-                lambda addresses: logger.info("listening", addresses=addresses),
+                lambda addresses: logger.info(Event.LISTENING, addresses=addresses),
             )
-            logger.info("handing shards over", shards=len(instance.manager.owners))
+            logger.info(Event.HANDING_SHARDS_OVER, shards=len(instance.manager.owners))
             await instance.shut_down()
             tasks.cancel_scope.cancel()
-    logger.info("stopped")
+    logger.info(Event.STOPPED)
 
 
 async def watch_signals(
@@ -169,7 +175,7 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             if instance.manager.leaving:
-                logger.warning("stopping at once")
+                logger.warning(Event.STOPPING_AT_ONCE)
                 tasks.cancel_scope.cancel()
                 return
             instance.manager.leaving = True
@@ -178,6 +184,8 @@
 
 async def close_later(instance: EntryInstance, stop: anyio.Event) -> None:
     """Closes the listeners once the balancer has seen that this one leaves."""
-    logger.info("shutting down", balancer_delay_s=instance.settings.balancer_delay_s)
+    logger.info(
+        Event.SHUTTING_DOWN, balancer_delay_s=instance.settings.balancer_delay_s
+    )
     await anyio.sleep(instance.settings.balancer_delay_s)
     stop.set()
--- a/lacewinghold/metrics.py
+++ b/lacewinghold/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of an entry instance over statsd, computed at an interval."""
+"""What an entry instance of the product's own deployments counts."""
 
 from __future__ import annotations
 
@@ -6,104 +6,124 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from statsd import StatsClient
+from prometheus_client import CollectorRegistry, Histogram
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 from lacewinghold.invariants import checks, violations
 from lacewinghold.schema.generated.jobs import TaskState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Mapping
+
+    from prometheus_client.metrics_core import Metric
+
     from lacewinghold.application import EntryInstance
-    from lacewinghold.schema.generated.settings import Statsd
-
-INTERVAL_S = 10.0
-MAX_PACKET_BYTES = 1400
-NAMES = (
-    "tasks.wait",
-    "tasks.started",
-    "tasks.ended.{state}",
-    "tasks.queued",
-    "requests.{outcome}",
-    "store.calls.{kind}",
-    "peers.bytes.{kind}",
-    "lease.remaining",
-    "shards.owned",
-    "document.revision",
-    "invariants.checks",
-    "invariants.violations",
-)
-
-
-class Reporter:
-    """Sends what changed since the last time.
-
-    :param settings: Where to send it; ``None`` drops it, so that nothing grows.
+
+# From a start at once to a job that waits out an hour's outage.
+WAIT_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0, 3600.0)
+# Counts whose last part is a value of a label, with the label.
+LABELLED = {
+    "tasks.ended": ("lacewinghold_tasks_ended", "state", "Tasks ended, by state."),
+    "requests": ("lacewinghold_requests", "outcome", "Requests to services."),
+}
+PLAIN = {
+    "tasks.started": ("lacewinghold_tasks_started", "Tasks seen running first."),
+    "tasks.preempted": ("lacewinghold_tasks_preempted", "Stops for urgent work."),
+}
+
+
+class EntryMetrics(Collector):
+    """The registry of one entry instance, with a unit in each name that has one.
+
+    :param instance: Whose counts are read when the registry is.
     """
 
-    def __init__(self, instance: EntryInstance, settings: Statsd | None) -> None:
+    def __init__(self, instance: EntryInstance) -> None:
         self.instance = instance
-        self.client: StatsClient | None = None
-        if settings is not None:
-            self.client = StatsClient(
-                settings.host,
-                settings.port,
-                f"{settings.prefix}.{instance.settings.instance}",
-                maxudpsize=MAX_PACKET_BYTES,
-            )
-        self.sent: Counter[str] = Counter()
-
-    async def run(self) -> None:
-        """Reports at an interval until cancelled."""
-        while True:
-            await anyio.sleep(INTERVAL_S)
-            self.report()
-
-    def report(self) -> None:
-        """Sends one round in as few packets as possible."""
-        waits = self.take_waits()
-        if self.client is None:
-            return
-        totals = self.totals()
-        with self.client.pipeline() as pipeline:
-            for name, total in sorted(totals.items()):
-                if total != self.sent[name]:
-                    pipeline.incr(name, total - self.sent[name])
-            for name, value in self.gauges().items():
-                pipeline.gauge(name, value)
-            for wait_s in waits:
-                pipeline.timing("tasks.wait", wait_s * 1000)
-        self.sent = totals
-
-    def take_waits(self) -> list[float]:
-        """Returns how long tasks waited that started since the last time."""
-        found: list[float] = []
+        self.registry = CollectorRegistry()
+        self.task_wait = Histogram(
+            "lacewinghold_task_wait_seconds",
+            "From acceptance to the first report that a task runs.",
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.registry.register(self)
+
+    def refresh(self) -> None:
+        """Takes over what the owners have noted since the last time."""
         for owner in self.instance.manager.owners.values():
-            found += owner.waits
+            for wait_s in owner.waits:
+                self.task_wait.observe(wait_s)
             owner.waits.clear()
-        return found
 
-    def totals(self) -> Counter[str]:
-        """Returns the counts since the instance started."""
-        instance = self.instance
-        found: Counter[str] = Counter()
-        found.update(instance.counts)
-        found.update(instance.manager.counts)
-        for call, count in instance.ports.store.calls.items():
-            found[f"store.calls.{call}"] = count
-        for kind, size in instance.peers.bytes_sent.items():
-            found[f"peers.bytes.{kind}"] = size
-        found["invariants.checks"] = checks.total()
-        found["invariants.violations"] = violations.total()
-        return found
-
-    def gauges(self) -> dict[str, float]:
+    def collect(self) -> Iterable[Metric]:
+        """Returns counters and gauges as they are now."""
+        yield from self.collect_counts()
+        yield from self.collect_calls()
+        yield from self.collect_gauges()
+
+    def collect_counts(self) -> Iterator[Metric]:
+        """Returns what the instance and its owners have counted."""
+        totals = Counter(self.instance.counts)
+        totals.update(self.instance.manager.counts)
+        for key, (name, label, text) in LABELLED.items():
+            values = {}
+            for counted, total in totals.items():
+                group, _, value = counted.rpartition(".")
+                if group == key:
+                    values[value] = total
+            yield counter(name, text, label, values)
+        for key, (name, text) in PLAIN.items():
+            yield CounterMetricFamily(name, text, value=totals[key])
+        yield CounterMetricFamily(
+            "lacewinghold_invariant_checks",
+            "Checks inside the program.",
+            value=checks.total(),
+        )
+        yield CounterMetricFamily(
+            "lacewinghold_invariant_violations",
+            "Acts stopped by a check.",
+            value=violations.total(),
+        )
+
+    def collect_calls(self) -> Iterator[Metric]:
+        """Returns what goes to the store and to other instances."""
+        yield counter(
+            "lacewinghold_store_calls",
+            "Calls to the store.",
+            "kind",
+            {str(kind): n for kind, n in self.instance.ports.store.calls.items()},
+        )
+        yield counter(
+            "lacewinghold_peer_bytes",
+            "Bytes sent to other entry instances.",
+            "kind",
+            {str(kind): size for kind, size in self.instance.peers.bytes_sent.items()},
+        )
+
+    def collect_gauges(self) -> Iterator[Metric]:
         """Returns the present values."""
         instance = self.instance
-        return {
-            "tasks.queued": queue_length(instance),
-            "lease.remaining": lease_remaining_s(instance),
-            "shards.owned": len(instance.manager.owners),
-            "document.revision": instance.view.revision,
-        }
+        for name, text, value in (
+            ("tasks_queued", "Tasks that wait.", queue_length(instance)),
+            (
+                "lease_remaining_seconds",
+                "Life of the lease.",
+                lease_remaining_s(instance),
+            ),
+            ("shards_owned", "Shards owned here.", len(instance.manager.owners)),
+            ("document_revision", "Revision seen here.", instance.view.revision),
+        ):
+            yield GaugeMetricFamily(f"lacewinghold_{name}", text, value=value)
+
+
+def counter(name: str, text: str, label: str, values: Mapping[str, float]) -> Metric:
+    """Returns a counter with one value for each value of a label."""
+    family = CounterMetricFamily(name, text, labels=[label])
+    for value, total in sorted(values.items()):
+        family.add_metric([value], total)
+    return family
 
 
 def queue_length(instance: EntryInstance) -> int:
