--- a/lacewinghold/cmd/explain.py
+++ b/lacewinghold/cmd/explain.py
@@ -9,6 +9,8 @@
 
 from msgspec import Struct
 
+from lacewinghold.events import Event
+
 if TYPE_CHECKING:
     import argparse
     from collections.abc import Iterable, Iterator
@@ -17,29 +19,29 @@
 # What an engineer has to know beside the job's own lines.
 CELL_EVENTS = frozenset(
     {
-        "started",
-        "stopping",
-        "ownership taken",
-        "ownership given up",
-        "ownership lapsed",
-        "cell recovered",
-        "manifest in force",
-        "store does not serve",
-        "store serves again",
-        "fenced",
-        "superseded",
-        "log stalled",
-        "log goes on",
-        "log lines dropped",
+        Event.STARTED,
+        Event.STOPPING,
+        Event.OWNERSHIP_TAKEN,
+        Event.OWNERSHIP_GIVEN_UP,
+        Event.OWNERSHIP_LAPSED,
+        Event.CELL_RECOVERED,
+        Event.MANIFEST_IN_FORCE,
+        Event.STORE_DOES_NOT_SERVE,
+        Event.STORE_SERVES_AGAIN,
+        Event.FENCED,
+        Event.SUPERSEDED,
+        Event.LOG_STALLED,
+        Event.LOG_GOES_ON,
+        Event.LOG_LINES_DROPPED,
     }
 )
 WORKER_EVENTS = frozenset(
     {
-        "worker silent",
-        "worker gone",
-        "worker quarantined",
-        "worker pace",
-        "worker unlisted",
+        Event.WORKER_SILENT,
+        Event.WORKER_GONE,
+        Event.WORKER_QUARANTINED,
+        Event.WORKER_PACE,
+        Event.WORKER_UNLISTED,
     }
 )
 HIDDEN = ("event", "instance", "level", "timestamp")
@@ -129,15 +131,15 @@
     """Returns what a whole story would have and this one lacks."""
     events = {line.event for line in about}
     missing = []
-    if not events & {"job accepted", "job not accepted"}:
+    if not events & {Event.JOB_ACCEPTED, Event.JOB_NOT_ACCEPTED}:
         missing.append("the submission: the log of the instance that was asked")
-    if "job accepted" in events and "job taken" not in events:
+    if Event.JOB_ACCEPTED in events and Event.JOB_TAKEN not in events:
         missing.append("the owner's side: the log of the owner at that time")
-    if "job taken" in events and "job ended" not in events:
+    if Event.JOB_TAKEN in events and Event.JOB_ENDED not in events:
         missing.append("the end: it had not come when the logs end")
     for line in chosen:
-        if "suppressed" in line.fields or line.event == "log lines dropped":
-            missing.append(f"lines: {line.event!r} says that some were left out")
+        if "suppressed" in line.fields or line.event == Event.LOG_LINES_DROPPED:
+            missing.append(f"lines: '{line.event}' says that some were left out")
             break
     return missing
 
--- a/lacewinghold/coordination/compaction.py
+++ b/lacewinghold/coordination/compaction.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from lacewinghold.events import Event
 from lacewinghold.schema.generated.records import Snapshot
 from lacewinghold.store.base import Delete, Put, Transaction
 from lacewinghold.util.codec import from_json, to_json
@@ -121,7 +122,7 @@
         self.folded_through = through
         self.snapshot_bytes = size + len(data)
         self.log_bytes = 0
-        logger.info("log folded", shard=ledger.shard, bytes=self.snapshot_bytes)
+        logger.info(Event.LOG_FOLDED, shard=ledger.shard, bytes=self.snapshot_bytes)
         await self.remove_garbage()
 
     async def commit(self, operations: list[Put | Delete]) -> bool:
--- a/lacewinghold/coordination/lease.py
+++ b/lacewinghold/coordination/lease.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import LeaseId, Revision
 from lacewinghold.store.base import Delete, Put, Transaction
 from lacewinghold.util.backoff import Backoff
@@ -102,7 +103,7 @@
         self.revision = Revision(written.ok_value.revision)
         self.extend(started, self.settings.ttl_s)
         self.generation += 1
-        logger.info("lease opened", lease=lease, generation=self.generation)
+        logger.info(Event.LEASE_OPENED, lease=lease, generation=self.generation)
         return True
 
     async def renew(self) -> bool:
@@ -113,7 +114,7 @@
         if isinstance(renewed, Err):
             return False
         if renewed.ok_value <= 0:
-            logger.warning("lease lapsed", lease=self.lease)
+            logger.warning(Event.LEASE_LAPSED, lease=self.lease)
             self.lease = None
             return False
         self.extend(started, renewed.ok_value)
--- a/lacewinghold/coordination/ownership.py
+++ b/lacewinghold/coordination/ownership.py
@@ -9,6 +9,7 @@
 
 from lacewinghold.coordination.audit import ownership_put
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import Epoch, Revision
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.schema.generated.records import OwnerRecord
@@ -130,7 +131,7 @@
         self.change = change
         self.epoch = epoch
         self.generation = generation
-        logger.info("shard taken", shard=self.shard, epoch=epoch)
+        logger.info(Event.SHARD_TAKEN, shard=self.shard, epoch=epoch)
 
     async def confirm(self) -> Result[bool, Failure]:
         """Reads whether the epoch still stands after the lease was opened anew.
@@ -176,5 +177,5 @@
         )
         if isinstance(written, Err):
             return Err(written.err_value)
-        logger.info("shard released", shard=self.shard, epoch=epoch)
+        logger.info(Event.SHARD_RELEASED, shard=self.shard, epoch=epoch)
         return Ok(written.ok_value.succeeded)
--- a/lacewinghold/coordination/view.py
+++ b/lacewinghold/coordination/view.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from lacewinghold.errors import ErrorKind, FailureError
+from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId, Revision, ShardId
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.schema.generated.records import InstanceRecord, OwnerRecord
@@ -88,7 +89,7 @@
     def note_regressed(self, found: int) -> None:
         """Notes that the store answered from an older state than was seen."""
         self.regressed = True
-        logger.error("store regressed", found=found, seen=self.seen())
+        logger.error(Event.STORE_REGRESSED, found=found, seen=self.seen())
 
     def hear(self, revision: int) -> bool:
         """Notes a document version that a peer has.
@@ -132,7 +133,7 @@
                 async for batch in batches:
                     self.apply(batch)
         except FailureError as error:
-            logger.info("watch broke", detail=error.failure.detail)
+            logger.info(Event.WATCH_BROKE, detail=error.failure.detail)
 
     def apply(self, batch: WatchBatch) -> None:
         """Applies the changes of one batch."""
--- a/lacewinghold/document/spread.py
+++ b/lacewinghold/document/spread.py
@@ -12,6 +12,7 @@
 
 from lacewinghold.document.rules import CLOCK_DRIFT, UNREGISTERED_LEASE_S
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId, Revision
 from lacewinghold.schema.generated.messages import (
     DocumentPull,
@@ -133,7 +134,7 @@
             if self.view.revision > seen:
                 # The watch is behind on a busy link, but goes on.
                 return True
-            logger.warning("watch is silent", latest=latest)
+            logger.warning(Event.WATCH_IS_SILENT, latest=latest)
             self.view.reload()
             return False
         self.view.regressed = False
--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -10,6 +10,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId
 from lacewinghold.peers.nng import NngTransport
 from lacewinghold.platform.advice import PlatformAdvice
@@ -54,7 +55,7 @@
     instance = CellInstance(settings, make_ports(settings), name, random.Random())
     stop = anyio.Event()
     listen = settings.listen
-    logger.info("started", boot=boot, store=settings.store.address)
+    logger.info(Event.STARTED, boot=boot, store=settings.store.address)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch_signals, instance, stop)
         tasks.start_soon(instance.run)
@@ -65,10 +66,10 @@
             [listen.callers, listen.ready],
             stop.wait,
             settings.bounds.grace_s - GRACE_MARGIN_S - BALANCER_NOTICE_S,
-            started=lambda addresses: logger.info("listening", addresses=addresses),
+            started=lambda addresses: logger.info(Event.LISTENING, addresses=addresses),
         )
         tasks.cancel_scope.cancel()
-    logger.info("stopped")
+    logger.info(Event.STOPPED)
 
 
 async def serve_metrics(instance: CellInstance, stop: anyio.Event) -> None:
@@ -84,11 +85,11 @@
     ) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                logger.info("reload asked for; settings are read at the start only")
+                logger.info(Event.RELOAD_ASKED_FOR)
                 continue
             if instance.leaving:
                 continue
-            logger.info("stopping", signal=int(number))
+            logger.info(Event.STOPPING, signal=int(number))
             await instance.shut_down()
             await anyio.sleep(BALANCER_NOTICE_S)
             stop.set()
--- a/lacewinghold/peers/link.py
+++ b/lacewinghold/peers/link.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.schema.generated.messages import Heartbeat, MessageKind
 from lacewinghold.util.backoff import Backoff
 from lacewinghold.util.codec import pack
@@ -129,7 +130,7 @@
         if waiting and now - self.heard_at > SILENCE_S and now >= self.replace_at:
             self.replaced += 1
             self.replace_at = now + self.backoff.next_delay_s() + SILENCE_S
-            logger.info("silent link replaced", peer=self.peer, count=self.replaced)
+            logger.info(Event.SILENT_LINK_REPLACED, peer=self.peer, count=self.replaced)
             await self.links.transport.close(self.peer)
         if not waiting:
             self.heard_at = now
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.peers.link import Outgoing, PeerLink, heartbeat
 from lacewinghold.schema.generated.messages import (
     Envelope,
@@ -117,7 +118,7 @@
                 unpacker = zstandard.ZstdDecompressor()
                 envelope.body = unpacker.decompress(envelope.body, MAX_BODY_BYTES)
         except (DecodeError, zstandard.ZstdError) as error:
-            logger.warning("damaged message", detail=str(error))
+            logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
             return
         if self.address(envelope.sender) is not None:
             self.versions[envelope.sender] = envelope.highest
--- a/lacewinghold/platform/manifest.py
+++ b/lacewinghold/platform/manifest.py
@@ -6,6 +6,7 @@
 import structlog
 from msgspec import Struct, field
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.ports import AdviceRules, Manifest, Queue
 
 logger = structlog.get_logger(__name__)
@@ -80,7 +81,7 @@
     try:
         wire = msgspec.json.decode(value, type=WireManifest)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        logger.error("manifest unreadable", detail=str(error)[:200])
+        logger.error(Event.MANIFEST_UNREADABLE, detail=str(error)[:200])
         return None
     return Manifest(
         version=wire.version,
--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from lacewinghold.errors import ErrorKind
+from lacewinghold.events import Event
 from lacewinghold.ids import Incarnation, WorkerId
 from lacewinghold.platform.http import JsonClient
 from lacewinghold.scheduler.ports import (
@@ -93,7 +94,7 @@
         wire = msgspec.json.decode(value, type=WireWorker)
         state = ServerState(wire.state)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
-        logger.warning("foreign worker entry", key=key, detail=str(error)[:200])
+        logger.warning(Event.FOREIGN_WORKER_ENTRY, key=key, detail=str(error)[:200])
         return None
     room = wire.capacity
     remaining = None if wire.remaining_ms is None else wire.remaining_ms / 1000
@@ -154,7 +155,7 @@
         else:
             outcome = STATUSES.get(found.status, OrderOutcome.UNKNOWN)
         if outcome is OrderOutcome.INVALID:
-            logger.error("order invalid", path=path, status=found.status, body=body)
+            logger.error(Event.ORDER_INVALID, path=path, status=found.status, body=body)
         return OrderReply(outcome, wire.clock_ms)
 
     async def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
@@ -209,7 +210,7 @@
             )
         except (msgspec.DecodeError, ValueError, IndexError) as error:
             logger.error(
-                "report unreadable", worker=self.entry.worker, detail=str(error)
+                Event.REPORT_UNREADABLE, worker=self.entry.worker, detail=str(error)
             )
             return OrderOutcome.UNKNOWN
 
--- a/lacewinghold/routing/once.py
+++ b/lacewinghold/routing/once.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import Revision
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.routing.identity import (
@@ -336,7 +337,7 @@
                     return
                 continue
             if written.err_value.kind is ErrorKind.CONFLICT:
-                logger.warning("request record lost", digest=running.digest)
+                logger.warning(Event.REQUEST_RECORD_LOST, digest=running.digest)
                 return
             await anyio.sleep(RECORD_RETRY_S)
 
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -10,6 +10,7 @@
 from msgspec import Struct, field
 from result import Err
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.policy import urgency_key
 
 if TYPE_CHECKING:
@@ -179,7 +180,7 @@
             known.not_before = now + RETRY_S
             lane.blocked_until = now + LANE_PAUSE_S
             logger.info(
-                "advice failed",
+                Event.ADVICE_FAILED,
                 step=step.name,
                 lane=lane.name,
                 detail=answer.err_value.detail,
@@ -196,7 +197,7 @@
                 incarnations[ticket.worker], ticket.text, now + rules.valid_s
             )
         logger.info(
-            "advised",
+            Event.ADVISED,
             step=step.name,
             lane=lane.name,
             asked=len(nodes),
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -8,6 +8,7 @@
 import structlog
 from msgspec import Struct
 
+from lacewinghold.events import Event
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.scheduler.advice import AdviceBook, Lane
 from lacewinghold.scheduler.election import Election
@@ -142,19 +143,23 @@
         current = self.state.manifest
         if current is not None and manifest.version <= current.version:
             logger.warning(
-                "older manifest ignored", found=manifest.version, kept=current.version
+                Event.OLDER_MANIFEST_IGNORED,
+                found=manifest.version,
+                kept=current.version,
             )
             return
         self.state.manifest = manifest
         logger.info(
-            "manifest in force", version=manifest.version, queues=len(manifest.queues)
+            Event.MANIFEST_IN_FORCE,
+            version=manifest.version,
+            queues=len(manifest.queues),
         )
         if self.owner is not None:
             self.owner.table.update_queues()
 
     def note_manifest_gone(self, key: str) -> None:
         """Keeps the manifest in force although its key is gone."""
-        logger.warning("manifest removed; the last one stays in force", key=key)
+        logger.warning(Event.MANIFEST_REMOVED, key=key)
 
     def note_worker(self, item: KeyValue) -> None:
         """Takes a worker's entry."""
@@ -166,7 +171,9 @@
         self.worker_keys[item.key] = entry.worker
         self.state.workers[entry.worker] = entry
         if known is None or known.state is not entry.state:
-            logger.info("worker entry", worker=entry.worker, state=entry.state.value)
+            logger.info(
+                Event.WORKER_ENTRY, worker=entry.worker, state=entry.state.value
+            )
         if self.owner is not None and known != entry:
             self.owner.fleet.update_workers()
 
@@ -290,7 +297,7 @@
             if ownership is None:
                 continue
             await self.decide_under(ownership)
-            logger.info("ownership given up", term=ownership.term)
+            logger.info(Event.OWNERSHIP_GIVEN_UP, term=ownership.term)
 
     async def decide_under(self, ownership: Ownership) -> None:
         """Decides until the ownership is lost."""
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.model import Run, RunState
 from lacewinghold.scheduler.ports import (
     LookOrder,
@@ -161,7 +162,10 @@
                 return
             break
         logger.info(
-            "start given up", task=run.task.name, run=run.number, worker=self.node.id
+            Event.START_GIVEN_UP,
+            task=run.task.name,
+            run=run.number,
+            worker=self.node.id,
         )
         self.halt(run)
 
@@ -245,7 +249,9 @@
         if (task, number) in self.stopping_strays or self.tasks is None:
             return
         self.stopping_strays.add((task, number))
-        logger.info("stopping a stray run", task=task, run=number, worker=self.node.id)
+        logger.info(
+            Event.STOPPING_A_STRAY_RUN, task=task, run=number, worker=self.node.id
+        )
         self.tasks.start_soon(self.stop_until_answered, task, number)
 
     async def stop_until_answered(self, task: str, number: int) -> None:
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 from result import Err, Result
 
+from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
 from lacewinghold.scheduler.job_store import OWNER
 from lacewinghold.schema.generated.cell import CellOwnerRecord
@@ -87,10 +88,10 @@
         try:
             self.owner = from_json(item.value, CellOwnerRecord)
         except msgspec.DecodeError as error:
-            logger.error("damaged record", key=item.key, detail=str(error))
+            logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
             return
         logger.info(
-            "owner",
+            Event.OWNER,
             owner=self.owner.instance,
             term=self.owner.term,
             revision=item.mod_revision,
@@ -98,7 +99,7 @@
 
     def note_free(self, key: str) -> None:
         """Notes that nobody decides."""
-        logger.info("owner gone", owner=self.owner.instance if self.owner else "")
+        logger.info(Event.OWNER_GONE, owner=self.owner.instance if self.owner else "")
         self.owner = None
         self.free.set()
 
@@ -172,7 +173,7 @@
             valid_until=started + self.lease_s * (1 - MARGIN_SHARE),
             lost=anyio.Event(),
         )
-        logger.info("ownership taken", term=term, epoch=ownership.epoch)
+        logger.info(Event.OWNERSHIP_TAKEN, term=term, epoch=ownership.epoch)
         return ownership
 
     async def prepare(
@@ -208,7 +209,7 @@
             return
         if reply.ok_value <= 0:
             if not ownership.lost.is_set():
-                logger.warning("ownership lapsed", term=ownership.term)
+                logger.warning(Event.OWNERSHIP_LAPSED, term=ownership.term)
             ownership.lost.set()
             return
         valid_until = started + self.lease_s * (1 - MARGIN_SHARE)
--- a/lacewinghold/scheduler/end_log.py
+++ b/lacewinghold/scheduler/end_log.py
@@ -11,6 +11,7 @@
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.job_store import ENDS, OWNER, JobKey
 from lacewinghold.schema.generated.cell import EndBatch, JobOutcome, TaskEndEntry
 from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
@@ -175,15 +176,15 @@
             reply = await self.jobs.store.commit(Transaction([mine], operations))
             if isinstance(reply, Err):
                 if not self.failing:
-                    logger.warning("log stalled", detail=reply.err_value.detail)
+                    logger.warning(Event.LOG_STALLED, detail=reply.err_value.detail)
                 self.failing = True
                 await anyio.sleep(RETRY_S)
                 continue
             if self.failing:
-                logger.info("log goes on", term=self.term)
+                logger.info(Event.LOG_GOES_ON, term=self.term)
             self.failing = False
             if not reply.ok_value.succeeded:
-                logger.warning("superseded", term=self.term)
+                logger.warning(Event.SUPERSEDED, term=self.term)
                 self.superseded.set()
                 return False
             return True
@@ -200,5 +201,5 @@
                 found += ends
                 self.open_jobs[item.key] = {e.task.partition(".")[0] for e in ends}
             except msgspec.DecodeError as error:
-                logger.error("damaged record", key=item.key, detail=str(error))
+                logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
         return Ok(found)
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.ids import Incarnation, WorkerId
 from lacewinghold.scheduler.driver import LOST_LOOKS, WorkerDriver
 from lacewinghold.scheduler.job_store import ROSTER
@@ -75,7 +76,7 @@
         for worker, node in self.nodes.items():
             if worker not in entries and node.listed:
                 node.listed = False
-                logger.info("worker unlisted", worker=worker, runs=len(node.runs))
+                logger.info(Event.WORKER_UNLISTED, worker=worker, runs=len(node.runs))
         if self.roster_due:
             self.write_roster()
         self.owner.planning.wake()
@@ -148,7 +149,7 @@
         node = driver.node
         now = anyio.current_time()
         if node.silent_calls == 1:
-            logger.info("worker silent", worker=node.id, runs=len(node.runs))
+            logger.info(Event.WORKER_SILENT, worker=node.id, runs=len(node.runs))
         gone = not node.listed and now > self.owner.certain_at()
         if node.clock_ms is None:
             if gone:
@@ -167,7 +168,9 @@
         if node.dead:
             return
         node.dead = True
-        logger.info("worker gone", worker=node.id, reason=reason, runs=len(node.runs))
+        logger.info(
+            Event.WORKER_GONE, worker=node.id, reason=reason, runs=len(node.runs)
+        )
         for run in list(node.runs.values()):
             self.owner.runs.release(node, run, EndKind.LAPSED)
         if self.nodes.get(node.id) is node:
@@ -212,7 +215,7 @@
             node.lease_until_ms, report.clock_ms + WORKER_LEASE_S * 1000
         )
         logger.info(
-            "worker joined",
+            Event.WORKER_JOINED,
             worker=node.id,
             runs=len(report.runs),
             ends=len(report.ends),
@@ -254,7 +257,9 @@
             run.missed_looks += 1
             if run.missed_looks < LOST_LOOKS:
                 continue
-            logger.warning("run not listed", task=key[0], run=key[1], worker=node.id)
+            logger.warning(
+                Event.RUN_NOT_LISTED, task=key[0], run=key[1], worker=node.id
+            )
             self.owner.runs.release(node, run, EndKind.LAPSED)
 
     def adopt(self, driver: WorkerDriver, task_name: str, number: int) -> None:
@@ -278,7 +283,9 @@
         node.add(run)
         task.last_run = max(task.last_run, number)
         if task.state is not TaskState.WAITING or task.step.job.ended():
-            logger.info("superfluous run", task=task.name, run=number, worker=node.id)
+            logger.info(
+                Event.SUPERFLUOUS_RUN, task=task.name, run=number, worker=node.id
+            )
             driver.halt(run)
             return
         task.run = run
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.scheduler.job_checks import check_job
 from lacewinghold.scheduler.job_store import StoredJob, unknown
 from lacewinghold.scheduler.model import JobState
@@ -123,7 +124,7 @@
         if isinstance(result, Ok):
             self.instance.metrics.submissions.labels("accepted").inc()
             logger.info(
-                "job accepted",
+                Event.JOB_ACCEPTED,
                 job=record.job,
                 queue=record.queue,
                 took_s=round(took_s, 3),
@@ -131,7 +132,7 @@
             return
         self.instance.metrics.submissions.labels(result.err_value.kind.value).inc()
         logger.info(
-            "job not accepted",
+            Event.JOB_NOT_ACCEPTED,
             job=record.job,
             queue=record.queue,
             kind=result.err_value.kind.value,
@@ -146,7 +147,7 @@
         if known is None:
             known = await self.instance.peer_calls.ask_state(job)
         if known is not None:
-            logger.info("state answered", job=job, state=known.value, by="owner")
+            logger.info(Event.STATE_ANSWERED, job=job, state=known.value, by="owner")
             return Ok(known)
         reply = await self.instance.jobs.read(job)
         if isinstance(reply, Err):
@@ -155,7 +156,7 @@
         if stored.record is None:
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
         state = self.describe(stored)
-        logger.info("state answered", job=job, state=state.value, by="store")
+        logger.info(Event.STATE_ANSWERED, job=job, state=state.value, by="store")
         return Ok(state)
 
     def describe(self, stored: StoredJob) -> JobState:
@@ -192,7 +193,7 @@
                 return Err(self.unavailable(written.err_value))
             self.instance.note_cancelled(job)
             await self.instance.peer_calls.tell_cancelled(job)
-        logger.info("job cancelled", job=job)
+        logger.info(Event.JOB_CANCELLED, job=job)
         return Ok(None)
 
     async def waiting(self, queue: Queue) -> Result[int, Failure]:
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.schema.generated.cell import CellJob, JobOutcome
 from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
 from lacewinghold.util.codec import from_json, to_json
@@ -63,7 +64,7 @@
         try:
             return job, JobKey(kind)
         except ValueError:
-            logger.warning("foreign key", key=key)
+            logger.warning(Event.FOREIGN_KEY, key=key)
             return None
 
     async def accept(self, record: CellJob) -> Result[bool, Failure]:
@@ -104,7 +105,7 @@
             else:
                 found.cancelled = True
         except msgspec.DecodeError as error:
-            logger.error("damaged record", key=item.key, detail=str(error))
+            logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
 
     async def cancel(self, job: str, stored: StoredJob) -> Result[bool, Failure]:
         """Stores the cancellation of a job.
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -54,7 +55,7 @@
             return
         job = self.jobs.get(job_id)
         if job is None:
-            logger.error("key of an unknown job", key=item.key)
+            logger.error(Event.KEY_OF_AN_UNKNOWN_JOB, key=item.key)
             return
         if kind is JobKey.CANCELLED:
             self.cancel(job)
@@ -93,7 +94,9 @@
         for step in job.steps:
             self.steps[step.name] = step
         if self.owner.loaded:
-            logger.info("job taken", job=job.id, queue=queue.name, steps=len(job.steps))
+            logger.info(
+                Event.JOB_TAKEN, job=job.id, queue=queue.name, steps=len(job.steps)
+            )
             self.refresh_job(job)
 
     def find_queue(self, record: CellJob) -> Queue:
@@ -142,7 +145,7 @@
         )
         self.owner.log.note_outcome(job.id, outcome, lambda: self.report(job))
         logger.info(
-            "job ended",
+            Event.JOB_ENDED,
             job=job.id,
             queue=job.queue.name,
             state=state.value,
--- a/lacewinghold/scheduler/members.py
+++ b/lacewinghold/scheduler/members.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId, WorkerId
 from lacewinghold.scheduler.job_store import MEMBERS
 from lacewinghold.scheduler.ports import AdviceCalls, Ticket
@@ -64,7 +65,7 @@
         if isinstance(written, Err):
             return False
         self.lease = granted.ok_value
-        logger.info("member entered", lease=self.lease)
+        logger.info(Event.MEMBER_ENTERED, lease=self.lease)
         return True
 
     async def renew(self) -> bool:
@@ -74,7 +75,7 @@
         if isinstance(renewed, Err):
             return False
         if renewed.ok_value <= 0:
-            logger.warning("member lapsed", lease=self.lease)
+            logger.warning(Event.MEMBER_LAPSED, lease=self.lease)
             self.lease = None
             return False
         return True
@@ -102,7 +103,7 @@
         try:
             member = from_json(item.value, CellMember)
         except msgspec.DecodeError as error:
-            logger.error("damaged record", key=item.key, detail=str(error))
+            logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
             return
         instance = InstanceId(member.instance)
         self.members[instance] = member
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 from result import Ok
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.end_log import EndLog
 from lacewinghold.scheduler.fleet import WORKER_LEASE_S, Fleet
 from lacewinghold.scheduler.job_store import JOBS, ROSTER
@@ -166,7 +167,7 @@
             self.table.end_if_exhausted(job)
             self.table.refresh_job(job)
         logger.info(
-            "cell loaded",
+            Event.CELL_LOADED,
             jobs=len(self.table.jobs),
             ends=len(self.stored_ends),
             term=self.ownership.term,
@@ -197,7 +198,7 @@
 
     def note_fenced(self, node: WorkerNode) -> None:
         """Notes that a worker has seen a newer owner."""
-        logger.warning("fenced", worker=node.id, epoch=self.epoch)
+        logger.warning(Event.FENCED, worker=node.id, epoch=self.epoch)
         self.ownership.lost.set()
 
     async def settle_uncertain(self) -> None:
@@ -208,7 +209,7 @@
         self.metrics.takeover_seconds.observe(anyio.current_time() - self.taken_at)
         self.stop_incomplete()
         logger.info(
-            "cell recovered",
+            Event.CELL_RECOVERED,
             term=self.ownership.term,
             took_s=round(anyio.current_time() - self.taken_at, 3),
             workers=len(self.fleet.nodes),
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId
 from lacewinghold.scheduler.members import advise_for_peer
 from lacewinghold.scheduler.model import JobState
@@ -136,7 +137,7 @@
             )
             if isinstance(reply, Ok):
                 answer = unpack(reply.ok_value, CellYielded)
-                logger.info("earlier owner stopped", asked=peer, by=answer.instance)
+                logger.info(Event.EARLIER_OWNER_STOPPED, asked=peer, by=answer.instance)
                 owner.earlier_stopped.set()
                 return
             await anyio.sleep(YIELD_RETRY_S)
@@ -168,7 +169,7 @@
         try:
             record = from_json(unpack(body, CellAccepted).record, CellJob)
         except msgspec.DecodeError as error:
-            logger.error("damaged record", peer=peer, detail=str(error))
+            logger.error(Event.DAMAGED_RECORD, peer=peer, detail=str(error))
             return Err(Failure(ErrorKind.INVALID, str(error)))
         self.instance.note_accepted(record)
         return Ok(CellJobState(JobState.QUEUED.value))
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner, fullness
@@ -159,7 +160,7 @@
                 self.owner.pace.start(node.id, (task.name, number), now)
             ticket = self.owner.book.ticket(step, node, now) or ""
             logger.info(
-                "task placed",
+                Event.TASK_PLACED,
                 task=task.name,
                 run=number,
                 worker=node.id,
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.model import JobState, TaskState
 from lacewinghold.scheduler.ports import EndKind, OrderOutcome
 from lacewinghold.schema.generated.cell import TaskEndEntry
@@ -53,7 +54,7 @@
         """Takes back a run that a worker surely did not begin."""
         node = driver.node
         logger.info(
-            "start refused",
+            Event.START_REFUSED,
             task=run.task.name,
             run=run.number,
             worker=node.id,
@@ -71,7 +72,7 @@
         """Takes one end from a worker's list."""
         self.owner.metrics.runs_ended.labels(end.kind.value).inc()
         logger.info(
-            "run ended",
+            Event.RUN_ENDED,
             task=end.task,
             run=end.run,
             worker=node.id,
@@ -114,10 +115,10 @@
         suspect = not task.failed_on
         task.failed_on.add(node.id)
         if suspect and node.note_failure(job.id, now):
-            logger.warning("worker quarantined", worker=node.id)
+            logger.warning(Event.WORKER_QUARANTINED, worker=node.id)
         failures = self.table.count_failure(task, run)
         logger.info(
-            "run failed", task=task.name, run=run, worker=node.id, failures=failures
+            Event.RUN_FAILED, task=task.name, run=run, worker=node.id, failures=failures
         )
         if failures >= job.queue.max_attempts:
             self.table.end_job(
--- a/lacewinghold/scheduler/slow_workers.py
+++ b/lacewinghold/scheduler/slow_workers.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.model import RunState
 from lacewinghold.scheduler.pace import STUCK_SHARE
 
@@ -37,7 +38,7 @@
                 if node.slow is not (node.id in slow):
                     node.slow = node.id in slow
                     logger.info(
-                        "worker pace",
+                        Event.WORKER_PACE,
                         worker=node.id,
                         slow=node.slow,
                         share=round(slow.get(node.id, 1.0), 3),
@@ -62,7 +63,7 @@
             if left_s < MOVE_GAIN * expected_s:
                 continue
             logger.info(
-                "run moved",
+                Event.RUN_MOVED,
                 task=run.task.name,
                 run=run.number,
                 worker=node.id,
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.scheduler.policy import fitting_count
 
 if TYPE_CHECKING:
@@ -52,7 +53,7 @@
         for node in allowed:
             room_for += fitting_count(step.room, node.free(), step.spec.tasks)
         logger.info(
-            "step waits",
+            Event.STEP_WAITS,
             step=step.name,
             age_s=round(now - step.due_at, 3),
             tasks=len(step.waiting()),
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -12,6 +12,7 @@
 from lacewinghold.coordination.assignment import assign
 from lacewinghold.coordination.ledger import Ledger
 from lacewinghold.coordination.ownership import ShardOwnership
+from lacewinghold.events import Event
 from lacewinghold.ids import ShardId
 from lacewinghold.placement.split import ShardRoom
 from lacewinghold.schema.generated.document import PlacementSection
@@ -230,7 +231,9 @@
         known = self.view.owner(shard)
         taken = await ownership.take(known, self.clock.now())
         if isinstance(taken, Err):
-            logger.debug("shard not taken", shard=shard, detail=taken.err_value.detail)
+            logger.debug(
+                Event.SHARD_NOT_TAKEN, shard=shard, detail=taken.err_value.detail
+            )
             return
         ledger = Ledger(
             self.store,
--- a/lacewinghold/shards/owner.py
+++ b/lacewinghold/shards/owner.py
@@ -12,6 +12,7 @@
 
 from lacewinghold.coordination.rules import OpenRules
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import JobId, job_shard, task_job
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.capacity import fits
@@ -357,7 +358,7 @@
         if task is None or task.state in ENDED:
             return
         if task.state in ON_WORKER and task.worker != worker_id:
-            logger.info("late outcome of an earlier run", task=task.id)
+            logger.info(Event.LATE_OUTCOME_OF_AN_EARLIER_RUN, task=task.id)
             return
         self.placer.note_ended(task, ended)
         if ended.succeeded:
--- a/lacewinghold/shards/part_host.py
+++ b/lacewinghold/shards/part_host.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import task_job
 from lacewinghold.schema.generated.jobs import JobState
 from lacewinghold.schema.generated.messages import PartReply, PartReserveReply
@@ -60,7 +61,7 @@
             now = self.owner.now()
             for job_id, reservation in list(self.reservations.items()):
                 if reservation.expires_at < now:
-                    logger.info("reservation ended", job=job_id)
+                    logger.info(Event.RESERVATION_ENDED, job=job_id)
                     self.let_go(job_id)
             await anyio.sleep(until_tick(EXPIRY_CHECK_S))
 
--- a/lacewinghold/shards/parts.py
+++ b/lacewinghold/shards/parts.py
@@ -12,6 +12,7 @@
 
 from lacewinghold.coordination.ledger_state import KEEP_FINISHED_S
 from lacewinghold.errors import ErrorKind
+from lacewinghold.events import Event
 from lacewinghold.ids import JobId
 from lacewinghold.schema.generated.jobs import JobKind, JobState, TaskState
 from lacewinghold.schema.generated.records import JobRecord
@@ -196,7 +197,7 @@
         if self.owner.now() > limit:
             await self.let_go(records)
             return False
-        logger.info("room reserved in all shards", job=job.id, parts=len(records))
+        logger.info(Event.ROOM_RESERVED_IN_ALL_SHARDS, job=job.id, parts=len(records))
         return True
 
     async def renew(self, records: list[JobRecord]) -> int | None:
--- a/lacewinghold/shards/placer.py
+++ b/lacewinghold/shards/placer.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err, Ok
 
+from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.engine import PlacementEngine
 from lacewinghold.placement.preemption import RunningWork
@@ -155,7 +156,7 @@
         worker = self.owner.workers.get(task.worker) if task.worker else None
         if worker is None or task.state not in ON_WORKER:
             return
-        logger.info("stopped for urgent work", task=task.id, worker=task.worker)
+        logger.info(Event.STOPPED_FOR_URGENT_WORK, task=task.id, worker=task.worker)
         self.owner.counts["tasks.preempted"] += 1
         worker.checkpoint(task.id)
 
--- a/lacewinghold/shards/recovery.py
+++ b/lacewinghold/shards/recovery.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from lacewinghold.events import Event
 from lacewinghold.schema.generated.jobs import TaskState
 from lacewinghold.shards.model import make_job
 from lacewinghold.util.clock import until_tick
@@ -57,7 +58,7 @@
         for task in list(self.owner.tasks.values()):
             if not task.proved and task.id not in self.owner.suspended:
                 self.prove(task)
-        logger.info("shard recovered", shard=self.owner.shard)
+        logger.info(Event.SHARD_RECOVERED, shard=self.owner.shard)
         self.owner.placer.wake()
         while True:
             await anyio.sleep(until_tick(CHECK_S))
--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 from lacewinghold.ids import Incarnation, job_shard, task_job
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.placement.capacity import WorkerCapacity
@@ -308,7 +309,7 @@
         for start in command.starts:
             self.settle_start(start, refused.get(start.task), report)
         if not report.accepted:
-            logger.info("worker has a newer owner", worker=self.record.worker)
+            logger.info(Event.WORKER_HAS_A_NEWER_OWNER, worker=self.record.worker)
             self.capacity.usable = False
             return False
         self.apply(report, fencing=command.fence)
@@ -376,7 +377,7 @@
             self.capacity.usable = False
             if self.owner.ownership.held():
                 logger.error(
-                    "worker has seen a later epoch: the store is behind its past",
+                    Event.STORE_BEHIND_ITS_PAST,
                     worker=self.record.worker,
                     seen=report.seen_epoch,
                     epoch=self.owner.ownership.epoch,
--- a/lacewinghold/store/guarded.py
+++ b/lacewinghold/store/guarded.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure, FailureError
+from lacewinghold.events import Event
 from lacewinghold.store.base import (
     CallKind,
     RangeReply,
@@ -146,7 +147,7 @@
         if found >= floor:
             return None
         detail = f"the store is at revision {found} and was at {floor} before"
-        logger.error("store regressed", found=found, seen=floor)
+        logger.error(Event.STORE_REGRESSED, found=found, seen=floor)
         return Failure(ErrorKind.STORE_REGRESSED, detail)
 
     async def range(
--- a/lacewinghold/store/health.py
+++ b/lacewinghold/store/health.py
@@ -10,6 +10,7 @@
 from result import Err, Result
 
 from lacewinghold.errors import ErrorKind, FailureError
+from lacewinghold.events import Event
 from lacewinghold.store.base import (
     RangeReply,
     Store,
@@ -67,7 +68,7 @@
         if failure is None or failure.kind not in OUTAGE_KINDS:
             if self.failures >= FAILURES_DOWN:
                 logger.info(
-                    "store serves again",
+                    Event.STORE_SERVES_AGAIN,
                     silent_s=round(anyio.current_time() - self.last_answer, 3),
                 )
             self.failures = 0
@@ -75,7 +76,7 @@
             return
         self.failures += 1
         if self.failures == FAILURES_DOWN:
-            logger.warning("store does not serve", detail=failure.detail)
+            logger.warning(Event.STORE_DOES_NOT_SERVE, detail=failure.detail)
 
     async def watched(self, call: Awaitable[Result[T, Failure]]) -> Result[T, Failure]:
         """Makes one call."""
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, FailureError
+from lacewinghold.events import Event
 from lacewinghold.ids import Revision
 
 if TYPE_CHECKING:
@@ -115,7 +116,7 @@
                             await anyio.sleep(self.pace_s)
             except FailureError as error:
                 if error.failure.kind is ErrorKind.HISTORY_GONE:
-                    logger.warning("history gone", prefix=self.prefix)
+                    logger.warning(Event.HISTORY_GONE, prefix=self.prefix)
                     return
                 self.note_failure(error.failure.detail)
                 await anyio.sleep(RETRY_S)
@@ -123,11 +124,11 @@
     def note_failure(self, detail: str) -> None:
         """Logs once that the store cannot be followed."""
         if not self.failing:
-            logger.warning("store lost", prefix=self.prefix, detail=detail)
+            logger.warning(Event.STORE_LOST, prefix=self.prefix, detail=detail)
         self.failing = True
 
     def note_contact(self) -> None:
         """Logs once that the store is followed again."""
         if self.failing:
-            logger.info("store regained", prefix=self.prefix)
+            logger.info(Event.STORE_REGAINED, prefix=self.prefix)
         self.failing = False
--- a/lacewinghold/util/bounded_log.py
+++ b/lacewinghold/util/bounded_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import time
 from collections import Counter
@@ -9,6 +10,8 @@
 
 import structlog
 
+from lacewinghold.events import Event
+
 if TYPE_CHECKING:
     from collections.abc import Callable, MutableMapping
 
@@ -77,10 +80,8 @@
             self.dropped += 1
         else:
             if self.dropped:
-                self.waiting += b'{"event": "log lines dropped", "%s": %d}\n' % (
-                    DROPPED.encode(),
-                    self.dropped,
-                )
+                said = {"event": Event.LOG_LINES_DROPPED, DROPPED: self.dropped}
+                self.waiting += json.dumps(said).encode() + b"\n"
                 self.dropped = 0
             self.waiting += line
         self.flush()
--- a/lacewinghold/util/tls.py
+++ b/lacewinghold/util/tls.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.events import Event
 
 if TYPE_CHECKING:
     from lacewinghold.schema.generated.settings import Tls
@@ -94,8 +95,8 @@
             make_server_context(self.tls)
             self.context.load_cert_chain(self.tls.certificate, self.tls.key)
         except (OSError, ssl.SSLError) as error:
-            logger.warning("certificate not reloaded", detail=str(error))
+            logger.warning(Event.CERTIFICATE_NOT_RELOADED, detail=str(error))
             return False
         self.known = found
-        logger.info("certificate reloaded", file=self.tls.certificate)
+        logger.info(Event.CERTIFICATE_RELOADED, file=self.tls.certificate)
         return True
