--- /dev/null
+++ b/lacewinghold/cmd/causal_order.py
@@ -0,0 +1,70 @@
+"""Merges the log lines of several processes, also where their clocks disagree."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+from lacewinghold.events import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lacewinghold.cmd.explain import Line
+
+Cause = tuple[str, ...]
+
+
+def caused(line: Line) -> list[Cause]:
+    """Returns what later lines of any process may follow from."""
+    fields = line.fields
+    found: list[Cause] = []
+    if line.event == Event.OWNERSHIP_TAKEN:
+        for name in ("epoch", "term"):
+            if name in fields:
+                found.append((name, str(fields[name])))
+    if line.event == Event.TASK_PLACED:
+        found.append(("run", str(fields.get("task")), str(fields.get("run"))))
+    return found
+
+
+def causes(line: Line) -> list[Cause]:
+    """Returns what a line surely follows from, if it was logged at all."""
+    fields = line.fields
+    if line.event == Event.OWNERSHIP_TAKEN:
+        term = fields.get("term")
+        return [("term", str(term - 1))] if isinstance(term, int) else []
+    found: list[Cause] = []
+    if "epoch" in fields:
+        found.append(("epoch", str(fields["epoch"])))
+    if "run" in fields and line.event != Event.TASK_PLACED:
+        found.append(("run", str(fields.get("task")), str(fields["run"])))
+    return found
+
+
+def merge(lines: Iterable[Line]) -> list[Line]:
+    """Returns the lines in an order that no id, epoch or process contradicts.
+
+    The lines of one process keep their order; between processes the time stamps
+    decide, but nothing comes before what it follows from.
+    """
+    waiting: dict[str, deque[Line]] = {}
+    pending: Counter[Cause] = Counter()
+    for line in lines:
+        waiting.setdefault(line.instance, deque()).append(line)
+        pending.update(caused(line))
+    merged = []
+    while waiting:
+        heads = [queue[0] for queue in waiting.values()]
+        free = [
+            line for line in heads if not any(pending[cause] for cause in causes(line))
+        ]
+        # Of lines that wait for each other the oldest comes first.
+        line = min(free or heads, key=lambda line: line.timestamp)
+        merged.append(line)
+        pending.subtract(caused(line))
+        queue = waiting[line.instance]
+        queue.popleft()
+        if not queue:
+            del waiting[line.instance]
+    return merged
--- a/lacewinghold/cmd/explain.py
+++ b/lacewinghold/cmd/explain.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from lacewinghold.cmd.causal_order import merge
 from lacewinghold.events import Event
 
 if TYPE_CHECKING:
@@ -106,16 +107,17 @@
 def tell(job: str, lines: Iterable[Line]) -> Story:
     """Returns the story of a job: its lines and, between them, the cell's.
 
-    Lines are ordered by their time stamps; those of one process keep their order.
+    What happened to the cell is told for the time between the job's lines.
     """
-    ordered = sorted(lines, key=lambda line: line.timestamp)
-    about = [line for line in ordered if is_about(line, job)]
+    known = list(lines)
+    about = [line for line in known if is_about(line, job)]
     if not about:
         return Story(job, [], ["no line names the job"])
-    first, last = about[0].timestamp, about[-1].timestamp
+    stamps = [line.timestamp for line in about]
+    first, last = min(stamps), max(stamps)
     workers = {line.fields["worker"] for line in about if "worker" in line.fields}
     chosen = []
-    for line in ordered:
+    for line in known:
         if is_about(line, job):
             chosen.append(line)
             continue
@@ -124,7 +126,7 @@
         named = line.fields.get("worker") in workers
         if line.event in CELL_EVENTS or (named and line.event in WORKER_EVENTS):
             chosen.append(line)
-    return Story(job, chosen, find_missing(about, chosen))
+    return Story(job, merge(chosen), find_missing(about, chosen))
 
 
 def find_missing(about: list[Line], chosen: list[Line]) -> list[str]:
--- a/tests/test_cmd/test_explain.py
+++ b/tests/test_cmd/test_explain.py
@@ -56,3 +56,33 @@
     assert main(["explain", "zz", front]) == 4
     assert "no line names the job" in capsys.readouterr().out
     assert main(["explain", "zz", str(tmp_path / "none")]) == 2
+
+
+def test_clocks_that_disagree_do_not_turn_cause_and_effect_around(tmp_path, capsys):
+    """The second owner's clock is behind, and is set back while it decides."""
+    first = [
+        {"event": "ownership taken", "term": 1, "epoch": 4, "timestamp": "T40"},
+        {"event": "task placed", "task": "a1.0.0.0", "run": 1, "timestamp": "T50"},
+    ]
+    second = [
+        {"event": "ownership taken", "term": 2, "epoch": 9, "timestamp": "T45"},
+        {"event": "run ended", "task": "a1.0.0.0", "run": 1, "timestamp": "T46"},
+        {"event": "task placed", "task": "a1.0.0.0", "run": 2, "timestamp": "T43"},
+        {"event": "job ended", "job": "a1", "timestamp": "T44"},
+    ]
+    third = [{"event": "fenced", "epoch": 9, "timestamp": "T44"}]
+    names = [
+        write(tmp_path / "second", second, "entry-2"),
+        write(tmp_path / "first", first, "entry-1"),
+        write(tmp_path / "third", third, "entry-3"),
+    ]
+    assert main(["explain", "a1", *names, "--json"]) == 0
+    story = json.loads(capsys.readouterr().out)
+    assert [(line["event"], line["instance"]) for line in story["lines"]] == [
+        ("ownership taken", "entry-2"),
+        ("fenced", "entry-3"),
+        ("task placed", "entry-1"),
+        ("run ended", "entry-2"),
+        ("task placed", "entry-2"),
+        ("job ended", "entry-2"),
+    ]
