--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -80,7 +80,7 @@
     load_trio()
     from lacewinghold.entry import serve_entry
 
-    anyio.run(serve_entry, loaded.ok_value, backend="trio")
+    anyio.run(serve_entry, loaded.ok_value, path, backend="trio")
     return 0
 
 
--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -26,38 +26,96 @@
 from lacewinghold.util.clock import WallClock
 from lacewinghold.util.http_server import serve_http
 from lacewinghold.util.metrics_http import MetricsApp
+from lacewinghold.util.settings_watch import SettingsWatch
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from lacewinghold.schema.generated.entry import EntrySettings
 
 logger = structlog.get_logger(__name__)
 GRACE_MARGIN_S = 1.0  # Kept of the time between SIGTERM and SIGKILL.
+# Fields that a running process cannot change.
+AT_START = ("instance", "region", "data_centre", "listen", "log_level")
+STORE_AT_START = ("prefix", "lease_ms")
 BALANCER_NOTICE_S = 2.2  # Two probes a second apart, after which no channel comes.
 
 
-def make_ports(settings: EntrySettings) -> CellPorts:
+def make_ports(
+    settings: EntrySettings, store: PlatformStore, advice: PlatformAdvice | None
+) -> CellPorts:
     """Returns the adapters to the platform."""
     return CellPorts(
-        store=PlatformStore(settings.store.address),
+        store=store,
         transport=NngTransport(settings.listen.peer),
         dialer=PlatformWorkerDialer(),
-        advice=PlatformAdvice(settings.advice) if settings.advice else None,
+        advice=advice,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
         clock=WallClock(),
     )
 
 
-async def serve_entry(settings: EntrySettings) -> None:
-    """Serves until SIGTERM, then finishes what is in progress."""
+class LiveSettings:
+    """Puts changed settings of a running entry instance into force.
+
+    :param settings: Those that it was started with.
+    """
+
+    def __init__(
+        self,
+        instance: CellInstance,
+        store: PlatformStore,
+        advice: PlatformAdvice | None,
+        settings: EntrySettings,
+    ) -> None:
+        self.instance = instance
+        self.store = store
+        self.advice = advice
+        self.started_with = settings
+
+    def apply(self, settings: EntrySettings) -> list[str]:
+        """Takes into use what can change in a running process.
+
+        :returns: The fields that differ from the start's and need another one.
+        """
+        self.store.client.move(settings.store.address)
+        if self.advice is not None and settings.advice:
+            self.advice.client.move(settings.advice)
+        self.instance.use_settings(settings)
+        waiting = [name for name in AT_START if self.differs(settings, name)]
+        if bool(settings.advice) is not bool(self.started_with.advice):
+            waiting.append("advice")
+        for name in STORE_AT_START:
+            old = getattr(self.started_with.store, name)
+            if getattr(settings.store, name) != old:
+                waiting.append(f"store.{name}")
+        return waiting
+
+    def differs(self, settings: EntrySettings, name: str) -> bool:
+        """Returns whether a field differs from the start's."""
+        return bool(getattr(settings, name) != getattr(self.started_with, name))
+
+
+async def serve_entry(settings: EntrySettings, path: Path) -> None:
+    """Serves until SIGTERM, then finishes what is in progress.
+
+    :param path: The settings file, which may change meanwhile.
+    """
     structlog.contextvars.bind_contextvars(instance=settings.instance)
     boot = secrets.token_hex(4)
     name = InstanceId(f"{settings.instance}.{boot}")
-    instance = CellInstance(settings, make_ports(settings), name, random.Random())
+    store = PlatformStore(settings.store.address)
+    advice = PlatformAdvice(settings.advice) if settings.advice else None
+    ports = make_ports(settings, store, advice)
+    instance = CellInstance(settings, ports, name, random.Random())
+    live = LiveSettings(instance, store, advice, settings)
+    watch = SettingsWatch(path, settings, live.apply)
     stop = anyio.Event()
     listen = settings.listen
     logger.info(Event.STARTED, boot=boot, store=settings.store.address)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch_signals, instance, stop)
+        tasks.start_soon(watch_signals, instance, stop, watch)
+        tasks.start_soon(watch.run)
         tasks.start_soon(instance.run)
         if listen.metrics:
             tasks.start_soon(serve_metrics, instance, stop)
@@ -78,14 +136,16 @@
     await serve_http(app, instance.settings.listen.metrics, stop.wait, 0.0)
 
 
-async def watch_signals(instance: CellInstance, stop: anyio.Event) -> None:
+async def watch_signals(
+    instance: CellInstance, stop: anyio.Event, watch: SettingsWatch[EntrySettings]
+) -> None:
     """Hands the ownership over at SIGTERM, then stops the listeners."""
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                logger.info(Event.RELOAD_ASKED_FOR)
+                watch.check()
                 continue
             if instance.leaving:
                 continue
--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -11,7 +11,8 @@
     # Processes
     STARTED = "started"
     LISTENING = "listening"
-    RELOAD_ASKED_FOR = "reload asked for"
+    SETTINGS_IN_FORCE = "settings in force"
+    SETTINGS_REFUSED = "settings refused"
     SHUTTING_DOWN = "shutting down"
     STOPPING = "stopping"
     STOPPING_AT_ONCE = "stopping at once"
--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -89,6 +89,10 @@
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
         return Ok(HttpReply(response.status, response.content))
 
+    def move(self, address: str) -> None:
+        """Calls another address from now on; idle connections end by themselves."""
+        self.address = address
+
     async def close(self) -> None:
         """Closes all connections."""
         await self.pool.aclose()
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -280,6 +280,15 @@
 
     # Life
 
+    def use_settings(self, settings: EntrySettings) -> None:
+        """Takes changed time bounds into use.
+
+        The life of the owner's lease stays: one in force was granted with it.
+        """
+        self.settings = settings
+        if self.owner is not None:
+            self.owner.status_s = settings.bounds.status_s + FORGET_MARGIN_S
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/lacewinghold/util/settings_watch.py
@@ -0,0 +1,61 @@
+"""Follows a settings file, whether or not a signal tells of a change."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import anyio
+import structlog
+from result import Err
+
+from lacewinghold.cmd.settings import load
+from lacewinghold.events import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+T = TypeVar("T")
+logger = structlog.get_logger(__name__)
+CHECK_INTERVAL_S = 1.0  # A file of one kilobyte; reading it costs microseconds.
+
+
+class SettingsWatch(Generic[T]):
+    """Puts changed settings into force; a file that is not valid changes nothing.
+
+    :param settings: What is in force.
+    :param apply: Puts settings into force; returns the fields that need a restart.
+    """
+
+    def __init__(self, path: Path, settings: T, apply: Callable[[T], list[str]]):
+        self.path = path
+        self.settings = settings
+        self.apply = apply
+        self.refused = ""
+
+    async def run(self) -> None:
+        """Looks at the file at an interval until cancelled."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            self.check()
+
+    def check(self) -> bool:
+        """Reads the file.
+
+        :returns: Whether it had changed and is in force.
+        """
+        loaded = load(self.path, type(self.settings))
+        if isinstance(loaded, Err):
+            failure = loaded.err_value
+            if failure.detail != self.refused:
+                self.refused = failure.detail
+                logger.error(
+                    Event.SETTINGS_REFUSED, field=failure.field, detail=failure.detail
+                )
+            return False
+        self.refused = ""
+        if loaded.ok_value == self.settings:
+            return False
+        self.settings = loaded.ok_value
+        logger.info(Event.SETTINGS_IN_FORCE, at_next_start=self.apply(self.settings))
+        return True
--- /dev/null
+++ b/tests/test_platform/test_live_settings.py
@@ -0,0 +1,102 @@
+"""Settings that change while an entry instance runs."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from lacewinghold.entry import LiveSettings
+from lacewinghold.platform.advice import PlatformAdvice
+from lacewinghold.platform.store import PlatformStore
+from lacewinghold.scheduler.cell import FORGET_MARGIN_S
+from lacewinghold.util.settings_watch import SettingsWatch
+from tests.test_scheduler.support import run_cell
+
+
+def changed(settings, **fields):
+    """Returns settings with some fields changed; ``a__b`` is a field of a field."""
+    found = msgspec.to_builtins(settings)
+    for name, value in fields.items():
+        outer, _, inner = name.partition("__")
+        if inner:
+            found[outer][inner] = value
+        else:
+            found[name] = value
+    return msgspec.convert(found, type(settings))
+
+
+def play(tmp_path, program):
+    """Runs a program beside an owner whose settings stand in a file."""
+
+    async def session(cell):
+        instance = cell.owner().instance
+        store = PlatformStore("10.0.0.1:1")
+        advice = PlatformAdvice("10.0.0.2:2")
+        settings = changed(instance.settings, advice="10.0.0.2:2")
+        live = LiveSettings(instance, store, advice, settings)
+        path = tmp_path / "settings.json"
+        watch = SettingsWatch(path, settings, live.apply)
+
+        def write(found):
+            path.write_bytes(msgspec.json.encode(found))
+
+        write(settings)
+        assert not watch.check()
+        program(write, watch, live)
+
+    run_cell(session)
+
+
+def test_bounds_and_addresses_change_in_a_running_process(tmp_path):
+    def program(write, watch, live):
+        write(
+            changed(
+                watch.settings,
+                bounds__status_s=600,
+                store__address="10.0.0.9:9",
+                advice="10.0.0.8:8",
+            )
+        )
+        assert watch.check()
+        assert live.store.client.address == "10.0.0.9:9"
+        assert live.advice.client.address == "10.0.0.8:8"
+        assert live.instance.owner.status_s == 600 + FORGET_MARGIN_S
+        assert not watch.check()
+
+    play(tmp_path, program)
+
+
+@pytest.mark.parametrize(
+    ("fields", "named"),
+    [
+        ({"instance": "other"}, ["instance"]),
+        ({"log_level": "error"}, ["log_level"]),
+        ({"store__prefix": "other/"}, ["store.prefix"]),
+        ({"store__lease_ms": 9000}, ["store.lease_ms"]),
+        ({"advice": ""}, ["advice"]),
+        ({"bounds__status_s": 60}, []),
+    ],
+)
+def test_what_waits_for_a_restart_is_named(tmp_path, fields, named):
+    def program(write, watch, live):
+        before = live.instance.election.lease_s
+        assert live.apply(changed(watch.settings, **fields)) == named
+        # A lease in force must not be trusted for longer than it was granted for.
+        assert live.instance.election.lease_s == before
+
+    play(tmp_path, program)
+
+
+@pytest.mark.parametrize("content", [b"", b"{", b"[]", b'{"instance": 7}'])
+def test_a_file_that_is_not_valid_changes_nothing(tmp_path, content):
+    def program(write, watch, live):
+        kept = watch.settings
+        watch.path.write_bytes(content)
+        assert not watch.check()
+        watch.path.unlink()
+        assert not watch.check()
+        assert watch.settings == kept == live.started_with
+        write(changed(kept, bounds__status_s=60))
+        assert watch.check()
+
+    play(tmp_path, program)
