--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -68,8 +68,11 @@
 
 
 def read_manifest(value: bytes) -> Manifest | None:
-    """Decodes a stand-in manifest."""
-    stored = msgspec.json.decode(value, type=StoredManifest)
+    """Decodes a stand-in manifest, ``None`` if it is damaged."""
+    try:
+        stored = msgspec.json.decode(value, type=StoredManifest)
+    except msgspec.DecodeError:
+        return None
     return Manifest(stored.version, stored.queues)
 
 
