--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -55,7 +55,7 @@
         self.processed = 0
         self.ack_moved = anyio.Event()
         self.stopping_strays: set[tuple[str, int]] = set()
-        self.unknown_since: float | None = None
+        self.unknown_since: dict[str, float] = {}
         self.scope = anyio.CancelScope()
         self.tasks: TaskGroup | None = None
 
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -195,6 +195,7 @@
         listed |= {(end.task, end.run) for end in report.ends}
         self.take_ends(driver, report.ends)
         node.strays.intersection_update(listed)
+        self.forget_unknown(driver, {task for task, _ in listed})
         for item in report.runs:
             run = node.runs.get((item.task, item.run))
             if run is None:
@@ -231,6 +232,11 @@
             driver.processed = end.number
             self.owner.runs.note_end(driver.node, end)
 
+    def forget_unknown(self, driver: WorkerDriver, listed: set[str]) -> None:
+        """Forgets unknown tasks that a worker lists no more."""
+        for task in driver.unknown_since.keys() - listed:
+            del driver.unknown_since[task]
+
     def note_progress(self, node: WorkerNode, run: Run, item: RunReport) -> None:
         """Takes what a worker says of a run that it was told to start."""
         run.missed_looks = 0
@@ -298,13 +304,11 @@
 
         A job that was accepted while this owner took over is found a little later.
         """
-        now = anyio.current_time()
         if self.owner.table.find_task(task_name) is not None:
-            driver.unknown_since = None
             return False
-        if driver.unknown_since is None:
-            driver.unknown_since = now
-        return now - driver.unknown_since < UNKNOWN_JOB_S
+        now = anyio.current_time()
+        since = driver.unknown_since.setdefault(task_name, now)
+        return now - since < UNKNOWN_JOB_S
 
     def fullness(self) -> float:
         """Returns the share of all workers' cores that runs take."""
--- a/tests/test_scheduler/test_worker_faults.py
+++ b/tests/test_scheduler/test_worker_faults.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
+from lacewinghold.scheduler.fleet import UNKNOWN_JOB_S
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import OrderOutcome, StartOrder
 from lacewinghold.testing.step_worker import Behaviour, OrderFault
 from tests.test_scheduler.support import run_cell, step
 
@@ -105,3 +107,32 @@
         assert await cell.wait_for("a", JobState.COMPLETED, 1.6)
 
     run_cell(program)
+
+
+def test_a_run_of_a_job_that_nobody_knows_is_stopped_on_a_busy_worker():
+    """Ends of known jobs must not put the stop off."""
+
+    async def program(cell):
+        worker = next(iter(cell.world.workers.values()))
+        for number in range(8):
+            cell.behaviours[f"j{number}"] = Behaviour(1.0 + 1.2 * number)
+            await cell.submit(f"j{number}", [step(cpu=300)])
+        await anyio.sleep(0.5)
+        cell.make_job("ghost", [step()])
+        cell.behaviours["ghost"] = Behaviour(1000)
+        order = StartOrder(
+            task="ghost.0.0.0",
+            run=1,
+            program="work",
+            lease_until_ms=worker.clock_ms() + 4000,
+            epoch=cell.owner().instance.owner.epoch,
+            checkpoint="",
+            ticket="",
+        )
+        assert worker.start(order) is OrderOutcome.DONE
+        await anyio.sleep(UNKNOWN_JOB_S + 1)
+        assert ("ghost.0.0.0", 1) not in worker.runs
+        for number in range(8):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 12)
+
+    run_cell(program, workers=1)
