--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -234,7 +234,7 @@
 
     def reserve(self, step: Step, nodes: list[WorkerNode]) -> None:
         """Keeps enough workers free of less urgent work for a step."""
-        if self.reserving >= MAX_RESERVING:
+        if self.reserving >= MAX_RESERVING or not self.may_ever_run(step, nodes):
             return
         self.reserving += 1
         bound = RESERVED_SHARE * len(self.free)
@@ -250,6 +250,14 @@
             urgency = step.job.queue.urgency
             self.reserved[node.id] = min(self.reserved.get(node.id, urgency), urgency)
 
+    def may_ever_run(self, step: Step, nodes: list[WorkerNode]) -> bool:
+        """Returns whether all tasks would have room if nothing else ran."""
+        count = 0
+        for node in nodes:
+            limit = step.spec.max_per_worker or step.spec.tasks
+            count += fitting_count(step.room, node.entry.capacity, limit)
+        return count >= step.spec.tasks
+
     def take(self, node: WorkerNode, room: Resources) -> None:
         """Takes room from the snapshot."""
         self.free[node.id] = self.free[node.id].minus(room)
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -4,8 +4,11 @@
 
 import pytest
 
-from bench.planner_day import ArrivalOrder, PlannerDay
+from bench.planner_day import ArrivalOrder, PlannerDay, make_nodes
+from lacewinghold.scheduler.model import Run, make_job
 from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.ports import Queue
+from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
 SECONDS = 30.0
 
@@ -25,3 +28,45 @@
     day = PlannerDay(Planner, 1.5, seed=seed)
     day.play(SECONDS)
     assert day.steps == {}
+
+
+def make_step(name, queue, tasks, cpu, **fields):
+    """Returns a step that is ready."""
+    spec = StepSpec(tasks=tasks, cpu_millis=cpu, memory_mb=100, **fields)
+    record = CellJob(
+        job=name,
+        queue=queue.name,
+        program="work",
+        steps=[spec],
+        accepted_at=0.0,
+        rules=queue.to_rules(),
+    )
+    return make_job(record, queue, 0.0, 0.0).steps[0]
+
+
+def test_no_room_is_kept_for_work_that_can_never_run_where_it_may():
+    """Work that may run only there must not wait for it."""
+    urgent = Queue("urgent", "h", "/u/", "s", 0, 2, 2.0, 1)
+    patient = Queue("patient", "h", "/p/", "s", 2, 2, 2.0, 1)
+    nodes = make_nodes(4)
+    for node in nodes:
+        node.listed = node.fenced = node.enrolled = True
+    only = frozenset({nodes[0].id})
+    hopeless = make_step("a", urgent, 4, 12_000, all_at_once=True)
+    small = make_step("b", patient, 1, 1000)
+    planner = Planner(0.0, nodes, lambda step: only, lambda step, node: True)
+    plan = planner.make([hopeless, small])
+    assert [placement.step for placement in plan.placements] == [small]
+
+
+def test_room_is_kept_for_work_that_fits_once_others_have_ended():
+    urgent = Queue("urgent", "h", "/u/", "s", 0, 2, 2.0, 1)
+    patient = Queue("patient", "h", "/p/", "s", 2, 2, 2.0, 1)
+    nodes = make_nodes(2)
+    running = make_step("c", patient, 1, 8000)
+    nodes[0].add(Run(running.tasks[0], 1, nodes[0].id, running.room, 0.0))
+    wide = make_step("a", urgent, 2, 12_000, all_at_once=True)
+    small = make_step("b", patient, 1, 1000)
+    everywhere = frozenset(node.id for node in nodes)
+    planner = Planner(0.0, nodes, lambda step: everywhere, lambda step, node: True)
+    assert planner.make([wide, small]).placements == []
