--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -122,6 +122,7 @@
             self.note_manifest,
             self.note_manifest_gone,
             MANIFEST_PACE_S,
+            newest_only=True,
         )
         self.worker_mirror = Mirror(
             self.store,
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,6 +21,7 @@
 
 logger = structlog.get_logger(__name__)
 RETRY_S = 0.15  # Pause after a failed call, so that an outage is not hammered.
+STORM_S = 1.0  # Changes closer than this are a storm; three looks at the usual pace.
 
 
 class Mirror:
@@ -28,6 +30,8 @@
     :param on_put: Called with each key that was written, oldest first.
     :param on_delete: Called with each key that is gone.
     :param pace_s: Least time between two looks for changes, in seconds.
+    :param newest_only: Reads what is newest in a storm of changes. Working off its
+        history would carry every version over the link, and fall behind.
     """
 
     def __init__(
@@ -37,7 +41,11 @@
         on_put: Callable[[KeyValue], None],
         on_delete: Callable[[str], None],
         pace_s: float = 0.0,
+        *,
+        newest_only: bool = False,
     ) -> None:
+        self.newest_only = newest_only
+        self.changed_at = -math.inf
         self.store = store
         self.prefix = prefix
         self.on_put = on_put
@@ -105,15 +113,20 @@
         await self.run()
 
     async def follow(self) -> None:
-        """Follows changes until the history is gone."""
+        """Follows changes until the history is gone, or not worth reading."""
         while True:
             try:
                 async with self.store.watch(self.prefix, self.revision) as batches:
                     async for batch in batches:
                         self.note_contact()
                         self.apply(batch)
-                        if self.pace_s and (batch.puts or batch.deletes):
+                        if not batch.puts and not batch.deletes:
+                            continue
+                        storm = self.note_change()
+                        if self.pace_s:
                             await anyio.sleep(self.pace_s)
+                        if storm and self.newest_only:
+                            return
             except FailureError as error:
                 if error.failure.kind is ErrorKind.HISTORY_GONE:
                     logger.warning(Event.HISTORY_GONE, prefix=self.prefix)
@@ -121,6 +134,16 @@
                 self.note_failure(error.failure.detail)
                 await anyio.sleep(RETRY_S)
 
+    def note_change(self) -> bool:
+        """Notes that something has changed.
+
+        :returns: Whether changes follow each other closely.
+        """
+        now = anyio.current_time()
+        storm = now - self.changed_at < STORM_S
+        self.changed_at = now
+        return storm
+
     def note_failure(self, detail: str) -> None:
         """Logs once that the store cannot be followed."""
         if not self.failing:
--- a/tests/test_scheduler/test_operators.py
+++ b/tests/test_scheduler/test_operators.py
@@ -20,6 +20,7 @@
 
 IN_FORCE_S = 1.0  # A third of the time that the platform allows.
 LEFT_ALONE_S = 1.0
+STORM_GAP_S = 0.08  # The platform's operators write as fast as this.
 FAST = Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)
 
 
@@ -56,6 +57,22 @@
     run_cell(program)
 
 
+def test_a_storm_of_manifests_leaves_no_instance_behind():
+    """The history of a storm must not be worked off version by version."""
+
+    async def program(cell):
+        for version in range(2, 80):
+            await put_manifest(cell, version, queues(3))
+            await anyio.sleep(STORM_GAP_S)
+            for member in cell.members:
+                in_force = member.instance.state.manifest.version
+                assert version - in_force <= IN_FORCE_S / STORM_GAP_S
+        await anyio.sleep(IN_FORCE_S)
+        assert versions(cell) == {79}
+
+    run_cell(program)
+
+
 def test_an_older_or_unreadable_manifest_changes_nothing():
     async def program(cell):
         await put_manifest(cell, 7, queues(2))
