--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -49,6 +49,7 @@
     def __init__(self, instance: CellInstance) -> None:
         self.instance = instance
         self.links = instance.peers
+        self.newer: tuple[int, InstanceId | None] = (0, None)
         self.links.on(MessageKind.CELL_ADVISE, self.serve_advise)
         self.links.on(MessageKind.CELL_ACCEPTED, self.serve_accepted)
         self.links.on(MessageKind.CELL_STATE, self.serve_state)
@@ -59,8 +60,16 @@
         self.links.on(MessageKind.CELL_CANCEL, self.serve_cancel)
 
     def owner(self) -> InstanceId | None:
-        """Returns the owner, if it is another instance."""
+        """Returns the owner, if it is another instance.
+
+        The store tells it; an instance that the store refuses knows by the newer
+        owner itself, which has told it to stop.
+        """
         record = self.instance.election.owner
+        told_term, told_by = self.newer
+        outdated = record is None or record.term < told_term
+        if told_by is not None and outdated and self.instance.store.down:
+            return told_by
         if record is None or record.instance == self.instance.instance:
             return None
         return InstanceId(record.instance)
@@ -149,6 +158,8 @@
     ) -> Result[CellYielded, Failure]:
         """Stops deciding for a newer owner."""
         term = unpack(body, CellYieldCall).term
+        if term > self.newer[0]:
+            self.newer = (term, peer)
         owner = self.instance.owner
         if owner is not None and owner.ownership.term < term:
             owner.ownership.lost.set()
--- a/tests/test_scheduler/test_store_outage.py
+++ b/tests/test_scheduler/test_store_outage.py
@@ -32,6 +32,26 @@
     run_cell(program)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_an_owner_that_the_store_refuses_submits_through_the_next_one(seed):
+    """It cannot read who that is; the next owner has told it to stop."""
+
+    async def program(cell):
+        earlier = cell.owner()
+        earlier.store.reachable = False
+        while cell.owner() in (None, earlier):
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.5)
+        for number in range(4):
+            record = cell.make_job(f"j{number}", [step()])
+            assert (await earlier.instance.front.submit(record)).is_ok()
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 5)
+        assert (await earlier.instance.front.cancel("j0")).is_ok()
+        assert (await earlier.instance.front.state("j3")).is_ok()
+
+    run_cell(program, seed=seed)
+
+
 def test_nobody_waits_for_a_store_that_is_down():
     async def program(cell):
         cell.state.outage = Outage.DOWN
