--- a/lacewinghold/platform/manifest.py
+++ b/lacewinghold/platform/manifest.py
@@ -39,19 +39,11 @@
     advice: WireAdviceRules | None = None
 
 
-class WireService(Struct):
-    """A pool of workers; guarded ones refuse what does not fit."""
-
-    name: str
-    guarded: bool = field(name="enforcesCapacity", default=False)
-
-
 class WireManifest(Struct):
     """One version of the manifest."""
 
     version: int
     routes: list[WireRoute]
-    services: list[WireService] = []
 
 
 def to_queue(route: WireRoute) -> Queue:
@@ -86,5 +78,4 @@
     return Manifest(
         version=wire.version,
         queues=[to_queue(route) for route in wire.routes],
-        guarded_services=frozenset(s.name for s in wire.services if s.guarded),
     )
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -127,7 +127,6 @@
 
     version: int
     queues: list[Queue]
-    guarded_services: frozenset[str] = frozenset()
 
     def find(self, host: str, path: str) -> Queue | None:
         """Returns the queue of a host with the longest prefix of a path."""
