--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -77,8 +77,7 @@
             if worker not in entries and node.listed:
                 node.listed = False
                 logger.info(Event.WORKER_UNLISTED, worker=worker, runs=len(node.runs))
-        if self.roster_due:
-            self.write_roster()
+        self.write_due_roster()
         self.owner.planning.wake()
 
     def add_earlier(self, enrolled: EnrolledWorker) -> None:
@@ -100,8 +99,14 @@
         if listed is None:
             self.add_node(entry)
 
-    def write_roster(self) -> None:
-        """Stores which workers a later owner has to ask; then they may be used."""
+    def write_due_roster(self) -> None:
+        """Stores which workers a later owner has to ask; then they may be used.
+
+        It leaves out those on which nothing runs any more: a later owner would wait
+        for their leases.
+        """
+        if not self.roster_due:
+            return
         self.roster_due = False
         workers = []
         enrolling = list(self.nodes.values())
@@ -124,8 +129,11 @@
         def stored() -> None:
             for node in enrolling:
                 node.enrolled = True
-            self.owner.log.remove(self.old_rosters)
-            self.old_rosters = [key]
+            # Writes overtake each other; the newest roster alone has to stay.
+            newest = max([key, *self.old_rosters])
+            found = {key, *self.old_rosters}
+            self.owner.log.remove(sorted(found - {newest}))
+            self.old_rosters = [newest]
             self.owner.planning.wake()
 
         value = to_json(WorkerRoster(workers=workers))
@@ -177,6 +185,7 @@
             self.owner.pace.forget(node.id)
             del self.nodes[node.id]
             del self.drivers[node.id]
+            self.roster_due = True
         driver.scope.cancel()
         self.owner.planning.wake()
 
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -67,6 +67,7 @@
     def plan(self) -> None:
         """Makes one plan and carries it out."""
         now = anyio.current_time()
+        self.owner.fleet.write_due_roster()
         self.owner.table.open_due()
         usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
         usable = [node for node in usable if not node.slow] or usable
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -6,11 +6,14 @@
 import msgspec
 import pytest
 
+from lacewinghold.ids import WorkerId
 from lacewinghold.scheduler.model import JobState
-from lacewinghold.schema.generated.cell import EndBatch, TaskEndEntry
+from lacewinghold.schema.generated.cell import EndBatch, TaskEndEntry, WorkerRoster
+from lacewinghold.store.base import Delete, Transaction
 from lacewinghold.testing.step_cell import WORKERS_PREFIX
 from lacewinghold.testing.step_worker import Behaviour
-from lacewinghold.util.codec import to_json
+from lacewinghold.testing.store import StoreFault
+from lacewinghold.util.codec import from_json, to_json
 from tests.test_scheduler.support import run_cell, step
 
 
@@ -265,3 +268,44 @@
         await cell.wait_for_owner()
 
     run_cell(program)
+
+
+def test_a_worker_that_left_long_ago_holds_no_takeover_up():
+    """The roster must not name it any more; nobody could tell that it is empty."""
+
+    async def program(cell):
+        gone = cell.world.workers[WorkerId("w0")]
+        gone.silent = True
+        await cell.operator.commit(Transaction([], [Delete(WORKERS_PREFIX + "w0")]))
+        await anyio.sleep(8)
+        cell.behaviours["long"] = Behaviour(3)
+        await cell.submit("long", [step(2, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("a", [step(2, cpu=4000)])
+        await anyio.sleep(0.2)
+        killed_at = anyio.current_time()
+        cell.kill(cell.owner())
+        assert await cell.wait_for("a", JobState.COMPLETED, 12)
+        first = min(s.at for s in cell.world.starts if s.task.startswith("a."))
+        # "long" ends 2.3 s after the kill; the takeover is over by then.
+        assert first - killed_at < 3
+
+    run_cell(program, workers=3)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_newest_roster_stays_however_its_writes_overtake_each_other(seed):
+    async def program(cell):
+        for number in range(12):
+            owner = await cell.wait_for_owner()
+            owner.store.faults += [StoreFault.REPLY_LOST] * cell.rng.randint(0, 1)
+            await cell.add_worker(f"v{number}")
+            await anyio.sleep(cell.rng.uniform(0.02, 0.2))
+        await anyio.sleep(5)
+        rosters = await cell.operator.range("lacewinghold/r/", prefix=True)
+        newest = max(rosters.ok_value.items, key=lambda item: item.key)
+        roster = from_json(newest.value, WorkerRoster)
+        named = {worker.worker for worker in roster.workers}
+        assert named == {str(worker) for worker in cell.world.workers}
+
+    run_cell(program, seed=seed, workers=2)
