--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -163,6 +163,10 @@
             if gone:
                 self.note_dead(driver, "never answered and is not listed")
             return
+        if not node.listed and node.fenced and not node.runs and not node.strays:
+            # Whatever was ordered there has surely ended; there is nothing to wait for.
+            self.note_dead(driver, "it is not listed and runs nothing")
+            return
         if not node.lapsed(now):
             return
         for run in list(node.runs.values()):
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -270,14 +270,18 @@
     run_cell(program)
 
 
-def test_a_worker_that_left_long_ago_holds_no_takeover_up():
-    """The roster must not name it any more; nobody could tell that it is empty."""
+@pytest.mark.parametrize("gone_s", [8, 2])
+def test_a_worker_that_has_left_holds_no_takeover_up(gone_s):
+    """The roster must not name it any more; nobody could tell that it is empty.
+
+    It ran nothing when it left, so that its lease need not lapse either.
+    """
 
     async def program(cell):
         gone = cell.world.workers[WorkerId("w0")]
         gone.silent = True
         await cell.operator.commit(Transaction([], [Delete(WORKERS_PREFIX + "w0")]))
-        await anyio.sleep(8)
+        await anyio.sleep(gone_s)
         cell.behaviours["long"] = Behaviour(3)
         await cell.submit("long", [step(2, cpu=4000)])
         await anyio.sleep(0.5)
