--- a/lacewinghold/cmd/__init__.py
+++ b/lacewinghold/cmd/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -43,7 +44,13 @@
     :returns: The exit code.
     """
     options = build_parser().parse_args(arguments)
-    code: int = options.run(options)
+    try:
+        code: int = options.run(options)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader has seen enough; the interpreter's last flush has to go nowhere.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
     return code
 
 
--- a/tests/test_cmd/test_explain.py
+++ b/tests/test_cmd/test_explain.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 
 from lacewinghold.cmd import main
 
@@ -86,3 +88,16 @@
         ("task placed", "entry-2"),
         ("job ended", "entry-2"),
     ]
+
+
+def test_a_reader_that_has_seen_enough_is_no_error(tmp_path):
+    """``explain ... | head`` ends quietly."""
+    log = write(tmp_path / "front", FRONT * 5000, "entry-1")
+    command = [sys.executable, "-m", "lacewinghold", "explain", "a1", log]
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    ) as process:
+        assert process.stdout.readline()
+        process.stdout.close()
+        told = process.stderr.read()
+    assert told == b""
