--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -199,14 +199,14 @@
     async def waiting(self, queue: Queue) -> Result[int, Failure]:
         """Returns how many accepted jobs of a queue have not started.
 
-        Without the owner it counts all jobs that have not ended.
+        Only the owner can tell. Reading all jobs instead fills the link between
+        regions, and then the owner's answers come too late as well.
         """
         count = self.instance.owned_waiting(queue.name)
         if count is None:
             count = await self.instance.peer_calls.ask_waiting(queue.name)
         if count is not None:
             return Ok(count)
-        counted = await self.instance.jobs.count_unfinished(queue.name)
-        if isinstance(counted, Err):
-            return Err(self.unavailable(counted.err_value))
-        return counted
+        detail = "nobody who decides is reached"
+        failure = Failure(ErrorKind.UNREACHABLE, detail)
+        return Err(self.unavailable(failure))
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -120,23 +120,6 @@
             return Err(reply.err_value)
         return Ok(reply.ok_value.succeeded)
 
-    async def count_unfinished(self, queue: str) -> Result[int, Failure]:
-        """Counts the jobs of a queue that have no outcome, started or not."""
-        reply = await self.store.range(self.prefix + JOBS, prefix=True)
-        if isinstance(reply, Err):
-            return Err(reply.err_value)
-        found: dict[str, StoredJob] = {}
-        for item in reply.ok_value.items:
-            parsed = self.parse_key(item.key)
-            if parsed is not None:
-                self.merge(found.setdefault(parsed[0], StoredJob()), item)
-        count = 0
-        for job in found.values():
-            if job.record is None or job.record.queue != queue:
-                continue
-            count += job.outcome is None and not job.cancelled
-        return Ok(count)
-
 
 def unknown(failure: Failure) -> bool:
     """Returns whether a write may still take effect."""
--- a/tests/test_scheduler/test_whole_path.py
+++ b/tests/test_scheduler/test_whole_path.py
@@ -7,6 +7,7 @@
 
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.ports import Queue
+from lacewinghold.store.base import CallKind
 from lacewinghold.testing.step_cell import HOST, advised
 from lacewinghold.testing.step_worker import Behaviour
 from tests.test_scheduler.support import run_cell, step
@@ -103,6 +104,28 @@
     run_cell(program)
 
 
+def test_nobody_reads_all_jobs_to_count_those_that_wait():
+    """All jobs of a busy cell fill the link between regions for seconds."""
+
+    async def program(cell):
+        for number in range(8):
+            await cell.submit(f"j{number}", [step(4)])
+        cell.kill(cell.owner())
+        for member in cell.members:
+            before = member.store.calls[CallKind.READ]
+            asked_at = anyio.current_time()
+            count = await member.instance.front.waiting(cell.queues[0])
+            assert count.err_value.retry_after_s
+            assert member.store.calls[CallKind.READ] == before
+            assert anyio.current_time() - asked_at < 0.6
+        await cell.wait_for_owner()
+        await anyio.sleep(0.5)
+        for member in cell.members:
+            assert (await member.instance.front.waiting(cell.queues[0])).is_ok()
+
+    run_cell(program)
+
+
 def test_ended_jobs_are_shown_for_their_time_and_then_leave_the_store():
     async def program(cell):
         for number in range(40):
