--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -72,6 +72,7 @@
                 self.add_node(entry)
                 continue
             node.listed = True
+            self.roster_due = self.roster_due or node.entry.state is not entry.state
             node.entry = entry
         for worker, node in self.nodes.items():
             if worker not in entries and node.listed:
@@ -108,9 +109,16 @@
         if not self.roster_due:
             return
         self.roster_due = False
+        self.rosters += 1
+        number = self.rosters
         workers = []
-        enrolling = list(self.nodes.values())
-        for node in enrolling:
+        enrolling = []
+        for node in self.nodes.values():
+            if node.done_with():
+                node.enrolled = False
+                node.left_out = number
+                continue
+            enrolling.append(node)
             entry = node.entry
             workers.append(
                 EnrolledWorker(
@@ -122,13 +130,12 @@
                 )
             )
 
-        self.rosters += 1
         term = self.owner.ownership.term
-        key = f"{self.owner.job_store.prefix}{ROSTER}{term:08d}/{self.rosters:08d}"
+        key = f"{self.owner.job_store.prefix}{ROSTER}{term:08d}/{number:08d}"
 
         def stored() -> None:
             for node in enrolling:
-                node.enrolled = True
+                node.enrolled = node.enrolled or number > node.left_out
             # Writes overtake each other; the newest roster alone has to stay.
             newest = max([key, *self.old_rosters])
             found = {key, *self.old_rosters}
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -29,7 +29,8 @@
         self.entry = entry
         self.listed = True
         self.fenced = False
-        self.enrolled = False
+        self.enrolled = False  # Whether a stored roster names it.
+        self.left_out = 0  # Number of the last roster that does not.
         self.strays: set[tuple[str, int]] = set()
         self.dead = False
         self.runs: dict[tuple[str, int], Run] = {}
@@ -67,6 +68,11 @@
             and now >= self.quarantined_until
         )
 
+    def done_with(self) -> bool:
+        """Returns whether nothing runs there, nor will before its state changes."""
+        idle = self.fenced and not self.runs and not self.strays
+        return idle and self.entry.state is not ServerState.READY
+
     def add(self, run: Run) -> None:
         """Takes room for a run.
 
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -134,6 +134,8 @@
     def release(self, node: WorkerNode, run: Run, kind: EndKind) -> None:
         """Gives a run's room back and queues its task again, unless it is done."""
         node.remove(run)
+        if node.done_with():
+            self.owner.fleet.roster_due = True
         self.owner.pace.forget_run(node.id, (run.task.name, run.number))
         task = run.task
         if task.run is not run:
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -8,6 +8,7 @@
 
 from lacewinghold.ids import WorkerId
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import ServerState
 from lacewinghold.schema.generated.cell import EndBatch, TaskEndEntry, WorkerRoster
 from lacewinghold.store.base import Delete, Transaction
 from lacewinghold.testing.step_cell import WORKERS_PREFIX
@@ -297,6 +298,62 @@
     run_cell(program, workers=3)
 
 
+async def set_state(cell, worker, state):
+    """Has a worker tell its state."""
+    worker.entry = msgspec.structs.replace(worker.entry, state=state)
+    await cell.put(WORKERS_PREFIX + str(worker.id), msgspec.json.encode(worker.entry))
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_a_drained_worker_that_leaves_while_nobody_decides(busy):
+    """It is waited for only if it ran something when the earlier owner saw it last."""
+
+    async def program(cell):
+        worker = cell.world.workers[WorkerId("w0")]
+        if busy:
+            cell.behaviours["held"] = Behaviour(60)
+            await cell.submit("held", [step(cpu=4000)])
+            await anyio.sleep(0.5)
+            worker = cell.world.workers[cell.world.starts[0].worker]
+        await set_state(cell, worker, ServerState.DRAINING)
+        await anyio.sleep(1)
+        cell.behaviours["long"] = Behaviour(3)
+        await cell.submit("long", [step(4, cpu=2000)])
+        await anyio.sleep(0.5)
+        await cell.submit("a", [step(4, cpu=2000)])
+        await anyio.sleep(0.2)
+        killed_at = anyio.current_time()
+        cell.kill(cell.owner())
+        worker.silent = True
+        key = WORKERS_PREFIX + str(worker.id)
+        await cell.operator.commit(Transaction([], [Delete(key)]))
+        assert await cell.wait_for("a", JobState.COMPLETED, 30)
+        first = min(s.at for s in cell.world.starts if s.task.startswith("a."))
+        assert (first - killed_at > 4) is busy
+
+    run_cell(program, workers=3)
+
+
+def test_a_worker_that_drains_no_more_is_used_again():
+    async def program(cell):
+        worker = cell.world.workers[WorkerId("w0")]
+        for _ in range(3):
+            await set_state(cell, worker, ServerState.DRAINING)
+            await anyio.sleep(1)
+            await set_state(cell, worker, ServerState.READY)
+            await anyio.sleep(1)
+        await cell.submit("a", [step(3, cpu=4000)])
+        assert await cell.wait_for("a", JobState.COMPLETED, 3)
+        await cell.submit("b", [step(3, cpu=4000)])
+        await anyio.sleep(0.3)
+        worker.silent = True
+        await cell.operator.commit(Transaction([], [Delete(WORKERS_PREFIX + "w0")]))
+        await take_over(cell)
+        assert await cell.wait_for("b", JobState.COMPLETED, 30)
+
+    run_cell(program, workers=3)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_the_newest_roster_stays_however_its_writes_overtake_each_other(seed):
     async def program(cell):
