--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -354,6 +354,27 @@
     run_cell(program, workers=3)
 
 
+def test_the_newest_roster_stays_when_writes_overtake_each_other():
+    async def program(cell):
+        owner = cell.owner().instance.owner
+        written = []
+        removed = []
+        owner.log.note_value = lambda key, value, stored: written.append((key, stored))
+        owner.log.remove = removed.extend
+        for _ in range(3):
+            owner.fleet.roster_due = True
+            owner.fleet.write_due_roster()
+        for _, stored in reversed(written):
+            stored()
+        keys = [key for key, _ in written]
+        assert keys == sorted(keys)
+        assert keys[-1] not in removed
+        assert set(keys[:-1]) <= set(removed)
+        assert owner.fleet.old_rosters == [keys[-1]]
+
+    run_cell(program)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_the_newest_roster_stays_however_its_writes_overtake_each_other(seed):
     async def program(cell):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -52,6 +52,7 @@
 LOG = "lacewinghold.coordination.ledger:Ledger."
 TAKEOVER = "tests/test_scheduler/test_takeover.py"
 WORKER_FAULTS = "tests/test_scheduler/test_worker_faults.py"
+OPERATORS = "tests/test_scheduler/test_operators.py"
 STORE_OUTAGE = "tests/test_scheduler/test_store_outage.py"
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
@@ -97,6 +98,41 @@
         "if False:",
         (STORE_OUTAGE,),
     ),
+    Mutant(
+        "worker that has left",
+        CELL + "fleet:Fleet.note_dead",
+        "self.roster_due = True",
+        "self.roster_due = False",
+        (TAKEOVER,),
+    ),
+    Mutant(
+        "drained worker that may run something",
+        CELL + "nodes:WorkerNode.done_with",
+        "not self.runs",
+        "True",
+        (TAKEOVER,),
+    ),
+    Mutant(
+        "newest roster",
+        CELL + "fleet:Fleet.write_due_roster",
+        "newest = max([key, *self.old_rosters])",
+        "newest = key",
+        (TAKEOVER,),
+    ),
+    Mutant(
+        "unknown run on a busy worker",
+        CELL + "fleet:Fleet.is_unknown",
+        "driver.unknown_since.setdefault(task_name, now)",
+        "now",
+        (WORKER_FAULTS,),
+    ),
+    Mutant(
+        "storm of manifests",
+        "lacewinghold.store.mirror:Mirror.note_change",
+        "now - self.changed_at < STORM_S",
+        "False",
+        (OPERATORS,),
+    ),
     Mutant(
         "address of a lapsed member",
         CELL + "cell:CellInstance.address_of",
