--- a/lacewinghold/cmd/explain.py
+++ b/lacewinghold/cmd/explain.py
@@ -117,9 +117,16 @@
     first, last = min(stamps), max(stamps)
     workers = {line.fields["worker"] for line in about if "worker" in line.fields}
     chosen = []
+    unacknowledged: dict[str, int] = {}
     for line in known:
         if is_about(line, job):
             chosen.append(line)
+            if line.event == Event.RUN_ENDED:
+                note_end(line, unacknowledged)
+            continue
+        if line.event == Event.ENDS_ACKNOWLEDGED:
+            if acknowledges(line, unacknowledged):
+                chosen.append(line)
             continue
         if not first <= line.timestamp <= last:
             continue
@@ -129,6 +136,23 @@
     return Story(job, merge(chosen), find_missing(about, chosen))
 
 
+def note_end(line: Line, unacknowledged: dict[str, int]) -> None:
+    """Notes the number of an end that its worker lists until it is acknowledged."""
+    worker = str(line.fields.get("worker"))
+    number = int(line.fields.get("number", 0))
+    unacknowledged[worker] = max(number, unacknowledged.get(worker, 0))
+
+
+def acknowledges(line: Line, unacknowledged: dict[str, int]) -> bool:
+    """Returns whether a line acknowledges the ends of a job on a worker."""
+    worker = str(line.fields.get("worker"))
+    number = unacknowledged.get(worker)
+    if number is None or int(line.fields.get("number", 0)) < number:
+        return False
+    del unacknowledged[worker]
+    return True
+
+
 def find_missing(about: list[Line], chosen: list[Line]) -> list[str]:
     """Returns what a whole story would have and this one lacks."""
     events = {line.event for line in about}
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -134,6 +134,8 @@
 
     def acknowledge(self, number: int) -> None:
         """Notes that all ends up to a number are durable."""
+        if number > self.acknowledged:
+            logger.info(Event.ENDS_ACKNOWLEDGED, worker=self.node.id, number=number)
         self.acknowledged = max(self.acknowledged, number)
         self.ack_moved.set()
         self.ack_moved = anyio.Event()
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -40,6 +40,13 @@
     def note_started(self, run: Run) -> None:
         """Notes that a worker has begun a run."""
         self.owner.metrics.starts.labels(OrderOutcome.DONE.value).inc()
+        logger.info(
+            Event.RUN_STARTED,
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            took_s=round(anyio.current_time() - run.began_at, 3),
+        )
         job = run.task.step.job
         if not job.started:
             job.started = True
--- a/tests/test_cmd/test_explain.py
+++ b/tests/test_cmd/test_explain.py
@@ -90,6 +90,22 @@
     ]
 
 
+def test_the_acknowledgement_of_its_ends_belongs_to_the_story(tmp_path, capsys):
+    lines = [
+        {"event": "run ended", "task": "a1.0.0.0", "worker": "w1", "number": 7},
+        {"event": "ends acknowledged", "worker": "w2", "number": 9},
+        {"event": "ends acknowledged", "worker": "w1", "number": 6},
+        {"event": "ends acknowledged", "worker": "w1", "number": 8},
+        {"event": "ends acknowledged", "worker": "w1", "number": 9},
+        {"event": "job ended", "job": "a1"},
+    ]
+    stamped = [{**line, "timestamp": f"T{n}"} for n, line in enumerate(lines)]
+    owner = write(tmp_path / "owner", stamped, "entry-2")
+    assert main(["explain", "a1", owner, "--json"]) == 0
+    story = json.loads(capsys.readouterr().out)
+    assert [line["timestamp"] for line in story["lines"]] == ["T0", "T3", "T5"]
+
+
 def test_a_reader_that_has_seen_enough_is_no_error(tmp_path):
     """``explain ... | head`` ends quietly."""
     log = write(tmp_path / "front", FRONT * 5000, "entry-1")
