--- a/lacewinghold/api/common.py
+++ b/lacewinghold/api/common.py
@@ -70,6 +70,7 @@
                 failure = Failure(ErrorKind.INVARIANT_VIOLATED, str(error))
                 return problem_response(failure)
             except Exception:
+                # A fault of this program: its trace is logged, its caller answered.
                 logger.exception(Event.REQUEST_FAILED, path=path)
                 detail = "see the log of this entry instance"
                 return problem_response(Failure(ErrorKind.INTERNAL, detail))
--- a/lacewinghold/store/guarded.py
+++ b/lacewinghold/store/guarded.py
@@ -129,6 +129,7 @@
         try:
             result = await call()
         except BaseException:
+            # A cancelled probe too has to let the next one through; it is raised on.
             self.breaker.probing = False
             raise
         failed = isinstance(result, Err) and result.err_value.kind in OUTAGE_KINDS
--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -271,6 +271,18 @@
     run_cell(program)
 
 
+async def kill_owner_of_a_full_cell(cell, tasks, cpu):
+    """Kills the owner while job ``a`` waits for the end of another, 2.3 s later."""
+    cell.behaviours["long"] = Behaviour(3)
+    await cell.submit("long", [step(tasks, cpu=cpu)])
+    await anyio.sleep(0.5)
+    await cell.submit("a", [step(tasks, cpu=cpu)])
+    await anyio.sleep(0.2)
+    killed_at = anyio.current_time()
+    cell.kill(cell.owner())
+    return killed_at
+
+
 @pytest.mark.parametrize("gone_s", [8, 2])
 def test_a_worker_that_has_left_holds_no_takeover_up(gone_s):
     """The roster must not name it any more; nobody could tell that it is empty.
@@ -283,13 +295,7 @@
         gone.silent = True
         await cell.operator.commit(Transaction([], [Delete(WORKERS_PREFIX + "w0")]))
         await anyio.sleep(gone_s)
-        cell.behaviours["long"] = Behaviour(3)
-        await cell.submit("long", [step(2, cpu=4000)])
-        await anyio.sleep(0.5)
-        await cell.submit("a", [step(2, cpu=4000)])
-        await anyio.sleep(0.2)
-        killed_at = anyio.current_time()
-        cell.kill(cell.owner())
+        killed_at = await kill_owner_of_a_full_cell(cell, 2, 4000)
         assert await cell.wait_for("a", JobState.COMPLETED, 12)
         first = min(s.at for s in cell.world.starts if s.task.startswith("a."))
         # "long" ends 2.3 s after the kill; the takeover is over by then.
@@ -317,13 +323,7 @@
             worker = cell.world.workers[cell.world.starts[0].worker]
         await set_state(cell, worker, ServerState.DRAINING)
         await anyio.sleep(1)
-        cell.behaviours["long"] = Behaviour(3)
-        await cell.submit("long", [step(4, cpu=2000)])
-        await anyio.sleep(0.5)
-        await cell.submit("a", [step(4, cpu=2000)])
-        await anyio.sleep(0.2)
-        killed_at = anyio.current_time()
-        cell.kill(cell.owner())
+        killed_at = await kill_owner_of_a_full_cell(cell, 4, 2000)
         worker.silent = True
         key = WORKERS_PREFIX + str(worker.id)
         await cell.operator.commit(Transaction([], [Delete(key)]))
