--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -35,6 +35,7 @@
     JOB_TAKEN = "job taken"
     JOB_ENDED = "job ended"
     STEP_WAITS = "step waits"
+    PERMISSIONS_LACKING = "permissions lacking"
     ADVISED = "advised"
     ADVICE_FAILED = "advice failed"
     TASK_PLACED = "task placed"
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -112,13 +112,18 @@
                 found.append(node)
         return found
 
-    def want(self, step: Step, nodes: list[WorkerNode], now: float) -> None:
-        """Asks for permissions, unless a call for the step is under way."""
+    def want(self, step: Step, nodes: list[WorkerNode], now: float) -> bool:
+        """Asks for permissions, unless a call for the step is under way.
+
+        :returns: Whether a call will be made that was not wanted before.
+        """
         known = self.steps.setdefault(step.name, StepAdvice())
         if known.pending or now < known.not_before or not nodes:
-            return
+            return False
+        is_new = step.name not in self.wanted
         self.wanted[step.name] = (step, nodes[:MAX_WORKERS_A_CALL])
         self.changed.set()
+        return is_new
 
     async def run(self, tasks: TaskGroup) -> None:
         """Hands wanted calls to free lanes until cancelled."""
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -68,6 +68,12 @@
             buckets=CALL_BUCKETS_S,
             registry=registry,
         )
+        self.choices = Counter(
+            "lacewinghold_choices",
+            "Workers chosen without a permission, by what became of the choice.",
+            ["change"],
+            registry=registry,
+        )
         self.store_calls = Gauge(
             "lacewinghold_store_calls",
             "Calls to the store since the start, by kind.",
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -11,7 +11,7 @@
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner, fullness
-from lacewinghold.scheduler.waiting import WaitLog
+from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +20,7 @@
     from lacewinghold.scheduler.model import Job, Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.policy import Renewal
 
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers of a term; a task starts far less often.
@@ -37,6 +38,7 @@
         self.owner = owner
         self.wanted = anyio.Event()
         self.waits = WaitLog(owner)
+        self.choices = ChoiceLog(owner)
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -85,13 +87,18 @@
         )
         plan = planner.make(steps)
         self.make_way(steps)
-        for step, workers in plan.renewals:
-            self.owner.book.want(
-                step, [self.owner.fleet.nodes[worker] for worker in workers], now
-            )
+        for renewal in plan.renewals:
+            self.renew(renewal, now)
         for placement in plan.placements:
             self.start(placement.step, placement.tasks, now)
         self.waits.note(steps, usable, now)
+        self.choices.forget_others(step.name for step in steps)
+
+    def renew(self, renewal: Renewal, now: float) -> None:
+        """Asks again about workers on which a step would start."""
+        nodes = [self.owner.fleet.nodes[worker] for worker in renewal.lacking]
+        if self.owner.book.want(renewal.step, nodes, now):
+            self.choices.note(renewal)
 
     def make_way(self, steps: list[Step]) -> None:
         """Stops work that fills where it keeps work that serves from starting."""
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -32,15 +32,26 @@
     tasks: list[tuple[Task, WorkerNode]]
 
 
+class Renewal(Struct):
+    """A step that has room, but not on workers with a valid permission.
+
+    :param chosen: Workers on which its tasks would start.
+    :param lacking: Those of them without a valid permission.
+    """
+
+    step: Step
+    chosen: list[WorkerId]
+    lacking: list[WorkerId]
+
+
 class Plan(Struct):
     """What to do now.
 
     :param placements: Starts that have room and permission.
-    :param renewals: Steps that have room but no valid permission, with the workers.
     """
 
     placements: list[Placement] = field(default_factory=list)
-    renewals: list[tuple[Step, list[WorkerId]]] = field(default_factory=list)
+    renewals: list[Renewal] = field(default_factory=list)
 
 
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
@@ -266,7 +277,9 @@
         """Adds starts with valid tickets to the plan, and asks for the others."""
         lacking = [node.id for _, node in chosen if not self.valid(step, node)]
         if lacking:
-            self.plan.renewals.append((step, sorted(set(lacking))))
+            chosen_workers = sorted({node.id for _, node in chosen})
+            renewal = Renewal(step, chosen_workers, sorted(set(lacking)))
+            self.plan.renewals.append(renewal)
         if step.spec.all_at_once and lacking:
             return
         missing = set(lacking)
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -2,23 +2,86 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
+import anyio
 import structlog
 
 from lacewinghold.events import Event
 from lacewinghold.scheduler.policy import fitting_count
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.policy import Renewal
 
 logger = structlog.get_logger(__name__)
 FIRST_TOLD_S = 2.0  # Longer than a step waits in a cell that has room.
 TOLD_AGAIN_S = 4.0  # Several reasons of one long wait, without a line a plan.
 
 
+class ChoiceChange(StrEnum):
+    """What became of a worker on which a step was to start."""
+
+    KEPT = "kept"
+    FULL = "full"
+    UNUSABLE = "unusable"
+    REPLACED = "replaced"
+
+
+class ChoiceLog:
+    """Logs how a step's choice of workers changes between calls for permissions.
+
+    :param owner: The owner that plans the steps.
+    """
+
+    def __init__(self, owner: CellOwner) -> None:
+        self.owner = owner
+        self.chosen: dict[str, list[WorkerId]] = {}
+
+    def note(self, renewal: Renewal) -> None:
+        """Logs a choice that lacks permissions, and what it kept of the last one."""
+        step = renewal.step
+        changes: Counter[ChoiceChange] = Counter()
+        for worker in self.chosen.get(step.name, []):
+            changes[self.change_of(step, worker, renewal.chosen)] += 1
+        self.chosen[step.name] = renewal.chosen
+        for change, count in changes.items():
+            self.owner.metrics.choices.labels(change.value).inc(count)
+        logger.info(
+            Event.PERMISSIONS_LACKING,
+            step=step.name,
+            tasks=len(step.waiting()),
+            chosen=len(renewal.chosen),
+            lacking=len(renewal.lacking),
+            **{change.value: changes[change] for change in ChoiceChange},
+        )
+
+    def change_of(
+        self, step: Step, worker: WorkerId, chosen: list[WorkerId]
+    ) -> ChoiceChange:
+        """Returns what became of one worker of the last choice."""
+        if worker in chosen:
+            return ChoiceChange.KEPT
+        node = self.owner.fleet.nodes.get(worker)
+        if node is None or node.slow or not node.usable(anyio.current_time()):
+            return ChoiceChange.UNUSABLE
+        if not step.room.within(node.free()):
+            return ChoiceChange.FULL
+        return ChoiceChange.REPLACED
+
+    def forget_others(self, steps: Iterable[str]) -> None:
+        """Forgets the choices of all but some steps."""
+        for name in self.chosen.keys() - set(steps):
+            del self.chosen[name]
+
+
 class WaitLog:
     """Logs what steps lack that wait for long.
 
