--- /dev/null
+++ b/lacewinghold/testing/step_advice.py
@@ -0,0 +1,97 @@
+"""A stand-in advice service: permits some workers, in its time and for a while."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct, field
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.scheduler.ports import AdviceCalls, Ticket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from lacewinghold.ids import Incarnation, WorkerId
+    from lacewinghold.scheduler.ports import AdviceRules
+
+MAX_WAITING = 32  # Calls of one instance that wait for their turn.
+
+
+class Issued(Struct, frozen=True):
+    """What a ticket is good for."""
+
+    step: str
+    worker: WorkerId
+    incarnation: Incarnation
+    valid_until: float
+
+
+class AdviceService(Struct):
+    """What all instances ask, and what workers check tickets against.
+
+    :param rules_of: Tells the rules of a step's queue, ``None`` without advice.
+    :param incarnation_of: Tells the present incarnation of a worker.
+    :param permitted_share: Part of the workers that may run a step.
+    """
+
+    rules_of: Callable[[str], AdviceRules | None]
+    incarnation_of: Callable[[WorkerId], Incarnation]
+    permitted_share: float = 1.0
+    issued: dict[str, Issued] = field(default_factory=dict)
+    calls: int = 0
+
+    def permits(self, step: str, worker: WorkerId) -> bool:
+        """Returns whether a worker may run a step, which does not change."""
+        return random.Random(f"{step}/{worker}").random() < self.permitted_share
+
+    def issue(self, step: str, worker: WorkerId, valid_s: float) -> Ticket:
+        """Returns a new ticket."""
+        text = f"{step}/{worker}/{len(self.issued)}"
+        valid_until = anyio.current_time() + valid_s
+        incarnation = self.incarnation_of(worker)
+        self.issued[text] = Issued(step, worker, incarnation, valid_until)
+        return Ticket(worker, text)
+
+    def admits(self, step: str, worker: WorkerId, text: str) -> bool:
+        """Returns whether a start with a ticket is to be carried out."""
+        if self.rules_of(step) is None:
+            return True
+        found = self.issued.get(text)
+        if found is None or found.step != step or found.worker != worker:
+            return False
+        if found.incarnation != self.incarnation_of(worker):
+            return False
+        return anyio.current_time() <= found.valid_until
+
+
+class MemoryAdvice(AdviceCalls):
+    """Calls of one instance, which the service handles one at a time."""
+
+    name = "memory"
+
+    def __init__(self, service: AdviceService) -> None:
+        self.service = service
+        self.turn = anyio.Lock()
+
+    async def ask(
+        self, step: str, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Result[list[Ticket], Failure]:
+        if self.turn.statistics().tasks_waiting >= MAX_WAITING:
+            return Err(Failure(ErrorKind.OVERLOADED, "too many calls are waiting"))
+        rules = self.service.rules_of(step)
+        if rules is None:
+            return Err(Failure(ErrorKind.INVALID, "the queue asks for no advice"))
+        self.service.calls += 1
+        with anyio.move_on_after(timeout_s):
+            async with self.turn:
+                await anyio.sleep(rules.decide_s + rules.per_worker_s * len(workers))
+            good = []
+            for worker in workers:
+                if self.service.permits(step, worker):
+                    good.append(self.service.issue(step, worker, rules.valid_s))
+            return Ok(good)
+        return Err(Failure(ErrorKind.UNREACHABLE, "no answer in time"))
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -8,19 +8,17 @@
 import anyio
 import msgspec
 from msgspec import Struct
-from result import Err, Ok, Result
+from result import Err, Result
 
 from lacewinghold.ids import Incarnation, InstanceId, RegionId, WorkerId
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
 from lacewinghold.scheduler.model import JobState, room_of
 from lacewinghold.scheduler.ports import (
-    AdviceCalls,
     AdviceRules,
     Manifest,
     Queue,
     Resources,
     ServerState,
-    Ticket,
     WorkerEntry,
 )
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
@@ -33,6 +31,7 @@
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.gate import Gate
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
+from lacewinghold.testing.step_advice import AdviceService, MemoryAdvice
 from lacewinghold.testing.step_worker import (
     Behaviour,
     MemoryWorkerDialer,
@@ -43,8 +42,6 @@
 from lacewinghold.util.clock import WallClock
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from anyio.abc import TaskGroup
 
     from lacewinghold.errors import Failure
@@ -84,21 +81,6 @@
         return None
 
 
-class MemoryAdvice(AdviceCalls):
-    """Permits every worker, after the time that the rules state."""
-
-    name = "memory"
-
-    def __init__(self, call_s: float) -> None:
-        self.call_s = call_s
-
-    async def ask(
-        self, step: str, workers: Sequence[WorkerId], timeout_s: float
-    ) -> Result[list[Ticket], Failure]:
-        await anyio.sleep(self.call_s)
-        return Ok([Ticket(worker, f"{step}/{worker}") for worker in workers])
-
-
 class PairedGate(Gate):
     """A gate that is passed only while another one is open as well.
 
@@ -146,7 +128,10 @@
         self.queues = queues or [Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)]
         self.behaviours: dict[str, Behaviour] = {}
         self.jobs: dict[str, CellJob] = {}
-        self.world = World(self.behave, self.room, self.lasts)
+        self.advice = AdviceService(self.advice_rules, self.incarnation_of)
+        self.world = World(
+            self.behave, self.room, self.lasts, self.together, self.advice.admits
+        )
         self.members: list[Member] = []
         self.operator = MemoryStore(self.state)
         self.clock = WallClock(start=1_700_000_000.0)
@@ -170,6 +155,23 @@
         """Returns whether a task runs until its job is cancelled."""
         return self.spec_of(task).long_running
 
+    def together(self, task: str) -> int:
+        """Returns how many tasks work only all at once, 0 if this one alone."""
+        spec = self.spec_of(task)
+        return spec.tasks if spec.all_at_once else 0
+
+    def advice_rules(self, step: str) -> AdviceRules | None:
+        """Returns how the advice service answers for a step."""
+        queue = self.jobs[step.partition(".")[0]].queue
+        for rules in self.queues:
+            if rules.name == queue:
+                return rules.advice
+        return None
+
+    def incarnation_of(self, worker: WorkerId) -> Incarnation:
+        """Returns the present incarnation of a worker."""
+        return self.world.workers[worker].incarnation
+
     def spec_of(self, task: str) -> StepSpec:
         """Returns the step of a task."""
         job, _, step, _ = task.split(".")
@@ -237,7 +239,7 @@
             store=store,
             transport=MemoryTransport(self.network, name, REGION, gate),
             dialer=MemoryWorkerDialer(self.world, gate),
-            advice=MemoryAdvice(0.02),
+            advice=MemoryAdvice(self.advice),
             keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
             clock=self.clock,
         )
@@ -315,7 +317,9 @@
         return False
 
 
-def advised(queue: Queue, call_s: float, valid_s: float) -> Queue:
+def advised(
+    queue: Queue, call_s: float, valid_s: float, per_worker_s: float = 0.0
+) -> Queue:
     """Returns a queue that asks for advice."""
-    rules = AdviceRules(call_s, 0.0, valid_s)
+    rules = AdviceRules(call_s, per_worker_s, valid_s)
     return msgspec.structs.replace(queue, advice=rules)
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -20,6 +20,7 @@
     WorkerDialer,
     WorkerReport,
 )
+from lacewinghold.testing.step_group import RunGroup
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,6 +68,7 @@
     started_at: float
     behaviour: Behaviour
     scope: anyio.CancelScope
+    group: RunGroup | None = None
     kind: EndKind | None = None
 
 
@@ -85,17 +87,30 @@
     :param behave: Tells what a run of a task does.
     :param room: Tells the room that a task takes.
     :param lasts: Tells whether a task is to be started again however it ends.
+    :param together: Tells how many tasks work only all at once, 0 if this one alone.
+    :param admits: Tells whether a step may start on a worker with a ticket.
     """
 
     behave: Callable[[str, int], Behaviour]
     room: Callable[[str], Resources]
     lasts: Callable[[str], bool]
+    together: Callable[[str], int]
+    admits: Callable[[str, WorkerId, str], bool]
+    groups: dict[tuple[str, int], RunGroup] = field(default_factory=dict)
     workers: dict[WorkerId, StepWorker] = field(default_factory=dict)
     starts: list[Started] = field(default_factory=list)
     done: set[str] = field(default_factory=set)
     failures: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
 
+    def group_of(self, task: str, run: int) -> RunGroup | None:
+        """Returns the members with which a task works, if it does not work alone."""
+        size = self.together(task)
+        if not size:
+            return None
+        step, _, _ = task.rpartition(".")
+        return self.groups.setdefault((step, run), RunGroup(size))
+
     def check_start(self, worker: StepWorker, task: str, run: int) -> None:
         """Notes what a start breaks."""
         if task in self.done:
@@ -164,10 +179,13 @@
     def crash(self) -> None:
         """Ends everything without a trace and begins another incarnation."""
         self.void_ends()
-        for run in list(self.runs.values()):
+        runs = list(self.runs.values())
+        self.runs.clear()
+        for run in runs:
             run.kind = EndKind.LAPSED
             run.scope.cancel()
-        self.runs.clear()
+            if run.group is not None:
+                run.group.leave(run.task)
         self.ends.clear()
         self.highest.clear()
         self.fence = 0
@@ -214,6 +232,9 @@
             return OrderOutcome.DONE
         if order.run <= self.highest.get(order.task, 0):
             return OrderOutcome.OLD_RUN
+        step, _, _ = order.task.rpartition(".")
+        if not self.world.admits(step, self.id, order.ticket):
+            return OrderOutcome.NO_TICKET
         self.world.check_start(self, order.task, order.run)
         self.highest[order.task] = order.run
         now = anyio.current_time()
@@ -225,17 +246,29 @@
             now,
             self.world.behave(order.task, order.run),
             anyio.CancelScope(),
+            self.world.group_of(order.task, order.run),
         )
         self.runs[key] = run
+        if run.group is not None:
+            run.group.join(self, run)
         self.tasks.start_soon(self.work, run)
         return OrderOutcome.DONE
 
     async def work(self, run: Executing) -> None:
         """Works until the run is done or ended."""
         with run.scope:
+            if run.group is not None and not await run.group.wait_for_others():
+                self.end(run, EndKind.ALONE)
+                return
             await anyio.sleep(run.behaviour.seconds)
-        if run.kind is None:
-            self.end(run, EndKind.FAILED if run.behaviour.fails else EndKind.DONE)
+        if run.kind is not None:
+            return
+        if run.behaviour.fails:
+            self.end(run, EndKind.FAILED)
+        elif run.group is not None:
+            run.group.finish(run.task)
+        else:
+            self.end(run, EndKind.DONE)
 
     def end(self, run: Executing, kind: EndKind) -> None:
         """Ends a run and lists its end."""
@@ -243,6 +276,8 @@
         run.scope.cancel()
         if self.runs.pop((run.task, run.run), None) is None:
             return
+        if run.group is not None and kind is not EndKind.DONE:
+            run.group.leave(run.task)
         if kind is EndKind.DONE and not self.world.lasts(run.task):
             self.world.done.add(run.task)
         if kind is EndKind.FAILED:
