--- /dev/null
+++ b/tests/test_scheduler/test_permissions.py
@@ -0,0 +1,58 @@
+"""Steps whose permissions expire while the cell changes around them."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import Queue
+from lacewinghold.testing.step_cell import HOST, advised
+from lacewinghold.testing.step_worker import Behaviour
+from tests.test_scheduler.support import run_cell, step
+
+WORKERS = 24
+PLAIN = Queue("plain", HOST, "/plain/", "service", 0, 2, 2.0, 1)
+SMALL = Queue("small", HOST, "/small/", "service", 0, 2, 2.0, 1)
+TOGETHER = Queue("together", HOST, "/together/", "service", 1, 4, 2.0, 1)
+MAY_STAND_S = 3.0  # The platform calls a job lost that stands longer beside free room.
+
+
+async def keep_busy(cell, per_s):
+    """Submits small jobs at a steady rate until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        cell.behaviours[f"s{number}"] = Behaviour(cell.rng.uniform(0.3, 1.5))
+        await cell.submit(f"s{number}", [step(cell.rng.randint(1, 3))], queue=1)
+        await anyio.sleep(1 / per_s)
+
+
+def starts_of(cell, job):
+    """Returns when the tasks of a job have started."""
+    return [start.at for start in cell.world.starts if start.task.startswith(job)]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_all_at_once_work_is_not_lost_among_permissions_that_expire(seed):
+    """Room for it is free all the while, on workers that change all the time."""
+    queues = [PLAIN, advised(SMALL, 0.01, 2.0), advised(TOGETHER, 0.7, 2.0, 0.006)]
+
+    async def program(cell):
+        cell.advice.permitted_share = 0.5
+        cell.behaviours["full"] = Behaviour(5)
+        cell.behaviours["t"] = Behaviour(2)
+        await cell.submit("full", [step(WORKERS, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(12, all_at_once=True)], queue=2)
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(1)
+            tasks.start_soon(keep_busy, cell, 20)
+            assert await cell.wait_for("full", JobState.COMPLETED, 8)
+            room_at = anyio.current_time()
+            await cell.wait_for("t", JobState.COMPLETED, 40)
+            tasks.cancel_scope.cancel()
+        assert starts_of(cell, "t")
+        assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
+
+    run_cell(program, seed=seed, workers=WORKERS, queues=queues)
