--- a/bench/planner_day.py
+++ b/bench/planner_day.py
@@ -75,9 +75,9 @@
                 self.place_singly(step, nodes)
         return self.plan
 
-    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, float, str]:
+    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, bool, float, str]:
         """Returns the sort key of a worker: its id."""
-        return False, 0.0, str(node.id)
+        return False, False, 0.0, str(node.id)
 
     def reserve(self, step: Step, nodes: list[WorkerNode]) -> None:
         """Keeps no room free."""
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -27,6 +27,7 @@
 logger = structlog.get_logger(__name__)
 MAX_WORKERS_A_CALL = 100  # The advice service takes no more.
 TICKET_MARGIN_S = 0.3  # Room for the way of a start to its worker.
+LANE_WAIT_S = 0.2  # Usual wait for a lane, and the way to it and back.
 CALL_SLACK_S = 1.0  # Added to the time that an answer takes by the queue's rules.
 SLOW_CALL_S = 0.15  # Calls longer than this leave some lanes to quick ones.
 QUICK_LANES = 2  # Lanes that slow calls leave free, if there are more.
@@ -43,11 +44,15 @@
 
 
 class StepAdvice(Struct):
-    """What is known of a step: workers asked about, and permissions."""
+    """What is known of a step: workers asked about, and permissions.
+
+    :param failing: Whether the last call about it got no answer.
+    """
 
     asked: dict[WorkerId, Incarnation] = field(default_factory=dict)
     permissions: dict[WorkerId, Permission] = field(default_factory=dict)
     pending: bool = False
+    failing: bool = False
     not_before: float = 0.0
 
 
@@ -112,6 +117,20 @@
                 found.append(node)
         return found
 
+    def asking(self, step: Step) -> bool:
+        """Returns whether an answer about a step is still to come."""
+        known = self.steps.get(step.name)
+        return step.name in self.wanted or (known is not None and known.pending)
+
+    def failing(self, step: Step) -> bool:
+        """Returns whether the last call about a step got no answer."""
+        known = self.steps.get(step.name)
+        return known is not None and known.failing
+
+    def answer_due(self, step: Step, count: int, now: float) -> float:
+        """Returns when an answer about some workers comes if a lane is free."""
+        return now + self.expected_s(step, count) + LANE_WAIT_S
+
     def want(self, step: Step, nodes: list[WorkerNode], now: float) -> bool:
         """Asks for permissions, unless a call for the step is under way.
 
@@ -138,7 +157,7 @@
         order = sorted(self.wanted.values(), key=lambda w: urgency_key(w[0], now))
         for step, nodes in order:
             free = self.free_lanes(now)
-            slow = self.expected_s(step, nodes) > SLOW_CALL_S
+            slow = self.expected_s(step, len(nodes)) > SLOW_CALL_S
             keep = QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
             if not free:
                 return
@@ -156,12 +175,12 @@
         sound = [lane for lane in idle if now >= lane.blocked_until]
         return sound or idle
 
-    def expected_s(self, step: Step, nodes: list[WorkerNode]) -> float:
+    def expected_s(self, step: Step, count: int) -> float:
         """Returns how long a call takes by the queue's rules, in seconds."""
         rules = step.job.queue.advice
         if rules is None:
             return 0.0
-        return rules.decide_s + rules.per_worker_s * len(nodes)
+        return rules.decide_s + rules.per_worker_s * count
 
     async def ask(self, lane: Lane, step: Step, nodes: list[WorkerNode]) -> None:
         """Makes one call and notes its answer."""
@@ -170,7 +189,9 @@
         assert rules is not None
         incarnations = {node.id: node.entry.incarnation for node in nodes}
         answer = await lane.calls.ask(
-            step.name, list(incarnations), self.expected_s(step, nodes) + CALL_SLACK_S
+            step.name,
+            list(incarnations),
+            self.expected_s(step, len(nodes)) + CALL_SLACK_S,
         )
         now = anyio.current_time()
         lane.busy = False
@@ -181,6 +202,7 @@
         if known is None:
             return
         known.pending = False
+        known.failing = isinstance(answer, Err)
         if isinstance(answer, Err):
             known.not_before = now + RETRY_S
             lane.blocked_until = now + LANE_PAUSE_S
--- /dev/null
+++ b/lacewinghold/scheduler/claims.py
@@ -0,0 +1,63 @@
+"""Room that steps keep while permissions for it are on their way; pure.
+
+It answers the load of a cell that changes faster than the advice service answers:
+without a claim, the room and the choice of workers are gone when the answer comes.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.model import Step
+
+
+class Claim(Struct):
+    """The workers on which a step starts once it is permitted there.
+
+    :param tasks: How many tasks are to start on each worker.
+    :param until: When others may use the room again, on the runtime's clock.
+    """
+
+    step: Step
+    tasks: dict[WorkerId, int]
+    until: float
+
+
+class ClaimBook:
+    """All claims, one for a step at most."""
+
+    def __init__(self) -> None:
+        self.claims: dict[str, Claim] = {}
+
+    def add(self, claim: Claim) -> None:
+        """Adds a claim, in place of an earlier one of the step."""
+        self.claims[claim.step.name] = claim
+
+    def keep_only(self, steps: Iterable[Step]) -> None:
+        """Drops the claims of all other steps, which need no more starts."""
+        names = {step.name for step in steps}
+        for name in self.claims.keys() - names:
+            del self.claims[name]
+
+    def settled(self, now: float, asking: Callable[[Step], bool]) -> list[Claim]:
+        """Returns the claims that have run out or whose answer has come.
+
+        :param asking: Whether an answer about a step is still to come.
+        """
+        found = []
+        for claim in self.claims.values():
+            if now >= claim.until or not asking(claim.step):
+                found.append(claim)
+        return found
+
+    def drop(self, settled: Iterable[Claim]) -> None:
+        """Drops claims, unless their steps have made new ones."""
+        for claim in settled:
+            if self.claims.get(claim.step.name) is claim:
+                del self.claims[claim.step.name]
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -9,6 +9,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
+from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner, fullness
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
@@ -25,6 +26,7 @@
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers of a term; a task starts far less often.
 PLAN_PAUSE_S = 0.008  # Events that come together are planned together.
+CLAIM_SLACK_S = 0.5  # An answer that takes longer than this has no room kept for it.
 PLAN_INTERVAL_S = 0.5  # Plans are made this often even without an event.
 
 
@@ -39,6 +41,7 @@
         self.wanted = anyio.Event()
         self.waits = WaitLog(owner)
         self.choices = ChoiceLog(owner)
+        self.claims = ClaimBook()
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -82,23 +85,45 @@
                 continue
             self.want_advice(step, usable, now)
             steps.append(step)
+        self.claims.keep_only(steps)
+        settled = self.claims.settled(now, self.owner.book.asking)
+        # A step that waits for an answer keeps its choice until then.
+        held = self.claims.claims.keys() - {claim.step.name for claim in settled}
         planner = Planner(
-            now, usable, self.permitted_by(usable), self.ticket_valid_at(now)
+            now,
+            usable,
+            self.permitted_by(usable),
+            self.ticket_valid_at(now),
+            self.claims.claims,
         )
-        plan = planner.make(steps)
+        plan = planner.make(step for step in steps if step.name not in held)
         self.make_way(steps)
         for renewal in plan.renewals:
             self.renew(renewal, now)
+        self.claims.drop(settled)
         for placement in plan.placements:
             self.start(placement.step, placement.tasks, now)
         self.waits.note(steps, usable, now)
         self.choices.forget_others(step.name for step in steps)
 
     def renew(self, renewal: Renewal, now: float) -> None:
-        """Asks again about workers on which a step would start."""
-        nodes = [self.owner.fleet.nodes[worker] for worker in renewal.lacking]
-        if self.owner.book.want(renewal.step, nodes, now):
+        """Asks again about workers on which a step would start, and keeps the room.
+
+        A step that starts all at once needs all permissions in one instant: those
+        that expire before the answer comes are asked for as well.
+        """
+        step = renewal.step
+        book = self.owner.book
+        due = book.answer_due(step, len(renewal.chosen), now)
+        nodes = []
+        for worker in renewal.chosen:
+            node = self.owner.fleet.nodes[worker]
+            if worker in renewal.lacking or book.ticket(step, node, due) is None:
+                nodes.append(node)
+        if book.want(step, nodes, now):
             self.choices.note(renewal)
+            if not book.failing(step):
+                self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
 
     def make_way(self, steps: list[Step]) -> None:
         """Stops work that fills where it keeps work that serves from starting."""
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from msgspec import Struct, field
@@ -14,9 +15,10 @@
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.claims import Claim
     from lacewinghold.scheduler.model import Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.ports import Resources
@@ -35,12 +37,13 @@
 class Renewal(Struct):
     """A step that has room, but not on workers with a valid permission.
 
-    :param chosen: Workers on which its tasks would start.
+    :param chosen: Workers on which tasks wait for a permission, with their number;
+        all tasks of a step that starts all at once.
     :param lacking: Those of them without a valid permission.
     """
 
     step: Step
-    chosen: list[WorkerId]
+    chosen: dict[WorkerId, int]
     lacking: list[WorkerId]
 
 
@@ -95,6 +98,7 @@
     :param nodes: Workers on which tasks may be started now.
     :param permitted: Workers that may run a step; ``None`` if not known yet.
     :param valid: Whether a valid ticket for a step and worker is at hand.
+    :param claims: Room that is kept for steps, by their names.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
         nodes: Iterable[WorkerNode],
         permitted: Callable[[Step], frozenset[WorkerId] | None],
         valid: Callable[[Step, WorkerNode], bool],
+        claims: Mapping[str, Claim] | None = None,
     ) -> None:
         self.now = now
         self.permitted = permitted
@@ -112,13 +117,28 @@
         for node in nodes:
             self.services.setdefault(node.entry.service, []).append(node)
             self.free[node.id] = node.free()
+        self.claims = claims or {}
+        for claim in self.claims.values():
+            self.keep_free(claim, 1)
         self.reserved: dict[WorkerId, int] = {}
         self.reserving = 0
         self.plan = Plan()
 
+    def keep_free(self, claim: Claim, share: int) -> None:
+        """Takes the room of a claim from the snapshot, or gives it back.
+
+        :param share: 1 to take it, -1 to give it back.
+        """
+        for worker, count in claim.tasks.items():
+            if worker in self.free:
+                room = claim.step.room.times(share * count)
+                self.free[worker] = self.free[worker].minus(room)
+
     def make(self, steps: Iterable[Step]) -> Plan:
         """Returns the plan for all steps that are ready, most urgent first."""
         for step in sorted(steps, key=lambda step: urgency_key(step, self.now)):
+            if step.name in self.claims:
+                self.keep_free(self.claims[step.name], -1)
             nodes = self.candidates(step)
             if not nodes:
                 continue
@@ -154,11 +174,11 @@
             return node.serving > 0
         return step.spec.latency_target_ms > 0 and node.filling > 0
 
-    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, float, str]:
-        """Returns the sort key of a worker: near the data, then the fullest."""
+    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, bool, float, str]:
+        """Returns the sort key of a worker: near the data, permitted now, fullest."""
         remote = bool(step.spec.data_rack) and node.entry.rack != step.spec.data_rack
         full = fullness(self.free[node.id], node.entry.capacity)
-        return remote, -full, str(node.id)
+        return remote, not self.valid(step, node), -full, str(node.id)
 
     def limit_on(self, step: Step, node: WorkerNode) -> int:
         """Returns how many more tasks of a step a worker may take by its rules."""
@@ -194,7 +214,7 @@
     ) -> WorkerNode | None:
         """Returns the worker for one task, or ``None`` if none has room."""
         best: WorkerNode | None = None
-        best_rank: tuple[bool, float, str] | None = None
+        best_rank: tuple[bool, bool, float, str] | None = None
         for node in nodes:
             if limits[node.id] <= 0 or not step.room.within(self.free[node.id]):
                 continue
@@ -275,14 +295,14 @@
 
     def emit(self, step: Step, chosen: list[tuple[Task, WorkerNode]]) -> None:
         """Adds starts with valid tickets to the plan, and asks for the others."""
-        lacking = [node.id for _, node in chosen if not self.valid(step, node)]
-        if lacking:
-            chosen_workers = sorted({node.id for _, node in chosen})
-            renewal = Renewal(step, chosen_workers, sorted(set(lacking)))
+        missing = {node.id for _, node in chosen if not self.valid(step, node)}
+        together = step.spec.all_at_once
+        if missing:
+            waiting = [node.id for _, node in chosen if together or node.id in missing]
+            renewal = Renewal(step, dict(Counter(waiting)), sorted(missing))
             self.plan.renewals.append(renewal)
-        if step.spec.all_at_once and lacking:
+        if together and missing:
             return
-        missing = set(lacking)
         ready = [(task, node) for task, node in chosen if node.id not in missing]
         if ready:
             self.plan.placements.append(Placement(step, ready))
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -45,6 +45,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Returns the sum of so many equal amounts."""
+        return Resources(
+            self.cpu_millis * count, self.memory_mb * count, self.accelerators * count
+        )
+
     def within(self, other: Resources) -> bool:
         """Returns whether no resource exceeds another amount."""
         return (
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -43,28 +43,29 @@
 
     def __init__(self, owner: CellOwner) -> None:
         self.owner = owner
-        self.chosen: dict[str, list[WorkerId]] = {}
+        self.chosen: dict[str, set[WorkerId]] = {}
 
     def note(self, renewal: Renewal) -> None:
         """Logs a choice that lacks permissions, and what it kept of the last one."""
         step = renewal.step
         changes: Counter[ChoiceChange] = Counter()
-        for worker in self.chosen.get(step.name, []):
-            changes[self.change_of(step, worker, renewal.chosen)] += 1
-        self.chosen[step.name] = renewal.chosen
+        chosen = set(renewal.chosen)
+        for worker in self.chosen.get(step.name, set()):
+            changes[self.change_of(step, worker, chosen)] += 1
+        self.chosen[step.name] = chosen
         for change, count in changes.items():
             self.owner.metrics.choices.labels(change.value).inc(count)
         logger.info(
             Event.PERMISSIONS_LACKING,
             step=step.name,
             tasks=len(step.waiting()),
-            chosen=len(renewal.chosen),
+            chosen=len(chosen),
             lacking=len(renewal.lacking),
             **{change.value: changes[change] for change in ChoiceChange},
         )
 
     def change_of(
-        self, step: Step, worker: WorkerId, chosen: list[WorkerId]
+        self, step: Step, worker: WorkerId, chosen: set[WorkerId]
     ) -> ChoiceChange:
         """Returns what became of one worker of the last choice."""
         if worker in chosen:
--- a/lacewinghold/testing/step_advice.py
+++ b/lacewinghold/testing/step_advice.py
@@ -36,11 +36,13 @@
     :param rules_of: Tells the rules of a step's queue, ``None`` without advice.
     :param incarnation_of: Tells the present incarnation of a worker.
     :param permitted_share: Part of the workers that may run a step.
+    :param silent: Whether no call is answered.
     """
 
     rules_of: Callable[[str], AdviceRules | None]
     incarnation_of: Callable[[WorkerId], Incarnation]
     permitted_share: float = 1.0
+    silent: bool = False
     issued: dict[str, Issued] = field(default_factory=dict)
     calls: int = 0
 
@@ -88,6 +90,8 @@
         self.service.calls += 1
         with anyio.move_on_after(timeout_s):
             async with self.turn:
+                if self.service.silent:
+                    await anyio.sleep_forever()
                 await anyio.sleep(rules.decide_s + rules.per_worker_s * len(workers))
             good = []
             for worker in workers:
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -56,3 +56,44 @@
         assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
 
     run_cell(program, seed=seed, workers=WORKERS, queues=queues)
+
+
+def test_room_is_not_taken_while_the_permission_for_it_is_on_its_way():
+    queues = [PLAIN, SMALL, advised(TOGETHER, 0.7, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(4)
+        cell.behaviours["other"] = Behaviour(10)
+        await cell.submit("full", [step(4, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(4, cpu=4000, all_at_once=True)], queue=2)
+        assert await cell.wait_for("full", JobState.COMPLETED, 8)
+        await anyio.sleep(0.3)
+        await cell.submit("other", [step(1, cpu=1000)])
+        assert await cell.wait_for("t", JobState.COMPLETED, 4)
+        assert max(starts_of(cell, "t")) < min(starts_of(cell, "other"))
+
+    run_cell(program, queues=queues)
+
+
+def test_no_room_is_kept_for_permissions_that_do_not_come():
+    queues = [PLAIN, SMALL, advised(TOGETHER, 0.7, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(4)
+        await cell.submit("full", [step(4, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(4, cpu=4000, all_at_once=True)], queue=2)
+        await anyio.sleep(2.5)
+        cell.advice.silent = True
+        assert await cell.wait_for("full", JobState.COMPLETED, 8)
+        # The first call that fails has had room kept for it.
+        await anyio.sleep(2)
+        for number in range(10):
+            job = f"o{number}"
+            asked_at = anyio.current_time()
+            await cell.submit(job, [step(1, cpu=4000)])
+            assert await cell.wait_for(job, JobState.COMPLETED, 4)
+            assert max(starts_of(cell, job)) - asked_at < 0.1
+
+    run_cell(program, queues=queues)
