--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -97,3 +97,16 @@
             assert max(starts_of(cell, job)) - asked_at < 0.1
 
     run_cell(program, queues=queues)
+
+
+def test_permissions_that_expire_in_turn_do_not_keep_a_step_from_starting():
+    """One call is longer than what is left of the permissions of the last one."""
+    queues = [advised(TOGETHER, 0.7, 0.8)]
+
+    async def program(cell):
+        await cell.submit("t", [step(5, cpu=4000, all_at_once=True)])
+        await anyio.sleep(3)
+        await cell.add_worker("w4")
+        assert await cell.wait_for("t", JobState.COMPLETED, 4)
+
+    run_cell(program, workers=4, queues=queues)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -53,6 +53,7 @@
 TAKEOVER = "tests/test_scheduler/test_takeover.py"
 WORKER_FAULTS = "tests/test_scheduler/test_worker_faults.py"
 OPERATORS = "tests/test_scheduler/test_operators.py"
+PERMISSIONS = "tests/test_scheduler/test_permissions.py"
 STORE_OUTAGE = "tests/test_scheduler/test_store_outage.py"
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
@@ -112,6 +113,27 @@
         "True",
         (TAKEOVER,),
     ),
+    Mutant(
+        "room of a step that asks",
+        CELL + "policy:Planner.keep_free",
+        "if worker in self.free",
+        "if False",
+        (PERMISSIONS,),
+    ),
+    Mutant(
+        "permissions that expire before the answer",
+        CELL + "planning:PlanLoop.renew",
+        " or book.ticket(step, node, due) is None",
+        "",
+        (PERMISSIONS,),
+    ),
+    Mutant(
+        "advice that fails",
+        CELL + "planning:PlanLoop.renew",
+        "if not book.failing(step)",
+        "if True",
+        (PERMISSIONS,),
+    ),
     Mutant(
         "newest roster",
         CELL + "fleet:Fleet.write_due_roster",
