--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -122,10 +122,17 @@
         known = self.steps.get(step.name)
         return step.name in self.wanted or (known is not None and known.pending)
 
-    def failing(self, step: Step) -> bool:
-        """Returns whether the last call about a step got no answer."""
+    def may_ask(self, step: Step, count: int, now: float) -> bool:
+        """Returns whether a call about a step can be made now and may be answered."""
         known = self.steps.get(step.name)
-        return known is not None and known.failing
+        if known is not None and (known.failing or known.pending):
+            return False
+        return len(self.free_lanes(now)) > self.kept_lanes(step, count)
+
+    def kept_lanes(self, step: Step, count: int) -> int:
+        """Returns how many lanes a call about a step has to leave to quicker ones."""
+        slow = self.expected_s(step, count) > SLOW_CALL_S
+        return QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
 
     def answer_due(self, step: Step, count: int, now: float) -> float:
         """Returns when an answer about some workers comes if a lane is free."""
@@ -157,11 +164,9 @@
         order = sorted(self.wanted.values(), key=lambda w: urgency_key(w[0], now))
         for step, nodes in order:
             free = self.free_lanes(now)
-            slow = self.expected_s(step, len(nodes)) > SLOW_CALL_S
-            keep = QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
             if not free:
                 return
-            if len(free) <= keep:
+            if len(free) <= self.kept_lanes(step, len(nodes)):
                 continue
             del self.wanted[step.name]
             lane = free[0]
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -95,6 +95,7 @@
             self.permitted_by(usable),
             self.ticket_valid_at(now),
             self.claims.claims,
+            lambda renewal: self.may_ask(renewal, now),
         )
         plan = planner.make(step for step in steps if step.name not in held)
         self.make_way(steps)
@@ -106,6 +107,10 @@
         self.waits.note(steps, usable, now)
         self.choices.forget_others(step.name for step in steps)
 
+    def may_ask(self, renewal: Renewal, now: float) -> bool:
+        """Returns whether a call for lacking permissions can be made at once."""
+        return self.owner.book.may_ask(renewal.step, len(renewal.chosen), now)
+
     def renew(self, renewal: Renewal, now: float) -> None:
         """Asks again about workers on which a step would start, and keeps the room.
 
@@ -120,9 +125,10 @@
             node = self.owner.fleet.nodes[worker]
             if worker in renewal.lacking or book.ticket(step, node, due) is None:
                 nodes.append(node)
+        may_ask = self.may_ask(renewal, now)
         if book.want(step, nodes, now):
             self.choices.note(renewal)
-            if not book.failing(step):
+            if may_ask:
                 self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
 
     def make_way(self, steps: list[Step]) -> None:
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -99,6 +99,7 @@
     :param permitted: Workers that may run a step; ``None`` if not known yet.
     :param valid: Whether a valid ticket for a step and worker is at hand.
     :param claims: Room that is kept for steps, by their names.
+    :param may_ask: Whether the permissions that are lacking can be asked for at once.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         permitted: Callable[[Step], frozenset[WorkerId] | None],
         valid: Callable[[Step, WorkerNode], bool],
         claims: Mapping[str, Claim] | None = None,
+        may_ask: Callable[[Renewal], bool] = lambda renewal: True,
     ) -> None:
         self.now = now
         self.permitted = permitted
@@ -117,28 +119,32 @@
         for node in nodes:
             self.services.setdefault(node.entry.service, []).append(node)
             self.free[node.id] = node.free()
+        self.may_ask = may_ask
         self.claims = claims or {}
         for claim in self.claims.values():
-            self.keep_free(claim, 1)
+            self.keep_free(claim)
         self.reserved: dict[WorkerId, int] = {}
         self.reserving = 0
         self.plan = Plan()
 
-    def keep_free(self, claim: Claim, share: int) -> None:
-        """Takes the room of a claim from the snapshot, or gives it back.
+    def add_room(self, tasks: Mapping[WorkerId, int], room: Resources) -> None:
+        """Gives the room of so many tasks on each worker back to the snapshot."""
+        for worker, count in tasks.items():
+            if worker in self.free:
+                self.free[worker] = self.free[worker].plus(room.times(count))
 
-        :param share: 1 to take it, -1 to give it back.
-        """
+    def keep_free(self, claim: Claim) -> None:
+        """Takes the room of a claim from the snapshot."""
         for worker, count in claim.tasks.items():
             if worker in self.free:
-                room = claim.step.room.times(share * count)
+                room = claim.step.room.times(count)
                 self.free[worker] = self.free[worker].minus(room)
 
     def make(self, steps: Iterable[Step]) -> Plan:
         """Returns the plan for all steps that are ready, most urgent first."""
         for step in sorted(steps, key=lambda step: urgency_key(step, self.now)):
             if step.name in self.claims:
-                self.keep_free(self.claims[step.name], -1)
+                self.add_room(self.claims[step.name].tasks, step.room)
             nodes = self.candidates(step)
             if not nodes:
                 continue
@@ -301,6 +307,8 @@
             waiting = [node.id for _, node in chosen if together or node.id in missing]
             renewal = Renewal(step, dict(Counter(waiting)), sorted(missing))
             self.plan.renewals.append(renewal)
+            if not self.may_ask(renewal):
+                self.add_room(renewal.chosen, step.room)
         if together and missing:
             return
         ready = [(task, node) for task, node in chosen if node.id not in missing]
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import msgspec
 import pytest
 
 from lacewinghold.scheduler.model import JobState
@@ -76,8 +77,11 @@
     run_cell(program, queues=queues)
 
 
-def test_no_room_is_kept_for_permissions_that_do_not_come():
-    queues = [PLAIN, SMALL, advised(TOGETHER, 0.7, 2.0)]
+@pytest.mark.parametrize("urgency", [0, 2])
+def test_no_room_is_kept_for_permissions_that_do_not_come(urgency):
+    others = msgspec.structs.replace(PLAIN, urgency=urgency)
+    never_late = msgspec.structs.replace(TOGETHER, slack_s=60)
+    queues = [others, SMALL, advised(never_late, 0.7, 2.0)]
 
     async def program(cell):
         cell.behaviours["full"] = Behaviour(4)
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -70,3 +70,23 @@
     everywhere = frozenset(node.id for node in nodes)
     planner = Planner(0.0, nodes, lambda step: everywhere, lambda step, node: True)
     assert planner.make([wide, small]).placements == []
+
+
+@pytest.mark.parametrize("may_ask", [False, True])
+def test_a_step_that_cannot_be_permitted_soon_keeps_no_room_from_others(may_ask):
+    urgent = Queue("urgent", "h", "/u/", "s", 0, 2, 2.0, 1)
+    patient = Queue("patient", "h", "/p/", "s", 2, 2, 2.0, 1)
+    nodes = make_nodes(4)
+    wide = make_step("a", urgent, 10, 5000, all_at_once=True)
+    ready = make_step("b", patient, 6, 5000, all_at_once=True)
+    everywhere = frozenset(node.id for node in nodes)
+    planner = Planner(
+        0.0,
+        nodes,
+        lambda step: everywhere,
+        lambda step, node: step is ready,
+        may_ask=lambda renewal: may_ask,
+    )
+    plan = planner.make([wide, ready])
+    assert [renewal.step for renewal in plan.renewals] == [wide]
+    assert bool(plan.placements) is not may_ask
