--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -46,16 +47,24 @@
 class StepAdvice(Struct):
     """What is known of a step: workers asked about, and permissions.
 
+    :param pending: How many calls are under way.
     :param failing: Whether the last call about it got no answer.
     """
 
     asked: dict[WorkerId, Incarnation] = field(default_factory=dict)
     permissions: dict[WorkerId, Permission] = field(default_factory=dict)
-    pending: bool = False
+    pending: int = 0
     failing: bool = False
     not_before: float = 0.0
 
 
+class WantedCall(Struct, eq=False):
+    """A call that waits for a lane."""
+
+    step: Step
+    nodes: list[WorkerNode]
+
+
 class Lane:
     """One caller of the advice service; it makes one call at a time."""
 
@@ -73,7 +82,7 @@
     def __init__(self, metrics: CellMetrics) -> None:
         self.metrics = metrics
         self.steps: dict[str, StepAdvice] = {}
-        self.wanted: dict[str, tuple[Step, list[WorkerNode]]] = {}
+        self.wanted: dict[str, list[WantedCall]] = {}
         self.lanes: list[Lane] = []
         self.changed = anyio.Event()
         self.on_arrival: Callable[[], None] = lambda: None
@@ -120,7 +129,7 @@
     def asking(self, step: Step) -> bool:
         """Returns whether an answer about a step is still to come."""
         known = self.steps.get(step.name)
-        return step.name in self.wanted or (known is not None and known.pending)
+        return step.name in self.wanted or (known is not None and known.pending > 0)
 
     def may_ask(self, step: Step, count: int, now: float) -> bool:
         """Returns whether a call about a step can be made now and may be answered."""
@@ -135,19 +144,29 @@
         return QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
 
     def answer_due(self, step: Step, count: int, now: float) -> float:
-        """Returns when an answer about some workers comes if a lane is free."""
-        return now + self.expected_s(step, count) + LANE_WAIT_S
+        """Returns when all answers about some workers have come over one free lane."""
+        due = now
+        while count > 0:
+            due += self.expected_s(step, min(count, MAX_WORKERS_A_CALL)) + LANE_WAIT_S
+            count -= MAX_WORKERS_A_CALL
+        return due
 
     def want(self, step: Step, nodes: list[WorkerNode], now: float) -> bool:
         """Asks for permissions, unless a call for the step is under way.
 
-        :returns: Whether a call will be made that was not wanted before.
+        The smallest call is the last one, so that the others' permissions still hold.
+
+        :returns: Whether calls will be made that were not wanted before.
         """
         known = self.steps.setdefault(step.name, StepAdvice())
         if known.pending or now < known.not_before or not nodes:
             return False
         is_new = step.name not in self.wanted
-        self.wanted[step.name] = (step, nodes[:MAX_WORKERS_A_CALL])
+        calls = []
+        for first in range(0, len(nodes), MAX_WORKERS_A_CALL):
+            part = nodes[first : first + MAX_WORKERS_A_CALL]
+            calls.append(WantedCall(step, part))
+        self.wanted[step.name] = calls
         self.changed.set()
         return is_new
 
@@ -161,18 +180,25 @@
     def dispatch(self, tasks: TaskGroup) -> None:
         """Starts as many calls as there are lanes, the most urgent first."""
         now = anyio.current_time()
-        order = sorted(self.wanted.values(), key=lambda w: urgency_key(w[0], now))
-        for step, nodes in order:
+        order = sorted(
+            itertools.chain.from_iterable(self.wanted.values()),
+            key=lambda call: urgency_key(call.step, now),
+        )
+        for call in order:
+            step = call.step
             free = self.free_lanes(now)
             if not free:
                 return
-            if len(free) <= self.kept_lanes(step, len(nodes)):
+            if len(free) <= self.kept_lanes(step, len(call.nodes)):
                 continue
-            del self.wanted[step.name]
+            self.wanted[step.name].remove(call)
+            if not self.wanted[step.name]:
+                del self.wanted[step.name]
             lane = free[0]
             lane.busy = True
-            self.steps[step.name].pending = True
-            tasks.start_soon(self.ask, lane, step, nodes)
+            known = self.steps[step.name]
+            known.pending += 1
+            tasks.start_soon(self.ask, lane, known, call)
 
     def free_lanes(self, now: float) -> list[Lane]:
         """Returns the lanes that may call now; else those that failed."""
@@ -187,9 +213,10 @@
             return 0.0
         return rules.decide_s + rules.per_worker_s * count
 
-    async def ask(self, lane: Lane, step: Step, nodes: list[WorkerNode]) -> None:
+    async def ask(self, lane: Lane, known: StepAdvice, call: WantedCall) -> None:
         """Makes one call and notes its answer."""
         started = anyio.current_time()
+        step, nodes = call.step, call.nodes
         rules = step.job.queue.advice
         assert rules is not None
         incarnations = {node.id: node.entry.incarnation for node in nodes}
@@ -203,10 +230,9 @@
         self.changed.set()
         result = "failed" if isinstance(answer, Err) else "answered"
         self.metrics.advice_seconds.labels(result).observe(now - started)
-        known = self.steps.get(step.name)
-        if known is None:
+        if self.steps.get(step.name) is not known:
             return
-        known.pending = False
+        known.pending -= 1
         known.failing = isinstance(answer, Err)
         if isinstance(answer, Err):
             known.not_before = now + RETRY_S
--- a/lacewinghold/testing/step_advice.py
+++ b/lacewinghold/testing/step_advice.py
@@ -18,6 +18,7 @@
     from lacewinghold.ids import Incarnation, WorkerId
     from lacewinghold.scheduler.ports import AdviceRules
 
+MAX_NAMED = 100  # Workers of one call.
 MAX_WAITING = 32  # Calls of one instance that wait for their turn.
 
 
@@ -87,6 +88,8 @@
         rules = self.service.rules_of(step)
         if rules is None:
             return Err(Failure(ErrorKind.INVALID, "the queue asks for no advice"))
+        if len(workers) > MAX_NAMED:
+            return Err(Failure(ErrorKind.INVALID, "too many workers are named"))
         self.service.calls += 1
         with anyio.move_on_after(timeout_s):
             async with self.turn:
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from lacewinghold.scheduler.advice import MAX_WORKERS_A_CALL
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.ports import Queue
 from lacewinghold.testing.step_cell import HOST, advised
@@ -114,3 +115,22 @@
         assert await cell.wait_for("t", JobState.COMPLETED, 4)
 
     run_cell(program, workers=4, queues=queues)
+
+
+def test_an_all_at_once_step_of_more_than_one_call_is_not_left_without_the_last():
+    """Both calls fit in the time for which a permission is valid."""
+    count = MAX_WORKERS_A_CALL + 50
+    queues = [PLAIN, advised(TOGETHER, 0.7, 2.0, 0.006)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(5)
+        await cell.submit("full", [step(count, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(count, cpu=4000, all_at_once=True)], queue=1)
+        assert await cell.wait_for("full", JobState.COMPLETED, 8)
+        room_at = anyio.current_time()
+        await cell.wait_for("t", JobState.COMPLETED, 10)
+        assert starts_of(cell, "t")
+        assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
+
+    run_cell(program, instances=1, workers=count, queues=queues)
