--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -28,6 +28,7 @@
 logger = structlog.get_logger(__name__)
 MAX_WORKERS_A_CALL = 100  # The advice service takes no more.
 TICKET_MARGIN_S = 0.3  # Room for the way of a start to its worker.
+MAX_MARGIN_SHARE = 0.5  # Of a ticket's life; longer margins leave it no use.
 LANE_WAIT_S = 0.2  # Usual wait for a lane, and the way to it and back.
 CALL_SLACK_S = 1.0  # Added to the time that an answer takes by the queue's rules.
 SLOW_CALL_S = 0.15  # Calls longer than this leave some lanes to quick ones.
@@ -37,11 +38,14 @@
 
 
 class Permission(Struct):
-    """A ticket for one incarnation of a worker."""
+    """A ticket for one incarnation of a worker.
+
+    :param start_until: When the last start with it may be sent.
+    """
 
     incarnation: Incarnation
     text: str
-    valid_until: float
+    start_until: float
 
 
 class StepAdvice(Struct):
@@ -105,7 +109,7 @@
         permission = known.permissions.get(node.id) if known else None
         if permission is None or permission.incarnation != node.entry.incarnation:
             return None
-        if now + TICKET_MARGIN_S > permission.valid_until:
+        if now > permission.start_until:
             return None
         return permission.text
 
@@ -113,7 +117,7 @@
         """Forgets a ticket that a worker has refused."""
         known = self.steps.get(step.name)
         if known is not None and worker in known.permissions:
-            known.permissions[worker].valid_until = 0.0
+            known.permissions[worker].start_until = -math.inf
 
     def unasked(self, step: Step, nodes: list[WorkerNode]) -> list[WorkerNode]:
         """Returns the workers of which nothing is known for a step."""
@@ -248,11 +252,13 @@
         known.asked.update(incarnations)
         for worker in incarnations:
             known.permissions.pop(worker, None)
+        margin_s = min(TICKET_MARGIN_S, rules.valid_s * MAX_MARGIN_SHARE)
+        start_until = now + rules.valid_s - margin_s
         for ticket in answer.ok_value:
             if ticket.worker not in incarnations:
                 continue
             known.permissions[ticket.worker] = Permission(
-                incarnations[ticket.worker], ticket.text, now + rules.valid_s
+                incarnations[ticket.worker], ticket.text, start_until
             )
         logger.info(
             Event.ADVISED,
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -134,3 +134,18 @@
         assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
 
     run_cell(program, instances=1, workers=count, queues=queues)
+
+
+@pytest.mark.parametrize(("call_s", "valid_s"), [(0.05, 0.25), (0.7, 0.25), (0.7, 0.5)])
+@pytest.mark.parametrize("together", [False, True])
+def test_work_starts_on_permissions_that_are_valid_for_a_short_while(
+    call_s, valid_s, together
+):
+    """Shorter than the time kept for the way of a start, or than the call."""
+    queues = [PLAIN, advised(TOGETHER, call_s, valid_s)]
+
+    async def program(cell):
+        await cell.submit("t", [step(4, all_at_once=together)], queue=1)
+        assert await cell.wait_for("t", JobState.COMPLETED, MAY_STAND_S + 1)
+
+    run_cell(program, queues=queues)
