--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-import itertools
 import math
+from collections import Counter
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -37,6 +38,16 @@
 LANE_PAUSE_S = 2.0  # A lane that failed is left alone this long.
 
 
+class Purpose(Enum):
+    """What a call is for; a step has calls for each at the same time.
+
+    Members are listed in the order in which a step's calls are made.
+    """
+
+    RENEW = "renew"  # Permissions on workers that have been chosen.
+    SEARCH = "search"  # Which of the workers not asked about may run a step.
+
+
 class Permission(Struct):
     """A ticket for one incarnation of a worker.
 
@@ -51,13 +62,13 @@
 class StepAdvice(Struct):
     """What is known of a step: workers asked about, and permissions.
 
-    :param pending: How many calls are under way.
+    :param pending: How many calls for each purpose are under way.
     :param failing: Whether the last call about it got no answer.
     """
 
     asked: dict[WorkerId, Incarnation] = field(default_factory=dict)
     permissions: dict[WorkerId, Permission] = field(default_factory=dict)
-    pending: int = 0
+    pending: Counter[Purpose] = field(default_factory=Counter)
     failing: bool = False
     not_before: float = 0.0
 
@@ -67,6 +78,7 @@
 
     step: Step
     nodes: list[WorkerNode]
+    purpose: Purpose
 
 
 class Lane:
@@ -86,7 +98,9 @@
     def __init__(self, metrics: CellMetrics) -> None:
         self.metrics = metrics
         self.steps: dict[str, StepAdvice] = {}
-        self.wanted: dict[str, list[WantedCall]] = {}
+        self.wanted: dict[Purpose, dict[str, list[WantedCall]]] = {
+            purpose: {} for purpose in Purpose
+        }
         self.lanes: list[Lane] = []
         self.changed = anyio.Event()
         self.on_arrival: Callable[[], None] = lambda: None
@@ -94,7 +108,8 @@
     def forget(self, step: Step) -> None:
         """Forgets a step that needs no more starts."""
         self.steps.pop(step.name, None)
-        self.wanted.pop(step.name, None)
+        for wanted in self.wanted.values():
+            wanted.pop(step.name, None)
 
     def permitted(self, step: Step) -> frozenset[WorkerId] | None:
         """Returns the workers that may run a step, ``None`` if nothing is known."""
@@ -130,15 +145,17 @@
                 found.append(node)
         return found
 
-    def asking(self, step: Step) -> bool:
-        """Returns whether an answer about a step is still to come."""
+    def renewing(self, step: Step) -> bool:
+        """Returns whether permissions on chosen workers are still to come."""
         known = self.steps.get(step.name)
-        return step.name in self.wanted or (known is not None and known.pending > 0)
+        if step.name in self.wanted[Purpose.RENEW]:
+            return True
+        return known is not None and known.pending[Purpose.RENEW] > 0
 
     def may_ask(self, step: Step, count: int, now: float) -> bool:
         """Returns whether a call about a step can be made now and may be answered."""
         known = self.steps.get(step.name)
-        if known is not None and (known.failing or known.pending):
+        if known is not None and (known.failing or known.pending[Purpose.RENEW]):
             return False
         return len(self.free_lanes(now)) > self.kept_lanes(step, count)
 
@@ -155,22 +172,25 @@
             count -= MAX_WORKERS_A_CALL
         return due
 
-    def want(self, step: Step, nodes: list[WorkerNode], now: float) -> bool:
-        """Asks for permissions, unless a call for the step is under way.
+    def want(
+        self, step: Step, nodes: list[WorkerNode], now: float, purpose: Purpose
+    ) -> bool:
+        """Asks for permissions, unless a call for the same purpose is under way.
 
         The smallest call is the last one, so that the others' permissions still hold.
 
         :returns: Whether calls will be made that were not wanted before.
         """
         known = self.steps.setdefault(step.name, StepAdvice())
-        if known.pending or now < known.not_before or not nodes:
+        if known.pending[purpose] or now < known.not_before or not nodes:
             return False
-        is_new = step.name not in self.wanted
+        wanted = self.wanted[purpose]
+        is_new = step.name not in wanted
         calls = []
         for first in range(0, len(nodes), MAX_WORKERS_A_CALL):
             part = nodes[first : first + MAX_WORKERS_A_CALL]
-            calls.append(WantedCall(step, part))
-        self.wanted[step.name] = calls
+            calls.append(WantedCall(step, part, purpose))
+        wanted[step.name] = calls
         self.changed.set()
         return is_new
 
@@ -184,26 +204,32 @@
     def dispatch(self, tasks: TaskGroup) -> None:
         """Starts as many calls as there are lanes, the most urgent first."""
         now = anyio.current_time()
-        order = sorted(
-            itertools.chain.from_iterable(self.wanted.values()),
-            key=lambda call: urgency_key(call.step, now),
-        )
-        for call in order:
+        calls: list[WantedCall] = []
+        for wanted in self.wanted.values():
+            for some in wanted.values():
+                calls += some
+        # Of one step, the sort keeps the order of the purposes.
+        for call in sorted(calls, key=lambda call: urgency_key(call.step, now)):
             step = call.step
             free = self.free_lanes(now)
             if not free:
                 return
             if len(free) <= self.kept_lanes(step, len(call.nodes)):
                 continue
-            self.wanted[step.name].remove(call)
-            if not self.wanted[step.name]:
-                del self.wanted[step.name]
+            self.take(call)
             lane = free[0]
             lane.busy = True
             known = self.steps[step.name]
-            known.pending += 1
+            known.pending[call.purpose] += 1
             tasks.start_soon(self.ask, lane, known, call)
 
+    def take(self, call: WantedCall) -> None:
+        """Removes a call from those that wait for a lane."""
+        wanted = self.wanted[call.purpose]
+        wanted[call.step.name].remove(call)
+        if not wanted[call.step.name]:
+            del wanted[call.step.name]
+
     def free_lanes(self, now: float) -> list[Lane]:
         """Returns the lanes that may call now; else those that failed."""
         idle = [lane for lane in self.lanes if not lane.busy]
@@ -236,7 +262,7 @@
         self.metrics.advice_seconds.labels(result).observe(now - started)
         if self.steps.get(step.name) is not known:
             return
-        known.pending -= 1
+        known.pending[call.purpose] -= 1
         known.failing = isinstance(answer, Err)
         if isinstance(answer, Err):
             known.not_before = now + RETRY_S
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -9,6 +9,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
+from lacewinghold.scheduler.advice import Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner, fullness
@@ -86,7 +87,7 @@
             self.want_advice(step, usable, now)
             steps.append(step)
         self.claims.keep_only(steps)
-        settled = self.claims.settled(now, self.owner.book.asking)
+        settled = self.claims.settled(now, self.owner.book.renewing)
         # A step that waits for an answer keeps its choice until then.
         held = self.claims.claims.keys() - {claim.step.name for claim in settled}
         planner = Planner(
@@ -126,7 +127,7 @@
             if worker in renewal.lacking or book.ticket(step, node, due) is None:
                 nodes.append(node)
         may_ask = self.may_ask(renewal, now)
-        if book.want(step, nodes, now):
+        if book.want(step, nodes, now, Purpose.RENEW):
             self.choices.note(renewal)
             if may_ask:
                 self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
@@ -152,7 +153,7 @@
         nodes = [node for node in usable if node.entry.service == service]
         unasked = self.owner.book.unasked(step, nodes)
         if unasked:
-            self.owner.book.want(step, unasked, now)
+            self.owner.book.want(step, unasked, now, Purpose.SEARCH)
 
     def permitted_by(
         self, usable: list[WorkerNode]
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -125,7 +125,7 @@
             together=step.spec.all_at_once,
             workers=len(nodes),
             asked=0 if known is None else len(known.asked),
-            asking=known is not None and known.pending > 0,
+            asking=known is not None and known.pending.total() > 0,
             permitted=len(allowed),
             tickets=sum(valid(step, node) for node in allowed),
             room_for=room_for,
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -193,7 +193,9 @@
         """Writes a key as the operators or a worker would."""
         await self.operator.commit(Transaction([], [Put(key, value)]))
 
-    async def add_worker(self, name: str, incarnation: int = 1) -> StepWorker:
+    async def add_worker(
+        self, name: str, incarnation: int = 1, capacity: Resources = CAPACITY
+    ) -> StepWorker:
         """Adds a worker, or the next incarnation of one."""
         entry = WorkerEntry(
             worker=WorkerId(name),
@@ -202,7 +204,7 @@
             address=name,
             data_centre="dc",
             state=ServerState.READY,
-            capacity=CAPACITY,
+            capacity=capacity,
             labels=frozenset(),
         )
         worker = self.world.workers.get(entry.worker)
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -8,7 +8,7 @@
 
 from lacewinghold.scheduler.advice import MAX_WORKERS_A_CALL
 from lacewinghold.scheduler.model import JobState
-from lacewinghold.scheduler.ports import Queue
+from lacewinghold.scheduler.ports import Queue, Resources
 from lacewinghold.testing.step_cell import HOST, advised
 from lacewinghold.testing.step_worker import Behaviour
 from tests.test_scheduler.support import run_cell, step
@@ -17,6 +17,8 @@
 PLAIN = Queue("plain", HOST, "/plain/", "service", 0, 2, 2.0, 1)
 SMALL = Queue("small", HOST, "/small/", "service", 0, 2, 2.0, 1)
 TOGETHER = Queue("together", HOST, "/together/", "service", 1, 4, 2.0, 1)
+CALL_S = 0.7
+ARRIVAL_S = 0.3  # Until the owner knows of an end, and a start reaches its worker.
 MAY_STAND_S = 3.0  # The platform calls a job lost that stands longer beside free room.
 
 
@@ -30,6 +32,15 @@
         await anyio.sleep(1 / per_s)
 
 
+async def keep_adding(cell):
+    """Adds workers that have no room for any job until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        await cell.add_worker(f"a{number}", capacity=Resources())
+        await anyio.sleep(0.3)
+
+
 def starts_of(cell, job):
     """Returns when the tasks of a job have started."""
     return [start.at for start in cell.world.starts if start.task.startswith(job)]
@@ -149,3 +160,25 @@
         assert await cell.wait_for("t", JobState.COMPLETED, MAY_STAND_S + 1)
 
     run_cell(program, queues=queues)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_choice_that_waits_is_not_delayed_by_calls_about_new_workers(seed):
+    """Workers come one after the other, and each of them is asked about."""
+    queues = [PLAIN, advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(5)
+        await cell.submit("full", [step(4, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(4, cpu=4000, all_at_once=True)], queue=1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_adding, cell)
+            assert await cell.wait_for("full", JobState.COMPLETED, 8)
+            room_at = anyio.current_time()
+            await cell.wait_for("t", JobState.COMPLETED, 10)
+            tasks.cancel_scope.cancel()
+        assert starts_of(cell, "t")
+        assert max(starts_of(cell, "t")) - room_at < CALL_S + ARRIVAL_S
+
+    run_cell(program, seed=seed, instances=5, queues=queues)
