--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -93,7 +93,11 @@
 
 
 class AdviceBook:
-    """Keeps the permissions of all steps and spreads calls over the lanes."""
+    """Keeps the permissions of all steps and spreads calls over the lanes.
+
+    Its owner sets ``on_arrival``, called after each answer, and ``on_renewal``,
+    called as a call about chosen workers is made.
+    """
 
     def __init__(self, metrics: CellMetrics) -> None:
         self.metrics = metrics
@@ -104,6 +108,7 @@
         self.lanes: list[Lane] = []
         self.changed = anyio.Event()
         self.on_arrival: Callable[[], None] = lambda: None
+        self.on_renewal: Callable[[Step], None] = lambda step: None
 
     def forget(self, step: Step) -> None:
         """Forgets a step that needs no more starts."""
@@ -146,16 +151,18 @@
         return found
 
     def renewing(self, step: Step) -> bool:
-        """Returns whether permissions on chosen workers are still to come."""
+        """Returns whether permissions on chosen workers are on their way."""
         known = self.steps.get(step.name)
-        if step.name in self.wanted[Purpose.RENEW]:
-            return True
         return known is not None and known.pending[Purpose.RENEW] > 0
 
+    def failing(self, step: Step) -> bool:
+        """Returns whether the last call about a step got no answer."""
+        known = self.steps.get(step.name)
+        return known is not None and known.failing
+
     def may_ask(self, step: Step, count: int, now: float) -> bool:
         """Returns whether a call about a step can be made now and may be answered."""
-        known = self.steps.get(step.name)
-        if known is not None and (known.failing or known.pending[Purpose.RENEW]):
+        if self.failing(step) or self.renewing(step):
             return False
         return len(self.free_lanes(now)) > self.kept_lanes(step, count)
 
@@ -174,25 +181,20 @@
 
     def want(
         self, step: Step, nodes: list[WorkerNode], now: float, purpose: Purpose
-    ) -> bool:
+    ) -> None:
         """Asks for permissions, unless a call for the same purpose is under way.
 
         The smallest call is the last one, so that the others' permissions still hold.
-
-        :returns: Whether calls will be made that were not wanted before.
         """
         known = self.steps.setdefault(step.name, StepAdvice())
         if known.pending[purpose] or now < known.not_before or not nodes:
-            return False
-        wanted = self.wanted[purpose]
-        is_new = step.name not in wanted
+            return
         calls = []
         for first in range(0, len(nodes), MAX_WORKERS_A_CALL):
             part = nodes[first : first + MAX_WORKERS_A_CALL]
             calls.append(WantedCall(step, part, purpose))
-        wanted[step.name] = calls
+        self.wanted[purpose][step.name] = calls
         self.changed.set()
-        return is_new
 
     async def run(self, tasks: TaskGroup) -> None:
         """Hands wanted calls to free lanes until cancelled."""
@@ -221,6 +223,8 @@
             lane.busy = True
             known = self.steps[step.name]
             known.pending[call.purpose] += 1
+            if call.purpose is Purpose.RENEW:
+                self.on_renewal(step)
             tasks.start_soon(self.ask, lane, known, call)
 
     def take(self, call: WantedCall) -> None:
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -43,6 +43,7 @@
         self.waits = WaitLog(owner)
         self.choices = ChoiceLog(owner)
         self.claims = ClaimBook()
+        self.renewals: dict[str, Renewal] = {}
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -100,6 +101,7 @@
         )
         plan = planner.make(step for step in steps if step.name not in held)
         self.make_way(steps)
+        self.renewals = {renewal.step.name: renewal for renewal in plan.renewals}
         for renewal in plan.renewals:
             self.renew(renewal, now)
         self.claims.drop(settled)
@@ -113,7 +115,7 @@
         return self.owner.book.may_ask(renewal.step, len(renewal.chosen), now)
 
     def renew(self, renewal: Renewal, now: float) -> None:
-        """Asks again about workers on which a step would start, and keeps the room.
+        """Asks again about workers on which a step would start.
 
         A step that starts all at once needs all permissions in one instant: those
         that expire before the answer comes are asked for as well.
@@ -126,11 +128,19 @@
             node = self.owner.fleet.nodes[worker]
             if worker in renewal.lacking or book.ticket(step, node, due) is None:
                 nodes.append(node)
-        may_ask = self.may_ask(renewal, now)
-        if book.want(step, nodes, now, Purpose.RENEW):
-            self.choices.note(renewal)
-            if may_ask:
-                self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
+        book.want(step, nodes, now, Purpose.RENEW)
+
+    def claim(self, step: Step) -> None:
+        """Keeps the room of a step's last choice while it is asked about."""
+        renewal = self.renewals.get(step.name)
+        if renewal is None:
+            return
+        self.choices.note(renewal)
+        if self.owner.book.failing(step):
+            return
+        now = anyio.current_time()
+        due = self.owner.book.answer_due(step, len(renewal.chosen), now)
+        self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
 
     def make_way(self, steps: list[Step]) -> None:
         """Stops work that fills where it keeps work that serves from starting."""
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -182,3 +182,22 @@
         assert max(starts_of(cell, "t")) - room_at < CALL_S + ARRIVAL_S
 
     run_cell(program, seed=seed, instances=5, queues=queues)
+
+
+def test_room_is_kept_for_a_call_that_has_waited_for_its_turn():
+    queues = [PLAIN, advised(TOGETHER, 0.7, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(5)
+        cell.behaviours["other"] = Behaviour(10)
+        await cell.submit("full", [step(4, cpu=4000)])
+        await cell.submit("t", [step(4, cpu=4000, all_at_once=True)], queue=1)
+        await anyio.sleep(4.8)
+        await cell.submit("x", [step(5, cpu=4000, all_at_once=True)], queue=1)
+        assert await cell.wait_for("full", JobState.COMPLETED, 8)
+        await anyio.sleep(0.8)
+        await cell.submit("other", [step()])
+        assert await cell.wait_for("t", JobState.COMPLETED, 4)
+        assert max(starts_of(cell, "t")) < min(starts_of(cell, "other"))
+
+    run_cell(program, instances=1, queues=queues)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -129,9 +129,9 @@
     ),
     Mutant(
         "advice that fails",
-        CELL + "planning:PlanLoop.renew",
-        "if not book.failing(step)",
-        "if True",
+        CELL + "planning:PlanLoop.claim",
+        "if self.owner.book.failing(step)",
+        "if False",
         (PERMISSIONS,),
     ),
     Mutant(
