--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -150,6 +150,11 @@
                 found.append(node)
         return found
 
+    def searching(self, step: Step) -> bool:
+        """Returns whether a call about workers not asked before is under way."""
+        known = self.steps.get(step.name)
+        return known is not None and known.pending[Purpose.SEARCH] > 0
+
     def renewing(self, step: Step) -> bool:
         """Returns whether permissions on chosen workers are on their way."""
         known = self.steps.get(step.name)
--- a/lacewinghold/scheduler/claims.py
+++ b/lacewinghold/scheduler/claims.py
@@ -28,6 +28,10 @@
     tasks: dict[WorkerId, int]
     until: float
 
+    def task_count(self) -> int:
+        """Returns how many tasks are to start."""
+        return sum(self.tasks.values())
+
 
 class ClaimBook:
     """All claims, one for a step at most."""
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -9,10 +9,10 @@
 
 from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
-from lacewinghold.scheduler.advice import Purpose
+from lacewinghold.scheduler.advice import MAX_WORKERS_A_CALL, Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
-from lacewinghold.scheduler.policy import Planner, fullness
+from lacewinghold.scheduler.policy import Planner, fitting_count, fullness
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
@@ -85,7 +85,6 @@
             if not step.waiting():
                 del self.owner.table.open_steps[step.name]
                 continue
-            self.want_advice(step, usable, now)
             steps.append(step)
         self.claims.keep_only(steps)
         settled = self.claims.settled(now, self.owner.book.renewing)
@@ -107,6 +106,8 @@
         self.claims.drop(settled)
         for placement in plan.placements:
             self.start(placement.step, placement.tasks, now)
+        for step in steps:
+            self.search(step, usable, now)
         self.waits.note(steps, usable, now)
         self.choices.forget_others(step.name for step in steps)
 
@@ -155,15 +156,27 @@
                         self.owner.fleet.halt(run)
                 break
 
-    def want_advice(self, step: Step, usable: list[WorkerNode], now: float) -> None:
-        """Asks about workers of which nothing is known for a step."""
-        if step.job.queue.advice is None:
+    def search(self, step: Step, usable: list[WorkerNode], now: float) -> None:
+        """Asks about more workers for a step that has not found enough.
+
+        One call at a time, those with the most room first: most steps need no more.
+        """
+        book = self.owner.book
+        if step.job.queue.advice is None or book.searching(step):
+            return
+        found = self.renewals.get(step.name) or self.claims.claims.get(step.name)
+        lacking = len(step.waiting())
+        if found is not None:
+            lacking -= found.task_count()
+        if lacking <= 0:
             return
         service = step.job.queue.service
         nodes = [node for node in usable if node.entry.service == service]
-        unasked = self.owner.book.unasked(step, nodes)
-        if unasked:
-            self.owner.book.want(step, unasked, now, Purpose.SEARCH)
+        unasked = book.unasked(step, nodes)
+        unasked = sorted(
+            unasked, key=lambda node: -fitting_count(step.room, node.free(), lacking)
+        )
+        book.want(step, unasked[:MAX_WORKERS_A_CALL], now, Purpose.SEARCH)
 
     def permitted_by(
         self, usable: list[WorkerNode]
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -46,6 +46,10 @@
     chosen: dict[WorkerId, int]
     lacking: list[WorkerId]
 
+    def task_count(self) -> int:
+        """Returns how many tasks wait for permissions on the workers chosen."""
+        return sum(self.chosen.values())
+
 
 class Plan(Struct):
     """What to do now.
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -201,3 +201,15 @@
         assert max(starts_of(cell, "t")) < min(starts_of(cell, "other"))
 
     run_cell(program, instances=1, queues=queues)
+
+
+def test_workers_are_not_searched_for_a_step_that_has_found_some():
+    queues = [PLAIN, advised(TOGETHER, 0.7, 2.0)]
+    count = MAX_WORKERS_A_CALL + 20
+
+    async def program(cell):
+        await cell.submit("t", [step(2)], queue=1)
+        assert await cell.wait_for("t", JobState.COMPLETED, 6)
+        assert cell.advice.calls == 1
+
+    run_cell(program, instances=1, workers=count, queues=queues)
