--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -213,3 +213,28 @@
         assert cell.advice.calls == 1
 
     run_cell(program, instances=1, workers=count, queues=queues)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_room_chosen_is_kept_while_new_workers_are_asked_about(seed):
+    """Without the room kept, small work takes it before the permissions come."""
+    queues = [PLAIN, advised(SMALL, 0.01, 2.0), advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        cell.advice.permitted_share = 0.5
+        cell.behaviours["full"] = Behaviour(5)
+        await cell.submit("full", [step(WORKERS, cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(12, all_at_once=True)], queue=2)
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(1)
+            tasks.start_soon(keep_adding, cell)
+            tasks.start_soon(keep_busy, cell, 20)
+            assert await cell.wait_for("full", JobState.COMPLETED, 8)
+            room_at = anyio.current_time()
+            await cell.wait_for("t", JobState.COMPLETED, 20)
+            tasks.cancel_scope.cancel()
+        assert starts_of(cell, "t")
+        assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
+
+    run_cell(program, seed=seed, workers=WORKERS, queues=queues)
