--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -218,6 +218,9 @@
         # Of one step, the sort keeps the order of the purposes.
         for call in sorted(calls, key=lambda call: urgency_key(call.step, now)):
             step = call.step
+            if not step.waiting():
+                self.take(call)
+                continue
             free = self.free_lanes(now)
             if not free:
                 return
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -238,3 +238,18 @@
         assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
 
     run_cell(program, seed=seed, workers=WORKERS, queues=queues)
+
+
+def test_no_call_is_made_for_a_step_that_has_been_placed():
+    """Such a call would keep a lane from steps that wait."""
+    queues = [PLAIN, advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["t"] = Behaviour(3)
+        await cell.submit("t", [step(2)], queue=1)
+        await anyio.sleep(CALL_S / 2)
+        await cell.add_worker("new")
+        assert await cell.wait_for("t", JobState.COMPLETED, 6)
+        assert cell.advice.calls == 1
+
+    run_cell(program, queues=queues)
