--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -284,7 +284,8 @@
         for node in by_room:
             if needed <= 0 or len(self.reserved) >= bound:
                 return
-            count = fitting_count(step.room, node.entry.capacity, needed)
+            limit = min(needed, step.spec.max_per_worker or needed)
+            count = fitting_count(step.room, node.entry.capacity, limit)
             if count == 0:
                 continue
             needed -= count
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -90,3 +90,19 @@
     plan = planner.make([wide, ready])
     assert [renewal.step for renewal in plan.renewals] == [wide]
     assert bool(plan.placements) is not may_ask
+
+
+def test_room_is_kept_on_as_many_workers_as_a_step_has_to_be_spread_over():
+    """One large empty worker does not do for tasks that may not share it."""
+    urgent = Queue("urgent", "h", "/u/", "s", 0, 2, 2.0, 1)
+    patient = Queue("patient", "h", "/p/", "s", 2, 2, 2.0, 1)
+    nodes = make_nodes(2)
+    for node in nodes:
+        node.listed = node.fenced = node.enrolled = True
+    running = make_step("c", patient, 1, 12_000)
+    nodes[0].add(Run(running.tasks[0], 1, nodes[0].id, running.room, 0.0))
+    wide = make_step("a", urgent, 2, 8000, all_at_once=True, max_per_worker=1)
+    small = make_step("b", patient, 1, 4000)
+    everywhere = frozenset(node.id for node in nodes)
+    planner = Planner(0.0, nodes, lambda step: everywhere, lambda step, node: True)
+    assert planner.make([wide, small]).placements == []
