--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -44,6 +44,7 @@
         self.choices = ChoiceLog(owner)
         self.claims = ClaimBook()
         self.renewals: dict[str, Renewal] = {}
+        self.kept: dict[str, list[WorkerId]] = {}
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -97,8 +98,10 @@
             self.ticket_valid_at(now),
             self.claims.claims,
             lambda renewal: self.may_ask(renewal, now),
+            self.kept,
         )
         plan = planner.make(step for step in steps if step.name not in held)
+        self.kept = plan.kept
         self.make_way(steps)
         self.renewals = {renewal.step.name: renewal for renewal in plan.renewals}
         for renewal in plan.renewals:
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -15,7 +15,7 @@
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.claims import Claim
@@ -55,10 +55,12 @@
     """What to do now.
 
     :param placements: Starts that have room and permission.
+    :param kept: Workers kept free for steps that need all tasks at once.
     """
 
     placements: list[Placement] = field(default_factory=list)
     renewals: list[Renewal] = field(default_factory=list)
+    kept: dict[str, list[WorkerId]] = field(default_factory=dict)
 
 
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
@@ -104,6 +106,7 @@
     :param valid: Whether a valid ticket for a step and worker is at hand.
     :param claims: Room that is kept for steps, by their names.
     :param may_ask: Whether the permissions that are lacking can be asked for at once.
+    :param kept: Workers kept free for steps in the last plan.
     """
 
     def __init__(
@@ -114,10 +117,12 @@
         valid: Callable[[Step, WorkerNode], bool],
         claims: Mapping[str, Claim] | None = None,
         may_ask: Callable[[Renewal], bool] = lambda renewal: True,
+        kept: Mapping[str, Collection[WorkerId]] | None = None,
     ) -> None:
         self.now = now
         self.permitted = permitted
         self.valid = valid
+        self.kept = kept or {}
         self.services: dict[str, list[WorkerNode]] = {}
         self.free: dict[WorkerId, Resources] = {}
         for node in nodes:
@@ -274,13 +279,21 @@
         return None
 
     def reserve(self, step: Step, nodes: list[WorkerNode]) -> None:
-        """Keeps enough workers free of less urgent work for a step."""
+        """Keeps enough workers free of less urgent work for a step.
+
+        Those of the last plan come first, so that they do get free.
+        """
         if self.reserving >= MAX_RESERVING or not self.may_ever_run(step, nodes):
             return
         self.reserving += 1
         bound = RESERVED_SHARE * len(self.free)
         needed = step.spec.tasks
-        by_room = sorted(nodes, key=lambda node: -self.free[node.id].cpu_millis)
+        earlier = frozenset(self.kept.get(step.name, ()))
+        by_room = sorted(
+            nodes,
+            key=lambda node: (node.id not in earlier, -self.free[node.id].cpu_millis),
+        )
+        kept = self.plan.kept.setdefault(step.name, [])
         for node in by_room:
             if needed <= 0 or len(self.reserved) >= bound:
                 return
@@ -289,6 +302,7 @@
             if count == 0:
                 continue
             needed -= count
+            kept.append(node.id)
             urgency = step.job.queue.urgency
             self.reserved[node.id] = min(self.reserved.get(node.id, urgency), urgency)
 
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import random
+from typing import TYPE_CHECKING
+
 import pytest
 
 from bench.planner_day import ArrivalOrder, PlannerDay, make_nodes
 from lacewinghold.scheduler.model import Run, make_job
-from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.policy import Plan, Planner
 from lacewinghold.scheduler.ports import Queue
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.nodes import WorkerNode
+
 SECONDS = 30.0
 
 
@@ -106,3 +113,47 @@
     everywhere = frozenset(node.id for node in nodes)
     planner = Planner(0.0, nodes, lambda step: everywhere, lambda step, node: True)
     assert planner.make([wide, small]).placements == []
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_room_is_kept_on_the_same_workers_until_they_are_free(seed):
+    """Work that runs when the first plan is made has ended by then."""
+    longest_s, tick_s = 3.0, 0.1
+    rng = random.Random(seed)
+    urgent = Queue("urgent", "h", "/u/", "s", 0, 2, 2.0, 1)
+    patient = Queue("patient", "h", "/p/", "s", 2, 2, 2.0, 1)
+    nodes = make_nodes(8)
+    everywhere = frozenset(node.id for node in nodes)
+    wide = make_step("a", urgent, 4, 16_000, all_at_once=True)
+    running: list[tuple[float, WorkerNode, Run]] = []
+    small: list[Step] = []
+    plan = Plan()
+    now = 0.0
+    arrived = 0
+    while now < 6 + longest_s + tick_s:
+        for end, node, run in list(running):
+            if end <= now:
+                running.remove((end, node, run))
+                node.remove(run)
+        while len(small) < 40:
+            arrived += 1
+            cpu = rng.choice([1000, 2000, 4000, 8000])
+            small.append(make_step(f"b{arrived}", patient, 1, cpu))
+        planner = Planner(
+            now,
+            nodes,
+            lambda step: everywhere,
+            lambda step, node: True,
+            kept=plan.kept,
+        )
+        plan = planner.make([*small, wide] if now > 6 else small)
+        for placement in plan.placements:
+            if placement.step is wide:
+                return
+            small.remove(placement.step)
+            for task, node in placement.tasks:
+                run = Run(task, 1, node.id, placement.step.room, now)
+                node.add(run)
+                running.append((now + rng.uniform(0.3, longest_s), node, run))
+        now += tick_s
+    raise AssertionError("not placed")
