--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -24,7 +24,7 @@
     from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
-    from lacewinghold.scheduler.ports import AdviceCalls
+    from lacewinghold.scheduler.ports import AdviceCalls, AdviceRules
 
 logger = structlog.get_logger(__name__)
 MAX_WORKERS_A_CALL = 100  # The advice service takes no more.
@@ -218,7 +218,8 @@
         # Of one step, the sort keeps the order of the purposes.
         for call in sorted(calls, key=lambda call: urgency_key(call.step, now)):
             step = call.step
-            if not step.waiting():
+            rules = step.job.queue.advice
+            if rules is None or not step.waiting():
                 self.take(call)
                 continue
             free = self.free_lanes(now)
@@ -233,7 +234,7 @@
             known.pending[call.purpose] += 1
             if call.purpose is Purpose.RENEW:
                 self.on_renewal(step)
-            tasks.start_soon(self.ask, lane, known, call)
+            tasks.start_soon(self.ask, lane, known, call, rules)
 
     def take(self, call: WantedCall) -> None:
         """Removes a call from those that wait for a lane."""
@@ -255,12 +256,12 @@
             return 0.0
         return rules.decide_s + rules.per_worker_s * count
 
-    async def ask(self, lane: Lane, known: StepAdvice, call: WantedCall) -> None:
+    async def ask(
+        self, lane: Lane, known: StepAdvice, call: WantedCall, rules: AdviceRules
+    ) -> None:
         """Makes one call and notes its answer."""
         started = anyio.current_time()
         step, nodes = call.step, call.nodes
-        rules = step.job.queue.advice
-        assert rules is not None
         incarnations = {node.id: node.entry.incarnation for node in nodes}
         answer = await lane.calls.ask(
             step.name,
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -9,7 +9,12 @@
 from lacewinghold.scheduler.advice import MAX_WORKERS_A_CALL
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.ports import Queue, Resources
-from lacewinghold.testing.step_cell import HOST, advised
+from lacewinghold.testing.step_cell import (
+    HOST,
+    MANIFEST_KEY,
+    StoredManifest,
+    advised,
+)
 from lacewinghold.testing.step_worker import Behaviour
 from tests.test_scheduler.support import run_cell, step
 
@@ -253,3 +258,22 @@
         assert cell.advice.calls == 1
 
     run_cell(program, queues=queues)
+
+
+def test_the_owner_survives_a_queue_that_asks_for_advice_no_more():
+    """A call about one of its steps waits for a lane at that time."""
+    queues = [PLAIN, SMALL, advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(3)
+        await cell.submit("full", [step(4, cpu=4000)])
+        for job in ("t", "u"):
+            await cell.submit(job, [step(4)], queue=2)
+        await anyio.sleep(CALL_S / 2)
+        cell.queues = [PLAIN, SMALL, TOGETHER]
+        manifest = StoredManifest(2, cell.queues)
+        await cell.put(MANIFEST_KEY, msgspec.json.encode(manifest))
+        for job in ("t", "u"):
+            assert await cell.wait_for(job, JobState.COMPLETED, 6)
+
+    run_cell(program, instances=1, queues=queues)
