--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -88,6 +88,7 @@
         self.name = name
         self.calls = calls
         self.busy = False
+        self.slow = False
         self.far = False
         self.blocked_until = -math.inf
 
@@ -169,12 +170,13 @@
         """Returns whether a call about a step can be made now and may be answered."""
         if self.failing(step) or self.renewing(step):
             return False
-        return len(self.free_lanes(now)) > self.kept_lanes(step, count)
+        if self.is_slow(step, count) and not self.may_call_slowly():
+            return False
+        return bool(self.free_lanes(now))
 
-    def kept_lanes(self, step: Step, count: int) -> int:
-        """Returns how many lanes a call about a step has to leave to quicker ones."""
-        slow = self.expected_s(step, count) > SLOW_CALL_S
-        return QUICK_LANES if slow and len(self.lanes) > QUICK_LANES else 0
+    def is_slow(self, step: Step, count: int) -> bool:
+        """Returns whether a call about so many workers must leave lanes to others."""
+        return self.expected_s(step, count) > SLOW_CALL_S
 
     def answer_due(self, step: Step, count: int, now: float) -> float:
         """Returns when all answers about some workers have come over one free lane."""
@@ -223,19 +225,30 @@
                 self.take(call)
                 continue
             free = self.free_lanes(now)
+            slow = self.is_slow(step, len(call.nodes))
             if not free:
                 return
-            if len(free) <= self.kept_lanes(step, len(call.nodes)):
+            if slow and not self.may_call_slowly():
                 continue
             self.take(call)
             lane = free[0]
             lane.busy = True
+            lane.slow = slow
             known = self.steps[step.name]
             known.pending[call.purpose] += 1
             if call.purpose is Purpose.RENEW:
                 self.on_renewal(step)
             tasks.start_soon(self.ask, lane, known, call, rules)
 
+    def may_call_slowly(self) -> bool:
+        """Returns whether a slow call leaves enough lanes to quick ones.
+
+        Lanes that are busy with quick calls count as left to them.
+        """
+        keep = QUICK_LANES if len(self.lanes) > QUICK_LANES else 0
+        slow = sum(lane.busy and lane.slow for lane in self.lanes)
+        return slow < len(self.lanes) - keep
+
     def take(self, call: WantedCall) -> None:
         """Removes a call from those that wait for a lane."""
         wanted = self.wanted[call.purpose]
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -277,3 +277,22 @@
             assert await cell.wait_for(job, JobState.COMPLETED, 6)
 
     run_cell(program, instances=1, queues=queues)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_slow_calls_are_not_put_off_by_quick_ones_that_never_pause(seed):
+    """There is hardly an instant at which all lanes are free."""
+    queues = [PLAIN, advised(SMALL, 0.1, 2.0), advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_busy, cell, 22)
+            await anyio.sleep(1)
+            await cell.submit("t", [step(4, all_at_once=True)], queue=2)
+            asked_at = anyio.current_time()
+            await cell.wait_for("t", JobState.COMPLETED, 10)
+            tasks.cancel_scope.cancel()
+        assert starts_of(cell, "t")
+        assert max(starts_of(cell, "t")) - asked_at < MAY_STAND_S
+
+    run_cell(program, seed=seed, workers=WORKERS, queues=queues)
