--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -296,3 +296,20 @@
         assert max(starts_of(cell, "t")) - asked_at < MAY_STAND_S
 
     run_cell(program, seed=seed, workers=WORKERS, queues=queues)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_room_kept_for_permissions_is_not_taken_in_the_plan_that_has_them(seed):
+    """More urgent work waits for the same room, in a cell that is nearly empty."""
+    queues = [PLAIN, SMALL, advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["t"] = Behaviour(1)
+        await cell.submit("t", [step(2, cpu=4000, all_at_once=True)], queue=2)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_busy, cell, 2)
+            await cell.wait_for("t", JobState.COMPLETED, 20)
+            tasks.cancel_scope.cancel()
+        assert starts_of(cell, "t")
+
+    run_cell(program, seed=seed, workers=2, queues=queues)
