--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -99,8 +99,9 @@
             self.claims.claims,
             lambda renewal: self.may_ask(renewal, now),
             self.kept,
+            held,
         )
-        plan = planner.make(step for step in steps if step.name not in held)
+        plan = planner.make(steps)
         self.kept = plan.kept
         self.make_way(steps)
         self.renewals = {renewal.step.name: renewal for renewal in plan.renewals}
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -107,6 +107,7 @@
     :param claims: Room that is kept for steps, by their names.
     :param may_ask: Whether the permissions that are lacking can be asked for at once.
     :param kept: Workers kept free for steps in the last plan.
+    :param held: Steps that wait for an answer and keep their claims.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         claims: Mapping[str, Claim] | None = None,
         may_ask: Callable[[Renewal], bool] = lambda renewal: True,
         kept: Mapping[str, Collection[WorkerId]] | None = None,
+        held: Collection[str] = (),
     ) -> None:
         self.now = now
         self.permitted = permitted
@@ -130,6 +132,7 @@
             self.free[node.id] = node.free()
         self.may_ask = may_ask
         self.claims = claims or {}
+        self.held = held
         for claim in self.claims.values():
             self.keep_free(claim)
         self.reserved: dict[WorkerId, int] = {}
@@ -152,7 +155,10 @@
     def make(self, steps: Iterable[Step]) -> Plan:
         """Returns the plan for all steps that are ready, most urgent first."""
         for step in sorted(steps, key=lambda step: urgency_key(step, self.now)):
-            if step.name in self.claims:
+            held = step.name in self.held
+            if held and step.spec.all_at_once:
+                continue
+            if step.name in self.claims and not held:
                 self.add_room(self.claims[step.name].tasks, step.room)
             nodes = self.candidates(step)
             if not nodes:
@@ -197,6 +203,8 @@
 
     def limit_on(self, step: Step, node: WorkerNode) -> int:
         """Returns how many more tasks of a step a worker may take by its rules."""
+        if step.name in self.held and not self.valid(step, node):
+            return 0
         if not step.spec.max_per_worker:
             return step.spec.tasks
         there = 0
@@ -209,6 +217,9 @@
         waiting = step.waiting()
         chosen: list[tuple[Task, WorkerNode]] = []
         limits = {node.id: self.limit_on(step, node) for node in nodes}
+        if step.name in self.held:
+            # The last tasks have their room in the claim.
+            waiting = waiting[: -self.claims[step.name].task_count()]
         for task in waiting:
             node = self.best_node(step, task, nodes, limits)
             if node is None:
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -313,3 +313,27 @@
         assert starts_of(cell, "t")
 
     run_cell(program, seed=seed, workers=2, queues=queues)
+
+
+def test_valid_permissions_are_used_while_others_of_the_step_are_on_their_way():
+    """Tasks that start one by one do not wait for each other's workers."""
+    queues = [PLAIN, advised(TOGETHER, CALL_S, 4.0)]
+    task_s = 1.0
+
+    async def program(cell):
+        cell.behaviours["early"] = Behaviour(2.5)
+        cell.behaviours["late"] = Behaviour(6.95)
+        cell.behaviours["t"] = Behaviour(task_s)
+        await cell.submit("early", [step(cpu=4000)])
+        await cell.submit("late", [step(cpu=4000)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(12, cpu=4000)], queue=1)
+        assert await cell.wait_for("late", JobState.COMPLETED, 10)
+        ended_at = anyio.current_time()
+        before = [at for at in starts_of(cell, "t") if at < ended_at]
+        assert await cell.wait_for("t", JobState.COMPLETED, 12)
+        next_at = starts_of(cell, "t")[len(before)]
+        assert next_at < before[-1] + task_s + ARRIVAL_S
+        assert next_at < ended_at + CALL_S
+
+    run_cell(program, workers=2, queues=queues)
