--- /dev/null
+++ b/tests/test_scheduler/test_policy_properties.py
@@ -0,0 +1,205 @@
+"""The planner on drawn nodes, steps and claims: room is never given out twice."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import Struct
+
+from bench.planner_day import make_nodes
+from lacewinghold.ids import WorkerId
+from lacewinghold.scheduler.claims import Claim
+from lacewinghold.scheduler.model import Run, TaskState, make_job
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.ports import Queue, Resources
+from lacewinghold.schema.generated.cell import CellJob, StepSpec
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.policy import Plan
+
+NOW = 1.0
+
+
+class Snapshot(Struct):
+    """What one plan is made of.
+
+    :param held: Steps that wait for an answer and keep their claims.
+    """
+
+    nodes: dict[WorkerId, WorkerNode]
+    steps: list[Step]
+    held: set[str]
+    claims: dict[str, Claim]
+    permitted: dict[str, frozenset[WorkerId] | None]
+    valid: set[tuple[str, WorkerId]]
+    may_ask: dict[str, bool]
+    kept: dict[str, list[WorkerId]]
+
+    def make_plan(self) -> Plan:
+        """Returns the plan."""
+        planner = Planner(
+            NOW,
+            self.nodes.values(),
+            lambda step: self.permitted[step.name],
+            lambda step, node: (step.name, node.id) in self.valid,
+            self.claims,
+            lambda renewal: self.may_ask[renewal.step.name],
+            self.kept,
+            self.held,
+        )
+        return planner.make(self.steps)
+
+
+@st.composite
+def make_drawn_step(draw, name):
+    """Returns a step with some tasks running elsewhere."""
+    spec = StepSpec(
+        tasks=draw(st.integers(1, 6)),
+        cpu_millis=draw(st.sampled_from([0, 1000, 4000, 5000, 12_000])),
+        memory_mb=draw(st.sampled_from([0, 100, 16_000])),
+        expected_ms=1000,
+        all_at_once=draw(st.booleans()),
+        one_rack=draw(st.booleans()),
+        max_per_worker=draw(st.sampled_from([0, 0, 1, 2])),
+        fills=draw(st.integers(0, 7)) == 0,
+    )
+    queue = Queue("q", "h", "/q/", "s", draw(st.integers(0, 2)), 2, 2.0, 1.0)
+    record = CellJob(
+        job=name,
+        queue=queue.name,
+        program="work",
+        steps=[spec],
+        accepted_at=0.0,
+        rules=queue.to_rules(),
+    )
+    made = make_job(record, queue, draw(st.sampled_from([0.0, -4.0, -20.0])), 0.0)
+    return made.steps[0]
+
+
+@st.composite
+def make_snapshot(draw):
+    """Returns a cell in which claims take no more room than there is."""
+    nodes = {node.id: node for node in make_nodes(draw(st.integers(1, 10)))}
+    ids = sorted(nodes)
+    count = draw(st.integers(1, 6))
+    steps = [draw(make_drawn_step(f"j{number}")) for number in range(count)]
+    some_ids = st.lists(st.sampled_from(ids), unique=True)
+    for step in steps:
+        for task in step.tasks:
+            node = nodes[draw(st.sampled_from(ids))]
+            fits = step.room.within(node.free())
+            if not step.spec.all_at_once and fits and draw(st.integers(0, 3)) == 0:
+                task.run = Run(task, 1, node.id, step.room, 0.0)
+                task.state = TaskState.PLACED
+                node.add(task.run)
+            elif draw(st.integers(0, 5)) == 0:
+                task.failed_on.update(draw(some_ids))
+    free = {node.id: node.free() for node in nodes.values()}
+    claims = {}
+    for step in steps:
+        if draw(st.booleans()):
+            continue
+        tasks: dict[WorkerId, int] = {}
+        for _ in step.waiting():
+            worker = draw(st.sampled_from(ids))
+            if step.room.within(free[worker]):
+                free[worker] = free[worker].minus(step.room)
+                tasks[worker] = tasks.get(worker, 0) + 1
+        # Workers of a claim may be gone by now.
+        tasks[WorkerId("gone")] = 1
+        claims[step.name] = Claim(step, tasks, NOW)
+    names = [step.name for step in steps]
+    return Snapshot(
+        nodes=nodes,
+        steps=steps,
+        held={name for name in claims if draw(st.booleans())},
+        claims=claims,
+        permitted={
+            name: draw(
+                st.one_of(st.none(), some_ids.map(frozenset), st.just(frozenset(ids)))
+            )
+            for name in names
+        },
+        valid={
+            (name, worker)
+            for name in names
+            for worker in draw(st.one_of(some_ids, st.just(ids)))
+        },
+        may_ask={name: draw(st.booleans()) for name in names},
+        kept={name: draw(some_ids) for name in names if draw(st.booleans())},
+    )
+
+
+def add(taken, worker, room, count=1):
+    """Adds room to what is taken on a worker."""
+    taken[worker] = taken.get(worker, Resources()).plus(room.times(count))
+
+
+def exceeding(snapshot, taken):
+    """Returns the workers on which more is taken than is free."""
+    found = []
+    for worker, room in taken.items():
+        if worker in snapshot.nodes and not room.within(snapshot.nodes[worker].free()):
+            found.append(worker)
+    return found
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(make_snapshot())
+def test_room_of_a_worker_is_never_given_out_twice(snapshot):
+    plan = snapshot.make_plan()
+    taken: dict[WorkerId, Resources] = {}
+    for name in snapshot.held:
+        claim = snapshot.claims[name]
+        for worker, count in claim.tasks.items():
+            add(taken, worker, claim.step.room, count)
+    for placement in plan.placements:
+        for _, node in placement.tasks:
+            add(taken, node.id, placement.step.room)
+    for renewal in plan.renewals:
+        if not snapshot.may_ask[renewal.step.name]:
+            continue
+        for worker, count in renewal.chosen.items():
+            add(taken, worker, renewal.step.room, count)
+    assert exceeding(snapshot, taken) == []
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(make_snapshot())
+def test_a_plan_keeps_to_the_rules_of_each_step(snapshot):
+    plan = snapshot.make_plan()
+    assert len({placement.step.name for placement in plan.placements}) == len(
+        plan.placements
+    )
+    for placement in plan.placements:
+        step = placement.step
+        tasks = [task.name for task, _ in placement.tasks]
+        assert len(set(tasks)) == len(tasks)
+        assert set(tasks) <= {task.name for task in step.waiting()}
+        claimed = 0
+        if step.name in snapshot.held:
+            claimed = snapshot.claims[step.name].task_count()
+            assert not step.spec.all_at_once
+        assert len(tasks) + claimed <= len(step.waiting())
+        if step.spec.all_at_once:
+            assert len(tasks) == step.spec.tasks
+        there = [run.worker for run in step.runs()]
+        for _, node in placement.tasks:
+            assert node.id in (snapshot.permitted[step.name] or ())
+            assert (step.name, node.id) in snapshot.valid
+            there.append(node.id)
+            if step.spec.max_per_worker:
+                assert there.count(node.id) <= step.spec.max_per_worker
+    for renewal in plan.renewals:
+        step = renewal.step
+        assert step.name not in snapshot.held
+        assert renewal.lacking
+        assert set(renewal.lacking) <= set(renewal.chosen)
+        for worker in renewal.lacking:
+            assert (step.name, worker) not in snapshot.valid
+        if step.spec.all_at_once:
+            assert renewal.task_count() == step.spec.tasks
