--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -16,7 +16,7 @@
 from lacewinghold.scheduler.policy import urgency_key
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Set
 
     from anyio.abc import TaskGroup
 
@@ -203,6 +203,12 @@
         self.wanted[purpose][step.name] = calls
         self.changed.set()
 
+    def keep_renewals(self, steps: Set[str]) -> None:
+        """Drops the calls that wait for a lane about choices of other steps."""
+        wanted = self.wanted[Purpose.RENEW]
+        for name in wanted.keys() - steps:
+            del wanted[name]
+
     async def run(self, tasks: TaskGroup) -> None:
         """Hands wanted calls to free lanes until cancelled."""
         while True:
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -105,6 +105,7 @@
         self.kept = plan.kept
         self.make_way(steps)
         self.renewals = {renewal.step.name: renewal for renewal in plan.renewals}
+        self.owner.book.keep_renewals(self.renewals.keys() | held)
         for renewal in plan.renewals:
             self.renew(renewal, now)
         self.claims.drop(settled)
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -337,3 +337,27 @@
         assert next_at < ended_at + CALL_S
 
     run_cell(program, workers=2, queues=queues)
+
+
+def test_no_call_is_made_for_a_choice_whose_room_is_gone():
+    """Such a call would keep a lane from steps that can start."""
+    patient = Queue("patient", HOST, "/patient/", "service", 2, 2, 2.0, 60)
+    queues = [PLAIN, patient, advised(TOGETHER, CALL_S, 2.0)]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(4.8)
+        cell.behaviours["other"] = Behaviour(10)
+        await cell.submit("full", [step(4, cpu=4000)])
+        await anyio.sleep(0.1)
+        await cell.submit("t", [step(4, cpu=4000, all_at_once=True)], queue=2)
+        await anyio.sleep(4.2)
+        # Its call has the only lane as the room for the other step comes and goes.
+        await cell.submit("x", [step(5, cpu=4000, all_at_once=True)], queue=2)
+        assert await cell.wait_for("full", JobState.COMPLETED, 8)
+        assert cell.advice.calls == 2
+        await cell.submit("other", [step()], queue=1)
+        await anyio.sleep(2 * CALL_S)
+        assert starts_of(cell, "other")
+        assert cell.advice.calls == 2
+
+    run_cell(program, instances=1, queues=queues)
