--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -12,7 +12,7 @@
 from lacewinghold.scheduler.advice import MAX_WORKERS_A_CALL, Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
-from lacewinghold.scheduler.policy import Planner, fitting_count, fullness
+from lacewinghold.scheduler.policy import Planner, fitting_count, fullness, has_label
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
@@ -176,7 +176,11 @@
         if lacking <= 0:
             return
         service = step.job.queue.service
-        nodes = [node for node in usable if node.entry.service == service]
+        nodes = [
+            node
+            for node in usable
+            if node.entry.service == service and has_label(step, node)
+        ]
         unasked = book.unasked(step, nodes)
         unasked = sorted(
             unasked, key=lambda node: -fitting_count(step.room, node.free(), lacking)
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -88,6 +88,12 @@
     return max(0, count)
 
 
+def has_label(step: Step, node: WorkerNode) -> bool:
+    """Returns whether a worker has the label that a step requires, if any."""
+    label = step.spec.required_label
+    return not label or label in node.entry.labels
+
+
 def fullness(free: Resources, capacity: Resources) -> float:
     """Returns how full a worker is by its scarcest resource, from 0 to 1."""
     shares = [0.0]
@@ -179,8 +185,7 @@
         for node in self.services.get(step.job.queue.service, []):
             if node.id not in permitted:
                 continue
-            label = step.spec.required_label
-            if label and label not in node.entry.labels:
+            if not has_label(step, node):
                 continue
             if self.reserved.get(node.id, urgency) < urgency:
                 continue
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -194,7 +194,11 @@
         await self.operator.commit(Transaction([], [Put(key, value)]))
 
     async def add_worker(
-        self, name: str, incarnation: int = 1, capacity: Resources = CAPACITY
+        self,
+        name: str,
+        incarnation: int = 1,
+        capacity: Resources = CAPACITY,
+        labels: frozenset[str] = frozenset(),
     ) -> StepWorker:
         """Adds a worker, or the next incarnation of one."""
         entry = WorkerEntry(
@@ -205,7 +209,7 @@
             data_centre="dc",
             state=ServerState.READY,
             capacity=capacity,
-            labels=frozenset(),
+            labels=labels,
         )
         worker = self.world.workers.get(entry.worker)
         if worker is None:
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -361,3 +361,17 @@
         assert cell.advice.calls == 2
 
     run_cell(program, instances=1, queues=queues)
+
+
+def test_workers_that_lack_the_label_of_a_step_are_not_asked_about():
+    queues = [advised(TOGETHER, 0.1, 2.0, 0.01)]
+
+    async def program(cell):
+        await cell.add_worker("fits", labels=frozenset({"press"}))
+        await anyio.sleep(1)
+        asked_at = anyio.current_time()
+        await cell.submit("t", [step(required_label="press")])
+        assert await cell.wait_for("t", JobState.COMPLETED, 4)
+        assert starts_of(cell, "t")[0] - asked_at < 0.2
+
+    run_cell(program, workers=40, queues=queues)
