--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -63,12 +63,15 @@
     """What is known of a step: workers asked about, and permissions.
 
     :param pending: How many calls for each purpose are under way.
+    :param begun: Whether a call about the chosen workers has been made, and those
+        that still wait for a lane belong to it.
     :param failing: Whether the last call about it got no answer.
     """
 
     asked: dict[WorkerId, Incarnation] = field(default_factory=dict)
     permissions: dict[WorkerId, Permission] = field(default_factory=dict)
     pending: Counter[Purpose] = field(default_factory=Counter)
+    begun: bool = False
     failing: bool = False
     not_before: float = 0.0
 
@@ -159,7 +162,10 @@
     def renewing(self, step: Step) -> bool:
         """Returns whether permissions on chosen workers are on their way."""
         known = self.steps.get(step.name)
-        return known is not None and known.pending[Purpose.RENEW] > 0
+        if known is None:
+            return False
+        waits = known.begun and step.name in self.wanted[Purpose.RENEW]
+        return waits or known.pending[Purpose.RENEW] > 0
 
     def failing(self, step: Step) -> bool:
         """Returns whether the last call about a step got no answer."""
@@ -201,6 +207,8 @@
             part = nodes[first : first + MAX_WORKERS_A_CALL]
             calls.append(WantedCall(step, part, purpose))
         self.wanted[purpose][step.name] = calls
+        if purpose is Purpose.RENEW:
+            known.begun = False
         self.changed.set()
 
     def keep_renewals(self, steps: Set[str]) -> None:
@@ -243,6 +251,7 @@
             known = self.steps[step.name]
             known.pending[call.purpose] += 1
             if call.purpose is Purpose.RENEW:
+                known.begun = True
                 self.on_renewal(step)
             tasks.start_soon(self.ask, lane, known, call, rules)
 
--- a/tests/test_scheduler/test_permissions.py
+++ b/tests/test_scheduler/test_permissions.py
@@ -375,3 +375,39 @@
         assert starts_of(cell, "t")[0] - asked_at < 0.2
 
     run_cell(program, workers=40, queues=queues)
+
+
+async def ask_often(cell, pause_s):
+    """Submits small jobs that need a call each until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        await cell.submit(f"s{number}", [step()], queue=2)
+        await anyio.sleep(pause_s)
+
+
+def test_a_choice_is_kept_while_its_last_call_waits_behind_calls_of_others():
+    """The only lane is free for three quarters of the time."""
+    count = MAX_WORKERS_A_CALL + 50
+    queues = [
+        PLAIN,
+        advised(TOGETHER, CALL_S, 2.0, 0.006),
+        advised(SMALL, 0.5, 2.0),
+    ]
+
+    async def program(cell):
+        cell.behaviours["full"] = Behaviour(5)
+        await cell.submit("full", [step(count, cpu=3900)])
+        await anyio.sleep(0.5)
+        await cell.submit("t", [step(count, cpu=3900, all_at_once=True)], queue=1)
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(3)
+            tasks.start_soon(ask_often, cell, 2.0)
+            assert await cell.wait_for("full", JobState.COMPLETED, 8)
+            room_at = anyio.current_time()
+            await cell.wait_for("t", JobState.COMPLETED, 16)
+            tasks.cancel_scope.cancel()
+        assert starts_of(cell, "t")
+        assert max(starts_of(cell, "t")) - room_at < MAY_STAND_S
+
+    run_cell(program, instances=1, workers=count + 12, queues=queues)
