--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -44,7 +44,7 @@
         self.choices = ChoiceLog(owner)
         self.claims = ClaimBook()
         self.renewals: dict[str, Renewal] = {}
-        self.kept: dict[str, list[WorkerId]] = {}
+        self.reserved: dict[str, list[WorkerId]] = {}
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -98,11 +98,11 @@
             self.ticket_valid_at(now),
             self.claims.claims,
             lambda renewal: self.may_ask(renewal, now),
-            self.kept,
+            self.reserved,
             held,
         )
         plan = planner.make(steps)
-        self.kept = plan.kept
+        self.reserved = plan.reserved
         self.make_way(steps)
         self.renewals = {renewal.step.name: renewal for renewal in plan.renewals}
         self.owner.book.keep_renewals(self.renewals.keys() | held)
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -55,12 +55,12 @@
     """What to do now.
 
     :param placements: Starts that have room and permission.
-    :param kept: Workers kept free for steps that need all tasks at once.
+    :param reserved: Workers kept free for steps that need all tasks at once.
     """
 
     placements: list[Placement] = field(default_factory=list)
     renewals: list[Renewal] = field(default_factory=list)
-    kept: dict[str, list[WorkerId]] = field(default_factory=dict)
+    reserved: dict[str, list[WorkerId]] = field(default_factory=dict)
 
 
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
@@ -112,7 +112,7 @@
     :param valid: Whether a valid ticket for a step and worker is at hand.
     :param claims: Room that is kept for steps, by their names.
     :param may_ask: Whether the permissions that are lacking can be asked for at once.
-    :param kept: Workers kept free for steps in the last plan.
+    :param last_reserved: Workers kept free for steps by the last plan.
     :param held: Steps that wait for an answer and keep their claims.
     """
 
@@ -124,13 +124,13 @@
         valid: Callable[[Step, WorkerNode], bool],
         claims: Mapping[str, Claim] | None = None,
         may_ask: Callable[[Renewal], bool] = lambda renewal: True,
-        kept: Mapping[str, Collection[WorkerId]] | None = None,
+        last_reserved: Mapping[str, Collection[WorkerId]] | None = None,
         held: Collection[str] = (),
     ) -> None:
         self.now = now
         self.permitted = permitted
         self.valid = valid
-        self.kept = kept or {}
+        self.last_reserved = last_reserved or {}
         self.services: dict[str, list[WorkerNode]] = {}
         self.free: dict[WorkerId, Resources] = {}
         for node in nodes:
@@ -140,7 +140,7 @@
         self.claims = claims or {}
         self.held = held
         for claim in self.claims.values():
-            self.keep_free(claim)
+            self.take_claimed(claim)
         self.reserved: dict[WorkerId, int] = {}
         self.reserving = 0
         self.plan = Plan()
@@ -151,7 +151,7 @@
             if worker in self.free:
                 self.free[worker] = self.free[worker].plus(room.times(count))
 
-    def keep_free(self, claim: Claim) -> None:
+    def take_claimed(self, claim: Claim) -> None:
         """Takes the room of a claim from the snapshot."""
         for worker, count in claim.tasks.items():
             if worker in self.free:
@@ -304,12 +304,12 @@
         self.reserving += 1
         bound = RESERVED_SHARE * len(self.free)
         needed = step.spec.tasks
-        earlier = frozenset(self.kept.get(step.name, ()))
+        earlier = frozenset(self.last_reserved.get(step.name, ()))
         by_room = sorted(
             nodes,
             key=lambda node: (node.id not in earlier, -self.free[node.id].cpu_millis),
         )
-        kept = self.plan.kept.setdefault(step.name, [])
+        reserved = self.plan.reserved.setdefault(step.name, [])
         for node in by_room:
             if needed <= 0 or len(self.reserved) >= bound:
                 return
@@ -318,7 +318,7 @@
             if count == 0:
                 continue
             needed -= count
-            kept.append(node.id)
+            reserved.append(node.id)
             urgency = step.job.queue.urgency
             self.reserved[node.id] = min(self.reserved.get(node.id, urgency), urgency)
 
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -144,7 +144,7 @@
             nodes,
             lambda step: everywhere,
             lambda step, node: True,
-            kept=plan.kept,
+            last_reserved=plan.reserved,
         )
         plan = planner.make([*small, wide] if now > 6 else small)
         for placement in plan.placements:
--- a/tests/test_scheduler/test_policy_properties.py
+++ b/tests/test_scheduler/test_policy_properties.py
@@ -37,7 +37,7 @@
     permitted: dict[str, frozenset[WorkerId] | None]
     valid: set[tuple[str, WorkerId]]
     may_ask: dict[str, bool]
-    kept: dict[str, list[WorkerId]]
+    last_reserved: dict[str, list[WorkerId]]
 
     def make_plan(self) -> Plan:
         """Returns the plan."""
@@ -48,7 +48,7 @@
             lambda step, node: (step.name, node.id) in self.valid,
             self.claims,
             lambda renewal: self.may_ask[renewal.step.name],
-            self.kept,
+            self.last_reserved,
             self.held,
         )
         return planner.make(self.steps)
@@ -130,7 +130,7 @@
             for worker in draw(st.one_of(some_ids, st.just(ids)))
         },
         may_ask={name: draw(st.booleans()) for name in names},
-        kept={name: draw(some_ids) for name in names if draw(st.booleans())},
+        last_reserved={name: draw(some_ids) for name in names if draw(st.booleans())},
     )
 
 
