--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -73,6 +73,8 @@
         self, record: CellJob, limit_s: float
     ) -> Result[None, Failure]:
         """Submits a job through the owner while the store does not serve here."""
+        if limit_s <= FORWARD_S:
+            return Err(self.no_time_left())
         reply = await self.instance.peer_calls.submit(record, limit_s - FORWARD_S)
         if isinstance(reply, Ok):
             return reply
@@ -82,6 +84,11 @@
         detail = f"not accepted: {failure.detail}"
         return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S))
 
+    def no_time_left(self) -> Failure:
+        """Returns the failure of a submission for which no call was made."""
+        detail = "not accepted: no time is left to store it"
+        return Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S)
+
     async def store_here(
         self, record: CellJob, limit_s: float
     ) -> Result[None, Failure]:
@@ -93,6 +100,8 @@
         """
         if self.instance.knows(record.job):
             return Ok(None)
+        if limit_s <= 0:
+            return Err(self.no_time_left())
         give_up_at = anyio.current_time() + limit_s
         sent = False
         failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the store does not serve")
--- a/tests/test_scheduler/test_store_outage.py
+++ b/tests/test_scheduler/test_store_outage.py
@@ -132,3 +132,19 @@
         cell.state.outage = Outage.NONE
 
     run_cell(program)
+
+
+@pytest.mark.parametrize("reachable", [True, False])
+def test_a_submission_without_time_left_is_not_said_to_be_stored_perhaps(reachable):
+    async def program(cell):
+        member = other_member(cell)
+        member.store.reachable = reachable
+        await anyio.sleep(3)
+        record = cell.make_job("a", [step()])
+        result = await member.instance.front.submit(record, deadline_s=0.2)
+        assert result.err_value.kind is ErrorKind.NOT_RUN
+        assert result.err_value.retry_after_s
+        await anyio.sleep(2)
+        assert not cell.world.starts
+
+    run_cell(program)
