--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -130,15 +130,15 @@
         self.now = now
         self.permitted = permitted
         self.valid = valid
+        self.claims = claims or {}
+        self.may_ask = may_ask
         self.last_reserved = last_reserved or {}
+        self.held = held
         self.services: dict[str, list[WorkerNode]] = {}
         self.free: dict[WorkerId, Resources] = {}
         for node in nodes:
             self.services.setdefault(node.entry.service, []).append(node)
             self.free[node.id] = node.free()
-        self.may_ask = may_ask
-        self.claims = claims or {}
-        self.held = held
         for claim in self.claims.values():
             self.take_claimed(claim)
         self.reserved: dict[WorkerId, int] = {}
@@ -165,6 +165,7 @@
             if held and step.spec.all_at_once:
                 continue
             if step.name in self.claims and not held:
+                # Its answer has come, and the step may choose again.
                 self.add_room(self.claims[step.name].tasks, step.room)
             nodes = self.candidates(step)
             if not nodes:
