--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -111,5 +111,6 @@
     # Links between instances
     MEMBER_ENTERED = "member entered"
     MEMBER_LAPSED = "member lapsed"
+    RELAY_SILENT = "relay silent"
     SILENT_LINK_REPLACED = "silent link replaced"
     DAMAGED_MESSAGE = "damaged message"
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -19,6 +19,8 @@
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.owner import CellOwner, CellState
 from lacewinghold.scheduler.peer_calls import PeerCalls
+from lacewinghold.scheduler.relay_host import RelayHost
+from lacewinghold.scheduler.relays import OrderRelays
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import WatchedStore
 from lacewinghold.store.mirror import Mirror
@@ -107,8 +109,13 @@
             instance, ports.transport, self.address_of, self.is_paid, rng
         )
         self.peer_calls = PeerCalls(self)
+        self.relay_host = RelayHost(self.peers, ports.dialer)
+        self.relays: OrderRelays | None = None
         member = CellMember(
-            instance=instance, address=settings.listen.peer, region=settings.region
+            instance=instance,
+            address=settings.listen.peer,
+            region=settings.region,
+            data_centre=settings.data_centre,
         )
         self.membership = Membership(self.store, prefix, member)
         self.members = Members(self.store, prefix, self.update_lane)
@@ -256,6 +263,7 @@
         """Adds or removes the lane for advice over a member."""
         if self.owner is None or instance == self.instance:
             return
+        self.update_relay(instance)
         lanes = self.owner.book.lanes
         if instance not in self.members.members:
             lanes[:] = [lane for lane in lanes if lane.name != instance]
@@ -266,6 +274,16 @@
             lanes.append(lane)
             lanes.sort(key=lambda lane: lane.far)
 
+    def update_relay(self, instance: InstanceId) -> None:
+        """Adds or removes a member that carries out orders."""
+        if self.relays is None:
+            return
+        member = self.members.members.get(instance)
+        if member is None:
+            self.relays.remove_member(instance)
+        elif instance not in self.relays.lanes:
+            self.relays.add_member(member)
+
     def render_metrics(self) -> bytes:
         """Returns the metrics as text."""
         owner = self.deciding()
@@ -297,6 +315,7 @@
             tasks.start_soon(self.peers.run)
             tasks.start_soon(self.membership.run)
             tasks.start_soon(self.election.mirror.run)
+            tasks.start_soon(self.relay_host.run)
             tasks.start_soon(self.decide)
 
     async def decide(self) -> None:
@@ -314,10 +333,11 @@
         book = AdviceBook(self.metrics)
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
+        relays = OrderRelays(self.peers, self.ports.dialer, self.settings.data_centre)
         owner = CellOwner(
             ownership,
             self.jobs,
-            self.ports.dialer,
+            relays,
             self.state,
             self.worker_mirror,
             book,
@@ -327,8 +347,10 @@
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
+        self.relays = relays
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.election.keep, ownership)
+            tasks.start_soon(relays.run)
             tasks.start_soon(self.members.mirror.run)
             earlier = self.election.earlier
             if earlier is None or earlier.instance == self.instance:
@@ -339,7 +361,7 @@
                 self.update_lane(member)
             await owner.run()
             tasks.cancel_scope.cancel()
-        self.owner = None
+        self.owner = self.relays = None
 
     async def shut_down(self) -> None:
         """Lets another instance decide."""
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -58,6 +58,7 @@
         self.links.on(MessageKind.CELL_YIELD, self.serve_yield)
         self.links.on(MessageKind.CELL_SUBMIT, self.serve_submit)
         self.links.on(MessageKind.CELL_CANCEL, self.serve_cancel)
+        self.links.on(MessageKind.CELL_ORDER_REPLIES, self.serve_order_replies)
 
     def owner(self) -> InstanceId | None:
         """Returns the owner, if it is another instance.
@@ -230,3 +231,11 @@
         if count is None:
             return Err(Failure(ErrorKind.NOT_OWNER, "not decided here"))
         return Ok(CellWaiting(count))
+
+    async def serve_order_replies(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellYielded, Failure]:
+        """Takes what became of orders that a member carries out."""
+        if self.instance.relays is not None:
+            self.instance.relays.note_replies(body)
+        return Ok(CellYielded(self.instance.instance))
