--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -84,10 +84,15 @@
             await self.links.notify(owner, MessageKind.CELL_ACCEPTED, note)
 
     async def tell_cancelled(self, job: str) -> None:
-        """Tells the owner of a stored cancellation."""
+        """Tells the owner of a stored cancellation.
+
+        Waits for its answer: a question that follows would overtake the message.
+        """
         owner = self.owner()
         if owner is not None:
-            await self.links.notify(owner, MessageKind.CELL_CANCELLED, CellJobCall(job))
+            await self.links.call(
+                owner, MessageKind.CELL_CANCELLED, CellJobCall(job), OWNER_CALL_S
+            )
 
     async def ask_state(self, job: str) -> JobState | None:
         """Returns a job's state by the owner, ``None`` if it does not know it."""
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -58,6 +58,18 @@
     run_cell(program)
 
 
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_a_question_does_not_overtake_the_cancellation_before_it(seed):
+    async def program(cell):
+        cell.make_job("a", [step(2, cpu=500)])
+        assert (await call(cell, "POST", "/fast/a", JOB))[0] == 200
+        await anyio.sleep(0.3)
+        assert (await call(cell, "DELETE", "/fast/a"))[0] == 200
+        assert (await call(cell, "GET", "/fast/a"))[2] == {"state": "cancelled"}
+
+    run_cell(program, seed=seed)
+
+
 def test_unknown_jobs_and_queues_are_told_apart():
     async def program(cell):
         assert (await call(cell, "GET", "/fast/none"))[0] == 410
