--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -21,6 +21,8 @@
     CERTIFICATE_RELOADED = "certificate reloaded"
     CERTIFICATE_NOT_RELOADED = "certificate not reloaded"
     LOG_LINES_DROPPED = "log lines dropped"
+    PROCESS_LATE = "process late"
+    PROCESS_ON_TIME_AGAIN = "process on time again"
 
     # Callers
     JOB_ACCEPTED = "job accepted"
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -14,6 +14,7 @@
 from lacewinghold.scheduler.election import Election
 from lacewinghold.scheduler.front import JobFront
 from lacewinghold.scheduler.job_store import JobStore
+from lacewinghold.scheduler.lateness import PlanningShare, RenewalWatch, WatchedDialer
 from lacewinghold.scheduler.members import MemberAdvice, Members, Membership
 from lacewinghold.scheduler.metrics import CellMetrics
 from lacewinghold.scheduler.model import JobState
@@ -22,6 +23,7 @@
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import WatchedStore
 from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
     import random
@@ -94,6 +96,10 @@
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
         self.metrics = CellMetrics()
+        self.planning_share = PlanningShare(self.metrics)
+        self.lag = LagMonitor(
+            details=self.describe_lateness, lags=self.metrics.late_seconds
+        )
         self.election = Election(
             self.store,
             prefix,
@@ -101,6 +107,7 @@
             settings.listen.peer,
             settings.store.lease_ms / 1000,
             rng,
+            RenewalWatch(self.lag, self.metrics),
         )
         self.owner: CellOwner | None = None
         self.peers = PeerLinks(
@@ -272,9 +279,19 @@
         self.metrics.deciding.set(owner is not None)
         self.metrics.workers.set(len(owner.fleet.nodes) if owner else 0)
         self.metrics.open_steps.set(len(owner.table.open_steps) if owner else 0)
+        self.metrics.lag_seconds.set(self.lag.lag_s)
         self.metrics.note_calls(self.store.calls)
         return self.metrics.render()
 
+    def describe_lateness(self) -> dict[str, object]:
+        """Returns what a line about this process's lateness tells."""
+        owner = self.owner
+        return {
+            "deciding": self.deciding() is not None,
+            "term": owner.ownership.term if owner else None,
+            "planning_share": round(self.planning_share.take(), 2),
+        }
+
     def ready(self) -> bool:
         """Returns whether this instance should get requests."""
         return self.state.manifest is not None and not self.leaving
@@ -293,6 +310,7 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.lag.run)
             tasks.start_soon(self.manifest_mirror.run)
             tasks.start_soon(self.peers.run)
             tasks.start_soon(self.membership.run)
@@ -317,13 +335,14 @@
         owner = CellOwner(
             ownership,
             self.jobs,
-            self.ports.dialer,
+            WatchedDialer(self.ports.dialer, self.lag, self.metrics),
             self.state,
             self.worker_mirror,
             book,
             self.ports.clock,
             self.metrics,
             self.settings.bounds.status_s + FORGET_MARGIN_S,
+            self.planning_share,
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -24,6 +24,7 @@
 
     from lacewinghold.errors import Failure
     from lacewinghold.ids import InstanceId, LeaseId
+    from lacewinghold.scheduler.lateness import RenewalWatch
     from lacewinghold.store.base import KeyValue, RangeReply, Store
 
 logger = structlog.get_logger(__name__)
@@ -68,6 +69,7 @@
         address: str,
         lease_s: float,
         rng: random.Random,
+        renewals: RenewalWatch,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -75,6 +77,7 @@
         self.address = address
         self.lease_s = lease_s
         self.rng = rng
+        self.renewals = renewals
         self.owner: CellOwnerRecord | None = None
         self.earlier: CellOwnerRecord | None = None
         self.call_s = 0.0
@@ -196,12 +199,14 @@
         Renewals overlap, so that one without an answer does not cost the ownership.
         """
         async with anyio.create_task_group() as tasks:
+            due = anyio.current_time()
             while not ownership.lost.is_set():
-                tasks.start_soon(self.renew, ownership)
+                tasks.start_soon(self.renew, ownership, due)
+                due = anyio.current_time() + self.lease_s / RENEWALS_PER_LIFE
                 await anyio.sleep(self.lease_s / RENEWALS_PER_LIFE)
             tasks.cancel_scope.cancel()
 
-    async def renew(self, ownership: Ownership) -> None:
+    async def renew(self, ownership: Ownership, due: float) -> None:
         """Makes one renewal."""
         started = anyio.current_time()
         reply = await self.store.renew_lease(ownership.lease)
@@ -209,9 +214,14 @@
             return
         if reply.ok_value <= 0:
             if not ownership.lost.is_set():
-                logger.warning(Event.OWNERSHIP_LAPSED, term=ownership.term)
+                logger.warning(
+                    Event.OWNERSHIP_LAPSED,
+                    term=ownership.term,
+                    **self.renewals.fields(),
+                )
             ownership.lost.set()
             return
+        self.renewals.note(due, ownership.valid_until - anyio.current_time())
         valid_until = started + self.lease_s * (1 - MARGIN_SHARE)
         ownership.valid_until = max(ownership.valid_until, valid_until)
 
--- /dev/null
+++ b/lacewinghold/scheduler/lateness.py
@@ -0,0 +1,142 @@
+"""Tells how late an owner's own renewals and calls are."""
+
+from __future__ import annotations
+
+import time
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+
+from lacewinghold.scheduler.ports import (
+    OrderOutcome,
+    WorkerCalls,
+    WorkerDialer,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lacewinghold.scheduler.metrics import CellMetrics
+    from lacewinghold.scheduler.ports import (
+        LookOrder,
+        OrderReply,
+        StartOrder,
+        StopOrder,
+        WorkerEntry,
+        WorkerReport,
+    )
+    from lacewinghold.util.lag import LagMonitor
+
+UNANSWERED = (OrderOutcome.NOT_SENT, OrderOutcome.UNKNOWN)
+
+
+class PlanningShare:
+    """How much of the time goes into planning, on the machine's clock."""
+
+    def __init__(self, metrics: CellMetrics) -> None:
+        self.metrics = metrics
+        self.spent_s = 0.0
+        self.asked_at = time.perf_counter()
+
+    @contextmanager
+    def measure(self) -> Iterator[None]:
+        """Measures one plan."""
+        started = time.perf_counter()
+        try:
+            yield
+        finally:
+            took_s = time.perf_counter() - started
+            self.spent_s += took_s
+            self.metrics.plan_seconds.observe(took_s)
+
+    def take(self) -> float:
+        """Returns the share since this was asked last, and begins anew."""
+        now = time.perf_counter()
+        passed_s = max(now - self.asked_at, 1e-6)
+        share = min(1.0, self.spent_s / passed_s)
+        self.asked_at, self.spent_s = now, 0.0
+        return share
+
+
+class RenewalWatch:
+    """How late the renewals of the ownership are."""
+
+    def __init__(self, lag: LagMonitor, metrics: CellMetrics) -> None:
+        self.lag = lag
+        self.metrics = metrics
+        self.answered_at: float | None = None
+
+    def note(self, due: float, margin_s: float) -> None:
+        """Notes an answered renewal.
+
+        :param margin_s: What was left of the ownership when the answer came.
+        """
+        self.answered_at = anyio.current_time()
+        self.metrics.renewal_seconds.observe(self.answered_at - due)
+        self.metrics.renewal_margin_seconds.observe(max(0.0, margin_s))
+
+    def fields(self) -> dict[str, float | None]:
+        """Returns what a line about a lost ownership tells."""
+        ago = None
+        if self.answered_at is not None:
+            ago = round(anyio.current_time() - self.answered_at, 3)
+        return {"renewed_ago_s": ago, "lag_s": round(self.lag.late_s(), 3)}
+
+
+class WatchedCalls(WorkerCalls):
+    """Passes calls on and counts those unanswered while this process was late."""
+
+    name = "watched"
+
+    def __init__(
+        self, inner: WorkerCalls, lag: LagMonitor, metrics: CellMetrics
+    ) -> None:
+        self.inner = inner
+        self.lag = lag
+        self.metrics = metrics
+
+    def note(self, kind: str, outcome: OrderOutcome, began: float) -> None:
+        """Counts an unanswered call."""
+        if outcome in UNANSWERED and self.lag.excused(began):
+            self.metrics.excused_calls.labels(kind).inc()
+
+    async def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
+        began = anyio.current_time()
+        reply = await self.inner.start(order, timeout_s)
+        self.note("start", reply.outcome, began)
+        return reply
+
+    async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
+        began = anyio.current_time()
+        reply = await self.inner.stop(order, timeout_s)
+        self.note("stop", reply.outcome, began)
+        return reply
+
+    async def look(
+        self, order: LookOrder, timeout_s: float
+    ) -> WorkerReport | OrderOutcome:
+        began = anyio.current_time()
+        reply = await self.inner.look(order, timeout_s)
+        if isinstance(reply, OrderOutcome):
+            self.note("look", reply, began)
+        return reply
+
+    async def close(self) -> None:
+        await self.inner.close()
+
+
+class WatchedDialer(WorkerDialer):
+    """Opens calls that are watched."""
+
+    name = "watched"
+
+    def __init__(
+        self, inner: WorkerDialer, lag: LagMonitor, metrics: CellMetrics
+    ) -> None:
+        self.inner = inner
+        self.lag = lag
+        self.metrics = metrics
+
+    def open(self, entry: WorkerEntry) -> WorkerCalls:
+        return WatchedCalls(self.inner.open(entry), self.lag, self.metrics)
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -16,6 +16,10 @@
 CALL_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 # From a start at once to a job that waits out an hour's outage.
 JOB_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0, 3600.0)
+# From a plan of few steps to one that costs the ownership.
+TURN_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+# From an empty cell to the backlog of a day.
+COUNT_BUCKETS = (10, 30, 100, 300, 1000, 3000, 10_000, 30_000, 100_000)
 
 
 class CellMetrics:
@@ -86,6 +90,53 @@
             buckets=JOB_BUCKETS_S,
             registry=registry,
         )
+        self.load_seconds = Histogram(
+            "lacewinghold_load_seconds",
+            "From a claim of the ownership until the cell was loaded.",
+            buckets=JOB_BUCKETS_S,
+            registry=registry,
+        )
+        self.loaded_jobs = Histogram(
+            "lacewinghold_loaded_jobs",
+            "Jobs that a new owner has loaded.",
+            buckets=COUNT_BUCKETS,
+            registry=registry,
+        )
+        self.plan_seconds = Histogram(
+            "lacewinghold_plan_seconds",
+            "One plan, carried out.",
+            buckets=TURN_BUCKETS_S,
+            registry=registry,
+        )
+        self.late_seconds = Histogram(
+            "lacewinghold_late_seconds",
+            "By how much the process woke up late.",
+            buckets=TURN_BUCKETS_S,
+            registry=registry,
+        )
+        self.lag_seconds = Gauge(
+            "lacewinghold_lag_seconds",
+            "By how much the process is late now, smoothed.",
+            registry=registry,
+        )
+        self.renewal_seconds = Histogram(
+            "lacewinghold_renewal_seconds",
+            "From when a renewal of the ownership was due to its answer.",
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
+        self.renewal_margin_seconds = Histogram(
+            "lacewinghold_renewal_margin_seconds",
+            "What was left of the ownership when a renewal was answered.",
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
+        self.excused_calls = Counter(
+            "lacewinghold_excused_calls",
+            "Calls to workers without an answer while this process was late.",
+            ["kind"],
+            registry=registry,
+        )
         self.deciding = Gauge(
             "lacewinghold_deciding", "Whether this instance decides.", registry=registry
         )
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -30,6 +30,7 @@
     from lacewinghold.scheduler.advice import AdviceBook
     from lacewinghold.scheduler.election import Ownership
     from lacewinghold.scheduler.job_store import JobStore
+    from lacewinghold.scheduler.lateness import PlanningShare
     from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.ports import Manifest, WorkerDialer, WorkerEntry
     from lacewinghold.schema.generated.cell import TaskEndEntry
@@ -69,6 +70,7 @@
         clock: WallClock,
         metrics: CellMetrics,
         status_s: float,
+        planning_share: PlanningShare,
     ) -> None:
         self.ownership = ownership
         self.job_store = jobs
@@ -79,6 +81,7 @@
         self.clock = clock
         self.metrics = metrics
         self.status_s = status_s
+        self.planning_share = planning_share
         self.log = EndLog(jobs, ownership.epoch, ownership.term)
         self.pace = PaceBook()
         self.table = JobTable(self)
@@ -167,6 +170,8 @@
                 self.table.cancel(job)
             self.table.end_if_exhausted(job)
             self.table.refresh_job(job)
+        self.metrics.load_seconds.observe(anyio.current_time() - self.taken_at)
+        self.metrics.loaded_jobs.observe(len(self.table.jobs))
         logger.info(
             Event.CELL_LOADED,
             jobs=len(self.table.jobs),
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -70,7 +70,8 @@
             await anyio.sleep(PLAN_PAUSE_S)
             self.wanted = anyio.Event()
             if self.owner.may_order() and self.owner.state.manifest is not None:
-                self.plan()
+                with self.owner.planning_share.measure():
+                    self.plan()
 
     def plan(self) -> None:
         """Makes one plan and carries it out."""
