--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -39,8 +39,6 @@
 from lacewinghold.util.codec import unpack
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lacewinghold.peers.links import PeerLinks
     from lacewinghold.scheduler.ports import (
         LookOrder,
@@ -50,6 +48,7 @@
     )
     from lacewinghold.schema.generated.cell import CellMember
     from lacewinghold.schema.generated.messages import RelayedReport
+    from lacewinghold.util.lag import LagMonitor
 
 logger = structlog.get_logger(__name__)
 GATHER_S = 0.004  # Orders that come together share a message.
@@ -120,7 +119,7 @@
 
     :param direct: Opens calls from this instance.
     :param data_centre: Where this instance is.
-    :param lag_s: By how much this process is late, which is no member's silence.
+    :param lag: Tells when this process itself is late.
     """
 
     name = "relays"
@@ -131,12 +130,12 @@
         links: PeerLinks,
         direct: WorkerDialer,
         data_centre: str,
-        lag_s: Callable[[], float] = lambda: 0.0,
+        lag: LagMonitor,
     ) -> None:
         self.links = links
         self.data_centre = data_centre
         self.direct = direct
-        self.lag_s = lag_s
+        self.lag = lag
         self.lanes: dict[InstanceId, RelayLane] = {}
         self.version = 0
         self.pending: dict[int, PendingOrder] = {}
@@ -229,8 +228,9 @@
         lane.add(order)
         lane.under_way += 1
         self.wanted.set()
+        limit_s += SLACK_S + self.lag.allowance_s()
         try:
-            with anyio.move_on_after(limit_s + SLACK_S + self.lag_s()):
+            with anyio.move_on_after(limit_s):
                 await pending.settled.wait()
         finally:
             lane.under_way -= 1
