--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -351,7 +351,8 @@
         book = AdviceBook(self.metrics)
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
-        relays = OrderRelays(self.peers, self.ports.dialer, self.settings.data_centre)
+        data_centre = self.settings.data_centre
+        relays = OrderRelays(self.peers, self.ports.dialer, data_centre, self.lag)
         owner = CellOwner(
             ownership,
             self.jobs,
