--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -364,6 +364,7 @@
             self.metrics,
             self.settings.bounds.status_s + FORGET_MARGIN_S,
             self.planning_share,
+            self.lag,
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -26,6 +26,7 @@
 
 logger = structlog.get_logger(__name__)
 LOOK_WAIT_S = 0.6  # A look that is lost hides ends for this and LOOK_TIMEOUT_S.
+MAX_LOOK_WAIT_S = 1.8  # Workers answer after two seconds at the latest.
 LOOK_TIMEOUT_S = 0.4  # Several round trips between regions.
 LOOK_RETRY_S = 0.1
 LISTED_AGAIN_S = 0.3  # Pause between looks while ends cannot be acknowledged.
@@ -35,6 +36,7 @@
 STOP_TIMEOUT_S = 0.6
 STOP_RETRY_S = 0.2
 TRY_AGAIN = (OrderOutcome.LATE, OrderOutcome.UNKNOWN)
+MAX_EXCUSED = 3  # Unanswered looks that own lateness explains; more are silence.
 LOST_LOOKS = 2  # Looks that miss a run which had started before it is given up.
 
 
@@ -56,6 +58,7 @@
         self.ack_moved = anyio.Event()
         self.stopping_strays: set[tuple[str, int]] = set()
         self.unknown_since: dict[str, float] = {}
+        self.excused_looks = 0
         self.scope = anyio.CancelScope()
         self.tasks: TaskGroup | None = None
 
@@ -79,8 +82,9 @@
         while not node.dead:
             waits = self.processed <= self.acknowledged and not node.strays
             sent_at = anyio.current_time()
-            reply = await self.look(LOOK_WAIT_S if waits and node.fenced else 0.0)
+            reply = await self.look(self.look_wait_s() if waits else 0.0)
             if isinstance(reply, WorkerReport):
+                self.excused_looks = 0
                 self.owner.fleet.apply_report(self, reply, sent_at)
                 await self.pause_after_look(reply)
                 continue
@@ -90,9 +94,26 @@
             if reply is OrderOutcome.OTHER_INCARNATION:
                 self.owner.fleet.note_dead(self, "another incarnation answers")
                 return
-            node.silent_calls += 1
-            self.owner.fleet.note_silent(self)
-            await anyio.sleep(LOOK_RETRY_S)
+            if not self.excuses(sent_at):
+                node.silent_calls += 1
+                self.owner.fleet.note_silent(self)
+            await anyio.sleep(LOOK_RETRY_S + self.owner.lag.allowance_s())
+
+    def look_wait_s(self) -> float:
+        """Returns how long a look may wait; a late owner looks less often."""
+        if not self.node.fenced:
+            return 0.0
+        return min(LOOK_WAIT_S + self.owner.lag.allowance_s(), MAX_LOOK_WAIT_S)
+
+    def excuses(self, sent_at: float) -> bool:
+        """Returns whether the owner's own lateness explains an unanswered look.
+
+        Not several times in a row, nor once the worker's lease has lapsed.
+        """
+        if not self.owner.lag.excused(sent_at) or self.excused_looks >= MAX_EXCUSED:
+            return False
+        self.excused_looks += 1
+        return not self.node.lapsed(anyio.current_time())
 
     async def look(self, wait_s: float) -> WorkerReport | OrderOutcome:
         """Makes one look, with a lease once the worker's clock is known.
@@ -109,7 +130,7 @@
             until = self.new_lease_end()
         return await self.calls.look(
             LookOrder(self.owner.epoch, self.acknowledged, until, wait_s),
-            LOOK_TIMEOUT_S,
+            LOOK_TIMEOUT_S + self.owner.lag.allowance_s(),
         )
 
     def new_lease_end(self) -> float:
@@ -125,7 +146,7 @@
             return
         if self.processed <= self.acknowledged:
             if report.ends:
-                await anyio.sleep(GATHER_S)
+                await anyio.sleep(GATHER_S + self.owner.lag.lag_s)
             return
         with anyio.move_on_after(LISTED_AGAIN_S):
             while self.processed > self.acknowledged:
@@ -153,12 +174,15 @@
                 return
             if not self.owner.may_order():
                 break
-            reply = await self.calls.start(self.start_order(run, ticket), timeout_s)
+            reply = await self.calls.start(
+                self.start_order(run, ticket),
+                timeout_s + self.owner.lag.allowance_s(),
+            )
             if reply.clock_ms is not None:
                 self.node.note_clock(reply.clock_ms, anyio.current_time())
             if reply.outcome in TRY_AGAIN:
                 may_come = may_come or reply.outcome is OrderOutcome.UNKNOWN
-                await anyio.sleep(ORDER_RETRY_S)
+                await anyio.sleep(ORDER_RETRY_S + self.owner.lag.allowance_s())
                 continue
             if self.settle_start(run, reply.outcome, may_come=may_come):
                 return
@@ -226,7 +250,7 @@
             if done:
                 run.settled = True
                 return
-            await anyio.sleep(STOP_RETRY_S)
+            await anyio.sleep(STOP_RETRY_S + self.owner.lag.allowance_s())
 
     async def order_stop(self, task: str, number: int) -> bool:
         """Makes one call to stop a run.
@@ -234,7 +258,8 @@
         :returns: Whether the worker surely will not run it any more.
         """
         order = StopOrder(task, number, self.owner.epoch)
-        reply = await self.calls.stop(order, STOP_TIMEOUT_S)
+        timeout_s = STOP_TIMEOUT_S + self.owner.lag.allowance_s()
+        reply = await self.calls.stop(order, timeout_s)
         if reply.clock_ms is not None:
             self.node.note_clock(reply.clock_ms, anyio.current_time())
         if reply.outcome is OrderOutcome.FENCED:
@@ -259,5 +284,5 @@
     async def stop_until_answered(self, task: str, number: int) -> None:
         """Orders a stop of a stray run until the worker has answered."""
         while not await self.order_stop(task, number):
-            await anyio.sleep(STOP_RETRY_S)
+            await anyio.sleep(STOP_RETRY_S + self.owner.lag.allowance_s())
         self.stopping_strays.discard((task, number))
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -242,5 +242,5 @@
     ) -> Result[CellYielded, Failure]:
         """Takes what became of orders that a member carries out."""
         if self.instance.relays is not None:
-            self.instance.relays.note_replies(body)
+            self.instance.relays.note_replies(peer, body)
         return Ok(CellYielded(self.instance.instance))
--- a/lacewinghold/scheduler/relay_host.py
+++ b/lacewinghold/scheduler/relay_host.py
@@ -89,8 +89,13 @@
     async def serve(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellOrderReplies, Failure]:
-        """Takes the orders of one message; the replies go out by themselves."""
+        """Takes the orders of one message; the replies go out by themselves.
+
+        A message without orders asks whether this instance answers.
+        """
         orders = unpack(body, CellOrders)
+        if not (orders.starts or orders.stops or orders.looks):
+            self.replies_to(peer)
         if self.tasks is not None:
             for some in (orders.starts, orders.stops, orders.looks):
                 for order in some:
--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -52,9 +52,11 @@
 
 logger = structlog.get_logger(__name__)
 GATHER_S = 0.004  # Orders that come together share a message.
+DIRECT_CALLS = 16  # Of this process at a time; more only wait for its processor.
 SLACK_S = 0.2  # Ways to a member in another region and back, and two gatherings.
-AVOID_S = 2.0  # A member that did not answer, or did not reach a worker, rests.
-AVOID_LIMIT_S = 16.0  # One that never answers costs an order this rarely.
+FIRST_ANSWER_S = 0.2  # Orders wait this long for members that were just asked.
+ASK_AGAIN_S = 1.0  # Members that do not answer are asked again this often.
+AVOID_S = 2.0  # A member that did not reach a worker calls others meanwhile.
 
 RelayedOrder: TypeAlias = RelayedLook | RelayedStart | RelayedStop
 RelayedReply: TypeAlias = WorkerReport | OrderReply
@@ -74,30 +76,20 @@
 class RelayLane:
     """One member that carries out orders, and those that wait to be sent to it.
 
-    A member that did not answer gets one order after a rest, and the others again
-    once that is answered.
+    It gets orders only while it is known to answer: dead members stay listed for a
+    while.
+
+    :param asked_at: When it was first asked whether it answers.
     """
 
-    def __init__(self, member: CellMember) -> None:
+    def __init__(self, member: CellMember, asked_at: float) -> None:
         self.name = InstanceId(member.instance)
         self.region = member.region
         self.data_centre = member.data_centre
+        self.asked_at = asked_at
+        self.answers = False
+        self.ask = True
         self.orders = CellOrders([], [], [])
-        self.avoided_until = -math.inf
-        self.failures = 0
-        self.under_way = 0
-
-    def usable(self, now: float) -> bool:
-        """Returns whether the member is to be asked."""
-        if self.failures:
-            return now >= self.avoided_until and not self.under_way
-        return True
-
-    def note_failure(self) -> None:
-        """Leaves the member alone for a while, longer each time."""
-        rest_s = min(AVOID_S * 2**self.failures, AVOID_LIMIT_S)
-        self.avoided_until = anyio.current_time() + rest_s
-        self.failures += 1
 
     def add(self, order: RelayedOrder) -> None:
         """Adds an order to the next message."""
@@ -138,8 +130,10 @@
         self.lag = lag
         self.lanes: dict[InstanceId, RelayLane] = {}
         self.version = 0
+        self.changed = anyio.Event()
         self.pending: dict[int, PendingOrder] = {}
         self.wanted = anyio.Event()
+        self.direct_slots = anyio.CapacityLimiter(DIRECT_CALLS)
 
     def open(self, entry: WorkerEntry) -> WorkerCalls:
         return RelayedWorkerCalls(self, entry)
@@ -147,9 +141,11 @@
     # Members
 
     def add_member(self, member: CellMember) -> None:
-        """Uses a member from now on."""
-        self.lanes[InstanceId(member.instance)] = RelayLane(member)
+        """Uses a member as soon as it answers."""
+        lane = RelayLane(member, anyio.current_time())
+        self.lanes[lane.name] = lane
         self.version += 1
+        self.wanted.set()
 
     def remove_member(self, instance: InstanceId) -> None:
         """Uses a member no more."""
@@ -174,30 +170,52 @@
 
     async def run(self) -> None:
         """Sends gathered orders until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.ask_again)
+            while True:
+                await self.wanted.wait()
+                await anyio.sleep(GATHER_S)
+                self.wanted = anyio.Event()
+                for lane in list(self.lanes.values()):
+                    await self.send(lane)
+
+    async def ask_again(self) -> None:
+        """Has members asked again that do not answer."""
         while True:
-            await self.wanted.wait()
-            await anyio.sleep(GATHER_S)
-            self.wanted = anyio.Event()
-            for lane in list(self.lanes.values()):
-                await self.send(lane)
+            await anyio.sleep(ASK_AGAIN_S + self.lag.allowance_s())
+            for lane in self.lanes.values():
+                lane.ask = not lane.answers
+            self.wanted.set()
 
     async def send(self, lane: RelayLane) -> None:
-        """Sends the orders that wait for one member."""
+        """Sends the orders that wait for one member, or asks whether it answers."""
         orders = lane.take()
         numbers = [
             order.number
             for some in (orders.looks, orders.starts, orders.stops)
             for order in some
         ]
-        if not numbers:
+        if not numbers and not lane.ask:
             return
-        sent = await self.links.notify(lane.name, MessageKind.CELL_ORDERS, orders)
-        if isinstance(sent, Err):
+        lane.ask = False
+        if not await self.notify(lane, orders):
             for number in numbers:
                 self.settle(number, None, unsent=True)
 
-    def note_replies(self, body: bytes) -> None:
+    async def notify(self, lane: RelayLane, orders: CellOrders) -> bool:
+        """Sends one message.
+
+        :returns: Whether it may have left this instance.
+        """
+        sent = await self.links.notify(lane.name, MessageKind.CELL_ORDERS, orders)
+        return not isinstance(sent, Err)
+
+    def note_replies(self, member: InstanceId, body: bytes) -> None:
         """Hands the replies of a member to those who wait for them."""
+        lane = self.lanes.get(member)
+        if lane is not None and not lane.answers:
+            lane.answers = True
+            self.note_change()
         replies = unpack(body, CellOrderReplies)
         for report in replies.reports:
             self.settle(report.number, read_report(report))
@@ -205,6 +223,17 @@
             outcome = OrderOutcome(found.outcome)
             self.settle(found.number, OrderReply(outcome, found.clock_ms))
 
+    def note_silent(self, lane: RelayLane) -> None:
+        """Uses a member no more until it answers again."""
+        lane.answers = False
+        lane.ask = True
+        self.wanted.set()
+
+    def note_change(self) -> None:
+        """Wakes those who wait for a member that answers."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
     def settle(
         self, number: int, reply: RelayedReply | None, *, unsent: bool = False
     ) -> None:
@@ -226,17 +255,13 @@
         pending = PendingOrder(anyio.Event())
         self.pending[order.number] = pending
         lane.add(order)
-        lane.under_way += 1
         self.wanted.set()
-        limit_s += SLACK_S + self.lag.allowance_s()
+        limit_s += SLACK_S
         try:
             with anyio.move_on_after(limit_s):
                 await pending.settled.wait()
         finally:
-            lane.under_way -= 1
             del self.pending[order.number]
-        if pending.reply is not None:
-            lane.failures = 0
         return pending
 
 
@@ -253,20 +278,38 @@
         self.avoided: dict[InstanceId, float] = {}
         self.direct: WorkerCalls | None = None
 
-    def lane(self) -> RelayLane | None:
-        """Returns the member to use now, ``None`` if there is none."""
+    def lanes(self) -> list[RelayLane]:
+        """Returns the members that may call this worker, the preferred ones first."""
         if self.version != self.relays.version:
             self.version = self.relays.version
             self.ranking = self.relays.rank_for(self.entry)
             self.avoided = {}
         now = anyio.current_time()
         near = self.relays.data_centre == self.entry.data_centre
+        found = []
         for lane in self.ranking:
             if near and lane.data_centre != self.entry.data_centre:
+                break
+            if now >= self.avoided.get(lane.name, -math.inf):
+                found.append(lane)
+        return found
+
+    async def choose_lane(self) -> RelayLane | None:
+        """Returns the member to use, ``None`` if none is left but this instance.
+
+        Waits a little for members that have been asked just now.
+        """
+        while True:
+            for lane in self.lanes():
+                if lane.answers:
+                    return lane
+                first_answer_by = lane.asked_at + FIRST_ANSWER_S
+                if anyio.current_time() < first_answer_by:
+                    with anyio.move_on_at(first_answer_by):
+                        await self.relays.changed.wait()
+                    break
+            else:
                 return None
-            if lane.usable(now) and now >= self.avoided.get(lane.name, -math.inf):
-                return lane
-        return None
 
     def open_direct(self) -> WorkerCalls:
         """Returns the calls from this instance."""
@@ -281,30 +324,29 @@
 
         :returns: ``None`` if no member can be asked, so that nothing was sent.
         """
-        while (lane := self.lane()) is not None:
+        while (lane := await self.choose_lane()) is not None:
+            began = anyio.current_time()
             pending = await self.relays.call(lane, order, limit_s)
             if pending.unsent:
-                lane.note_failure()
+                self.relays.note_silent(lane)
                 continue
             if pending.reply is None:
-                self.note_unanswered(lane)
+                self.note_unanswered(lane, began)
                 return OrderOutcome.UNKNOWN
             if not isinstance(pending.reply, WorkerReport):
                 self.note_outcome(lane, pending.reply.outcome)
             return pending.reply
         return None
 
-    def note_unanswered(self, lane: RelayLane) -> None:
-        """Leaves a member alone that did not answer, for all workers."""
-        if anyio.current_time() < lane.avoided_until:
+    def note_unanswered(self, lane: RelayLane, began: float) -> None:
+        """Asks a member whether it answers at all, before others use it.
+
+        Silence while this process was late says nothing of the member.
+        """
+        if not lane.answers or self.relays.lag.excused(began):
             return
-        lane.note_failure()
-        logger.info(
-            Event.RELAY_SILENT,
-            member=lane.name,
-            worker=self.entry.worker,
-            failures=lane.failures,
-        )
+        logger.info(Event.RELAY_SILENT, member=lane.name, worker=self.entry.worker)
+        self.relays.note_silent(lane)
 
     def note_outcome(self, lane: RelayLane, outcome: OrderOutcome) -> None:
         """Tries another member next, after one did not reach the worker."""
@@ -328,7 +370,8 @@
         )
         reply = await self.relay(relayed, timeout_s)
         if reply is None:
-            return await self.open_direct().start(order, timeout_s)
+            async with self.relays.direct_slots:
+                return await self.open_direct().start(order, timeout_s)
         return as_order_reply(reply)
 
     async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
@@ -344,7 +387,8 @@
         )
         reply = await self.relay(relayed, timeout_s)
         if reply is None:
-            return await self.open_direct().stop(order, timeout_s)
+            async with self.relays.direct_slots:
+                return await self.open_direct().stop(order, timeout_s)
         return as_order_reply(reply)
 
     async def look(
@@ -363,9 +407,18 @@
         )
         reply = await self.relay(relayed, order.wait_s + timeout_s)
         if reply is None:
-            return await self.open_direct().look(order, timeout_s)
+            return await self.look_directly(order, timeout_s)
         return reply.outcome if isinstance(reply, OrderReply) else reply
 
+    async def look_directly(
+        self, order: LookOrder, timeout_s: float
+    ) -> WorkerReport | OrderOutcome:
+        """Looks from this instance; a look that waits for an end keeps no slot."""
+        if order.wait_s > 0:
+            return await self.open_direct().look(order, timeout_s)
+        async with self.relays.direct_slots:
+            return await self.open_direct().look(order, timeout_s)
+
     async def close(self) -> None:
         if self.direct is not None:
             await self.direct.close()
