--- /dev/null
+++ b/lacewinghold/testing/machine.py
@@ -0,0 +1,446 @@
+"""A stand-in for an instance's machine: its processor, and the link it calls over."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager, contextmanager
+from contextvars import ContextVar
+from typing import TYPE_CHECKING, TypeVar
+from unittest.mock import patch
+
+import anyio
+from result import Err, Ok, Result
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.peers.base import PeerTransport
+from lacewinghold.scheduler.job_table import JobTable
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.ports import (
+    AdviceCalls,
+    OrderOutcome,
+    OrderReply,
+    WorkerCalls,
+    WorkerDialer,
+    WorkerReport,
+)
+from lacewinghold.store.base import Put, RangeReply, Store, TransactionReply, WatchBatch
+
+if TYPE_CHECKING:
+    from collections.abc import (
+        AsyncIterator,
+        Awaitable,
+        Callable,
+        Iterable,
+        Iterator,
+        Sequence,
+    )
+
+    from lacewinghold.ids import InstanceId, LeaseId, Revision, WorkerId
+    from lacewinghold.scheduler.cell import CellPorts
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.policy import Plan
+    from lacewinghold.scheduler.ports import (
+        LookOrder,
+        StartOrder,
+        StopOrder,
+        Ticket,
+        WorkerEntry,
+    )
+    from lacewinghold.schema.generated.cell import CellJob
+    from lacewinghold.store.base import KeyValue, Transaction
+
+T = TypeVar("T")
+
+# Seconds of a whole core.
+SEND_S = 0.0003  # One side of a call over HTTP.
+CONNECT_S = 0.0009
+CLOSE_S = 0.0002
+MESSAGE_S = 0.00015  # Between instances.
+HANDLE_S = 0.0002  # What an owner does with a worker's answer.
+PAIR_S = 1e-6  # A planner's look at one worker for one step.
+NODE_S = 2e-6  # Each worker in a plan.
+JOB_S = 0.0003  # A job that is decoded and taken, with its tasks.
+
+CONNECT_LIMIT_S = 0.5
+STORE_CALL_S = 0.8
+HTTP_BYTES = 300  # A call or an answer with its headers, without long lists.
+LISTED_BYTES = 80  # A run or an end in a worker's answer, a worker in an advice call.
+KEY_BYTES = 60  # What surrounds a key and value of the store.
+ENCODED_SHARE = 4 / 3  # Values are sent to the store as text.
+PIECE_BYTES = 8192
+BYTES_PER_MEGABIT = 125_000
+
+
+class Machine:
+    """What the tasks of one instance share, first come first served.
+
+    :param cores: Share of one core that the instance may use.
+    :param link_mbps: Bandwidth in each direction, in megabits per second.
+    """
+
+    def __init__(self, cores: float, link_mbps: float) -> None:
+        self.cores = cores
+        self.bytes_per_s = link_mbps * BYTES_PER_MEGABIT
+        self.turn = anyio.Lock()
+        self.busy_until = 0.0
+        self.sending = anyio.Lock()
+        self.receiving = anyio.Lock()
+
+    def charge(self, core_s: float) -> None:
+        """Takes processor time for work that nothing can interrupt."""
+        self.busy_until = max(anyio.current_time(), self.busy_until)
+        self.busy_until += core_s / self.cores
+
+    async def compute(self, core_s: float = 0.0) -> None:
+        """Waits for the processor, and until some work is done."""
+        async with self.turn:
+            self.charge(core_s)
+            await anyio.sleep_until(self.busy_until)
+
+    async def send(self, size: int) -> None:
+        """Waits until so many bytes have left."""
+        await self.carry(size, self.sending)
+
+    async def receive(self, size: int) -> None:
+        """Waits until so many bytes have come."""
+        await self.carry(size, self.receiving)
+
+    async def carry(self, size: int, direction: anyio.Lock) -> None:
+        """Carries bytes in pieces, between which others have their turn."""
+        while size > 0:
+            piece = min(size, PIECE_BYTES)
+            size -= piece
+            async with direction:
+                await anyio.sleep_until(anyio.current_time() + piece / self.bytes_per_s)
+
+
+RUNNING_ON: ContextVar[Machine | None] = ContextVar("RUNNING_ON", default=None)
+
+
+@contextmanager
+def outside() -> Iterator[None]:
+    """Runs what belongs to another machine."""
+    token = RUNNING_ON.set(None)
+    try:
+        yield
+    finally:
+        RUNNING_ON.reset(token)
+
+
+@contextmanager
+def charged_work() -> Iterator[None]:
+    """Has the machines charged for plans, jobs taken and late wakeups.
+
+    A task whose sleep is over waits for the processor, as in a busy event loop.
+    """
+    sleep = anyio.sleep
+    make = Planner.make
+    candidates = Planner.candidates
+    accept = JobTable.accept
+
+    async def late_sleep(delay: float) -> None:
+        await sleep(delay)
+        machine = RUNNING_ON.get()
+        if machine is not None:
+            await machine.compute()
+
+    def charge(core_s: float) -> None:
+        machine = RUNNING_ON.get()
+        if machine is not None:
+            machine.charge(core_s)
+
+    def charged_make(planner: Planner, steps: Iterable[Step]) -> Plan:
+        charge(NODE_S * len(planner.free))
+        return make(planner, steps)
+
+    def charged_candidates(planner: Planner, step: Step) -> list[WorkerNode]:
+        charge(PAIR_S * len(planner.free))
+        return candidates(planner, step)
+
+    def charged_accept(table: JobTable, record: CellJob) -> None:
+        if record.job not in table.jobs:
+            charge(JOB_S)
+        accept(table, record)
+
+    with (
+        patch.object(anyio, "sleep", late_sleep),
+        patch.object(Planner, "make", charged_make),
+        patch.object(Planner, "candidates", charged_candidates),
+        patch.object(JobTable, "accept", charged_accept),
+    ):
+        yield
+
+
+class MachineClient:
+    """An HTTP client on a machine: its time-outs run while it waits for its turn.
+
+    A connection whose answer is late is closed, and the next call opens another.
+
+    :param handle_s: What is done with an answer, in seconds of a whole core.
+    """
+
+    def __init__(self, machine: Machine, handle_s: float = 0.0) -> None:
+        self.machine = machine
+        self.handle_s = handle_s
+        self.idle = 0
+
+    async def call(
+        self,
+        timeout_s: float,
+        act: Callable[[], Awaitable[T]],
+        sent_bytes: int,
+        size_of: Callable[[T], int],
+    ) -> Result[T, ErrorKind]:
+        """Makes one call.
+
+        :param act: What the other end does.
+        :param size_of: Returns the bytes of an answer.
+        :returns: ``UNREACHABLE`` if it was not sent, ``OUTCOME_UNKNOWN`` if no
+            answer was taken in time.
+        """
+        if not await self.connect(timeout_s):
+            return Err(ErrorKind.UNREACHABLE)
+        answers: list[T] = []
+        with anyio.move_on_after(timeout_s):
+            await self.machine.compute(SEND_S)
+            await self.machine.send(sent_bytes)
+            with outside():
+                answers.append(await act())
+        if answers:
+            # The time-out counts anew whenever bytes come.
+            await self.machine.receive(size_of(answers[0]))
+            with anyio.move_on_after(timeout_s):
+                await self.machine.compute(SEND_S + self.handle_s)
+                self.idle += 1
+                return Ok(answers[0])
+        self.machine.charge(CLOSE_S)
+        return Err(ErrorKind.OUTCOME_UNKNOWN)
+
+    async def connect(self, timeout_s: float) -> bool:
+        """Takes an idle connection, or opens one."""
+        if self.idle:
+            self.idle -= 1
+            return True
+        with anyio.move_on_after(min(CONNECT_LIMIT_S, timeout_s)):
+            await self.machine.compute(CONNECT_S)
+            return True
+        self.machine.charge(CLOSE_S)
+        return False
+
+
+class MachineWorkerCalls(WorkerCalls):
+    """Calls to a worker from a machine.
+
+    :param inner: What reaches the stand-in worker.
+    """
+
+    name = "machine"
+
+    def __init__(self, inner: WorkerCalls, machine: Machine) -> None:
+        self.inner = inner
+        self.client = MachineClient(machine, HANDLE_S)
+
+    async def order(
+        self, timeout_s: float, act: Callable[[], Awaitable[OrderReply]]
+    ) -> OrderReply:
+        """Makes one call that changes something."""
+        reply = await self.client.call(timeout_s, act, HTTP_BYTES, lambda _: HTTP_BYTES)
+        if isinstance(reply, Ok):
+            return reply.ok_value
+        return OrderReply(outcome_of(reply.err_value))
+
+    async def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
+        return await self.order(timeout_s, lambda: self.inner.start(order, timeout_s))
+
+    async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
+        return await self.order(timeout_s, lambda: self.inner.stop(order, timeout_s))
+
+    async def look(
+        self, order: LookOrder, timeout_s: float
+    ) -> WorkerReport | OrderOutcome:
+        reply = await self.client.call(
+            order.wait_s + timeout_s,
+            lambda: self.inner.look(order, timeout_s),
+            HTTP_BYTES,
+            report_bytes,
+        )
+        if isinstance(reply, Ok):
+            return reply.ok_value
+        return outcome_of(reply.err_value)
+
+    async def close(self) -> None:
+        await self.inner.close()
+
+
+def outcome_of(kind: ErrorKind) -> OrderOutcome:
+    """Returns what a failed call says of its order."""
+    if kind is ErrorKind.UNREACHABLE:
+        return OrderOutcome.NOT_SENT
+    return OrderOutcome.UNKNOWN
+
+
+def report_bytes(report: WorkerReport | OrderOutcome) -> int:
+    """Returns the size of a worker's answer to a look."""
+    if not isinstance(report, WorkerReport):
+        return HTTP_BYTES
+    return HTTP_BYTES + LISTED_BYTES * (len(report.runs) + len(report.ends))
+
+
+class MachineWorkerDialer(WorkerDialer):
+    """Opens calls to workers from a machine."""
+
+    name = "machine"
+
+    def __init__(self, inner: WorkerDialer, machine: Machine) -> None:
+        self.inner = inner
+        self.machine = machine
+
+    def open(self, entry: WorkerEntry) -> WorkerCalls:
+        return MachineWorkerCalls(self.inner.open(entry), self.machine)
+
+
+class MachineAdvice(AdviceCalls):
+    """Calls to the advice service from a machine."""
+
+    name = "machine"
+
+    def __init__(self, inner: AdviceCalls, machine: Machine) -> None:
+        self.inner = inner
+        self.client = MachineClient(machine)
+
+    async def ask(
+        self, step: str, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Result[list[Ticket], Failure]:
+        size = HTTP_BYTES + LISTED_BYTES * len(workers)
+        reply = await self.client.call(
+            timeout_s,
+            lambda: self.inner.ask(step, workers, timeout_s),
+            size,
+            lambda _: size,
+        )
+        if isinstance(reply, Err):
+            return Err(Failure(reply.err_value, "the answer was late"))
+        return reply.ok_value
+
+
+class MachineTransport(PeerTransport):
+    """One instance's end of the network, on a machine."""
+
+    name = "machine"
+
+    def __init__(self, inner: PeerTransport, machine: Machine) -> None:
+        self.inner = inner
+        self.machine = machine
+
+    async def run(self) -> None:
+        with outside():
+            await self.inner.run()
+
+    async def receive(self) -> bytes:
+        message = await self.inner.receive()
+        await self.machine.receive(len(message))
+        await self.machine.compute(MESSAGE_S)
+        return message
+
+    async def send(
+        self, peer: InstanceId, address: str, message: bytes
+    ) -> Result[None, Failure]:
+        await self.machine.compute(MESSAGE_S)
+        await self.machine.send(len(message))
+        return await self.inner.send(peer, address, message)
+
+    async def close(self, peer: InstanceId) -> None:
+        await self.inner.close(peer)
+
+
+def stored_bytes(items: Iterable[KeyValue | Put]) -> int:
+    """Returns the size of keys and values on their way to or from the store."""
+    size = 0.0
+    for item in items:
+        size += len(item.key) + KEY_BYTES + ENCODED_SHARE * len(item.value)
+    return round(size)
+
+
+class MachineStore(Store):
+    """A client of the store on a machine."""
+
+    name = "machine"
+
+    def __init__(self, inner: Store, machine: Machine) -> None:
+        self.inner = inner
+        self.calls = inner.calls
+        self.machine = machine
+        self.client = MachineClient(machine)
+
+    async def call(
+        self,
+        act: Callable[[], Awaitable[Result[T, Failure]]],
+        sent_bytes: int = HTTP_BYTES,
+        size_of: Callable[[Result[T, Failure]], int] = lambda _: HTTP_BYTES,
+    ) -> Result[T, Failure]:
+        """Makes one call."""
+        reply = await self.client.call(STORE_CALL_S, act, sent_bytes, size_of)
+        if isinstance(reply, Ok):
+            return reply.ok_value
+        kind = reply.err_value
+        if kind is ErrorKind.UNREACHABLE:
+            kind = ErrorKind.STORE_UNAVAILABLE
+        return Err(Failure(kind, "the answer was late"))
+
+    async def range(
+        self, key: str, *, prefix: bool = False
+    ) -> Result[RangeReply, Failure]:
+        def size_of(reply: Result[RangeReply, Failure]) -> int:
+            found = reply.ok_value.items if isinstance(reply, Ok) else []
+            return HTTP_BYTES + stored_bytes(found)
+
+        reply = await self.call(
+            lambda: self.inner.range(key, prefix=prefix), HTTP_BYTES, size_of
+        )
+        if isinstance(reply, Err):
+            detail = reply.err_value.detail
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        return reply
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[TransactionReply, Failure]:
+        puts = [item for item in transaction.operations if isinstance(item, Put)]
+        size = HTTP_BYTES + stored_bytes(puts)
+        return await self.call(lambda: self.inner.commit(transaction), size)
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseId, Failure]:
+        return await self.call(lambda: self.inner.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease: LeaseId) -> Result[float, Failure]:
+        return await self.call(lambda: self.inner.renew_lease(lease))
+
+    async def revoke_lease(self, lease: LeaseId) -> Result[None, Failure]:
+        return await self.call(lambda: self.inner.revoke_lease(lease))
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, after: Revision
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        async with self.inner.watch(prefix, after) as batches:
+            yield self.taken(batches)
+
+    async def taken(
+        self, batches: AsyncIterator[WatchBatch]
+    ) -> AsyncIterator[WatchBatch]:
+        """Yields batches once the machine has taken them."""
+        while True:
+            with outside():
+                batch = await anext(batches)
+            await self.machine.receive(HTTP_BYTES + stored_bytes(batch.puts))
+            await self.machine.compute(2 * SEND_S)
+            yield batch
+
+
+def put_on_machine(ports: CellPorts, machine: Machine) -> None:
+    """Has all calls of an instance go through its machine."""
+    ports.store = MachineStore(ports.store, machine)
+    ports.transport = MachineTransport(ports.transport, machine)
+    ports.dialer = MachineWorkerDialer(ports.dialer, machine)
+    if ports.advice is not None:
+        ports.advice = MachineAdvice(ports.advice, machine)
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -30,6 +30,7 @@
 )
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.gate import Gate
+from lacewinghold.testing.machine import RUNNING_ON, SEND_S, Machine, put_on_machine
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
 from lacewinghold.testing.step_advice import AdviceService, MemoryAdvice
 from lacewinghold.testing.step_worker import (
@@ -42,6 +43,8 @@
 from lacewinghold.util.clock import WallClock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
 
     from lacewinghold.errors import Failure
@@ -102,6 +105,7 @@
 
     :param gate: Pauses the process.
     :param gate_store: Holds up its calls to the store and their answers.
+    :param machine: What it runs on, ``None`` if nothing takes processor time.
     """
 
     instance: CellInstance
@@ -109,16 +113,29 @@
     gate: Gate
     gate_store: Gate
     scope: anyio.CancelScope
+    machine: Machine | None = None
+
+    async def answer_caller(self) -> None:
+        """Spends what a caller's request costs."""
+        if self.machine is not None:
+            await self.machine.compute(2 * SEND_S)
 
 
 class StepCell:
     """Entry instances over one store, one network and some workers.
 
     :param queues: Queues of the manifest; one without advice if none are given.
+    :param make_machine: Returns the machine of a new member; none by default.
+    :param lease_ms: Life of the owner's lease.
     """
 
     def __init__(
-        self, tasks: TaskGroup, seed: int = 1, queues: list[Queue] | None = None
+        self,
+        tasks: TaskGroup,
+        seed: int = 1,
+        queues: list[Queue] | None = None,
+        make_machine: Callable[[], Machine] | None = None,
+        lease_ms: int = LEASE_MS,
     ) -> None:
         self.tasks = tasks
         self.rng = random.Random(seed)
@@ -133,6 +150,8 @@
             self.behave, self.room, self.lasts, self.together, self.advice.admits
         )
         self.members: list[Member] = []
+        self.make_machine = make_machine
+        self.lease_ms = lease_ms
         self.operator = MemoryStore(self.state)
         self.clock = WallClock(start=1_700_000_000.0)
         self.starts = 0
@@ -224,8 +243,8 @@
         worker.crash()
         await self.add_worker(str(worker.id), worker.incarnation + 1)
 
-    def add_member(self) -> Member:
-        """Starts an entry instance."""
+    def add_member(self, machine: Machine | None = None) -> Member:
+        """Starts an entry instance, on a new machine unless one is given."""
         self.starts += 1
         name = InstanceId(f"entry-{self.starts}")
         gate = Gate()
@@ -236,7 +255,7 @@
             region=REGION,
             data_centre="dc",
             listen=EntryListen(callers="c", ready="r", peer=name),
-            store=PlatformStore(address="s", lease_ms=LEASE_MS),
+            store=PlatformStore(address="s", lease_ms=self.lease_ms),
             bounds=EntryBounds(
                 max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
             ),
@@ -249,14 +268,20 @@
             keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
             clock=self.clock,
         )
+        if machine is None and self.make_machine is not None:
+            machine = self.make_machine()
+        if machine is not None:
+            put_on_machine(ports, machine)
         instance = CellInstance(settings, ports, name, self.rng)
-        member = Member(instance, store, gate, gate_store, anyio.CancelScope())
+        scope = anyio.CancelScope()
+        member = Member(instance, store, gate, gate_store, scope, machine)
         self.members.append(member)
         self.tasks.start_soon(self.run_member, member)
         return member
 
     async def run_member(self, member: Member) -> None:
         """Runs an entry instance until it is killed."""
+        RUNNING_ON.set(member.machine)
         with member.scope:
             await member.instance.run()
 
@@ -303,11 +328,13 @@
         """Submits a job to any member."""
         member = self.rng.choice(self.members)
         record = self.make_job(job, steps, queue)
+        await member.answer_caller()
         return await member.instance.front.submit(record)
 
     async def state_of(self, job: str) -> JobState | None:
         """Returns a job's state by any member, ``None`` without an answer."""
         member = self.rng.choice(self.members)
+        await member.answer_caller()
         found = await member.instance.front.state(job)
         return None if isinstance(found, Err) else found.ok_value
 
