--- a/tests/test_scheduler/support.py
+++ b/tests/test_scheduler/support.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 
 from lacewinghold.schema.generated.cell import StepSpec
@@ -9,14 +11,34 @@
 from lacewinghold.testing.step_cell import StepCell
 
 
-def run_cell(program, *, seed=1, instances=3, workers=4, queues=None):
-    """Starts a cell, runs a program on it and checks what the workers saw."""
+async def no_preparation(cell):
+    """Leaves a new cell as it is."""
+
+
+def run_cell(
+    program,
+    *,
+    seed=1,
+    instances=3,
+    workers=4,
+    queues=None,
+    prepare=no_preparation,
+    limit_s=math.inf,
+    **shape,
+):
+    """Starts a cell, runs a program on it and checks what the workers saw.
+
+    :param prepare: Acts on the cell before its instances start.
+    :param limit_s: When the program fails because it still runs.
+    """
 
     async def session():
         async with anyio.create_task_group() as tasks:
-            cell = StepCell(tasks, seed, queues)
-            await cell.start(instances, workers)
-            result = await program(cell)
+            cell = StepCell(tasks, seed, queues, **shape)
+            await prepare(cell)
+            with anyio.fail_after(limit_s):
+                await cell.start(instances, workers)
+                result = await program(cell)
             tasks.cancel_scope.cancel()
         assert not cell.world.violations, cell.world.violations[:5]
         return result
