--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -116,7 +116,7 @@
             instance, ports.transport, self.address_of, self.is_paid, rng
         )
         self.peer_calls = PeerCalls(self)
-        self.relay_host = RelayHost(self.peers, ports.dialer)
+        self.relay_host = RelayHost(self.peers, ports.dialer, self.lag)
         self.relays: OrderRelays | None = None
         member = CellMember(
             instance=instance,
--- a/lacewinghold/scheduler/relay_host.py
+++ b/lacewinghold/scheduler/relay_host.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import structlog
 from msgspec import Struct
 from result import Ok, Result
 
@@ -41,9 +40,11 @@
     from lacewinghold.peers.links import PeerLinks
     from lacewinghold.scheduler.ports import WorkerCalls, WorkerDialer
     from lacewinghold.scheduler.relays import RelayedOrder
+    from lacewinghold.util.lag import LagMonitor
 
-logger = structlog.get_logger(__name__)
+UNANSWERED = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT)
 GATHER_S = 0.004  # Replies that come together share a message.
+LOOK_TRIES = 2
 SWEEP_S = 5.0
 IDLE_S = 20.0  # Longer than an idle connection to a worker is kept.
 
@@ -66,10 +67,12 @@
     """Calls workers for the owner, and gathers what they answer.
 
     :param dialer: Opens calls from this instance.
+    :param lag: Tells when this process itself is late.
     """
 
-    def __init__(self, links: PeerLinks, dialer: WorkerDialer) -> None:
+    def __init__(self, links: PeerLinks, dialer: WorkerDialer, lag: LagMonitor) -> None:
         self.links = links
+        self.lag = lag
         self.dialer = dialer
         self.epoch = Epoch(0)
         self.workers: dict[WorkerId, CalledWorker] = {}
@@ -125,11 +128,12 @@
                         order.checkpoint,
                         order.ticket,
                     ),
-                    order.timeout_s,
+                    order.timeout_s + self.lag.allowance_s(),
                 )
             else:
                 stop = StopOrder(order.task, order.run, order.epoch)
-                reply = await worker.calls.stop(stop, order.timeout_s)
+                timeout_s = order.timeout_s + self.lag.allowance_s()
+                reply = await worker.calls.stop(stop, timeout_s)
             self.reply(peer, order, reply.outcome, reply.clock_ms)
         finally:
             worker.under_way -= 1
@@ -138,13 +142,19 @@
     async def look(
         self, peer: InstanceId, worker: CalledWorker, order: RelayedLook
     ) -> None:
-        """Makes one look."""
-        found = await worker.calls.look(
-            LookOrder(
-                order.epoch, order.acknowledged, order.lease_until_ms, order.wait_s
-            ),
-            order.timeout_s,
-        )
+        """Makes one look, and another if this process was late for the answer."""
+        wait_s = order.wait_s
+        for _ in range(LOOK_TRIES):
+            began = anyio.current_time()
+            found = await worker.calls.look(
+                LookOrder(
+                    order.epoch, order.acknowledged, order.lease_until_ms, wait_s
+                ),
+                order.timeout_s + self.lag.allowance_s(),
+            )
+            if found not in UNANSWERED or not self.lag.excused(began):
+                break
+            wait_s = 0.0
         if isinstance(found, OrderOutcome):
             self.reply(peer, order, found, None)
             return
--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -53,6 +53,7 @@
 logger = structlog.get_logger(__name__)
 GATHER_S = 0.004  # Orders that come together share a message.
 DIRECT_CALLS = 16  # Of this process at a time; more only wait for its processor.
+LOOK_TRIES = 3  # Members that a look is tried over.
 SLACK_S = 0.2  # Ways to a member in another region and back, and two gatherings.
 FIRST_ANSWER_S = 0.2  # Orders wait this long for members that were just asked.
 ASK_AGAIN_S = 1.0  # Members that do not answer are asked again this often.
@@ -405,10 +406,18 @@
             order.lease_until_ms,
             order.wait_s,
         )
-        reply = await self.relay(relayed, order.wait_s + timeout_s)
-        if reply is None:
-            return await self.look_directly(order, timeout_s)
-        return reply.outcome if isinstance(reply, OrderReply) else reply
+        for _ in range(LOOK_TRIES):
+            reply = await self.relay(relayed, relayed.wait_s + timeout_s)
+            if reply is None:
+                return await self.look_directly(order, timeout_s)
+            if isinstance(reply, WorkerReport):
+                return reply
+            if isinstance(reply, OrderReply):
+                return reply.outcome
+            # The member did not answer, which says nothing of the worker.
+            relayed.number = next(self.relays.numbers)
+            relayed.wait_s = 0.0
+        return OrderOutcome.UNKNOWN
 
     async def look_directly(
         self, order: LookOrder, timeout_s: float
