--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -64,7 +64,10 @@
 
 
 class CellPorts(Struct):
-    """What an instance is connected to; tests pass fakes."""
+    """What an instance is connected to; tests pass fakes.
+
+    :param lag: Shared with what makes the calls; a new one if ``None``.
+    """
 
     store: Store
     transport: PeerTransport
@@ -72,6 +75,7 @@
     advice: AdviceCalls | None
     keys: OperatorKeys
     clock: WallClock
+    lag: LagMonitor | None = None
 
 
 class CellInstance:
@@ -92,14 +96,14 @@
         self.instance = instance
         self.rng = rng
         prefix = settings.store.prefix
+        self.metrics = CellMetrics()
+        self.planning_share = PlanningShare(self.metrics)
+        self.lag = ports.lag or LagMonitor()
+        self.lag.details = self.describe_lateness
+        self.lag.lags = self.metrics.late_seconds
         self.store = WatchedStore(ports.store)
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
-        self.metrics = CellMetrics()
-        self.planning_share = PlanningShare(self.metrics)
-        self.lag = LagMonitor(
-            details=self.describe_lateness, lags=self.metrics.late_seconds
-        )
         self.election = Election(
             self.store,
             prefix,
@@ -343,6 +347,7 @@
             self.metrics,
             self.settings.bounds.status_s + FORGET_MARGIN_S,
             self.planning_share,
+            self.lag,
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -35,6 +35,7 @@
     from lacewinghold.scheduler.ports import Manifest, WorkerDialer, WorkerEntry
     from lacewinghold.schema.generated.cell import TaskEndEntry
     from lacewinghold.util.clock import WallClock
+    from lacewinghold.util.lag import LagMonitor
 
 logger = structlog.get_logger(__name__)
 CUT_OFF_HOLD_S = 10.0  # An owner goes on this long without the store.
@@ -71,6 +72,7 @@
         metrics: CellMetrics,
         status_s: float,
         planning_share: PlanningShare,
+        lag: LagMonitor,
     ) -> None:
         self.ownership = ownership
         self.job_store = jobs
@@ -82,6 +84,7 @@
         self.metrics = metrics
         self.status_s = status_s
         self.planning_share = planning_share
+        self.lag = lag
         self.log = EndLog(jobs, ownership.epoch, ownership.term)
         self.pace = PaceBook()
         self.table = JobTable(self)
--- a/lacewinghold/util/lag.py
+++ b/lacewinghold/util/lag.py
@@ -28,7 +28,8 @@
 LOG_ABOVE_S = 0.1
 LOG_PACE_S = 1.0
 TURNS_A_CALL = 3.0  # A call needs the loop to connect, to send and to be answered.
-MAX_ALLOWANCE_S = 3.0  # Less than a worker's lease.
+MAX_ALLOWANCE_S = 1.5  # With the call and a pause less than a member's lease.
+MAX_PAUSE_S = 1.0
 
 
 class Stretch(Struct, frozen=True):
@@ -78,11 +79,16 @@
 
     def note(self, now: float) -> None:
         """Notes a waking."""
-        late_s = max(0.0, now - self.due)
+        self.note_stretch(Stretch(min(self.due, now), now))
+
+    def note_stretch(self, stretch: Stretch) -> None:
+        """Notes a stretch of time that the process has missed."""
+        now = stretch.end
+        late_s = now - stretch.start
         if self.lags is not None:
             self.lags.observe(late_s)
         if late_s > NOISE_S:
-            self.stretches.append(Stretch(self.due, now))
+            self.stretches.append(stretch)
         while self.stretches and self.stretches[0].end < now - KEPT_S:
             self.stretches.popleft()
         if late_s >= self.faded_s(now):
@@ -170,8 +176,22 @@
         return moment + timeout_s + min(self.lost_s(moment), KEPT_S)
 
     def allowance_s(self) -> float:
-        """Returns by how much time-outs of calls that begin now are longer.
+        """Returns by how much time-outs of calls that begin now are longer."""
+        return min(self.late_s() * TURNS_A_CALL, MAX_ALLOWANCE_S)
+
+    def pause_s(self, usual_s: float) -> float:
+        """Returns the pause before another try: the later, the longer.
 
-        Pauses before another try grow by it as well, so that tries add no load.
+        Tries of a process that can't keep up would make it later still.
         """
-        return min(self.late_s() * TURNS_A_CALL, MAX_ALLOWANCE_S)
+        return usual_s + min(self.late_s(), MAX_PAUSE_S)
+
+    async def expire(
+        self, scope: anyio.CancelScope, moment: float, timeout_s: float
+    ) -> None:
+        """Cancels a wait that began at a moment once its deadline has passed."""
+        deadline = self.deadline(moment, timeout_s)
+        while self.clock() < deadline:
+            await anyio.sleep(deadline - self.clock())
+            deadline = self.deadline(moment, timeout_s)
+        scope.cancel()
--- a/tests/test_util/test_lag.py
+++ b/tests/test_util/test_lag.py
@@ -9,7 +9,13 @@
 
 from lacewinghold.events import Event
 from lacewinghold.testing.clock import run_paused
-from lacewinghold.util.lag import INTERVAL_S, MAX_ALLOWANCE_S, RECENT_S, LagMonitor
+from lacewinghold.util.lag import (
+    INTERVAL_S,
+    MAX_ALLOWANCE_S,
+    MAX_PAUSE_S,
+    RECENT_S,
+    LagMonitor,
+)
 
 
 class LateClock:
@@ -52,6 +58,7 @@
         await anyio.sleep(30)
         assert lag.lag_s == lag.late_s() == lag.lost_s(began) == 0.0
         assert lag.allowance_s() == 0.0
+        assert lag.pause_s(0.2) == 0.2
         assert not lag.excused(began)
         assert lag.deadline(began, 0.6) == began + 0.6
 
@@ -68,6 +75,7 @@
         assert lag.excused(began)
         assert lag.lost_s(began) > 1.9
         assert lag.allowance_s() == MAX_ALLOWANCE_S
+        assert lag.pause_s(0.2) == 0.2 + MAX_PAUSE_S
 
     watch(program)
 
@@ -105,6 +113,22 @@
     watch(program)
 
 
+@pytest.mark.parametrize(("lost_s", "ends_s"), [(0.0, 1.0), (0.7, 1.7)])
+def test_a_wait_ends_later_by_the_time_that_was_missed(lost_s, ends_s):
+    async def program(lag, clock):
+        began = clock()
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lag.expire, scope, began, 1.0)
+                await anyio.sleep(0.5)
+                clock.lost_s += lost_s
+                await anyio.sleep_forever()
+        assert scope.cancelled_caught
+        assert clock() - began == pytest.approx(ends_s, abs=2 * INTERVAL_S)
+
+    watch(program)
+
+
 def test_a_late_process_says_so_once_a_second_and_when_it_is_over():
     async def program(lag, clock):
         for _ in range(40):
