--- a/lacewinghold/peers/link.py
+++ b/lacewinghold/peers/link.py
@@ -46,7 +46,8 @@
 
     While it is in use it sends heartbeats; the peer echoes their numbers. If no
     echo comes for ``SILENCE_S`` the connection is replaced: one that lost track
-    of its other end may swallow messages for good while a new one works.
+    of its other end may swallow messages for good while a new one works. Time that
+    this process has missed does not count: echoes may have come in it.
     """
 
     def __init__(self, links: PeerLinks, peer: InstanceId) -> None:
@@ -127,7 +128,8 @@
             return
         now = anyio.current_time()
         waiting = self.number > self.echoed
-        if waiting and now - self.heard_at > SILENCE_S and now >= self.replace_at:
+        silent = now > self.links.lag.deadline(self.heard_at, SILENCE_S)
+        if waiting and silent and now >= self.replace_at:
             self.replaced += 1
             self.replace_at = now + self.backoff.next_delay_s() + SILENCE_S
             logger.info(Event.SILENT_LINK_REPLACED, peer=self.peer, count=self.replaced)
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -23,6 +23,7 @@
     MessageKind,
 )
 from lacewinghold.util.codec import pack, unpack
+from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -56,6 +57,7 @@
     :param instance: This instance.
     :param addresses: Finds the address of a peer.
     :param paid: Tells whether the link to a peer is paid for.
+    :param lag: Tells how late this process is; never if ``None``.
     """
 
     def __init__(
@@ -65,12 +67,14 @@
         addresses: AddressBook,
         paid: Callable[[InstanceId], bool] = lambda peer: False,
         rng: random.Random | None = None,
+        lag: LagMonitor | None = None,
     ) -> None:
         self.instance = instance
         self.transport = transport
         self.addresses = addresses
         self.paid = paid
         self.rng = rng or random.Random(0)
+        self.lag = lag or LagMonitor()
         self.handlers: dict[MessageKind, Handler] = {}
         self.next_correlation = 1
         self.replies: dict[int, Result[bytes, Failure]] = {}
@@ -280,14 +284,25 @@
             queued = self.queue(peer, kind, correlation, pack(body))
             if isinstance(queued, Err):
                 return Err(queued.err_value)
-            with anyio.move_on_after(timeout_s):
-                await event.wait()
+            if await self.arrives(event, timeout_s):
                 return self.replies.pop(correlation)
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, f"no reply from {peer}"))
         finally:
             del self.waiting[correlation]
             self.replies.pop(correlation, None)
 
+    async def arrives(self, reply: anyio.Event, timeout_s: float) -> bool:
+        """Returns whether a reply has come in time, own lateness aside."""
+        began = anyio.current_time()
+        deadline = began + timeout_s
+        while anyio.current_time() < deadline:
+            with anyio.CancelScope(deadline=deadline):
+                await reply.wait()
+            if reply.is_set():
+                return True
+            deadline = self.lag.deadline(began, timeout_s)
+        return False
+
 
 def to_result(envelope: Envelope) -> Result[bytes, Failure]:
     """Returns what a reply says."""
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+import trio
 from msgspec import Struct
 from result import Err, Ok
 
@@ -21,6 +22,7 @@
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
 from lacewinghold.util.codec import pack, unpack
+from lacewinghold.util.lag import LagMonitor, Stretch
 
 CERTIFICATES = Path(__file__).parent / "certificates"
 REPLACED_WITHIN_S = SILENCE_S + 2 * HEARTBEAT_S
@@ -54,6 +56,7 @@
         lambda peer: "memory" if peer in known else None,
         paid,
         random.Random(1),
+        LagMonitor(),
     )
     links.on(MessageKind.JOB_LIST, echo)
     return links
@@ -96,6 +99,60 @@
     assert way[1] in run_pair(program)
 
 
+def test_own_lag_is_not_taken_for_a_silent_peer():
+    async def program(network, a, b):
+        assert isinstance(await ask(a, "b"), Ok)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(a.lag.run)
+            for _ in range(10):
+                link = a.links["b"]
+                while link.number == link.echoed:
+                    await anyio.sleep(0.01)
+                # A heartbeat is under way; the process stands still.
+                trio.lowlevel.current_clock().jump(SILENCE_S + 1.0)
+                await anyio.sleep(0.5)
+                link.used_at = anyio.current_time()
+            tasks.cancel_scope.cancel()
+        return link.replaced
+
+    assert run_pair(program) == 0
+
+
+def test_own_lag_does_not_end_the_wait_for_a_reply():
+    async def program(network, a, b):
+        async def answer_late(sender, body):
+            await anyio.sleep(1.2)
+            return Ok(Views([]))
+
+        async def be_late():
+            await anyio.sleep(0.9)
+            now = anyio.current_time()
+            a.lag.note_stretch(Stretch(now - 0.5, now))
+
+        b.on(MessageKind.JOB_LIST, answer_late)
+        assert isinstance(await ask(a, "b"), Err)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(be_late)
+            assert isinstance(await ask(a, "b"), Ok)
+            a.lag.stretches.clear()
+        assert isinstance(await ask(a, "b"), Err)
+
+    run_pair(program)
+
+
+def test_a_peer_that_is_silent_beside_own_lag_is_still_replaced():
+    async def program(network, a, b):
+        assert isinstance(await ask(a, "b"), Ok)
+        network.swallowed.add(("a", "b"))
+        now = anyio.current_time()
+        a.lag.note_stretch(Stretch(now - 0.5, now))
+        await ask(a, "b")
+        await anyio.sleep(REPLACED_WITHIN_S + HEARTBEAT_S)
+        assert not network.swallowed
+
+    run_pair(program)
+
+
 def test_quiet_but_sound_link_is_not_replaced_and_an_idle_one_is_freed():
     async def program(network, a, b):
         await ask(a, "b")
