--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -101,7 +101,7 @@
         self.lag = ports.lag or LagMonitor()
         self.lag.details = self.describe_lateness
         self.lag.lags = self.metrics.late_seconds
-        self.store = WatchedStore(ports.store)
+        self.store = WatchedStore(ports.store, self.lag)
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
         self.election = Election(
@@ -115,7 +115,7 @@
         )
         self.owner: CellOwner | None = None
         self.peers = PeerLinks(
-            instance, ports.transport, self.address_of, self.is_paid, rng
+            instance, ports.transport, self.address_of, self.is_paid, rng, self.lag
         )
         self.peer_calls = PeerCalls(self)
         member = CellMember(
--- a/lacewinghold/store/health.py
+++ b/lacewinghold/store/health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, TypeVar
 
@@ -17,6 +18,7 @@
     Transaction,
     TransactionReply,
 )
+from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable
@@ -36,12 +38,14 @@
     """Passes all calls on and notes whether they are answered.
 
     :param inner: The client that makes the calls.
+    :param lag: Tells how late this process is; never if ``None``.
     """
 
     name = "watched"
 
-    def __init__(self, inner: Store) -> None:
+    def __init__(self, inner: Store, lag: LagMonitor | None = None) -> None:
         self.inner = inner
+        self.lag = lag or LagMonitor()
         self.calls = inner.calls
         self.failures = 0
         self.last_answer = anyio.current_time()
@@ -53,18 +57,25 @@
         """Returns whether the store does not serve this instance now.
 
         Either several calls in a row have failed, or one has been waiting for long
-        and nothing was answered meanwhile.
+        and nothing was answered meanwhile. Time that this process has missed does
+        not count.
         """
         if self.failures >= FAILURES_DOWN:
             return True
-        now = anyio.current_time()
-        if now - self.last_answer < SILENT_S:
+        if not self.silent_since(self.last_answer):
             return False
-        oldest = min(self.outstanding.values(), default=now)
-        return now - oldest > SILENT_S
+        oldest = min(self.outstanding.values(), default=math.inf)
+        return self.silent_since(oldest)
 
-    def note(self, failure: Failure | None) -> None:
-        """Notes the outcome of a call."""
+    def silent_since(self, moment: float) -> bool:
+        """Returns whether a silence since a moment is too long."""
+        return anyio.current_time() > self.lag.deadline(moment, SILENT_S)
+
+    def note(self, failure: Failure | None, began: float) -> None:
+        """Notes the outcome of a call.
+
+        :param began: When it was made.
+        """
         if failure is None or failure.kind not in OUTAGE_KINDS:
             if self.failures >= FAILURES_DOWN:
                 logger.info(
@@ -74,6 +85,8 @@
             self.failures = 0
             self.last_answer = anyio.current_time()
             return
+        if self.lag.excused(began) and not self.silent_since(self.last_answer):
+            return
         self.failures += 1
         if self.failures == FAILURES_DOWN:
             logger.warning(Event.STORE_DOES_NOT_SERVE, detail=failure.detail)
@@ -82,12 +95,13 @@
         """Makes one call."""
         number = self.next_call
         self.next_call += 1
-        self.outstanding[number] = anyio.current_time()
+        began = anyio.current_time()
+        self.outstanding[number] = began
         try:
             reply = await call
         finally:
             del self.outstanding[number]
-        self.note(reply.err_value if isinstance(reply, Err) else None)
+        self.note(reply.err_value if isinstance(reply, Err) else None, began)
         return reply
 
     async def range(
@@ -117,7 +131,7 @@
             async with self.inner.watch(prefix, after) as batches:
                 yield self.noted(batches)
         except FailureError as error:
-            self.note(error.failure)
+            self.note(error.failure, self.last_answer)
             raise
 
     async def noted(
@@ -125,5 +139,5 @@
     ) -> AsyncIterator[WatchBatch]:
         """Yields batches and notes that the store has answered."""
         async for batch in batches:
-            self.note(None)
+            self.note(None, self.last_answer)
             yield batch
--- a/lacewinghold/util/lag.py
+++ b/lacewinghold/util/lag.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 import anyio
@@ -135,10 +135,15 @@
             return None
         return Stretch(self.due, now)
 
-    def known(self, now: float) -> list[Stretch]:
-        """Returns the stretches of the last time, the present one included."""
-        present = self.overdue(now)
-        return [*self.stretches, present] if present else list(self.stretches)
+    def known_since(self, moment: float) -> Iterator[Stretch]:
+        """Yields the stretches that ended after a moment, the newest first."""
+        present = self.overdue(self.clock())
+        if present is not None:
+            yield present
+        for stretch in reversed(self.stretches):
+            if stretch.end <= moment:
+                return
+            yield stretch
 
     @property
     def lag_s(self) -> float:
@@ -151,9 +156,8 @@
     def worst_since(self, moment: float) -> float:
         """Returns the largest lag of those that ended after a moment, in seconds."""
         worst_s = 0.0
-        for stretch in self.known(self.clock()):
-            if stretch.end > moment:
-                worst_s = max(worst_s, stretch.end - stretch.start)
+        for stretch in self.known_since(moment):
+            worst_s = max(worst_s, stretch.end - stretch.start)
         return worst_s
 
     def late_s(self) -> float:
@@ -163,7 +167,7 @@
     def lost_s(self, moment: float) -> float:
         """Returns how many of the seconds since a moment the process has missed."""
         lost_s = 0.0
-        for stretch in self.known(self.clock()):
+        for stretch in self.known_since(moment):
             lost_s += max(0.0, stretch.end - max(stretch.start, moment))
         return lost_s
 
--- /dev/null
+++ b/tests/test_store/test_health.py
@@ -0,0 +1,96 @@
+"""Whether the store serves: outages are told from own lateness."""
+
+from __future__ import annotations
+
+import anyio
+import trio
+
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import LeaseId
+from lacewinghold.store.health import FAILURES_DOWN, SILENT_S, WatchedStore
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.store import MemoryStore, Outage, StoreState
+from lacewinghold.util.lag import INTERVAL_S, LagMonitor
+
+LOST = Failure(ErrorKind.OUTCOME_UNKNOWN, "no answer in time")
+
+
+def run_watched(program):
+    """Runs a program on a watched store beside a running monitor."""
+
+    async def session():
+        state = StoreState()
+        lag = LagMonitor()
+        store = WatchedStore(MemoryStore(state), lag)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(lag.run)
+            await anyio.sleep(1.0)
+            lease = (await store.grant_lease(100)).ok_value
+            await program(state, store, lease)
+            tasks.cancel_scope.cancel()
+
+    run_paused(session, seed=1)
+
+
+def stand_still(seconds):
+    """Holds the process up, while time goes on."""
+    trio.lowlevel.current_clock().jump(seconds)
+
+
+async def keep_renewing(store, lease):
+    while True:
+        await store.renew_lease(lease)
+        await anyio.sleep(0.1)
+
+
+def test_own_lag_is_not_taken_for_a_silent_store():
+    async def program(state, store, lease):
+        state.latency_s = 0.2
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_renewing, store, lease)
+            for _ in range(5):
+                while not store.outstanding:
+                    await anyio.sleep(0.01)
+                stand_still(SILENT_S + 0.5)
+                assert not store.down
+                await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+
+    run_watched(program)
+
+
+def test_calls_lost_by_own_lag_are_no_outage():
+    async def program(state, store, lease):
+        for _ in range(FAILURES_DOWN):
+            began = anyio.current_time()
+            stand_still(0.4)
+            store.note(LOST, began)
+            await anyio.sleep(2 * INTERVAL_S)
+        assert not store.down
+
+    run_watched(program)
+
+
+def test_an_outage_is_seen_by_a_late_process_too():
+    async def program(state, store, lease):
+        state.outage = Outage.DOWN
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_renewing, store, lease)
+            for _ in range(20):
+                stand_still(0.3)
+                await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+        assert store.down
+
+    run_watched(program)
+
+
+def test_an_outage_is_seen_at_once_by_a_process_on_time():
+    async def program(state, store, lease):
+        state.outage = Outage.DOWN
+        for _ in range(FAILURES_DOWN):
+            assert not store.down
+            await store.renew_lease(LeaseId(lease))
+        assert store.down
+
+    run_watched(program)
