--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -25,6 +25,7 @@
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.ports import AdviceCalls, AdviceRules
+    from lacewinghold.util.lag import LagMonitor
 
 logger = structlog.get_logger(__name__)
 MAX_WORKERS_A_CALL = 100  # The advice service takes no more.
@@ -34,7 +35,7 @@
 CALL_SLACK_S = 1.0  # Added to the time that an answer takes by the queue's rules.
 SLOW_CALL_S = 0.15  # Calls longer than this leave some lanes to quick ones.
 QUICK_LANES = 2  # Lanes that slow calls leave free, if there are more.
-RETRY_S = 0.2  # Pause after a call that failed.
+RETRY_S = 0.2  # Pause after a call that failed; longer while this process is late.
 LANE_PAUSE_S = 2.0  # A lane that failed is left alone this long.
 
 
@@ -85,7 +86,11 @@
 
 
 class Lane:
-    """One caller of the advice service; it makes one call at a time."""
+    """One caller of the advice service; it makes one call at a time.
+
+    A lane that failed is blocked for a while. One that failed while this process was
+    late is only doubted: the others go first.
+    """
 
     def __init__(self, name: str, calls: AdviceCalls) -> None:
         self.name = name
@@ -94,6 +99,7 @@
         self.slow = False
         self.far = False
         self.blocked_until = -math.inf
+        self.doubted_until = -math.inf
 
 
 class AdviceBook:
@@ -103,8 +109,9 @@
     called as a call about chosen workers is made.
     """
 
-    def __init__(self, metrics: CellMetrics) -> None:
+    def __init__(self, metrics: CellMetrics, lag: LagMonitor) -> None:
         self.metrics = metrics
+        self.lag = lag
         self.steps: dict[str, StepAdvice] = {}
         self.wanted: dict[Purpose, dict[str, list[WantedCall]]] = {
             purpose: {} for purpose in Purpose
@@ -275,7 +282,7 @@
         """Returns the lanes that may call now; else those that failed."""
         idle = [lane for lane in self.lanes if not lane.busy]
         sound = [lane for lane in idle if now >= lane.blocked_until]
-        return sound or idle
+        return sorted(sound or idle, key=lambda lane: now < lane.doubted_until)
 
     def expected_s(self, step: Step, count: int) -> float:
         """Returns how long a call takes by the queue's rules, in seconds."""
@@ -284,6 +291,15 @@
             return 0.0
         return rules.decide_s + rules.per_worker_s * count
 
+    def note_failed(self, lane: Lane, started: float) -> None:
+        """Notes a call over a lane that got no answer."""
+        until = anyio.current_time() + LANE_PAUSE_S
+        if self.lag.excused(started):
+            self.metrics.excused_calls.labels("advice").inc()
+            lane.doubted_until = until
+        else:
+            lane.blocked_until = until
+
     async def ask(
         self, lane: Lane, known: StepAdvice, call: WantedCall, rules: AdviceRules
     ) -> None:
@@ -306,13 +322,14 @@
         known.pending[call.purpose] -= 1
         known.failing = isinstance(answer, Err)
         if isinstance(answer, Err):
-            known.not_before = now + RETRY_S
-            lane.blocked_until = now + LANE_PAUSE_S
+            known.not_before = now + self.lag.pause_s(RETRY_S)
+            self.note_failed(lane, started)
             logger.info(
                 Event.ADVICE_FAILED,
                 step=step.name,
                 lane=lane.name,
                 detail=answer.err_value.detail,
+                own_lag_s=round(self.lag.worst_since(started), 3),
             )
             self.on_arrival()
             return
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -121,7 +121,7 @@
         member = CellMember(
             instance=instance, address=settings.listen.peer, region=settings.region
         )
-        self.membership = Membership(self.store, prefix, member)
+        self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_lane)
         self.front = JobFront(self)
         self.worker_keys: dict[str, WorkerId] = {}
@@ -333,7 +333,7 @@
 
     async def decide_under(self, ownership: Ownership) -> None:
         """Decides until the ownership is lost."""
-        book = AdviceBook(self.metrics)
+        book = AdviceBook(self.metrics, self.lag)
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
         owner = CellOwner(
--- a/lacewinghold/scheduler/members.py
+++ b/lacewinghold/scheduler/members.py
@@ -30,11 +30,12 @@
     from lacewinghold.ids import LeaseId
     from lacewinghold.peers.links import PeerLinks
     from lacewinghold.store.base import KeyValue, Store
+    from lacewinghold.util.lag import LagMonitor
 
 logger = structlog.get_logger(__name__)
 MEMBER_LEASE_S = 4.0  # A dead member is asked in vain this long.
 RENEW_S = 0.5  # Also tells soon that the store has fallen silent.
-RETRY_S = 0.3
+RETRY_S = 0.3  # Longer while this process is late.
 MIRROR_PACE_S = 0.5
 MAX_ADDRESSES = 1000  # Starts of instances in some days.
 LINK_SLACK_S = 0.3  # Way to a member and back, beside the call that it makes.
@@ -43,8 +44,11 @@
 class Membership:
     """This instance's entry among the members, under a lease of its own."""
 
-    def __init__(self, store: Store, prefix: str, member: CellMember) -> None:
+    def __init__(
+        self, store: Store, prefix: str, member: CellMember, lag: LagMonitor
+    ) -> None:
         self.store = store
+        self.lag = lag
         self.key = f"{prefix}{MEMBERS}{member.instance}"
         self.member = member
         self.lease: LeaseId | None = None
@@ -53,7 +57,7 @@
         """Enters and stays until cancelled."""
         while True:
             kept = await (self.enter() if self.lease is None else self.renew())
-            await anyio.sleep(RENEW_S if kept else RETRY_S)
+            await anyio.sleep(RENEW_S if kept else self.lag.pause_s(RETRY_S))
 
     async def enter(self) -> bool:
         """Opens a lease and writes the entry under it."""
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -133,7 +133,7 @@
         )
         self.excused_calls = Counter(
             "lacewinghold_excused_calls",
-            "Calls to workers without an answer while this process was late.",
+            "Calls without an answer while this process was late.",
             ["kind"],
             registry=registry,
         )
--- a/tests/test_scheduler/test_lateness.py
+++ b/tests/test_scheduler/test_lateness.py
@@ -3,10 +3,21 @@
 from __future__ import annotations
 
 import anyio
+from result import Err, Ok
 from structlog.testing import capture_logs
 
+from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
+from lacewinghold.scheduler.advice import Lane
+from lacewinghold.scheduler.members import Membership
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import AdviceCalls, Queue
+from lacewinghold.schema.generated.cell import CellMember
+from lacewinghold.store.base import CallKind
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.step_cell import HOST, advised
+from lacewinghold.testing.store import MemoryStore, Outage, StoreState
+from lacewinghold.util.lag import LagMonitor, Stretch
 from tests.test_scheduler.support import run_cell, step
 
 
@@ -46,3 +57,124 @@
         assert sample(owner, "lag_seconds") == 0
 
     run_cell(program)
+
+
+class ScriptedAdvice(AdviceCalls):
+    """Answers with what a test puts in."""
+
+    name = "scripted"
+
+    def __init__(self):
+        self.answers = []
+        self.calls = 0
+
+    async def ask(self, step, workers, timeout_s):
+        self.calls += 1
+        return await self.answers.pop(0)()
+
+
+async def no_answer():
+    await anyio.sleep(0.5)
+    return Err(Failure(ErrorKind.UNREACHABLE, "no answer in time"))
+
+
+async def no_permission():
+    await anyio.sleep(0.1)
+    return Ok([])
+
+
+def be_late(owner, seconds):
+    now = anyio.current_time()
+    owner.instance.lag.note_stretch(Stretch(now - seconds, now))
+
+
+async def ask_over_two_lanes(cell, answers, late_s):
+    """Has a step asked about once, by a process that is late meanwhile.
+
+    :returns: The owner's book, and its lane that was asked.
+    """
+    owner = cell.owner()
+    book = owner.instance.owner.book
+    lanes = [Lane(name, ScriptedAdvice()) for name in ("one", "two")]
+    for lane in lanes:
+        lane.calls.answers = list(answers)
+    book.lanes[:] = lanes
+    await cell.submit("a", [step()])
+    while not any(lane.busy for lane in lanes):
+        await anyio.sleep(0.01)
+    asked = next(lane for lane in lanes if lane.busy)
+    await anyio.sleep(0.4)
+    if late_s:
+        be_late(owner, late_s)
+    while asked.busy:
+        await anyio.sleep(0.005)
+    return book, asked
+
+
+ADVISED = [advised(Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1), 0.1, 2.0)]
+
+
+def test_own_lag_does_not_block_a_lane():
+    async def program(cell):
+        answers = [no_answer, *[no_permission] * 50]
+        book, asked = await ask_over_two_lanes(cell, answers, 0.3)
+        assert book.lanes[0] is asked
+        # It may be asked, after those that nothing is to be said against.
+        free = book.free_lanes(anyio.current_time())
+        assert sorted(lane.name for lane in free) == ["one", "two"]
+        assert free[-1] is asked
+        assert sample(cell.owner(), "excused_calls_total", kind="advice") == 1
+
+    run_cell(program, instances=1, queues=ADVISED)
+
+
+def test_a_lane_that_fails_a_process_on_time_is_left_alone():
+    async def program(cell):
+        answers = [no_answer, *[no_permission] * 50]
+        book, asked = await ask_over_two_lanes(cell, answers, 0.0)
+        free = book.free_lanes(anyio.current_time())
+        assert free
+        assert asked not in free
+        assert sample(cell.owner(), "excused_calls_total", kind="advice") is None
+
+    run_cell(program, instances=1, queues=ADVISED)
+
+
+def test_tries_again_are_made_less_often_the_later_the_process_is():
+    async def count(cell, late_s):
+        owner = cell.owner()
+        book = owner.instance.owner.book
+        lane = Lane("one", ScriptedAdvice())
+        lane.calls.answers = [no_answer] * 50
+        book.lanes[:] = [lane]
+        await cell.submit("a", [step()])
+        for _ in range(10):
+            be_late(owner, late_s)
+            await anyio.sleep(1.0)
+        return lane.calls.calls
+
+    def calls(late_s):
+        return run_cell(lambda cell: count(cell, late_s), instances=1, queues=ADVISED)
+
+    assert calls(0.8) < 0.7 * calls(0.0)
+
+
+def test_a_member_tries_again_less_often_the_later_it_is():
+    async def count(late_s):
+        state = StoreState()
+        store, lag = MemoryStore(state), LagMonitor()
+        member = CellMember(instance="one", address="a", region="r")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Membership(store, "p/", member, lag).run)
+            await anyio.sleep(1.0)
+            state.outage = Outage.DOWN
+            before = store.calls[CallKind.LEASE]
+            for _ in range(20):
+                now = anyio.current_time()
+                lag.note_stretch(Stretch(now - late_s, now))
+                await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+        return store.calls[CallKind.LEASE] - before
+
+    on_time, late = (run_paused(count, late_s, seed=1) for late_s in (0.0, 0.6))
+    assert 0 < late < 0.6 * on_time
