--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -25,6 +25,7 @@
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
 from lacewinghold.util.clock import WallClock
 from lacewinghold.util.http_server import serve_http
+from lacewinghold.util.lag import LagMonitor
 from lacewinghold.util.metrics_http import MetricsApp
 from lacewinghold.util.settings_watch import SettingsWatch
 
@@ -42,16 +43,20 @@
 
 
 def make_ports(
-    settings: EntrySettings, store: PlatformStore, advice: PlatformAdvice | None
+    settings: EntrySettings,
+    store: PlatformStore,
+    advice: PlatformAdvice | None,
+    lag: LagMonitor,
 ) -> CellPorts:
     """Returns the adapters to the platform."""
     return CellPorts(
         store=store,
         transport=NngTransport(settings.listen.peer),
-        dialer=PlatformWorkerDialer(),
+        dialer=PlatformWorkerDialer(lag),
         advice=advice,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
         clock=WallClock(),
+        lag=lag,
     )
 
 
@@ -104,9 +109,10 @@
     structlog.contextvars.bind_contextvars(instance=settings.instance)
     boot = secrets.token_hex(4)
     name = InstanceId(f"{settings.instance}.{boot}")
-    store = PlatformStore(settings.store.address)
-    advice = PlatformAdvice(settings.advice) if settings.advice else None
-    ports = make_ports(settings, store, advice)
+    lag = LagMonitor()
+    store = PlatformStore(settings.store.address, lag)
+    advice = PlatformAdvice(settings.advice, lag) if settings.advice else None
+    ports = make_ports(settings, store, advice, lag)
     instance = CellInstance(settings, ports, name, random.Random())
     live = LiveSettings(instance, store, advice, settings)
     watch = SettingsWatch(path, settings, live.apply)
--- a/lacewinghold/platform/advice.py
+++ b/lacewinghold/platform/advice.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from lacewinghold.util.lag import LagMonitor
+
 MAX_CONNECTIONS = 4
 
 
@@ -29,12 +31,13 @@
     """Asks the advice service.
 
     :param address: IP address and port.
+    :param lag: Tells how late this process is; never if ``None``.
     """
 
     name = "platform"
 
-    def __init__(self, address: str) -> None:
-        self.client = JsonClient(address, MAX_CONNECTIONS)
+    def __init__(self, address: str, lag: LagMonitor | None = None) -> None:
+        self.client = JsonClient(address, MAX_CONNECTIONS, lag)
 
     async def ask(
         self, step: str, workers: Sequence[WorkerId], timeout_s: float
--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
 import httpcore
 import msgspec
 from msgspec import Struct
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -39,10 +41,14 @@
 
     :param address: IP address and port.
     :param connections: Most connections at a time.
+    :param lag: Tells how late this process is; never if ``None``.
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, lag: LagMonitor | None = None
+    ) -> None:
         self.address = address
+        self.lag = lag or LagMonitor()
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=connections,
             max_keepalive_connections=connections,
@@ -59,35 +65,59 @@
     ) -> Result[HttpReply, Failure]:
         """Makes one call.
 
+        :param timeout_s: For a process on time; a late one waits longer.
         :returns: ``UNREACHABLE`` if it surely was not sent, ``OUTCOME_UNKNOWN`` if
             no whole answer came.
         """
+        began = anyio.current_time()
         content = b"" if body is None else msgspec.json.encode(body)
         sent = [("Host", self.address), ("Content-Length", str(len(content)))]
         if content:
             sent.append(("Content-Type", "application/json"))
         sent += (headers or {}).items()
-        timeouts = {
-            "connect": min(CONNECT_S, timeout_s),
-            "read": timeout_s,
-            "write": timeout_s,
-            "pool": timeout_s,
-        }
         try:
-            response = await self.pool.request(
-                method,
-                f"http://{self.address}{path}",
-                headers=sent,
-                content=content,
-                extensions={"timeout": timeouts},
-            )
+            try:
+                return Ok(await self.request(method, path, timeout_s, content, sent))
+            except httpcore.ConnectTimeout:
+                # Opening takes several turns of the event loop.
+                if not self.lag.excused(began):
+                    raise
+                return Ok(await self.request(method, path, timeout_s, content, sent))
         except NOT_SENT as error:
             detail = f"{self.address}: {type(error).__name__}"
             return Err(Failure(ErrorKind.UNREACHABLE, detail))
         except UNKNOWN as error:
             detail = f"{self.address}: {type(error).__name__}"
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
-        return Ok(HttpReply(response.status, response.content))
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        content: bytes,
+        headers: list[tuple[str, str]],
+    ) -> HttpReply:
+        """Makes one call; raises httpcore's errors."""
+        response = await self.pool.request(
+            method,
+            f"http://{self.address}{path}",
+            headers=headers,
+            content=content,
+            extensions={"timeout": self.timeouts(timeout_s)},
+        )
+        return HttpReply(response.status, response.content)
+
+    def timeouts(self, timeout_s: float) -> dict[str, float]:
+        """Returns the bounds of the parts of a call that begins now."""
+        allowance_s = self.lag.allowance_s()
+        whole_s = timeout_s + allowance_s
+        return {
+            "connect": min(CONNECT_S, timeout_s) + allowance_s,
+            "read": whole_s,
+            "write": whole_s,
+            "pool": whole_s,
+        }
 
     def move(self, address: str) -> None:
         """Calls another address from now on; idle connections end by themselves."""
--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -30,6 +30,7 @@
     from collections.abc import AsyncIterator
 
     from lacewinghold.platform.http import HttpReply
+    from lacewinghold.util.lag import LagMonitor
 
 T = TypeVar("T")
 CALL_S = 0.8  # Sixty times slower than usual, a call still ends in a third of it.
@@ -99,13 +100,14 @@
     """Calls the store; the outcomes are those of the base class.
 
     :param address: IP address and port.
+    :param lag: Tells how late this process is; never if ``None``.
     """
 
     name = "platform"
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, lag: LagMonitor | None = None) -> None:
         super().__init__()
-        self.client = JsonClient(address, MAX_CONNECTIONS)
+        self.client = JsonClient(address, MAX_CONNECTIONS, lag)
 
     async def call(
         self,
--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.ports import LookOrder, StartOrder, StopOrder
+    from lacewinghold.util.lag import LagMonitor
 
 logger = structlog.get_logger(__name__)
 WORKERS_PREFIX = "servers/"
@@ -133,9 +134,9 @@
 
     name = "platform"
 
-    def __init__(self, entry: WorkerEntry) -> None:
+    def __init__(self, entry: WorkerEntry, lag: LagMonitor | None = None) -> None:
         self.entry = entry
-        self.client = JsonClient(entry.address, MAX_CONNECTIONS)
+        self.client = JsonClient(entry.address, MAX_CONNECTIONS, lag)
         self.headers = {EXPECT_INSTANCE: str(entry.worker)}
 
     async def order(self, path: str, body: object, timeout_s: float) -> OrderReply:
@@ -227,9 +228,15 @@
 
 
 class PlatformWorkerDialer(WorkerDialer):
-    """Opens calls to the platform's workers."""
+    """Opens calls to the platform's workers.
+
+    :param lag: Tells how late this process is; never if ``None``.
+    """
 
     name = "platform"
 
+    def __init__(self, lag: LagMonitor | None = None) -> None:
+        self.lag = lag
+
     def open(self, entry: WorkerEntry) -> WorkerCalls:
-        return PlatformWorkerCalls(entry)
+        return PlatformWorkerCalls(entry, self.lag)
--- a/lacewinghold/util/lag.py
+++ b/lacewinghold/util/lag.py
@@ -63,6 +63,8 @@
         self.stretches: deque[Stretch] = deque()
         self.peak_s = 0.0
         self.peak_at = -math.inf
+        self.recent_s = 0.0
+        self.recent_at = -math.inf
         self.logged_at = -math.inf
         self.worst_unlogged_s = 0.0
         self.reported = False
@@ -89,6 +91,7 @@
             self.lags.observe(late_s)
         if late_s > NOISE_S:
             self.stretches.append(stretch)
+            self.recent_s = max(self.recent_s, late_s)
         while self.stretches and self.stretches[0].end < now - KEPT_S:
             self.stretches.popleft()
         if late_s >= self.faded_s(now):
@@ -161,8 +164,18 @@
         return worst_s
 
     def late_s(self) -> float:
-        """Returns the largest lag of the last seconds."""
-        return self.worst_since(self.clock() - RECENT_S)
+        """Returns the largest lag of the last seconds.
+
+        Asked before each call; the past is looked through once an interval.
+        """
+        now = self.clock()
+        if now >= self.recent_at + INTERVAL_S:
+            self.recent_s = self.worst_since(now - RECENT_S)
+            self.recent_at = now
+        present = self.overdue(now)
+        if present is None:
+            return self.recent_s
+        return max(self.recent_s, present.end - present.start)
 
     def lost_s(self, moment: float) -> float:
         """Returns how many of the seconds since a moment the process has missed."""
@@ -189,13 +202,3 @@
         Tries of a process that can't keep up would make it later still.
         """
         return usual_s + min(self.late_s(), MAX_PAUSE_S)
-
-    async def expire(
-        self, scope: anyio.CancelScope, moment: float, timeout_s: float
-    ) -> None:
-        """Cancels a wait that began at a moment once its deadline has passed."""
-        deadline = self.deadline(moment, timeout_s)
-        while self.clock() < deadline:
-            await anyio.sleep(deadline - self.clock())
-            deadline = self.deadline(moment, timeout_s)
-        scope.cancel()
