--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -66,7 +66,10 @@
 
 
 class CellPorts(Struct):
-    """What an instance is connected to; tests pass fakes."""
+    """What an instance is connected to; tests pass fakes.
+
+    :param lag: Shared with what makes the calls; a new one if ``None``.
+    """
 
     store: Store
     transport: PeerTransport
@@ -74,6 +77,7 @@
     advice: AdviceCalls | None
     keys: OperatorKeys
     clock: WallClock
+    lag: LagMonitor | None = None
 
 
 class CellInstance:
@@ -94,14 +98,14 @@
         self.instance = instance
         self.rng = rng
         prefix = settings.store.prefix
-        self.store = WatchedStore(ports.store)
-        self.jobs = JobStore(self.store, prefix)
-        self.state = CellState()
         self.metrics = CellMetrics()
         self.planning_share = PlanningShare(self.metrics)
-        self.lag = LagMonitor(
-            details=self.describe_lateness, lags=self.metrics.late_seconds
-        )
+        self.lag = ports.lag or LagMonitor()
+        self.lag.details = self.describe_lateness
+        self.lag.lags = self.metrics.late_seconds
+        self.store = WatchedStore(ports.store, self.lag)
+        self.jobs = JobStore(self.store, prefix)
+        self.state = CellState()
         self.election = Election(
             self.store,
             prefix,
@@ -113,7 +117,7 @@
         )
         self.owner: CellOwner | None = None
         self.peers = PeerLinks(
-            instance, ports.transport, self.address_of, self.is_paid, rng
+            instance, ports.transport, self.address_of, self.is_paid, rng, self.lag
         )
         self.peer_calls = PeerCalls(self)
         self.relay_host = RelayHost(self.peers, ports.dialer, self.lag)
@@ -124,7 +128,7 @@
             region=settings.region,
             data_centre=settings.data_centre,
         )
-        self.membership = Membership(self.store, prefix, member)
+        self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_lane)
         self.front = JobFront(self)
         self.worker_keys: dict[str, WorkerId] = {}
@@ -348,7 +352,7 @@
 
     async def decide_under(self, ownership: Ownership) -> None:
         """Decides until the ownership is lost."""
-        book = AdviceBook(self.metrics)
+        book = AdviceBook(self.metrics, self.lag)
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
         data_centre = self.settings.data_centre
