--- /dev/null
+++ b/bench/plan_cell.py
@@ -0,0 +1,226 @@
+"""A cell as the owner's plans see it: workers, waiting steps and permissions."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+from msgspec import Struct, field
+
+from bench.planner_day import KINDS, WORKER_ROOM, make_nodes
+from lacewinghold.ids import Epoch, WorkerId
+from lacewinghold.scheduler.advice import AdviceBook, Lane, Permission, StepAdvice
+from lacewinghold.scheduler.metrics import CellMetrics
+from lacewinghold.scheduler.model import Run, make_job
+from lacewinghold.scheduler.pace import PaceBook
+from lacewinghold.scheduler.planning import PlanLoop
+from lacewinghold.scheduler.ports import AdviceCalls, AdviceRules, Manifest, Queue
+from lacewinghold.schema.generated.cell import CellJob, StepSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from result import Result
+
+    from bench.planner_day import JobKind
+    from lacewinghold.errors import Failure
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.ports import Ticket
+
+ADVICE = AdviceRules(decide_s=0.1, per_worker_s=0.002, valid_s=2.0)
+LANES = 10  # As many as a site has instances near its advice service.
+ALWAYS = 1e12
+
+
+class Scene(StrEnum):
+    """What a plan finds."""
+
+    NO_ROOM = "nothing has room, tickets valid"
+    NO_TICKET = "half empty, no valid ticket"
+    NOT_ASKED = "half empty, nobody asked yet"
+
+
+class SilentCalls(AdviceCalls):
+    """An advice service that is never called, since all lanes are busy."""
+
+    name = "silent"
+
+    async def ask(
+        self, step: str, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Result[list[Ticket], Failure]:
+        raise AssertionError(step)
+
+
+class IdleDriver:
+    """Counts the starts of one worker."""
+
+    def __init__(self) -> None:
+        self.begun: list[Run] = []
+
+    def begin(self, run: Run, ticket: str) -> None:
+        """Notes a start."""
+        self.begun.append(run)
+
+
+class IdleFleet:
+    """Workers that do nothing."""
+
+    def __init__(self, nodes: list[WorkerNode]) -> None:
+        self.nodes = {node.id: node for node in nodes}
+        self.drivers = {node.id: IdleDriver() for node in nodes}
+        self.halted: list[Run] = []
+
+    def write_due_roster(self) -> None:
+        """Stores nothing."""
+
+    def halt(self, run: Run) -> None:
+        """Notes a stop."""
+        self.halted.append(run)
+
+    def fullness(self) -> float:
+        """Returns the share of all workers' cores that runs take."""
+        used = sum(node.used.cpu_millis for node in self.nodes.values())
+        return used / sum(
+            node.entry.capacity.cpu_millis for node in self.nodes.values()
+        )
+
+
+class IdleTable:
+    """Steps that are open."""
+
+    def __init__(self) -> None:
+        self.open_steps: dict[str, Step] = {}
+
+    def open_due(self) -> None:
+        """Opens nothing."""
+
+
+class Term(Struct):
+    """An ownership that never ends."""
+
+    term: int = 1
+    valid_until: float = ALWAYS
+
+
+class Known(Struct):
+    """What every instance knows."""
+
+    manifest: Manifest = field(default_factory=lambda: Manifest(1, []))
+
+
+class PlanCell:
+    """Stands in for the owner of plans.
+
+    :param workers: How many workers there are.
+    :param busy: Whether all lanes to the advice service are busy.
+    """
+
+    def __init__(self, workers: int, *, busy: bool = True, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        nodes = make_nodes(workers)
+        for node in nodes:
+            node.listed = node.fenced = node.enrolled = True
+        self.nodes = nodes
+        self.fleet = IdleFleet(nodes)
+        self.table = IdleTable()
+        self.metrics = CellMetrics()
+        self.book = AdviceBook(self.metrics)
+        for number in range(LANES):
+            lane = Lane(f"lane-{number}", SilentCalls())
+            lane.busy = busy
+            self.book.lanes.append(lane)
+        self.pace = PaceBook()
+        self.ownership = Term()
+        self.state = Known()
+        self.epoch = Epoch(1)
+        self.certain = True
+        self.planning = PlanLoop(self)  # type: ignore[arg-type]
+
+    def may_order(self) -> bool:
+        """Returns whether workers may be given orders."""
+        return True
+
+    def fill(self, share: float) -> None:
+        """Fills a share of the workers with work."""
+        for number, node in enumerate(self.nodes):
+            if int((number + 1) * share) == int(number * share):
+                continue
+            step = self.make_step(KINDS[0], WORKER_ROOM.cpu_millis)
+            step.room = WORKER_ROOM
+            node.add(Run(step.tasks[0], 1, node.id, step.room, 0.0))
+
+    def make_step(self, kind: JobKind, cpu: int = 0, *, together: bool = False) -> Step:
+        """Returns a waiting step of a kind, with one task if its cores are given."""
+        number = self.rng.randrange(2**40)
+        queue = msgspec.structs.replace(kind.queue, advice=ADVICE)
+        spec = StepSpec(
+            tasks=1 if cpu else max(1, round(self.rng.uniform(0.3, 1.5) * kind.tasks)),
+            cpu_millis=cpu or kind.cpu_millis,
+            memory_mb=kind.memory_mb,
+            expected_ms=kind.seconds * 1000,
+            all_at_once=together,
+        )
+        return make_ready_step(f"j{number}", queue, spec)
+
+    def add_waiting(self, count: int) -> None:
+        """Adds steps of the booking service's mix that wait."""
+        rates = [kind.per_s for kind in KINDS]
+        for kind in self.rng.choices(KINDS, rates, k=count):
+            together = self.rng.random() < kind.all_at_once
+            step = self.make_step(kind, together=together)
+            self.table.open_steps[step.name] = step
+
+    def permit(self, step: Step, share: float, until: float) -> None:
+        """Gives a step tickets on a share of the workers."""
+        known = self.book.steps.setdefault(step.name, StepAdvice())
+        known.asked = {node.id: node.entry.incarnation for node in self.nodes}
+        count = max(1, round(share * len(self.nodes)))
+        for node in self.rng.sample(self.nodes, count):
+            known.permissions[node.id] = Permission(node.entry.incarnation, "", until)
+
+    def permit_all(self, until: float) -> None:
+        """Gives all steps tickets on those workers that are good for their kind."""
+        shares = {kind.queue.name: kind.good_share for kind in KINDS}
+        for step in self.table.open_steps.values():
+            self.permit(step, shares[step.job.queue.name], until)
+
+    def begun(self) -> Counter[str]:
+        """Returns how many tasks of each step were started."""
+        count: Counter[str] = Counter()
+        for driver in self.fleet.drivers.values():
+            for run in driver.begun:
+                count[run.task.step.name] += 1
+        return count
+
+
+def make_ready_step(name: str, queue: Queue, spec: StepSpec) -> Step:
+    """Returns the only step of a job that has just been accepted."""
+    record = CellJob(
+        job=name,
+        queue=queue.name,
+        program="",
+        steps=[spec],
+        accepted_at=0.0,
+        rules=queue.to_rules(),
+    )
+    return make_job(record, queue, anyio.current_time(), 0.0).steps[0]
+
+
+def make_scene(scene: Scene, waiting: int, workers: int) -> PlanCell:
+    """Returns a cell in which nothing can start."""
+    cell = PlanCell(workers)
+    cell.add_waiting(waiting)
+    if scene is Scene.NO_ROOM:
+        cell.fill(1.0)
+        cell.permit_all(ALWAYS)
+    elif scene is Scene.NO_TICKET:
+        cell.fill(0.5)
+        cell.permit_all(-ALWAYS)
+    else:
+        cell.fill(0.5)
+    return cell
