--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -178,6 +178,7 @@
     def permit(self, step: Step, share: float, until: float) -> None:
         """Gives a step tickets on a share of the workers."""
         known = self.book.steps.setdefault(step.name, StepAdvice())
+        known.valid_until = until
         known.asked = {node.id: node.entry.incarnation for node in self.nodes}
         count = max(1, round(share * len(self.nodes)))
         for node in self.rng.sample(self.nodes, count):
--- a/bench/planner_day.py
+++ b/bench/planner_day.py
@@ -68,18 +68,17 @@
     def make(self, steps: Iterable[Step]) -> Plan:
         """Returns the plan in arrival order."""
         for step in sorted(steps, key=lambda step: step.due_at):
-            nodes = self.candidates(step)
             if step.spec.all_at_once:
-                self.place_together(step, nodes)
+                self.place_together(step)
             else:
-                self.place_singly(step, nodes)
+                self.place_singly(step)
         return self.plan
 
     def rank(self, step: Step, node: WorkerNode) -> tuple[bool, bool, float, str]:
         """Returns the sort key of a worker: its id."""
         return False, False, 0.0, str(node.id)
 
-    def reserve(self, step: Step, nodes: list[WorkerNode]) -> None:
+    def reserve(self, step: Step) -> None:
         """Keeps no room free."""
 
 
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -62,6 +62,8 @@
 class StepAdvice(Struct):
     """What is known of a step: workers asked about, and permissions.
 
+    :param valid_until: When no permission is valid any more, or earlier if some
+        were refused.
     :param pending: How many calls for each purpose are under way.
     :param begun: Whether a call about the chosen workers has been made, and those
         that still wait for a lane belong to it.
@@ -70,6 +72,7 @@
 
     asked: dict[WorkerId, Incarnation] = field(default_factory=dict)
     permissions: dict[WorkerId, Permission] = field(default_factory=dict)
+    valid_until: float = -math.inf
     pending: Counter[Purpose] = field(default_factory=Counter)
     begun: bool = False
     failing: bool = False
@@ -137,6 +140,11 @@
             return None
         return permission.text
 
+    def may_have_ticket(self, step: Step, now: float) -> bool:
+        """Returns whether some permission may be valid."""
+        known = self.steps.get(step.name)
+        return known is not None and now <= known.valid_until
+
     def drop_ticket(self, step: Step, worker: WorkerId) -> None:
         """Forgets a ticket that a worker has refused."""
         known = self.steps.get(step.name)
@@ -159,6 +167,10 @@
         known = self.steps.get(step.name)
         return known is not None and known.pending[Purpose.SEARCH] > 0
 
+    def wants_search(self, step: Step) -> bool:
+        """Returns whether such a call waits for a lane."""
+        return step.name in self.wanted[Purpose.SEARCH]
+
     def renewing(self, step: Step) -> bool:
         """Returns whether permissions on chosen workers are on their way."""
         known = self.steps.get(step.name)
@@ -324,6 +336,7 @@
         for ticket in answer.ok_value:
             if ticket.worker not in incarnations:
                 continue
+            known.valid_until = max(known.valid_until, start_until)
             known.permissions[ticket.worker] = Permission(
                 incarnations[ticket.worker], ticket.text, start_until
             )
--- a/lacewinghold/scheduler/claims.py
+++ b/lacewinghold/scheduler/claims.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Container, Iterable
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.model import Step
@@ -43,10 +43,9 @@
         """Adds a claim, in place of an earlier one of the step."""
         self.claims[claim.step.name] = claim
 
-    def keep_only(self, steps: Iterable[Step]) -> None:
+    def keep_only(self, steps: Container[str]) -> None:
         """Drops the claims of all other steps, which need no more starts."""
-        names = {step.name for step in steps}
-        for name in self.claims.keys() - names:
+        for name in [name for name in self.claims if name not in steps]:
             del self.claims[name]
 
     def settled(self, now: float, asking: Callable[[Step], bool]) -> list[Claim]:
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -102,6 +102,10 @@
         """Returns the tasks that have no run."""
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
+    def waits(self) -> bool:
+        """Returns whether any task has no run."""
+        return any(task.state is TaskState.WAITING for task in self.tasks)
+
     def runs(self) -> list[Run]:
         """Returns the runs that still take room."""
         return [task.run for task in self.tasks if task.run is not None]
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -9,20 +9,21 @@
 
 from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
-from lacewinghold.scheduler.advice import MAX_WORKERS_A_CALL, Purpose
+from lacewinghold.scheduler.advice import Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
-from lacewinghold.scheduler.policy import Planner, fitting_count, fullness, has_label
+from lacewinghold.scheduler.policy import Planner, fullness
+from lacewinghold.scheduler.searches import Searches
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.model import Job, Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.policy import Renewal
+    from lacewinghold.scheduler.policy import Renewal, Turn
 
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers of a term; a task starts far less often.
@@ -45,6 +46,8 @@
         self.claims = ClaimBook()
         self.renewals: dict[str, Renewal] = {}
         self.reserved: dict[str, list[WorkerId]] = {}
+        self.resume: Turn | None = None
+        self.searches = Searches(owner.book)
 
     def wake(self) -> None:
         """Has a plan made soon."""
@@ -79,14 +82,7 @@
         self.owner.table.open_due()
         usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
         usable = [node for node in usable if not node.slow] or usable
-        steps = []
-        for step in list(self.owner.table.open_steps.values()):
-            if not self.may_start(step.job, now):
-                continue
-            if not step.waiting():
-                del self.owner.table.open_steps[step.name]
-                continue
-            steps.append(step)
+        steps = self.waiting_steps(now)
         self.claims.keep_only(steps)
         settled = self.claims.settled(now, self.owner.book.renewing)
         # A step that waits for an answer keeps its choice until then.
@@ -100,21 +96,71 @@
             lambda renewal: self.may_ask(renewal, now),
             self.reserved,
             held,
+            self.able_at(now),
+            self.resume,
         )
-        plan = planner.make(steps)
+        plan = planner.make(steps.values())
         self.reserved = plan.reserved
-        self.make_way(steps)
-        self.renewals = {renewal.step.name: renewal for renewal in plan.renewals}
+        self.resume = plan.resume
+        self.make_way(steps.values())
+        self.renewals = self.renewals_after(planner)
         self.owner.book.keep_renewals(self.renewals.keys() | held)
         for renewal in plan.renewals:
             self.renew(renewal, now)
         self.claims.drop(settled)
         for placement in plan.placements:
             self.start(placement.step, placement.tasks, now)
-        for step in steps:
-            self.search(step, usable, now)
+            if not placement.step.waiting():
+                del steps[placement.step.name]
+        in_order = [step for step in planner.order if step.name in steps]
+        self.searches.make(in_order, self.tasks_found, plan.skipped, usable, now)
         self.waits.note(steps, usable, now)
-        self.choices.forget_others(step.name for step in steps)
+        self.choices.forget_others(steps)
+
+    def waiting_steps(self, now: float) -> dict[str, Step]:
+        """Returns the open steps of which tasks may be started, by their names."""
+        steps = {}
+        for name, step in list(self.owner.table.open_steps.items()):
+            if not self.may_start(step.job, now):
+                continue
+            if not step.waits():
+                del self.owner.table.open_steps[name]
+                continue
+            steps[name] = step
+        return steps
+
+    def renewals_after(self, planner: Planner) -> dict[str, Renewal]:
+        """Returns the choices that lack permissions.
+
+        A step that had no turn keeps its last choice, while there is room for it.
+        """
+        renewals = {}
+        for name in planner.plan.skipped & self.renewals.keys():
+            if planner.has_room_for(self.renewals[name]):
+                renewals[name] = self.renewals[name]
+        for renewal in planner.plan.renewals:
+            renewals[renewal.step.name] = renewal
+        return renewals
+
+    def tasks_found(self, step: Step) -> int:
+        """Returns for how many tasks workers have been chosen."""
+        found = self.renewals.get(step.name) or self.claims.claims.get(step.name)
+        return 0 if found is None else found.task_count()
+
+    def able_at(self, now: float) -> Callable[[Step], bool]:
+        """Returns the check whether a step may have a ticket or can ask at once."""
+        book = self.owner.book
+        free = bool(book.free_lanes(now))
+        free_slowly = free and book.may_call_slowly()
+
+        def able(step: Step) -> bool:
+            if step.job.queue.advice is None or free_slowly:
+                return True
+            if free and not book.is_slow(step, 1):
+                return True
+            return book.may_have_ticket(step, now)
+
+        return able
 
     def may_ask(self, renewal: Renewal, now: float) -> bool:
         """Returns whether a call for lacking permissions can be made at once."""
@@ -148,45 +194,24 @@
         due = self.owner.book.answer_due(step, len(renewal.chosen), now)
         self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
 
-    def make_way(self, steps: list[Step]) -> None:
+    def make_way(self, steps: Iterable[Step]) -> None:
         """Stops work that fills where it keeps work that serves from starting."""
+        filling = [node for node in self.owner.fleet.nodes.values() if node.filling]
+        if not filling:
+            return
+        rooms = set()
         for step in steps:
-            if step.spec.latency_target_ms <= 0 or not step.waiting():
-                continue
-            for node in self.owner.fleet.nodes.values():
-                if not node.filling or not step.room.within(node.free()):
+            if step.spec.latency_target_ms > 0 and step.waits():
+                rooms.add(step.room)
+        for room in rooms:
+            for node in filling:
+                if not room.within(node.free()):
                     continue
                 for run in list(node.runs.values()):
                     if run.task.step.spec.fills:
                         self.owner.fleet.halt(run)
                 break
 
-    def search(self, step: Step, usable: list[WorkerNode], now: float) -> None:
-        """Asks about more workers for a step that has not found enough.
-
-        One call at a time, those with the most room first: most steps need no more.
-        """
-        book = self.owner.book
-        if step.job.queue.advice is None or book.searching(step):
-            return
-        found = self.renewals.get(step.name) or self.claims.claims.get(step.name)
-        lacking = len(step.waiting())
-        if found is not None:
-            lacking -= found.task_count()
-        if lacking <= 0:
-            return
-        service = step.job.queue.service
-        nodes = [
-            node
-            for node in usable
-            if node.entry.service == service and has_label(step, node)
-        ]
-        unasked = book.unasked(step, nodes)
-        unasked = sorted(
-            unasked, key=lambda node: -fitting_count(step.room, node.free(), lacking)
-        )
-        book.want(step, unasked[:MAX_WORKERS_A_CALL], now, Purpose.SEARCH)
-
     def permitted_by(
         self, usable: list[WorkerNode]
     ) -> Callable[[Step], frozenset[WorkerId] | None]:
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -13,7 +14,7 @@
 from lacewinghold.scheduler.policy import fitting_count
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Mapping
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.model import Step
@@ -24,6 +25,7 @@
 logger = structlog.get_logger(__name__)
 FIRST_TOLD_S = 2.0  # Longer than a step waits in a cell that has room.
 TOLD_AGAIN_S = 4.0  # Several reasons of one long wait, without a line a plan.
+TELL_PAUSE_S = 0.05  # However many steps wait, so many lines a second at most.
 
 
 class ChoiceChange(StrEnum):
@@ -77,9 +79,9 @@
             return ChoiceChange.FULL
         return ChoiceChange.REPLACED
 
-    def forget_others(self, steps: Iterable[str]) -> None:
+    def forget_others(self, steps: Container[str]) -> None:
         """Forgets the choices of all but some steps."""
-        for name in self.chosen.keys() - set(steps):
+        for name in [name for name in self.chosen if name not in steps]:
             del self.chosen[name]
 
 
@@ -92,18 +94,24 @@
     def __init__(self, owner: CellOwner) -> None:
         self.owner = owner
         self.tell_at: dict[str, float] = {}
+        self.next_at = -math.inf
 
-    def note(self, steps: list[Step], usable: list[WorkerNode], now: float) -> None:
-        """Logs the steps that a plan has left waiting for too long."""
-        waiting = {step.name: step for step in steps if step.waiting()}
-        for name in [name for name in self.tell_at if name not in waiting]:
+    def note(
+        self, waiting: Mapping[str, Step], usable: list[WorkerNode], now: float
+    ) -> None:
+        """Logs a step that has waited for too long, the one overdue for longest."""
+        for name in self.tell_at.keys() - waiting.keys():
             del self.tell_at[name]
-        for name, step in waiting.items():
-            tell_at = self.tell_at.setdefault(name, now + FIRST_TOLD_S)
-            if now < tell_at:
-                continue
-            self.tell_at[name] = now + TOLD_AGAIN_S
-            self.tell(step, usable, now)
+        for name in waiting.keys() - self.tell_at.keys():
+            self.tell_at[name] = now + FIRST_TOLD_S
+        if not self.tell_at or now < self.next_at:
+            return
+        name = min(waiting, key=self.tell_at.__getitem__)
+        if now < self.tell_at[name]:
+            return
+        self.next_at = now + TELL_PAUSE_S
+        self.tell_at[name] = now + TOLD_AGAIN_S
+        self.tell(waiting[name], usable, now)
 
     def tell(self, step: Step, usable: list[WorkerNode], now: float) -> None:
         """Logs what one step lacks."""
--- /dev/null
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -0,0 +1,211 @@
+"""What a plan costs does not grow without bound with what waits."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+import structlog.testing
+
+from bench.plan_cell import ALWAYS, Scene, make_ready_step, make_scene
+from bench.planner_day import make_nodes
+from lacewinghold.events import Event
+from lacewinghold.scheduler.claims import Claim
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.ports import Queue
+from lacewinghold.schema.generated.cell import StepSpec
+from lacewinghold.testing.clock import run_paused
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WORKERS = 100
+LINES_A_STEP = 90  # Far fewer than workers: a step is not tried on each of them.
+URGENT = Queue("urgent", "h", "/u/", "s", 0, 2, 2.0, 1)
+PATIENT = Queue("patient", "h", "/p/", "s", 2, 2, 2.0, 1)
+
+
+def count_lines(function: Callable[[], object]) -> int:
+    """Returns how many lines a call executes: work that no machine's speed changes."""
+    lines = 0
+
+    def note(frame, event, argument):
+        nonlocal lines
+        lines += event == "line"
+        return note
+
+    before = sys.gettrace()
+    sys.settrace(note)
+    try:
+        function()
+    finally:
+        sys.settrace(before)
+    return lines
+
+
+def lines_of_plan(scene: Scene, waiting: int, workers: int = WORKERS) -> int:
+    """Returns the lines of a plan before which nothing has changed since the last."""
+
+    async def program():
+        cell = make_scene(scene, waiting, workers)
+        cell.planning.plan()
+        return count_lines(cell.planning.plan)
+
+    return run_paused(program, seed=1)
+
+
+@pytest.mark.parametrize("scene", list(Scene))
+def test_a_plan_tries_no_step_on_all_workers(scene):
+    """At 200 steps and 176 workers such plans took a whole core."""
+    few, many = lines_of_plan(scene, 200), lines_of_plan(scene, 600)
+    assert many - few < 400 * LINES_A_STEP
+
+
+def test_plan_without_room_does_not_grow_with_waiting_steps():
+    """Each of them costs the same, however many workers there are."""
+    costs = []
+    for workers in (50, 200):
+        idle = lines_of_plan(Scene.NO_ROOM, 40, workers)
+        costs.append(lines_of_plan(Scene.NO_ROOM, 400, workers) - idle)
+    assert costs[1] < 1.2 * costs[0]
+
+
+def test_a_plan_that_can_place_nothing_is_the_cheapest():
+    others = [Scene.NO_TICKET, Scene.NOT_ASKED]
+    cheapest = min(lines_of_plan(scene, 400) for scene in others)
+    assert lines_of_plan(Scene.NO_ROOM, 400) < 1.1 * cheapest
+
+
+def make_single(name: str, queue: Queue = URGENT, cpu: int = 1000):
+    """Returns a step of one task."""
+    return make_ready_step(name, queue, StepSpec(tasks=1, cpu_millis=cpu))
+
+
+def plan_until_placed(steps, valid, max_looks):
+    """Makes plans until a step is placed.
+
+    :returns: How many were made, and the steps that each of them has left out.
+    """
+    nodes = make_nodes(10)
+    everywhere = frozenset(node.id for node in nodes)
+    resume = None
+    skipped = []
+    for number in range(1, 100):
+        planner = Planner(
+            0.0,
+            nodes,
+            lambda step: everywhere,
+            valid,
+            may_ask=lambda renewal: False,
+            resume=resume,
+            max_looks=max_looks,
+        )
+        plan = planner.make(steps)
+        skipped.append(plan.skipped)
+        resume = plan.resume
+        if plan.placements:
+            return number, skipped
+    raise AssertionError("not placed")
+
+
+def test_steps_beyond_the_work_of_one_plan_take_turns():
+    """Urgent steps that wait for permissions use up the work of every plan."""
+
+    async def program():
+        steps = [make_single(f"a{number:03d}") for number in range(60)]
+        last = make_single("b", PATIENT)
+        count, skipped = plan_until_placed(
+            [*steps, last], lambda step, node: step is last, 400
+        )
+        assert 1 < count <= 8
+        assert all(step.name not in skipped[0] for step in steps[:8])
+        assert not any(steps[0].name in names for names in skipped)
+
+    run_paused(program, seed=1)
+
+
+def test_all_steps_of_one_instant_get_their_turn():
+    """Equal steps have no other order than their names."""
+
+    async def program():
+        steps = [make_single(f"a{number:03d}") for number in range(60)]
+        for chosen in steps[::7]:
+            plan_until_placed(
+                steps, lambda step, node, chosen=chosen: step is chosen, 100
+            )
+
+    run_paused(program, seed=1)
+
+
+def test_a_step_whose_permissions_have_come_waits_for_no_turn():
+    """They are valid for a short while, and its room is given up after the plan."""
+
+    async def program():
+        nodes = make_nodes(10)
+        everywhere = frozenset(node.id for node in nodes)
+        steps = [make_single(f"a{number:03d}") for number in range(60)]
+        last = make_single("b", PATIENT)
+        planner = Planner(
+            0.0,
+            nodes,
+            lambda step: everywhere,
+            lambda step, node: step is last,
+            {last.name: Claim(last, {nodes[0].id: 1}, 0.0)},
+            lambda renewal: False,
+            max_looks=50,
+        )
+        plan = planner.make([*steps, last])
+        assert plan.skipped
+        assert [placement.step for placement in plan.placements] == [last]
+
+    run_paused(program, seed=1)
+
+
+def test_steps_that_wait_for_long_are_not_all_told_of_at_once():
+    """Each line counts workers and permissions of its step."""
+
+    async def program():
+        cell = make_scene(Scene.NO_ROOM, 200, 10)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(100):
+                cell.planning.plan()
+                await anyio.sleep(0.1)
+        told = [line["step"] for line in lines if line["event"] == Event.STEP_WAITS]
+        assert 50 < len(told) <= 100
+        assert len(set(told)) == len(told)
+
+    run_paused(program, seed=1)
+
+
+def test_a_choice_is_kept_while_its_step_has_no_turn():
+    """Otherwise its call would lose its place among those that wait for a lane."""
+
+    async def program():
+        cell = make_scene(Scene.NO_TICKET, 400, WORKERS)
+        cell.planning.plan()
+        first = dict(cell.planning.renewals)
+        assert len(first) > 8
+        cell.planning.plan()
+        assert first.keys() <= cell.planning.renewals.keys()
+
+    run_paused(program, seed=1)
+
+
+def test_permissions_that_come_are_used_while_all_lanes_are_busy():
+    """Steps that can neither ask nor start are left out, this one is not."""
+
+    async def program():
+        cell = make_scene(Scene.NO_TICKET, 400, WORKERS)
+        names = list(cell.table.open_steps)
+        single = [
+            name for name in names if not cell.table.open_steps[name].spec.all_at_once
+        ]
+        step = cell.table.open_steps[single[-1]]
+        cell.permit(step, 1.0, ALWAYS)
+        for _ in range(20):
+            cell.planning.plan()
+        assert cell.begun()[step.name] == step.spec.tasks
+
+    run_paused(program, seed=1)
