--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -68,6 +68,12 @@
             buckets=CALL_BUCKETS_S,
             registry=registry,
         )
+        self.plan_seconds = Histogram(
+            "lacewinghold_plan_seconds",
+            "One plan of the owner.",
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
         self.choices = Counter(
             "lacewinghold_choices",
             "Workers chosen without a permission, by what became of the choice.",
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -30,16 +30,22 @@
 PLAN_PAUSE_S = 0.008  # Events that come together are planned together.
 CLAIM_SLACK_S = 0.5  # An answer that takes longer than this has no room kept for it.
 PLAN_INTERVAL_S = 0.5  # Plans are made this often even without an event.
+PLAN_SHARE = 0.25  # Of the owner's time; renewals, looks and answers need the rest.
+MAX_REST_S = PLAN_INTERVAL_S  # A process that was stopped has made no long plan.
 
 
 class PlanLoop:
     """Places the tasks of open steps.
 
     :param owner: The owner that decides.
+    :param timer: Tells how long a plan takes, in seconds.
     """
 
-    def __init__(self, owner: CellOwner) -> None:
+    def __init__(
+        self, owner: CellOwner, timer: Callable[[], float] = anyio.current_time
+    ) -> None:
         self.owner = owner
+        self.timer = timer
         self.wanted = anyio.Event()
         self.waits = WaitLog(owner)
         self.choices = ChoiceLog(owner)
@@ -73,7 +79,18 @@
             await anyio.sleep(PLAN_PAUSE_S)
             self.wanted = anyio.Event()
             if self.owner.may_order() and self.owner.state.manifest is not None:
-                self.plan()
+                await anyio.sleep(self.timed_plan())
+
+    def timed_plan(self) -> float:
+        """Makes one plan.
+
+        :returns: Seconds to leave to the rest of the process before the next one.
+        """
+        began = self.timer()
+        self.plan()
+        took_s = self.timer() - began
+        self.owner.metrics.plan_seconds.observe(took_s)
+        return min(MAX_REST_S, took_s * (1 / PLAN_SHARE - 1))
 
     def plan(self) -> None:
         """Makes one plan and carries it out."""
--- a/tests/test_scheduler/test_plan_cost.py
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -9,10 +9,11 @@
 import pytest
 import structlog.testing
 
-from bench.plan_cell import ALWAYS, Scene, make_ready_step, make_scene
+from bench.plan_cell import ALWAYS, PlanCell, Scene, make_ready_step, make_scene
 from bench.planner_day import make_nodes
 from lacewinghold.events import Event
 from lacewinghold.scheduler.claims import Claim
+from lacewinghold.scheduler.planning import MAX_REST_S, PLAN_SHARE
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue
 from lacewinghold.schema.generated.cell import StepSpec
@@ -163,6 +164,46 @@
     run_paused(program, seed=1)
 
 
+class Timer:
+    """A clock on which every second reading is later by the length of a plan."""
+
+    def __init__(self, took_s: float) -> None:
+        self.took_s = took_s
+        self.readings = 0
+
+    def __call__(self) -> float:
+        """Returns the time in seconds."""
+        self.readings += 1
+        return self.readings // 2 * self.took_s
+
+
+async def plans_made(took_s: float, seconds: float) -> int:
+    """Returns how many plans are made while something changes all the time."""
+    cell = PlanCell(1)
+    cell.planning.timer = Timer(took_s)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cell.planning.run)
+        until = anyio.current_time() + seconds
+        while anyio.current_time() < until:
+            cell.planning.wake()
+            await anyio.sleep(0.001)
+        tasks.cancel_scope.cancel()
+    return cell.planning.timer.readings // 2
+
+
+@pytest.mark.parametrize("took_s", [0.002, 0.02, 0.1])
+def test_planning_never_takes_the_whole_process(took_s):
+    """On a weak machine renewals and looks came too late."""
+    plans = run_paused(plans_made, took_s, 10.0, seed=1)
+    assert plans > 10
+    assert plans * took_s <= PLAN_SHARE * (10.0 + plans * took_s) + took_s
+
+
+def test_a_process_that_was_stopped_plans_again_soon():
+    plans = run_paused(plans_made, 60.0, 10.0, seed=1)
+    assert plans >= 10 / (MAX_REST_S + 0.1)
+
+
 def test_steps_that_wait_for_long_are_not_all_told_of_at_once():
     """Each line counts workers and permissions of its step."""
 
