--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -14,6 +14,7 @@
 from bench.planner_day import KINDS, WORKER_ROOM, make_nodes
 from lacewinghold.ids import Epoch, WorkerId
 from lacewinghold.scheduler.advice import AdviceBook, Lane, Permission, StepAdvice
+from lacewinghold.scheduler.lateness import PlanningShare
 from lacewinghold.scheduler.metrics import CellMetrics
 from lacewinghold.scheduler.model import Run, make_job
 from lacewinghold.scheduler.pace import PaceBook
@@ -135,6 +136,7 @@
             lane.busy = busy
             self.book.lanes.append(lane)
         self.pace = PaceBook()
+        self.planning_share = PlanningShare(self.metrics)
         self.ownership = Term()
         self.state = Known()
         self.epoch = Epoch(1)
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -87,9 +87,9 @@
         :returns: Seconds to leave to the rest of the process before the next one.
         """
         began = self.timer()
-        self.plan()
+        with self.owner.planning_share.measure():
+            self.plan()
         took_s = self.timer() - began
-        self.owner.metrics.plan_seconds.observe(took_s)
         return min(MAX_REST_S, took_s * (1 / PLAN_SHARE - 1))
 
     def plan(self) -> None:
