--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -125,10 +125,14 @@
 
     def permitted(self, step: Step) -> frozenset[WorkerId] | None:
         """Returns the workers that may run a step, ``None`` if nothing is known."""
-        known = self.steps.get(step.name)
-        if known is None or not known.asked:
+        if not self.has_asked(step):
             return None
-        return frozenset(known.permissions)
+        return frozenset(self.steps[step.name].permissions)
+
+    def has_asked(self, step: Step) -> bool:
+        """Returns whether anything is known."""
+        known = self.steps.get(step.name)
+        return known is not None and bool(known.asked)
 
     def ticket(self, step: Step, node: WorkerNode, now: float) -> str | None:
         """Returns a valid ticket, or ``None``."""
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -53,6 +53,7 @@
         self.renewals: dict[str, Renewal] = {}
         self.reserved: dict[str, list[WorkerId]] = {}
         self.resume: Turn | None = None
+        self.owed: set[str] = set()
         self.searches = Searches(owner.book)
 
     def wake(self) -> None:
@@ -72,28 +73,43 @@
         return now < valid_until or job.known_at < valid_until
 
     async def run(self) -> None:
-        """Makes plans whenever something has changed."""
+        """Makes plans whenever something has changed, until all steps had a turn."""
         while True:
-            with anyio.move_on_after(PLAN_INTERVAL_S):
-                await self.wanted.wait()
+            changed = not self.owed or self.wanted.is_set()
+            if not self.owed:
+                await self.wait_for_change()
             await anyio.sleep(PLAN_PAUSE_S)
+            changed = changed or self.wanted.is_set()
             self.wanted = anyio.Event()
-            if self.owner.may_order() and self.owner.state.manifest is not None:
-                await anyio.sleep(self.timed_plan())
+            if not self.owner.may_order() or self.owner.state.manifest is None:
+                self.owed = set()
+                continue
+            rest_s, left = self.timed_plan()
+            self.owed = left if changed else self.owed & left
+            await anyio.sleep(rest_s)
+
+    async def wait_for_change(self) -> None:
+        """Waits until a plan is due."""
+        with anyio.move_on_after(PLAN_INTERVAL_S):
+            await self.wanted.wait()
 
-    def timed_plan(self) -> float:
+    def timed_plan(self) -> tuple[float, set[str]]:
         """Makes one plan.
 
-        :returns: Seconds to leave to the rest of the process before the next one.
+        :returns: Seconds to leave to the rest of the process before the next one,
+            and the steps that had no turn.
         """
         began = self.timer()
         with self.owner.planning_share.measure():
-            self.plan()
+            left = self.plan()
         took_s = self.timer() - began
-        return min(MAX_REST_S, took_s * (1 / PLAN_SHARE - 1))
+        return min(MAX_REST_S, took_s * (1 / PLAN_SHARE - 1)), left
 
-    def plan(self) -> None:
-        """Makes one plan and carries it out."""
+    def plan(self) -> set[str]:
+        """Makes one plan and carries it out.
+
+        :returns: The steps that had no turn.
+        """
         now = anyio.current_time()
         self.owner.fleet.write_due_roster()
         self.owner.table.open_due()
@@ -133,6 +149,7 @@
         self.searches.make(in_order, self.tasks_found, plan.skipped, usable, now)
         self.waits.note(steps, usable, now)
         self.choices.forget_others(steps)
+        return plan.left
 
     def waiting_steps(self, now: float) -> dict[str, Step]:
         """Returns the open steps of which tasks may be started, by their names."""
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -63,14 +63,16 @@
 
     :param placements: Starts that have room and permission.
     :param reserved: Workers kept free for steps that need all tasks at once.
-    :param skipped: Steps that were not planned this time.
-    :param resume: Where the next plan goes on with them, if there are any left.
+    :param skipped: Steps whose choices are not known now.
+    :param left: Those of them that had no turn.
+    :param resume: Where the next plan goes on with these.
     """
 
     placements: list[Placement] = field(default_factory=list)
     renewals: list[Renewal] = field(default_factory=list)
     reserved: dict[str, list[WorkerId]] = field(default_factory=dict)
     skipped: set[str] = field(default_factory=set)
+    left: set[str] = field(default_factory=set)
     resume: Turn | None = None
 
 
@@ -250,6 +252,7 @@
                 self.visit(step)
                 continue
             self.plan.skipped.add(step.name)
+            self.plan.left.add(step.name)
             if self.plan.resume is None:
                 self.plan.resume = turn
 
--- a/lacewinghold/scheduler/searches.py
+++ b/lacewinghold/scheduler/searches.py
@@ -65,7 +65,7 @@
                 continue
             if step.name in self.all_asked or self.book.searching(step):
                 continue
-            if step.name in skipped and self.book.permitted(step) is not None:
+            if step.name in skipped and self.book.has_asked(step):
                 continue
             if len(step.waiting()) <= found(step):
                 continue
--- a/tests/test_scheduler/test_plan_cost.py
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -243,10 +243,48 @@
         single = [
             name for name in names if not cell.table.open_steps[name].spec.all_at_once
         ]
-        step = cell.table.open_steps[single[-1]]
-        cell.permit(step, 1.0, ALWAYS)
+        last = cell.table.open_steps[single[-1]]
+        cell.permit(last, 1.0, ALWAYS)
         for _ in range(20):
             cell.planning.plan()
-        assert cell.begun()[step.name] == step.spec.tasks
+        assert cell.begun()[last.name] == last.spec.tasks
+
+    run_paused(program, seed=1)
+
+
+def test_all_steps_have_a_turn_soon_without_another_event():
+    """One plan has not the time to start them all."""
+
+    async def program():
+        cell = PlanCell(400)
+        cell.add_waiting(150)
+        cell.permit_all(ALWAYS)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cell.planning.run)
+            cell.planning.wake()
+            await anyio.sleep(0.2)
+            tasks.cancel_scope.cancel()
+        assert len(cell.begun()) == 150
+
+    run_paused(program, seed=1)
+
+
+def test_steps_that_can_start_nowhere_are_not_planned_again_and_again():
+    """Each has had its turn since the last event."""
+
+    async def program():
+        cell = PlanCell(WORKERS, busy=False)
+        cell.add_waiting(300)
+        cell.permit_all(-ALWAYS)
+        cell.book.free_lanes = lambda now: cell.book.lanes
+        cell.book.may_ask = lambda step, count, now: False
+        cell.planning.timer = Timer(0.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cell.planning.run)
+            await anyio.sleep(10)
+            tasks.cancel_scope.cancel()
+        plans = cell.planning.timer.readings // 2
+        assert plans > 25
+        assert plans < 500
 
     run_paused(program, seed=1)
