--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from enum import StrEnum
@@ -100,6 +101,10 @@
     def open_due(self) -> None:
         """Opens nothing."""
 
+    def until_due(self) -> float:
+        """Returns that no occurrence is to come."""
+        return math.inf
+
 
 class Term(Struct):
     """An ownership that never ends."""
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -208,7 +208,9 @@
         :param sent_at: When the look was sent, on the runtime's clock.
         """
         node = driver.node
-        node.note_clock(report.clock_ms, anyio.current_time())
+        now = anyio.current_time()
+        usable, used = node.usable(now), node.used
+        node.note_clock(report.clock_ms, now)
         if not node.fenced:
             self.note_first_look(node, report)
         listed = {(item.task, item.run) for item in report.runs}
@@ -226,7 +228,8 @@
         number = driver.processed
         if number > driver.acknowledged:
             self.owner.log.after_written(lambda: driver.acknowledge(number))
-        self.owner.planning.wake()
+        if usable is not node.usable(now) or used is not node.used:
+            self.owner.planning.wake()
 
     def note_first_look(self, node: WorkerNode, report: WorkerReport) -> None:
         """Notes that a worker refuses earlier owners from now on."""
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -43,6 +44,7 @@
         self.steps: dict[str, Step] = {}
         self.open_steps: dict[str, Step] = {}
         self.due_later: dict[str, Job] = {}
+        self.next_due = math.inf
 
     def note_job_key(self, item: KeyValue) -> None:
         """Takes a job's key from the store."""
@@ -127,14 +129,22 @@
                 self.open_steps[step.name] = step
             elif now < step.due_at and job.timed():
                 self.due_later.setdefault(step.job.id, step.job)
+                self.next_due = min(self.next_due, step.due_at)
         self.owner.planning.wake()
 
     def open_due(self) -> None:
         """Opens the steps of occurrences that have become due."""
+        if self.until_due() > 0:
+            return
+        self.next_due = math.inf
         for job in list(self.due_later.values()):
             del self.due_later[job.id]
             self.refresh_job(job)
 
+    def until_due(self) -> float:
+        """Returns the seconds until an occurrence is due, infinite if there is none."""
+        return max(0.0, self.next_due - anyio.current_time())
+
     def end_job(self, job: Job, state: JobState, reason: str) -> None:
         """Ends a job; callers see it once it is durable."""
         job.state = state
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -90,7 +90,8 @@
 
     async def wait_for_change(self) -> None:
         """Waits until a plan is due."""
-        with anyio.move_on_after(PLAN_INTERVAL_S):
+        wait_s = min(PLAN_INTERVAL_S, self.owner.table.until_due())
+        with anyio.move_on_after(wait_s):
             await self.wanted.wait()
 
     def timed_plan(self) -> tuple[float, set[str]]:
--- a/tests/test_scheduler/test_plan_cost.py
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -13,11 +13,13 @@
 from bench.planner_day import make_nodes
 from lacewinghold.events import Event
 from lacewinghold.scheduler.claims import Claim
-from lacewinghold.scheduler.planning import MAX_REST_S, PLAN_SHARE
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.planning import MAX_REST_S, PLAN_SHARE, PlanLoop
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue
 from lacewinghold.schema.generated.cell import StepSpec
 from lacewinghold.testing.clock import run_paused
+from tests.test_scheduler.support import run_cell, step
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -288,3 +290,52 @@
         assert plans < 500
 
     run_paused(program, seed=1)
+
+
+def count_plans(monkeypatch):
+    """Returns a list that grows by each plan of any owner."""
+    plans = []
+    plain = PlanLoop.plan
+
+    def plan(self):
+        plans.append(anyio.current_time())
+        return plain(self)
+
+    monkeypatch.setattr(PlanLoop, "plan", plan)
+    return plans
+
+
+def test_looks_that_tell_nothing_new_make_no_plans(monkeypatch):
+    """176 idle workers answer 300 looks a second."""
+    plans = count_plans(monkeypatch)
+
+    async def program(cell):
+        for number in range(30):
+            await cell.add_worker(f"a{number}")
+            await anyio.sleep(0.13)
+        await anyio.sleep(3)
+        before = len(plans)
+        await anyio.sleep(10)
+        assert len(plans) - before < 80
+
+    run_cell(program)
+
+
+def test_a_job_that_is_due_later_makes_no_plans_until_then(monkeypatch):
+    """They followed each other without a pause."""
+    plans = count_plans(monkeypatch)
+
+    async def program(cell):
+        record = cell.make_job("timed", [step()])
+        record.occurrences = 1
+        record.first_due_ms = (cell.clock.now() + 11) * 1000
+        due_at = anyio.current_time() + 11
+        assert (await cell.members[0].instance.front.submit(record)).is_ok()
+        await anyio.sleep(1)
+        before = len(plans)
+        await anyio.sleep(9)
+        assert len(plans) - before < 80
+        assert await cell.wait_for("timed", JobState.COMPLETED, 3)
+        assert 0 <= cell.world.starts[0].at - due_at < 0.1
+
+    run_cell(program)
