--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -22,6 +22,7 @@
 from lacewinghold.scheduler.planning import PlanLoop
 from lacewinghold.scheduler.ports import AdviceCalls, AdviceRules, Manifest, Queue
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
+from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -135,7 +136,7 @@
         self.fleet = IdleFleet(nodes)
         self.table = IdleTable()
         self.metrics = CellMetrics()
-        self.book = AdviceBook(self.metrics)
+        self.book = AdviceBook(self.metrics, LagMonitor())
         for number in range(LANES):
             lane = Lane(f"lane-{number}", SilentCalls())
             lane.busy = busy
