--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -36,7 +36,7 @@
 logger = structlog.get_logger(__name__)
 GRACE_MARGIN_S = 1.0  # Kept of the time between SIGTERM and SIGKILL.
 # Fields that a running process cannot change.
-AT_START = ("instance", "region", "data_centre", "listen", "log_level")
+AT_START = ("instance", "region", "data_centre", "listen", "machine", "log_level")
 STORE_AT_START = ("prefix", "lease_ms")
 BALANCER_NOTICE_S = 2.2  # Two probes a second apart, after which no channel comes.
 
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -19,6 +19,7 @@
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.owner import CellOwner, CellState
 from lacewinghold.scheduler.peer_calls import PeerCalls
+from lacewinghold.scheduler.strength import strength_of
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import WatchedStore
 from lacewinghold.store.mirror import Mirror
@@ -94,6 +95,7 @@
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
         self.metrics = CellMetrics()
+        self.strength = strength_of(settings.machine)
         self.election = Election(
             self.store,
             prefix,
@@ -108,7 +110,10 @@
         )
         self.peer_calls = PeerCalls(self)
         member = CellMember(
-            instance=instance, address=settings.listen.peer, region=settings.region
+            instance=instance,
+            address=settings.listen.peer,
+            region=settings.region,
+            strength=self.strength,
         )
         self.membership = Membership(self.store, prefix, member)
         self.members = Members(self.store, prefix, self.update_lane)
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -25,6 +25,7 @@
 from lacewinghold.schema.generated.entry import (
     EntryBounds,
     EntryListen,
+    EntryMachine,
     EntrySettings,
     PlatformStore,
 )
@@ -224,8 +225,8 @@
         worker.crash()
         await self.add_worker(str(worker.id), worker.incarnation + 1)
 
-    def add_member(self) -> Member:
-        """Starts an entry instance."""
+    def add_member(self, machine: EntryMachine | None = None) -> Member:
+        """Starts an entry instance, on a machine that is as strong as any."""
         self.starts += 1
         name = InstanceId(f"entry-{self.starts}")
         gate = Gate()
@@ -240,6 +241,7 @@
             bounds=EntryBounds(
                 max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
             ),
+            machine=machine,
         )
         ports = CellPorts(
             store=store,
--- a/tests/test_platform/test_live_settings.py
+++ b/tests/test_platform/test_live_settings.py
@@ -73,6 +73,7 @@
         ({"log_level": "error"}, ["log_level"]),
         ({"store__prefix": "other/"}, ["store.prefix"]),
         ({"store__lease_ms": 9000}, ["store.lease_ms"]),
+        ({"machine": {"processor_share": 1, "link_mbps": 10}}, ["machine"]),
         ({"advice": ""}, ["advice"]),
         ({"bounds__status_s": 60}, []),
     ],
