--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -103,6 +103,7 @@
             settings.listen.peer,
             settings.store.lease_ms / 1000,
             rng,
+            self.strength,
         )
         self.owner: CellOwner | None = None
         self.peers = PeerLinks(
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -14,6 +14,7 @@
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
 from lacewinghold.scheduler.job_store import OWNER
+from lacewinghold.scheduler.strength import ENOUGH
 from lacewinghold.schema.generated.cell import CellOwnerRecord
 from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
 from lacewinghold.store.mirror import Mirror
@@ -30,7 +31,8 @@
 RENEWALS_PER_LIFE = 5  # A lease survives three renewals without an answer.
 MARGIN_SHARE = 0.1  # Part of a lease's life that is not relied on.
 NEAR_DELAY_S = 0.02  # Spread of the claims of instances near the store.
-FAR_DELAY_S = 0.4  # Instances far from the store let the near ones go first.
+FAR_DELAY_S = 0.15  # Instances far from the store let the near ones go first.
+WEAK_DELAY_S = 0.3  # Longer than strong instances far from the store wait.
 FAR_S = 0.03  # A store call that takes longer comes from another region.
 AGE_DELAY_S = 0.1  # More than the spread, less than a lease.
 AGE_FULL_S = 60.0  # A rolling restart of seven instances takes less.
@@ -58,6 +60,7 @@
 
     :param instance: This process; another start has another id.
     :param lease_s: Life of the lease in seconds.
+    :param strength: Strength of this instance's machine.
     """
 
     def __init__(
@@ -68,7 +71,9 @@
         address: str,
         lease_s: float,
         rng: random.Random,
+        strength: float = ENOUGH,
     ) -> None:
+        self.strength = strength
         self.store = store
         self.prefix = prefix
         self.instance = instance
@@ -117,11 +122,14 @@
                 return
 
     def claim_delay_s(self) -> float:
-        """Returns how long others may go first: those near the store, and the young.
+        """Returns how long others may go first.
 
-        In a rolling restart the instance that started last is stopped last.
+        Those are the strong, then those near the store, then the young: in a rolling
+        restart the instance that started last is stopped last.
         """
         delay_s = self.rng.random() * NEAR_DELAY_S
+        if self.strength < ENOUGH:
+            delay_s += WEAK_DELAY_S * (1 - self.strength / 2)
         if self.call_s > FAR_S:
             delay_s += FAR_DELAY_S
         age_s = anyio.current_time() - self.started_at
