--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -78,7 +78,7 @@
 
         :returns: The fields that differ from the start's and need another one.
         """
-        self.store.client.move(settings.store.address)
+        self.store.move(settings.store.address)
         if self.advice is not None and settings.advice:
             self.advice.client.move(settings.advice)
         self.instance.use_settings(settings)
--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -35,6 +35,7 @@
 CALL_S = 0.8  # Sixty times slower than usual, a call still ends in a third of it.
 WATCH_WAIT_MS = 2000  # A silent connection is noticed after this and CALL_S.
 MAX_CONNECTIONS = 64
+LEASE_CONNECTIONS = 8  # Overlapping renewals of two leases, each up to CALL_S long.
 PAGE_LIMIT = 10_000
 
 
@@ -98,6 +99,9 @@
 class PlatformStore(Store):
     """Calls the store; the outcomes are those of the base class.
 
+    Calls about leases have connections of their own: renewals must not wait behind
+    reads and writes.
+
     :param address: IP address and port.
     """
 
@@ -106,6 +110,12 @@
     def __init__(self, address: str) -> None:
         super().__init__()
         self.client = JsonClient(address, MAX_CONNECTIONS)
+        self.lease_client = JsonClient(address, LEASE_CONNECTIONS)
+
+    def move(self, address: str) -> None:
+        """Calls another address from now on."""
+        self.client.move(address)
+        self.lease_client.move(address)
 
     async def call(
         self,
@@ -117,7 +127,8 @@
     ) -> Result[HttpReply, Failure]:
         """Makes one call; a refusal surely had no effect."""
         self.calls[kind] += 1
-        reply = await self.client.call(method, path, timeout_s, body)
+        client = self.lease_client if kind is CallKind.LEASE else self.client
+        reply = await client.call(method, path, timeout_s, body)
         if isinstance(reply, Err):
             failure = reply.err_value
             if failure.kind is ErrorKind.UNREACHABLE:
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lacewinghold.errors import ErrorKind, FailureError
+from lacewinghold.ids import LeaseId
 from lacewinghold.platform.store import PlatformStore
 from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
 from lacewinghold.testing.clock import run_paused
@@ -22,7 +23,7 @@
 
     async def session():
         store = PlatformStore("10.0.0.1:1")
-        store.client = ScriptedClient(*replies)
+        store.client = store.lease_client = ScriptedClient(*replies)
         return await program(store), store.client.calls
 
     return run_paused(session, seed=1)
@@ -90,6 +91,27 @@
     assert calls[1][1] == "/kv-range?pathPrefix=p%2F&after=p%2Fa"
 
 
+class FullClient(ScriptedClient):
+    """A client all of whose connections are taken."""
+
+    async def call(self, method, path, timeout_s, body=None, headers=None):
+        """Waits for a connection that never comes."""
+        await anyio.sleep(timeout_s)
+        return UNREACHABLE
+
+
+def test_a_renewal_does_not_wait_for_connections_that_reads_and_writes_hold():
+    async def session():
+        store = PlatformStore("10.0.0.1:1")
+        store.client = FullClient()
+        store.lease_client = ScriptedClient(reply(200, {"ttlMs": 1000}))
+        with anyio.fail_after(0.1):
+            renewed = await store.renew_lease(LeaseId(7))
+        assert renewed.ok_value == 1
+
+    run_paused(session, seed=1)
+
+
 def test_a_missing_key_is_an_empty_answer():
     result, _ = use(lambda s: s.range("p/a"), reply(404))
     assert result.ok_value.items == []
