--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -14,6 +14,7 @@
 from lacewinghold.scheduler.election import Election
 from lacewinghold.scheduler.front import JobFront
 from lacewinghold.scheduler.job_store import JobStore
+from lacewinghold.scheduler.lateness import PlanningShare, RenewalWatch, WatchedDialer
 from lacewinghold.scheduler.members import MemberAdvice, Members, Membership
 from lacewinghold.scheduler.metrics import CellMetrics
 from lacewinghold.scheduler.model import JobState
@@ -23,6 +24,7 @@
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import WatchedStore
 from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
     import random
@@ -63,7 +65,10 @@
 
 
 class CellPorts(Struct):
-    """What an instance is connected to; tests pass fakes."""
+    """What an instance is connected to; tests pass fakes.
+
+    :param lag: Shared with what makes the calls; a new one if ``None``.
+    """
 
     store: Store
     transport: PeerTransport
@@ -71,6 +76,7 @@
     advice: AdviceCalls | None
     keys: OperatorKeys
     clock: WallClock
+    lag: LagMonitor | None = None
 
 
 class CellInstance:
@@ -91,10 +97,14 @@
         self.instance = instance
         self.rng = rng
         prefix = settings.store.prefix
+        self.metrics = CellMetrics()
+        self.planning_share = PlanningShare(self.metrics)
+        self.lag = ports.lag or LagMonitor()
+        self.lag.details = self.describe_lateness
+        self.lag.lags = self.metrics.late_seconds
         self.store = WatchedStore(ports.store)
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
-        self.metrics = CellMetrics()
         self.strength = strength_of(settings.machine)
         self.election = Election(
             self.store,
@@ -103,6 +113,7 @@
             settings.listen.peer,
             settings.store.lease_ms / 1000,
             rng,
+            RenewalWatch(self.lag, self.metrics),
             self.strength,
         )
         self.owner: CellOwner | None = None
@@ -278,9 +289,19 @@
         self.metrics.deciding.set(owner is not None)
         self.metrics.workers.set(len(owner.fleet.nodes) if owner else 0)
         self.metrics.open_steps.set(len(owner.table.open_steps) if owner else 0)
+        self.metrics.lag_seconds.set(self.lag.lag_s)
         self.metrics.note_calls(self.store.calls)
         return self.metrics.render()
 
+    def describe_lateness(self) -> dict[str, object]:
+        """Returns what a line about this process's lateness tells."""
+        owner = self.owner
+        return {
+            "deciding": self.deciding() is not None,
+            "term": owner.ownership.term if owner else None,
+            "planning_share": round(self.planning_share.take(), 2),
+        }
+
     def ready(self) -> bool:
         """Returns whether this instance should get requests."""
         return self.state.manifest is not None and not self.leaving
@@ -299,6 +320,7 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.lag.run)
             tasks.start_soon(self.manifest_mirror.run)
             tasks.start_soon(self.peers.run)
             tasks.start_soon(self.membership.run)
@@ -323,13 +345,15 @@
         owner = CellOwner(
             ownership,
             self.jobs,
-            self.ports.dialer,
+            WatchedDialer(self.ports.dialer, self.lag, self.metrics),
             self.state,
             self.worker_mirror,
             book,
             self.ports.clock,
             self.metrics,
             self.settings.bounds.status_s + FORGET_MARGIN_S,
+            self.planning_share,
+            self.lag,
         )
         # A newer owner that asks this one to stop must find it from now on.
         self.owner = owner
