--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -81,6 +81,8 @@
         self.waiting: dict[int, anyio.Event] = {}
         self.links: dict[InstanceId, PeerLink] = {}
         self.versions: dict[InstanceId, int] = {}
+        self.narrow = False
+        self.narrow_peers: set[InstanceId] = set()
         self.answering = 0
         self.stopped = False
         self.leaving = False
@@ -126,6 +128,8 @@
             return
         if self.address(envelope.sender) is not None:
             self.versions[envelope.sender] = envelope.highest
+            if envelope.narrow:
+                self.narrow_peers.add(envelope.sender)
         self.hear(envelope.document_revision)
         if envelope.kind is MessageKind.HEARTBEAT:
             self.note_heartbeat(envelope)
@@ -210,6 +214,7 @@
             self.revision(),
             False,
             MESSAGE_VERSION,
+            self.narrow,
         )
         self.compress(peer, envelope)
         request = kind not in (MessageKind.REPLY, MessageKind.FAILURE)
@@ -217,8 +222,9 @@
         return self.link(peer).offer(outgoing)
 
     def compress(self, peer: InstanceId, envelope: Envelope) -> None:
-        """Compresses a large body on a paid link, if the peer understands it."""
-        if len(envelope.body) < MIN_COMPRESSED_BYTES or not self.paid(peer):
+        """Compresses a large body for a paid or thin link, if the peer knows how."""
+        scarce = self.narrow or peer in self.narrow_peers or self.paid(peer)
+        if len(envelope.body) < MIN_COMPRESSED_BYTES or not scarce:
             return
         if self.versions.get(peer, PLAIN_VERSION) < COMPRESSED_VERSION:
             return
@@ -249,6 +255,7 @@
         if self.addresses(link.peer) is None:
             self.learned.pop(link.peer, None)
             self.versions.pop(link.peer, None)
+            self.narrow_peers.discard(link.peer)
 
     def count(self, peer: InstanceId, kind: MessageKind, size: int) -> None:
         """Counts bytes by kind, those of paid links also by themselves."""
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -22,6 +22,7 @@
 from lacewinghold.scheduler.peer_calls import PeerCalls
 from lacewinghold.scheduler.relay_host import RelayHost
 from lacewinghold.scheduler.relays import OrderRelays
+from lacewinghold.scheduler.strength import ENOUGH, strength_of
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import WatchedStore
 from lacewinghold.store.mirror import Mirror
@@ -106,6 +107,7 @@
         self.store = WatchedStore(ports.store, self.lag)
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
+        self.strength = strength_of(settings.machine)
         self.election = Election(
             self.store,
             prefix,
@@ -114,11 +116,13 @@
             settings.store.lease_ms / 1000,
             rng,
             RenewalWatch(self.lag, self.metrics),
+            self.strength,
         )
         self.owner: CellOwner | None = None
         self.peers = PeerLinks(
             instance, ports.transport, self.address_of, self.is_paid, rng, self.lag
         )
+        self.peers.narrow = self.strength < ENOUGH
         self.peer_calls = PeerCalls(self)
         self.relay_host = RelayHost(self.peers, ports.dialer, self.lag)
         self.relays: OrderRelays | None = None
@@ -127,6 +131,7 @@
             address=settings.listen.peer,
             region=settings.region,
             data_centre=settings.data_centre,
+            strength=self.strength,
         )
         self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_lane)
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -25,6 +25,7 @@
 from lacewinghold.schema.generated.entry import (
     EntryBounds,
     EntryListen,
+    EntryMachine,
     EntrySettings,
     PlatformStore,
 )
@@ -243,8 +244,11 @@
         worker.crash()
         await self.add_worker(str(worker.id), worker.incarnation + 1)
 
-    def add_member(self, machine: Machine | None = None) -> Member:
-        """Starts an entry instance, on a new machine unless one is given."""
+    def add_member(self, declared: EntryMachine | None = None) -> Member:
+        """Starts an entry instance on a new machine.
+
+        :param declared: What its settings say of the machine.
+        """
         self.starts += 1
         name = InstanceId(f"entry-{self.starts}")
         gate = Gate()
@@ -259,6 +263,7 @@
             bounds=EntryBounds(
                 max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
             ),
+            machine=declared,
         )
         ports = CellPorts(
             store=store,
@@ -268,8 +273,7 @@
             keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
             clock=self.clock,
         )
-        if machine is None and self.make_machine is not None:
-            machine = self.make_machine()
+        machine = self.make_machine() if self.make_machine is not None else None
         if machine is not None:
             put_on_machine(ports, machine)
         instance = CellInstance(settings, ports, name, self.rng)
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -205,6 +205,20 @@
         assert paid == sent
 
 
+@pytest.mark.parametrize("narrow", ["a", "b"])
+def test_large_bodies_are_compressed_if_either_end_has_a_thin_link(narrow):
+    async def program(network, a, b):
+        for links in (a, b):
+            links.narrow = links.instance == narrow
+        await ask(b, "a")
+        before = b.bytes_sent[MessageKind.REPLY]
+        reply = await ask(a, "b")
+        assert len(unpack(reply.ok_value, Views).views) == 40
+        return b.bytes_sent[MessageKind.REPLY] - before
+
+    assert run_pair(program, "r1") < 400
+
+
 def test_previous_message_version_runs_beside_the_present_one():
     async def program(network, a, b):
         old = MemoryTransport(network, InstanceId("old"), RegionId("r2"))
