--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -97,7 +97,7 @@
             if not self.excuses(sent_at):
                 node.silent_calls += 1
                 self.owner.fleet.note_silent(self)
-            await anyio.sleep(LOOK_RETRY_S + self.owner.lag.allowance_s())
+            await anyio.sleep(self.owner.lag.pause_s(LOOK_RETRY_S))
 
     def look_wait_s(self) -> float:
         """Returns how long a look may wait; a late owner looks less often."""
@@ -130,7 +130,7 @@
             until = self.new_lease_end()
         return await self.calls.look(
             LookOrder(self.owner.epoch, self.acknowledged, until, wait_s),
-            LOOK_TIMEOUT_S + self.owner.lag.allowance_s(),
+            LOOK_TIMEOUT_S,
         )
 
     def new_lease_end(self) -> float:
@@ -174,15 +174,12 @@
                 return
             if not self.owner.may_order():
                 break
-            reply = await self.calls.start(
-                self.start_order(run, ticket),
-                timeout_s + self.owner.lag.allowance_s(),
-            )
+            reply = await self.calls.start(self.start_order(run, ticket), timeout_s)
             if reply.clock_ms is not None:
                 self.node.note_clock(reply.clock_ms, anyio.current_time())
             if reply.outcome in TRY_AGAIN:
                 may_come = may_come or reply.outcome is OrderOutcome.UNKNOWN
-                await anyio.sleep(ORDER_RETRY_S + self.owner.lag.allowance_s())
+                await anyio.sleep(self.owner.lag.pause_s(ORDER_RETRY_S))
                 continue
             if self.settle_start(run, reply.outcome, may_come=may_come):
                 return
@@ -250,7 +247,7 @@
             if done:
                 run.settled = True
                 return
-            await anyio.sleep(STOP_RETRY_S + self.owner.lag.allowance_s())
+            await anyio.sleep(self.owner.lag.pause_s(STOP_RETRY_S))
 
     async def order_stop(self, task: str, number: int) -> bool:
         """Makes one call to stop a run.
@@ -258,8 +255,7 @@
         :returns: Whether the worker surely will not run it any more.
         """
         order = StopOrder(task, number, self.owner.epoch)
-        timeout_s = STOP_TIMEOUT_S + self.owner.lag.allowance_s()
-        reply = await self.calls.stop(order, timeout_s)
+        reply = await self.calls.stop(order, STOP_TIMEOUT_S)
         if reply.clock_ms is not None:
             self.node.note_clock(reply.clock_ms, anyio.current_time())
         if reply.outcome is OrderOutcome.FENCED:
@@ -284,5 +280,5 @@
     async def stop_until_answered(self, task: str, number: int) -> None:
         """Orders a stop of a stray run until the worker has answered."""
         while not await self.order_stop(task, number):
-            await anyio.sleep(STOP_RETRY_S + self.owner.lag.allowance_s())
+            await anyio.sleep(self.owner.lag.pause_s(STOP_RETRY_S))
         self.stopping_strays.discard((task, number))
--- a/lacewinghold/scheduler/relay_host.py
+++ b/lacewinghold/scheduler/relay_host.py
@@ -128,12 +128,11 @@
                         order.checkpoint,
                         order.ticket,
                     ),
-                    order.timeout_s + self.lag.allowance_s(),
+                    order.timeout_s,
                 )
             else:
                 stop = StopOrder(order.task, order.run, order.epoch)
-                timeout_s = order.timeout_s + self.lag.allowance_s()
-                reply = await worker.calls.stop(stop, timeout_s)
+                reply = await worker.calls.stop(stop, order.timeout_s)
             self.reply(peer, order, reply.outcome, reply.clock_ms)
         finally:
             worker.under_way -= 1
@@ -150,7 +149,7 @@
                 LookOrder(
                     order.epoch, order.acknowledged, order.lease_until_ms, wait_s
                 ),
-                order.timeout_s + self.lag.allowance_s(),
+                order.timeout_s,
             )
             if found not in UNANSWERED or not self.lag.excused(began):
                 break
--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -257,7 +257,7 @@
         self.pending[order.number] = pending
         lane.add(order)
         self.wanted.set()
-        limit_s += SLACK_S
+        limit_s += SLACK_S + self.lag.allowance_s()
         try:
             with anyio.move_on_after(limit_s):
                 await pending.settled.wait()
