--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -14,7 +14,9 @@
 from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
+
+    from lacewinghold.util.turns import TurnGate
 
 CONNECT_S = 0.5  # Several round trips between regions.
 KEEP_IDLE_S = 14.0  # Shorter than the platform's idle bound of 15 s.
@@ -33,6 +35,41 @@
     body: bytes
 
 
+class PacedBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections, only so many in a turn of the event loop.
+
+    The wait for a turn does not count as time in which the address was silent.
+
+    :param gate: Shared by the clients of many addresses.
+    """
+
+    def __init__(
+        self, gate: TurnGate, inner: httpcore.AsyncNetworkBackend | None = None
+    ) -> None:
+        self.gate = gate
+        self.inner = inner or httpcore.TrioBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        await self.gate.enter()
+        return await self.inner.connect_tcp(
+            host,
+            port,
+            timeout=timeout,
+            local_address=local_address,
+            socket_options=socket_options,
+        )
+
+    async def sleep(self, seconds: float) -> None:
+        await self.inner.sleep(seconds)
+
+
 class JsonClient:
     """Calls one address over connections that are kept.
 
@@ -42,17 +79,24 @@
     :param address: IP address and port.
     :param connections: Most connections at a time.
     :param lag: Tells how late this process is; never if ``None``.
+    :param gate: Passed before a connection is opened.
     """
 
     def __init__(
-        self, address: str, connections: int, lag: LagMonitor | None = None
+        self,
+        address: str,
+        connections: int,
+        lag: LagMonitor | None = None,
+        gate: TurnGate | None = None,
     ) -> None:
         self.address = address
         self.lag = lag or LagMonitor()
+        self.gate = gate
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=connections,
             max_keepalive_connections=connections,
             keepalive_expiry=KEEP_IDLE_S,
+            network_backend=PacedBackend(gate) if gate else None,
         )
 
     async def call(
--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -27,6 +27,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from lacewinghold.util.turns import OPENINGS_A_TURN, TurnGate
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.ports import LookOrder, StartOrder, StopOrder
@@ -134,9 +135,14 @@
 
     name = "platform"
 
-    def __init__(self, entry: WorkerEntry, lag: LagMonitor | None = None) -> None:
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        lag: LagMonitor | None = None,
+        gate: TurnGate | None = None,
+    ) -> None:
         self.entry = entry
-        self.client = JsonClient(entry.address, MAX_CONNECTIONS, lag)
+        self.client = JsonClient(entry.address, MAX_CONNECTIONS, lag, gate)
         self.headers = {EXPECT_INSTANCE: str(entry.worker)}
 
     async def order(self, path: str, body: object, timeout_s: float) -> OrderReply:
@@ -237,6 +243,7 @@
 
     def __init__(self, lag: LagMonitor | None = None) -> None:
         self.lag = lag
+        self.gate = TurnGate(OPENINGS_A_TURN)
 
     def open(self, entry: WorkerEntry) -> WorkerCalls:
-        return PlatformWorkerCalls(entry, self.lag)
+        return PlatformWorkerCalls(entry, self.lag, self.gate)
--- a/tests/test_platform/test_http_lateness.py
+++ b/tests/test_platform/test_http_lateness.py
@@ -8,9 +8,13 @@
 from result import Ok
 
 from lacewinghold.errors import ErrorKind
-from lacewinghold.platform.http import CONNECT_S, JsonClient
+from lacewinghold.ids import Incarnation, WorkerId
+from lacewinghold.platform.http import CONNECT_S, JsonClient, PacedBackend
+from lacewinghold.platform.workers import PlatformWorkerDialer
+from lacewinghold.scheduler.ports import Resources, ServerState, WorkerEntry
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.util.lag import LagMonitor, Stretch
+from lacewinghold.util.turns import TurnGate
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
@@ -86,3 +90,45 @@
         assert timeouts["connect"] == pytest.approx(CONNECT_S + read_s - 0.8)
 
     run_paused(session, seed=1)
+
+
+def test_the_wait_for_a_turn_is_not_taken_for_an_address_that_is_silent():
+    async def session():
+        gate = TurnGate(1)
+        await gate.enter()
+        # Another opening keeps the gate for longer than one may take.
+        await gate.lock.acquire()
+        backend = PacedBackend(gate, SlowBackend([CONNECT_S / 2]))
+        client = JsonClient("h:1", 1)
+        client.pool = httpcore.AsyncConnectionPool(network_backend=backend)
+        replies = []
+
+        async def call_once():
+            replies.append(await client.call("GET", "/", 0.8))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_once)
+            await anyio.sleep(3 * CONNECT_S)
+            gate.lock.release()
+        return replies
+
+    replies = run_paused(session, seed=1)
+    assert isinstance(replies[0], Ok)
+
+
+def test_calls_to_all_workers_open_their_connections_through_one_gate():
+    def entry(name):
+        return WorkerEntry(
+            worker=WorkerId(name),
+            incarnation=Incarnation(1),
+            service="service",
+            address=f"{name}:1",
+            data_centre="dc",
+            state=ServerState.READY,
+            capacity=Resources(),
+            labels=frozenset(),
+        )
+
+    dialer = PlatformWorkerDialer()
+    gates = {id(dialer.open(entry(name)).client.gate) for name in ("one", "two")}
+    assert len(gates) == 1
--- /dev/null
+++ b/tests/test_util/test_turns.py
@@ -0,0 +1,93 @@
+"""The gate that spreads a burst over turns of the event loop."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.util.turns import TURN_S, TurnGate
+
+BURST = 40
+
+
+async def enter_at_once(gate, count):
+    """Has many tasks enter at once.
+
+    :returns: Their numbers and when each passed, in that order.
+    """
+    passed = []
+
+    async def enter(number):
+        await gate.enter()
+        passed.append((number, anyio.current_time()))
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            tasks.start_soon(enter, number)
+    return passed
+
+
+def test_a_burst_is_spread_over_turns():
+    async def session():
+        began = anyio.current_time()
+        passed = await enter_at_once(TurnGate(16), BURST)
+        return [at - began for _, at in passed]
+
+    times = run_paused(session, seed=1)
+    assert len(times) == BURST
+    for turn, first in enumerate(range(0, BURST, 16)):
+        for at in times[first : first + 16]:
+            assert at == pytest.approx(turn * TURN_S)
+
+
+def test_all_that_came_at_once_passes_also_if_some_give_up():
+    async def session():
+        gate = TurnGate(4)
+        async with anyio.create_task_group() as tasks:
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await enter_at_once(gate, 4)
+            for _ in range(6):
+                tasks.start_soon(gate.enter)
+        passed = await enter_at_once(gate, BURST)
+        return len(passed)
+
+    assert run_paused(session, seed=1) == BURST
+
+
+def test_rare_steps_never_wait():
+    async def session():
+        gate = TurnGate(2)
+        for _ in range(20):
+            began = anyio.current_time()
+            await gate.enter()
+            assert anyio.current_time() == began
+            await anyio.sleep(TURN_S)
+
+    run_paused(session, seed=1)
+
+
+def test_other_tasks_have_their_turn_between_two_parts_of_a_burst():
+    async def session():
+        gate = TurnGate(16)
+        order = []
+
+        async def renew():
+            for _ in range(3):
+                order.append("renewal")
+                await anyio.sleep(TURN_S / 2)
+
+        async def open_one():
+            await gate.enter()
+            order.append("opening")
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(BURST):
+                tasks.start_soon(open_one)
+            tasks.start_soon(renew)
+        return order
+
+    order = run_paused(session, seed=1)
+    last = len(order) - 1 - order[::-1].index("renewal")
+    assert order[last:].count("opening") >= BURST - 32
