--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -23,6 +23,8 @@
     WorkerReport,
 )
 from lacewinghold.store.base import Put, RangeReply, Store, TransactionReply, WatchBatch
+from lacewinghold.util.lag import LagMonitor
+from lacewinghold.util.turns import OPENINGS_A_TURN, TurnGate
 
 if TYPE_CHECKING:
     from collections.abc import (
@@ -175,12 +177,22 @@
     """An HTTP client on a machine: its time-outs run while it waits for its turn.
 
     A connection whose answer is late is closed, and the next call opens another.
+    Like the platform's client it waits longer while its process is late.
 
     :param handle_s: What is done with an answer, in seconds of a whole core.
+    :param gate: Passed before a connection is opened.
     """
 
-    def __init__(self, machine: Machine, handle_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        machine: Machine,
+        lag: LagMonitor,
+        handle_s: float = 0.0,
+        gate: TurnGate | None = None,
+    ) -> None:
         self.machine = machine
+        self.lag = lag
+        self.gate = gate
         self.handle_s = handle_s
         self.idle = 0
 
@@ -198,8 +210,12 @@
         :returns: ``UNREACHABLE`` if it was not sent, ``OUTCOME_UNKNOWN`` if no
             answer was taken in time.
         """
+        began = anyio.current_time()
         if not await self.connect(timeout_s):
-            return Err(ErrorKind.UNREACHABLE)
+            again = self.lag.excused(began) and await self.connect(timeout_s)
+            if not again:
+                return Err(ErrorKind.UNREACHABLE)
+        timeout_s += self.lag.allowance_s()
         answers: list[T] = []
         with anyio.move_on_after(timeout_s):
             await self.machine.compute(SEND_S)
@@ -221,7 +237,10 @@
         if self.idle:
             self.idle -= 1
             return True
-        with anyio.move_on_after(min(CONNECT_LIMIT_S, timeout_s)):
+        if self.gate is not None:
+            await self.gate.enter()
+        limit_s = min(CONNECT_LIMIT_S, timeout_s) + self.lag.allowance_s()
+        with anyio.move_on_after(limit_s):
             await self.machine.compute(CONNECT_S)
             return True
         self.machine.charge(CLOSE_S)
@@ -236,9 +255,11 @@
 
     name = "machine"
 
-    def __init__(self, inner: WorkerCalls, machine: Machine) -> None:
+    def __init__(
+        self, inner: WorkerCalls, machine: Machine, lag: LagMonitor, gate: TurnGate
+    ) -> None:
         self.inner = inner
-        self.client = MachineClient(machine, HANDLE_S)
+        self.client = MachineClient(machine, lag, HANDLE_S, gate)
 
     async def order(
         self, timeout_s: float, act: Callable[[], Awaitable[OrderReply]]
@@ -291,12 +312,15 @@
 
     name = "machine"
 
-    def __init__(self, inner: WorkerDialer, machine: Machine) -> None:
+    def __init__(self, inner: WorkerDialer, machine: Machine, lag: LagMonitor) -> None:
         self.inner = inner
         self.machine = machine
+        self.lag = lag
+        self.gate = TurnGate(OPENINGS_A_TURN)
 
     def open(self, entry: WorkerEntry) -> WorkerCalls:
-        return MachineWorkerCalls(self.inner.open(entry), self.machine)
+        calls = self.inner.open(entry)
+        return MachineWorkerCalls(calls, self.machine, self.lag, self.gate)
 
 
 class MachineAdvice(AdviceCalls):
@@ -304,9 +328,9 @@
 
     name = "machine"
 
-    def __init__(self, inner: AdviceCalls, machine: Machine) -> None:
+    def __init__(self, inner: AdviceCalls, machine: Machine, lag: LagMonitor) -> None:
         self.inner = inner
-        self.client = MachineClient(machine)
+        self.client = MachineClient(machine, lag)
 
     async def ask(
         self, step: str, workers: Sequence[WorkerId], timeout_s: float
@@ -366,11 +390,11 @@
 
     name = "machine"
 
-    def __init__(self, inner: Store, machine: Machine) -> None:
+    def __init__(self, inner: Store, machine: Machine, lag: LagMonitor) -> None:
         self.inner = inner
         self.calls = inner.calls
         self.machine = machine
-        self.client = MachineClient(machine)
+        self.client = MachineClient(machine, lag)
 
     async def call(
         self,
@@ -439,8 +463,10 @@
 
 def put_on_machine(ports: CellPorts, machine: Machine) -> None:
     """Has all calls of an instance go through its machine."""
-    ports.store = MachineStore(ports.store, machine)
+    lag = LagMonitor()
+    ports.lag = lag
+    ports.store = MachineStore(ports.store, machine, lag)
     ports.transport = MachineTransport(ports.transport, machine)
-    ports.dialer = MachineWorkerDialer(ports.dialer, machine)
+    ports.dialer = MachineWorkerDialer(ports.dialer, machine, lag)
     if ports.advice is not None:
-        ports.advice = MachineAdvice(ports.advice, machine)
+        ports.advice = MachineAdvice(ports.advice, machine, lag)
