--- a/bench/bench_owner_cost.py
+++ b/bench/bench_owner_cost.py
@@ -44,6 +44,8 @@
     cell = make_scene(scene, waiting, workers)
     times = []
     for _ in range(REPEATS):
+        if scene is Scene.ALL_START:
+            cell = make_scene(scene, waiting, workers)
         began = time.perf_counter()
         cell.planning.plan()
         times.append(time.perf_counter() - began)
@@ -56,7 +58,7 @@
     for scene in Scene:
         for workers, waiting in sizes:
             size = f"{workers} workers, {waiting} steps: {scene.value}"
-            if scene is not Scene.NOT_ASKED:
+            if scene in (Scene.NO_ROOM, Scene.NO_TICKET):
                 alone_s = plan_alone_s(scene, waiting, workers)
                 figures.append(Figure(f"planner, {size}", alone_s * 1000, "ms"))
             whole_s = whole_plan_s(scene, waiting, workers)
@@ -72,7 +74,7 @@
 
 
 class OwnerCostBenchmark(Benchmark):
-    """Plans that can start nothing, which an owner makes all the time."""
+    """Plans that can start nothing, which an owner makes all the time, and others."""
 
     name = "owner_cost"
 
--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -45,6 +45,7 @@
     NO_ROOM = "nothing has room, tickets valid"
     NO_TICKET = "half empty, no valid ticket"
     NOT_ASKED = "half empty, nobody asked yet"
+    ALL_START = "empty, tickets valid"
 
 
 class SilentCalls(AdviceCalls):
@@ -220,7 +221,7 @@
 
 
 def make_scene(scene: Scene, waiting: int, workers: int) -> PlanCell:
-    """Returns a cell in which nothing can start."""
+    """Returns a cell in which nothing can start, but for one kind of scene."""
     cell = PlanCell(workers)
     cell.add_waiting(waiting)
     if scene is Scene.NO_ROOM:
@@ -229,6 +230,8 @@
     elif scene is Scene.NO_TICKET:
         cell.fill(0.5)
         cell.permit_all(-ALWAYS)
-    else:
+    elif scene is Scene.NOT_ASKED:
         cell.fill(0.5)
+    else:
+        cell.permit_all(ALWAYS)
     return cell
--- a/bench/planner_day.py
+++ b/bench/planner_day.py
@@ -74,9 +74,9 @@
                 self.place_singly(step)
         return self.plan
 
-    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, bool, float, str]:
-        """Returns the sort key of a worker: its id."""
-        return False, False, 0.0, str(node.id)
+    def sort_key(self, worker: WorkerId) -> float:
+        """Returns the same for all, which leaves the order of their ids."""
+        return 0.0
 
     def reserve(self, step: Step) -> None:
         """Keeps no room free."""
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -7,8 +7,7 @@
 
 from __future__ import annotations
 
-import heapq
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -18,7 +17,7 @@
 from lacewinghold.scheduler.ports import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.claims import Claim
@@ -30,7 +29,7 @@
 RESERVED_SHARE = 0.6  # Most of the workers that may be kept free for them.
 MAX_LOOKS = 4000  # Looks at workers in one plan: a few milliseconds of a core.
 URGENT_SHARE = 0.5  # Part of the looks for the most urgent; others take turns.
-TASK_LOOKS = 10  # A start costs as much as so many looks.
+TASK_LOOKS = 30  # A start costs as much as so many looks.
 MAX_UNABLE = 8  # Steps of a queue that choose before their call can be made.
 
 
@@ -132,6 +131,29 @@
     return Resources(cpu, memory, accelerators)
 
 
+class Shape(Struct):
+    """The workers of a service that have room for tasks of one size.
+
+    :param order: Sort key and id of each, fullest first.
+    :param keys: The sort keys in use.
+    :param followed: How many of the planner's changes it has followed.
+    """
+
+    room: Resources
+    followed: int
+    order: list[tuple[float, WorkerId]] = field(default_factory=list)
+    keys: dict[WorkerId, float] = field(default_factory=dict)
+
+    def put(self, worker: WorkerId, key: float, free: Resources) -> None:
+        """Puts a worker in its place, or leaves it out if it has no room."""
+        old = self.keys.pop(worker, None)
+        if old is not None:
+            del self.order[bisect_left(self.order, (old, worker))]
+        if self.room.within(free):
+            self.keys[worker] = key
+            insort(self.order, (key, worker))
+
+
 class Planner:
     """Makes one plan over a snapshot of the free room.
 
@@ -179,8 +201,9 @@
         self.unable: Counter[str] = Counter()
         self.services: dict[str, list[WorkerNode]] = {}
         self.free: dict[WorkerId, Resources] = {}
-        self.full: dict[WorkerId, float] = {}
-        self.shapes: dict[tuple[str, Resources], dict[WorkerId, WorkerNode]] = {}
+        self.keys: dict[WorkerId, float] = {}
+        self.changes: list[WorkerId] = []
+        self.shapes: dict[tuple[str, Resources], Shape] = {}
         self.nodes = {node.id: node for node in nodes}
         for worker, node in self.nodes.items():
             self.services.setdefault(node.entry.service, []).append(node)
@@ -196,17 +219,17 @@
         self.order: list[Step] = []
         self.plan = Plan()
 
-    def give_back(self, step: Step, tasks: Mapping[WorkerId, int]) -> None:
+    def change(self, worker: WorkerId, free: Resources) -> None:
+        """Notes how much room a worker has from now on."""
+        self.free[worker] = free
+        self.keys.pop(worker, None)
+        self.changes.append(worker)
+
+    def give_back(self, room: Resources, tasks: Mapping[WorkerId, int]) -> None:
         """Gives the room of so many tasks on each worker back to the snapshot."""
         for worker, count in tasks.items():
             if worker in self.free:
-                self.free[worker] = self.free[worker].plus(step.room.times(count))
-                self.full.pop(worker, None)
-                node = self.nodes[worker]
-                for (service, room), roomy in self.shapes.items():
-                    fits = room.within(self.free[worker])
-                    if fits and service == node.entry.service:
-                        roomy[worker] = node
+                self.change(worker, self.free[worker].plus(room.times(count)))
 
     def take_claimed(self, claim: Claim) -> None:
         """Takes the room of a claim from the snapshot."""
@@ -216,8 +239,7 @@
 
     def take(self, worker: WorkerId, room: Resources, count: int = 1) -> None:
         """Takes the room of some tasks from the snapshot."""
-        self.free[worker] = self.free[worker].minus(room.times(count))
-        self.full.pop(worker, None)
+        self.change(worker, self.free[worker].minus(room.times(count)))
 
     def has_room_for(self, renewal: Renewal) -> bool:
         """Returns whether the room of a choice is free."""
@@ -263,8 +285,8 @@
             return
         if step.name in self.claims and not held:
             # Its answer has come, and the step may choose again.
-            self.give_back(step, self.claims[step.name].tasks)
-        if not self.roomy(step):
+            self.give_back(step.room, self.claims[step.name].tasks)
+        if not self.shape_of(step).order:
             if step.spec.all_at_once:
                 self.reserve(step)
             return
@@ -279,44 +301,60 @@
         else:
             self.place_singly(step)
 
-    def roomy(self, step: Step) -> dict[WorkerId, WorkerNode]:
-        """Returns the workers that had room for a task when last looked at."""
+    def shape_of(self, step: Step) -> Shape:
+        """Returns the workers that have room for a task, as of now."""
         service = step.job.queue.service
-        shape = service, step.room
-        found = self.shapes.get(shape)
-        if found is not None:
-            return found
-        found = {}
-        if service in self.most and step.room.within(self.most[service]):
-            nodes = self.services[service]
-            self.looks += len(nodes)
-            for node in nodes:
-                if step.room.within(self.free[node.id]):
-                    found[node.id] = node
-        self.shapes[shape] = found
-        return found
-
-    def with_room(self, step: Step) -> list[WorkerNode]:
-        """Returns the workers that may run a step and have room for a task."""
-        roomy = self.roomy(step)
-        permitted = self.permitted(step) if roomy else None
-        if not permitted:
-            return []
-        if len(permitted) < len(roomy):
-            some = [roomy[worker] for worker in permitted if worker in roomy]
-            self.looks += len(permitted)
-        else:
-            some = list(roomy.values())
-            self.looks += len(roomy)
-        found = []
-        for node in some:
+        shape = self.shapes.get((service, step.room))
+        if shape is None:
+            shape = self.make_shape(service, step.room)
+            self.shapes[(service, step.room)] = shape
+        for worker in set(self.changes[shape.followed :]):
+            if self.nodes[worker].entry.service == service:
+                shape.put(worker, self.sort_key(worker), self.free[worker])
+        shape.followed = len(self.changes)
+        return shape
+
+    def make_shape(self, service: str, room: Resources) -> Shape:
+        """Returns the workers of a service that have room for tasks of a size."""
+        shape = Shape(room, len(self.changes))
+        if service not in self.most or not room.within(self.most[service]):
+            return shape
+        nodes = self.services[service]
+        self.looks += len(nodes)
+        for node in nodes:
             worker = node.entry.worker
-            if not step.room.within(self.free[worker]):
-                del roomy[worker]
+            if room.within(self.free[worker]):
+                shape.keys[worker] = self.sort_key(worker)
+        shape.order = sorted((key, worker) for worker, key in shape.keys.items())
+        return shape
+
+    def sort_key(self, worker: WorkerId) -> float:
+        """Returns the sort key of a worker: the fullest comes first."""
+        key = self.keys.get(worker)
+        if key is None:
+            capacity = self.nodes[worker].entry.capacity
+            key = self.keys[worker] = -fullness(self.free[worker], capacity)
+        return key
+
+    def ranked(self, step: Step) -> Iterator[WorkerNode]:
+        """Returns the workers that may run a step and have room, the best first."""
+        order = self.shape_of(step).order
+        permitted = self.permitted(step)
+        if not permitted:
+            return
+        others: list[tuple[bool, bool, int]] = []
+        for number, (_, worker) in enumerate(order):
+            self.looks += 1
+            node = self.nodes[worker]
+            if worker not in permitted or not self.may_take(step, node):
                 continue
-            if worker in permitted and self.may_take(step, node):
-                found.append(node)
-        return found
+            rank = self.rank(step, node)
+            if any(rank):
+                others.append((*rank, number))
+            else:
+                yield node
+        for _, _, number in sorted(others):
+            yield self.nodes[order[number][1]]
 
     def candidates(self, step: Step) -> list[WorkerNode]:
         """Returns the workers that may run a step, with or without room."""
@@ -344,28 +382,27 @@
             return node.serving > 0
         return step.spec.latency_target_ms > 0 and node.filling > 0
 
-    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, bool, float, str]:
-        """Returns the sort key of a worker: near the data, permitted now, fullest."""
-        worker = node.entry.worker
-        full = self.full.get(worker)
-        if full is None:
-            full = fullness(self.free[worker], node.entry.capacity)
-            self.full[worker] = full
-        remote = bool(step.spec.data_rack) and node.entry.rack != step.spec.data_rack
-        return remote, not self.valid(step, node), -full, worker
-
-    def limits(self, step: Step, nodes: list[WorkerNode]) -> dict[WorkerId, int]:
-        """Returns how many more tasks of a step workers may take by its rules."""
-        limits = dict.fromkeys((node.id for node in nodes), step.spec.tasks)
-        if step.spec.max_per_worker:
-            there = Counter(run.worker for run in step.runs())
-            for worker in limits:
-                limits[worker] = max(0, step.spec.max_per_worker - there[worker])
-        if step.name in self.held:
-            for node in nodes:
-                if not self.valid(step, node):
-                    limits[node.id] = 0
-        return limits
+    def rank(self, step: Step, node: WorkerNode) -> tuple[bool, bool]:
+        """Returns what counts before fullness: far from the data, not permitted now."""
+        rack = step.spec.data_rack
+        return bool(rack) and node.entry.rack != rack, not self.valid(step, node)
+
+    def limit_on(self, step: Step, node: WorkerNode, there: Counter[WorkerId]) -> int:
+        """Returns how many more tasks of a step a worker may take by its rules.
+
+        :param there: How many it has of the step by now.
+        """
+        if step.name in self.held and not self.valid(step, node):
+            return 0
+        if not step.spec.max_per_worker:
+            return step.spec.tasks
+        return max(0, step.spec.max_per_worker - there[node.id])
+
+    def runs_on(self, step: Step) -> Counter[WorkerId]:
+        """Returns how many tasks of a step run on each worker, if there is a limit."""
+        if not step.spec.max_per_worker:
+            return Counter()
+        return Counter(run.worker for run in step.runs())
 
     def place_singly(self, step: Step) -> None:
         """Places each task of a step for itself, as many as there is room for."""
@@ -373,107 +410,76 @@
         if step.name in self.held:
             # The last tasks have their room in the claim.
             waiting = waiting[: -self.claims[step.name].task_count()]
-        nodes = self.with_room(step) if waiting else []
-        if not nodes:
-            return
         if any(task.failed_on for task in waiting):
-            chosen = self.choose_each(step, waiting, nodes)
-        else:
-            chosen = self.choose_fullest(step, waiting, nodes)
-        self.emit(step, chosen)
+            self.emit(step, self.choose_each(step, waiting))
+        elif waiting:
+            self.emit(step, self.choose(step, waiting, self.ranked(step)))
 
-    def choose_fullest(
-        self, step: Step, tasks: list[Task], nodes: list[WorkerNode]
+    def choose(
+        self, step: Step, tasks: list[Task], ranked: Iterable[WorkerNode]
     ) -> list[tuple[Task, WorkerNode]]:
         """Returns workers for as many tasks as there is room for.
 
         A worker that has taken a task is fuller and thus still the best one.
         """
-        limits = self.limits(step, nodes)
-        ranked = [(self.rank(step, node), node) for node in nodes]
-        heapq.heapify(ranked)
+        there = self.runs_on(step)
         chosen: list[tuple[Task, WorkerNode]] = []
-        while ranked and len(chosen) < len(tasks):
-            _, node = heapq.heappop(ranked)
-            left = min(len(tasks) - len(chosen), limits[node.id])
+        for node in ranked:
+            left = min(len(tasks) - len(chosen), self.limit_on(step, node, there))
             for _ in range(fitting_count(step.room, self.free[node.id], left)):
                 chosen.append((tasks[len(chosen)], node))
+            if len(chosen) == len(tasks):
+                break
         return chosen
 
     def choose_each(
-        self, step: Step, tasks: list[Task], nodes: list[WorkerNode]
+        self, step: Step, tasks: list[Task]
     ) -> list[tuple[Task, WorkerNode]]:
         """Returns workers for tasks of which some have failed somewhere."""
-        limits = self.limits(step, nodes)
+        there = self.runs_on(step)
         count = len(self.candidates(step))
         chosen: list[tuple[Task, WorkerNode]] = []
         for task in tasks:
-            avoided = task.failed_on if len(task.failed_on) < count else ()
-            node = self.best_node(step, nodes, limits, avoided)
-            if node is None:
-                if task.failed_on:
+            avoided = task.failed_on if len(task.failed_on) < count else set()
+            for node in self.ranked(step):
+                if node.id in avoided or self.limit_on(step, node, there) <= 0:
                     continue
+                there[node.id] += 1
+                self.take(node.id, step.room)
+                chosen.append((task, node))
                 break
-            limits[node.id] -= 1
-            self.take(node.id, step.room)
-            chosen.append((task, node))
-        self.give_back(step, Counter(node.id for _, node in chosen))
+            else:
+                if not task.failed_on:
+                    break
+        self.give_back(step.room, Counter(node.id for _, node in chosen))
         return chosen
 
-    def best_node(
-        self,
-        step: Step,
-        nodes: list[WorkerNode],
-        limits: dict[WorkerId, int],
-        avoided: Collection[WorkerId],
-    ) -> WorkerNode | None:
-        """Returns the worker for one task, or ``None`` if none has room."""
-        self.looks += len(nodes)
-        best: WorkerNode | None = None
-        best_rank: tuple[bool, bool, float, str] | None = None
-        for node in nodes:
-            if limits[node.id] <= 0 or not step.room.within(self.free[node.id]):
-                continue
-            if node.id in avoided:
-                continue
-            rank = self.rank(step, node)
-            if best_rank is None or rank < best_rank:
-                best, best_rank = node, rank
-        return best
-
     def place_together(self, step: Step) -> None:
         """Places all tasks of a step, or keeps room free for them."""
         tasks = step.waiting()
         if len(tasks) < step.spec.tasks:
             return
-        nodes = self.with_room(step)
         avoided = set().union(*(task.failed_on for task in tasks))
-        chosen = None
-        if avoided:
+        groups: list[Iterable[WorkerNode]] = [self.ranked(step)]
+        if avoided or step.spec.one_rack:
+            nodes = list(self.ranked(step))
             sound = [node for node in nodes if node.id not in avoided]
-            chosen = self.choose_together(step, tasks, sound)
-        if chosen is None:
-            chosen = self.choose_together(step, tasks, nodes)
-        if chosen is None:
-            self.reserve(step)
-            return
-        self.emit(step, chosen)
-
-    def choose_together(
-        self, step: Step, tasks: list[Task], nodes: list[WorkerNode]
-    ) -> list[tuple[Task, WorkerNode]] | None:
-        """Returns a worker for each task, or ``None`` if not all have room."""
-        groups = [nodes]
-        if step.spec.one_rack:
-            racks: dict[str, list[WorkerNode]] = {}
-            for node in nodes:
-                racks.setdefault(node.entry.rack, []).append(node)
-            groups = [*(racks[rack] for rack in sorted(racks)), nodes]
+            groups = [*self.groups(step, sound), *self.groups(step, nodes)]
         for group in groups:
-            chosen = self.choose_fullest(step, tasks, group)
+            chosen = self.choose(step, tasks, group)
             if len(chosen) == len(tasks):
-                return chosen
-        return None
+                self.emit(step, chosen)
+                return
+        self.reserve(step)
+
+    def groups(self, step: Step, nodes: list[WorkerNode]) -> list[list[WorkerNode]]:
+        """Returns workers that may run all tasks of a step, those of one rack first."""
+        if not step.spec.one_rack:
+            return [nodes]
+        racks: dict[str, list[WorkerNode]] = {}
+        for node in nodes:
+            racks.setdefault(node.entry.rack, []).append(node)
+        return [*(racks[rack] for rack in sorted(racks)), nodes]
 
     def reserve(self, step: Step) -> None:
         """Keeps enough workers free of less urgent work for a step.
@@ -516,7 +522,7 @@
 
     def emit(self, step: Step, chosen: list[tuple[Task, WorkerNode]]) -> None:
         """Adds starts with valid tickets to the plan, and asks for the others."""
-        self.looks += TASK_LOOKS * len(chosen)
+        self.looks += len(chosen)
         counts = Counter(node.id for _, node in chosen)
         nodes = {node.id: node for _, node in chosen}
         missing = {node.id for node in nodes.values() if not self.valid(step, node)}
@@ -537,5 +543,6 @@
         if together and missing:
             return
         ready = [(task, node) for task, node in chosen if node.id not in missing]
+        self.looks += TASK_LOOKS * len(ready)
         if ready:
             self.plan.placements.append(Placement(step, ready))
--- a/tests/test_scheduler/test_plan_cost.py
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -6,10 +6,11 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 import pytest
 import structlog.testing
 
-from bench.plan_cell import ALWAYS, PlanCell, Scene, make_ready_step, make_scene
+from bench.plan_cell import ADVICE, ALWAYS, PlanCell, Scene, make_ready_step, make_scene
 from bench.planner_day import make_nodes
 from lacewinghold.events import Event
 from lacewinghold.scheduler.claims import Claim
@@ -59,7 +60,7 @@
     return run_paused(program, seed=1)
 
 
-@pytest.mark.parametrize("scene", list(Scene))
+@pytest.mark.parametrize("scene", [Scene.NO_ROOM, Scene.NO_TICKET, Scene.NOT_ASKED])
 def test_a_plan_tries_no_step_on_all_workers(scene):
     """At 200 steps and 176 workers such plans took a whole core."""
     few, many = lines_of_plan(scene, 200), lines_of_plan(scene, 600)
@@ -75,6 +76,29 @@
     assert costs[1] < 1.2 * costs[0]
 
 
+def test_a_step_that_can_start_is_not_tried_on_all_workers():
+    """The fullest with room and a ticket will do, however many there are."""
+    costs = []
+    for workers in (100, 400):
+
+        def plan(count, workers=workers):
+            cell = PlanCell(workers)
+            for number in range(count):
+                step = make_single(f"a{number}")
+                step.job.queue = msgspec.structs.replace(URGENT, advice=ADVICE)
+                cell.table.open_steps[step.name] = step
+                cell.permit(step, 0.5, ALWAYS)
+            lines = count_lines(cell.planning.plan)
+            assert cell.begun().total() == count
+            return lines
+
+        async def program(plan=plan):
+            return plan(60) - plan(20)
+
+        costs.append(run_paused(program, seed=1))
+    assert costs[1] < 1.2 * costs[0]
+
+
 def test_a_plan_that_can_place_nothing_is_the_cheapest():
     others = [Scene.NO_TICKET, Scene.NOT_ASKED]
     cheapest = min(lines_of_plan(scene, 400) for scene in others)
