--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -60,6 +60,7 @@
     OWNERSHIP_TAKEN = "ownership taken"
     OWNERSHIP_LAPSED = "ownership lapsed"
     OWNERSHIP_GIVEN_UP = "ownership given up"
+    OWNERSHIP_HANDED_OVER = "ownership handed over"
     OWNER = "owner"
     OWNER_GONE = "owner gone"
     EARLIER_OWNER_STOPPED = "earlier owner stopped"
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -13,6 +13,7 @@
 from lacewinghold.scheduler.advice import AdviceBook, Lane
 from lacewinghold.scheduler.election import Election
 from lacewinghold.scheduler.front import JobFront
+from lacewinghold.scheduler.hand_over import HandOver
 from lacewinghold.scheduler.job_store import JobStore
 from lacewinghold.scheduler.lateness import PlanningShare, RenewalWatch, WatchedDialer
 from lacewinghold.scheduler.members import MemberAdvice, Members, Membership
@@ -360,6 +361,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.election.keep, ownership)
             tasks.start_soon(self.members.mirror.run)
+            tasks.start_soon(HandOver(self, ownership).run)
             earlier = self.election.earlier
             if earlier is None or earlier.instance == self.instance:
                 owner.earlier_stopped.set()
@@ -375,7 +377,5 @@
         """Lets another instance decide."""
         self.leaving = True
         self.election.leaving = True
-        owner = self.owner
-        if owner is not None:
-            owner.ownership.lost.set()
-            await self.election.release(owner.ownership)
+        if self.owner is not None:
+            await self.election.release(self.owner.ownership)
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -37,6 +37,10 @@
 FAR_S = 0.03  # A store call that takes longer comes from another region.
 AGE_DELAY_S = 0.1  # More than the spread, less than a lease.
 AGE_FULL_S = 60.0  # A rolling restart of seven instances takes less.
+LATE_S = 0.3  # A call to a worker waits about this long for its answer.
+LET_GO_DELAY_S = 1.0  # Who has handed the ownership over lets all others go first.
+INVITED_S = 3.0  # How long an invitation to claim is good for.
+PAUSE_S = 10.0  # Least time between two hand-overs that one instance takes part in.
 RETRY_S = 0.1
 TERM_KEY = "term"  # The last owner, kept when its lease has ended.
 
@@ -56,6 +60,19 @@
     lost: anyio.Event
 
 
+class Invitation(Struct, frozen=True):
+    """An owner's request that this instance follows it.
+
+    :param term: Number of the ownership that is to end.
+    :param late: Whether it ends because the owner is late.
+    :param at: When it came, on the runtime's clock.
+    """
+
+    term: int = 0
+    late: bool = False
+    at: float = -math.inf
+
+
 class Election:
     """Claims the ownership record when nobody holds it, and renews it.
 
@@ -76,6 +93,8 @@
         strength: float = ENOUGH,
     ) -> None:
         self.strength = strength
+        self.invitation = Invitation()
+        self.let_go_at = -math.inf
         self.store = store
         self.prefix = prefix
         self.instance = instance
@@ -128,16 +147,39 @@
         """Returns how long others may go first.
 
         Those are the strong, then those near the store, then the young: in a rolling
-        restart the instance that started last is stopped last.
+        restart the instance that started last is stopped last. One that the last
+        owner has asked to follow it waits for nobody.
         """
+        now = anyio.current_time()
+        if now - self.invitation.at < INVITED_S:
+            return 0.0
         delay_s = self.rng.random() * NEAR_DELAY_S
+        if now - self.let_go_at < PAUSE_S:
+            delay_s += LET_GO_DELAY_S
         if self.strength < ENOUGH:
             delay_s += WEAK_DELAY_S * (1 - self.strength / 2)
         if self.call_s > FAR_S:
             delay_s += FAR_DELAY_S
-        age_s = anyio.current_time() - self.started_at
+        age_s = now - self.started_at
         return delay_s + min(1.0, age_s / AGE_FULL_S) * AGE_DELAY_S
 
+    def accept_invitation(self, invitation: Invitation) -> bool:
+        """Takes an owner's request to follow it, unless this instance had better not.
+
+        One that has taken part in a hand-over lately takes part in none, so that the
+        ownership does not go back and forth.
+        """
+        now = invitation.at
+        owner = self.owner
+        if self.leaving or owner is None or owner.term != invitation.term:
+            return False
+        if now - max(self.let_go_at, self.invitation.at) < PAUSE_S:
+            return False
+        if self.renewals.lag.late_s() > LATE_S:
+            return False
+        self.invitation = invitation
+        return True
+
     async def claim(self) -> Ownership | None:
         """Tries to become the owner.
 
@@ -235,5 +277,6 @@
 
     async def release(self, ownership: Ownership) -> None:
         """Lets go, so that another instance need not wait for the lease to end."""
+        ownership.lost.set()
         ownership.valid_until = -math.inf
         await self.store.revoke_lease(ownership.lease)
--- /dev/null
+++ b/lacewinghold/scheduler/hand_over.py
@@ -0,0 +1,112 @@
+"""Hands the ownership to a better member while this one is weak or late."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from lacewinghold.events import Event
+from lacewinghold.ids import InstanceId
+from lacewinghold.scheduler.election import LATE_S, PAUSE_S
+from lacewinghold.scheduler.strength import ENOUGH
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.cell import CellInstance
+    from lacewinghold.scheduler.election import Ownership
+    from lacewinghold.schema.generated.cell import CellMember
+
+logger = structlog.get_logger(__name__)
+CHECK_S = 0.5
+LATE_FOR_S = 3.0  # A burst of calls or one loading of the cell is over sooner.
+STAY_LATE_S = 30.0  # Who follows a late owner is late by the load, not the machine.
+MUCH_STRONGER = 2.0  # Less is not worth the pause in which nobody decides.
+MAX_ASKED = 3  # Members asked in one check.
+RELEASE_S = 1.0
+
+
+class HandOver:
+    """Watches one ownership.
+
+    :param instance: The instance that owns.
+    """
+
+    def __init__(self, instance: CellInstance, ownership: Ownership) -> None:
+        self.instance = instance
+        self.ownership = ownership
+        self.taken_at = anyio.current_time()
+        self.late_since = math.inf
+
+    async def run(self) -> None:
+        """Looks now and then whether a better member can follow."""
+        while True:
+            await anyio.sleep(CHECK_S)
+            now = anyio.current_time()
+            self.note_lateness(now)
+            late = self.late_too_long(now)
+            for member in self.better_members(late=late)[:MAX_ASKED]:
+                if await self.offer(member, late=late):
+                    return
+
+    def note_lateness(self, now: float) -> None:
+        """Notes since when this process has been late all the time."""
+        if self.instance.lag.lag_s <= LATE_S:
+            self.late_since = math.inf
+            return
+        self.late_since = min(self.late_since, now)
+
+    def late_too_long(self, now: float) -> bool:
+        """Returns whether another instance of this strength had better decide."""
+        invitation = self.instance.election.invitation
+        followed_late = invitation.late and invitation.term == self.ownership.term - 1
+        stay_s = STAY_LATE_S if followed_late else PAUSE_S
+        if now - self.taken_at < stay_s:
+            return False
+        return now - self.late_since >= LATE_FOR_S
+
+    def better_members(self, *, late: bool) -> list[CellMember]:
+        """Returns the members that may follow, the best first."""
+        instance = self.instance
+        if anyio.current_time() - instance.election.let_go_at < PAUSE_S:
+            return []
+        own = min(instance.strength, ENOUGH)
+        members = []
+        for member in instance.members.members.values():
+            strength = min(member.strength, ENOUGH)
+            if member.instance == instance.instance:
+                continue
+            much_stronger = strength > own and (
+                strength >= ENOUGH or strength >= own * MUCH_STRONGER
+            )
+            if much_stronger or (late and strength >= own):
+                members.append(member)
+        instance.rng.shuffle(members)
+        # A neighbour is as near to the store as this owner.
+        members.sort(key=lambda m: m.region != instance.settings.region)
+        members.sort(key=lambda m: -min(m.strength, ENOUGH))
+        return members
+
+    async def offer(self, member: CellMember, *, late: bool) -> bool:
+        """Lets go if a member is ready to follow; returns whether it is."""
+        peer = InstanceId(member.instance)
+        term = self.ownership.term
+        calls = self.instance.peer_calls
+        if not await calls.ask_to_take_over(peer, term, late=late):
+            return False
+        logger.info(
+            Event.OWNERSHIP_HANDED_OVER,
+            term=term,
+            to=peer,
+            late=late,
+            lag_s=round(self.instance.lag.late_s(), 3),
+            strength=round(self.instance.strength, 2),
+        )
+        self.instance.metrics.hand_overs.labels("late" if late else "weak").inc()
+        election = self.instance.election
+        election.let_go_at = anyio.current_time()
+        # What watches the ownership ends with it, and the release has to arrive.
+        with anyio.move_on_after(RELEASE_S, shield=True):
+            await election.release(self.ownership)
+        return True
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -137,6 +137,12 @@
             ["kind"],
             registry=registry,
         )
+        self.hand_overs = Counter(
+            "lacewinghold_hand_overs",
+            "Ownerships handed to a better instance, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.deciding = Gauge(
             "lacewinghold_deciding", "Whether this instance decides.", registry=registry
         )
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -12,6 +12,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId
+from lacewinghold.scheduler.election import Invitation
 from lacewinghold.scheduler.members import advise_for_peer
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.schema.generated.cell import CellJob
@@ -20,7 +21,9 @@
     CellAdvice,
     CellJobCall,
     CellJobState,
+    CellReady,
     CellSubmitCall,
+    CellTakeOverCall,
     CellWaiting,
     CellWaitingCall,
     CellYieldCall,
@@ -58,6 +61,7 @@
         self.links.on(MessageKind.CELL_YIELD, self.serve_yield)
         self.links.on(MessageKind.CELL_SUBMIT, self.serve_submit)
         self.links.on(MessageKind.CELL_CANCEL, self.serve_cancel)
+        self.links.on(MessageKind.CELL_TAKE_OVER, self.serve_take_over)
 
     def owner(self) -> InstanceId | None:
         """Returns the owner, if it is another instance.
@@ -156,6 +160,16 @@
                 return
             await anyio.sleep(YIELD_RETRY_S)
 
+    async def ask_to_take_over(
+        self, member: InstanceId, term: int, *, late: bool
+    ) -> bool:
+        """Asks a member to follow this owner; returns whether it will claim."""
+        call = CellTakeOverCall(term, late)
+        reply = await self.links.call(
+            member, MessageKind.CELL_TAKE_OVER, call, OWNER_CALL_S
+        )
+        return isinstance(reply, Ok)
+
     # Calls of peers
 
     async def serve_yield(
@@ -172,6 +186,17 @@
                 await anyio.sleep(YIELD_RETRY_S)
         return Ok(CellYielded(self.instance.instance))
 
+    async def serve_take_over(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellReady, Failure]:
+        """Promises to follow an owner, if this instance can decide."""
+        call = unpack(body, CellTakeOverCall)
+        invitation = Invitation(call.term, call.late, anyio.current_time())
+        able = self.instance.ready() and not self.instance.store.down
+        if not able or not self.instance.election.accept_invitation(invitation):
+            return Err(Failure(ErrorKind.OVERLOADED, "not able to decide now"))
+        return Ok(CellReady(self.instance.instance))
+
     async def serve_advise(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellAdvice, Failure]:
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -225,8 +225,13 @@
         worker.crash()
         await self.add_worker(str(worker.id), worker.incarnation + 1)
 
-    def add_member(self, machine: EntryMachine | None = None) -> Member:
-        """Starts an entry instance, on a machine that is as strong as any."""
+    def add_member(
+        self, *, described: EntryMachine | None = None, region: RegionId = REGION
+    ) -> Member:
+        """Starts an entry instance.
+
+        :param described: What its settings say of its machine.
+        """
         self.starts += 1
         name = InstanceId(f"entry-{self.starts}")
         gate = Gate()
@@ -234,18 +239,18 @@
         store = MemoryStore(self.state, gate_store)
         settings = EntrySettings(
             instance=name,
-            region=REGION,
+            region=region,
             data_centre="dc",
             listen=EntryListen(callers="c", ready="r", peer=name),
             store=PlatformStore(address="s", lease_ms=LEASE_MS),
             bounds=EntryBounds(
                 max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
             ),
-            machine=machine,
+            machine=described,
         )
         ports = CellPorts(
             store=store,
-            transport=MemoryTransport(self.network, name, REGION, gate),
+            transport=MemoryTransport(self.network, name, region, gate),
             dialer=MemoryWorkerDialer(self.world, gate),
             advice=MemoryAdvice(self.advice),
             keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
--- a/tests/test_scheduler/test_ownership.py
+++ b/tests/test_scheduler/test_ownership.py
@@ -5,8 +5,12 @@
 import anyio
 import pytest
 
+from lacewinghold.ids import RegionId
+from lacewinghold.scheduler.model import JobState
 from lacewinghold.schema.generated.entry import EntryMachine
-from tests.test_scheduler.support import run_cell
+from lacewinghold.testing.step_worker import Behaviour
+from lacewinghold.util.lag import Stretch
+from tests.test_scheduler.support import run_cell, step
 
 STRONG = EntryMachine(processor_share=0.717, speed=3, link_mbps=100)
 WEAK = EntryMachine(processor_share=0.516, speed=1, link_mbps=5)
@@ -33,10 +37,10 @@
 @pytest.mark.parametrize("weak", [WEAK, THIN])
 def test_an_old_strong_instance_owns_before_young_weak_ones(seed, weak):
     async def program(cell):
-        strong = cell.add_member(STRONG)
+        strong = cell.add_member(described=STRONG)
         await age(70)
         for _ in range(8):
-            cell.add_member(weak)
+            cell.add_member(described=weak)
         await anyio.sleep(1)
         owner, _ = await kill_owner(cell)
         assert owner is strong
@@ -47,10 +51,10 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_a_strong_instance_far_from_the_store_owns_before_weak_ones_near_it(seed):
     async def program(cell):
-        far = cell.add_member(STRONG)
+        far = cell.add_member(described=STRONG)
         far.instance.election.call_s = 0.06
         for _ in range(8):
-            cell.add_member(WEAK)
+            cell.add_member(described=WEAK)
         await age(70)
         owner, _ = await kill_owner(cell)
         assert owner is far
@@ -61,10 +65,10 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_near_instances_own_before_far_ones_of_equal_strength(seed):
     async def program(cell):
-        near = cell.add_member(STRONG)
+        near = cell.add_member(described=STRONG)
         await age(70)
         for _ in range(8):
-            cell.add_member(STRONG).instance.election.call_s = 0.06
+            cell.add_member(described=STRONG).instance.election.call_s = 0.06
         await anyio.sleep(1)
         owner, _ = await kill_owner(cell)
         assert owner is near
@@ -75,7 +79,7 @@
 def test_weak_instances_alone_take_over_soon():
     async def program(cell):
         for _ in range(4):
-            cell.add_member(WEAK)
+            cell.add_member(described=WEAK)
         await age(70)
         for _ in range(4):
             owner, free_s = await kill_owner(cell)
@@ -83,3 +87,147 @@
         assert owner.instance.strength == pytest.approx(0.1)
 
     run_cell(program, instances=1)
+
+
+async def be_late(member, late_s=0.5):
+    """Has an instance find again and again that it is late."""
+    lag = member.instance.lag
+    while True:
+        now = anyio.current_time()
+        lag.note_stretch(Stretch(now - late_s, now))
+        await anyio.sleep(0.25)
+
+
+async def owners_during(cell, seconds):
+    """Returns who decided, one after the other."""
+    seen = []
+    end = anyio.current_time() + seconds
+    while anyio.current_time() < end:
+        owner = cell.owner()
+        if owner is not None and seen[-1:] != [owner]:
+            seen.append(owner)
+        await anyio.sleep(0.01)
+    return seen
+
+
+@pytest.mark.parametrize("region", ["region-a", "region-b"])
+def test_a_weak_owner_hands_over_once_to_a_strong_instance_that_comes(region):
+    async def program(cell):
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+        await anyio.sleep(1)
+        weak, _ = await kill_owner(cell)
+        cell.network.latency_s = lambda one, other: 0.04
+        strong = cell.add_member(described=STRONG, region=RegionId(region))
+        for number in range(20):
+            cell.behaviours[f"j{number}"] = Behaviour(2.0)
+            await cell.submit(f"j{number}", [step(), step(after=[0])])
+        assert await owners_during(cell, 30) == [weak, strong]
+        for number in range(20):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 20)
+
+    run_cell(program, instances=1)
+
+
+def test_nobody_decides_only_for_a_moment_in_a_hand_over():
+    async def program(cell):
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+        await anyio.sleep(1)
+        weak, _ = await kill_owner(cell)
+        cell.add_member(described=STRONG)
+        with anyio.fail_after(5):
+            while cell.owner() is weak:
+                await anyio.sleep(POLL_S)
+        ended_at = anyio.current_time()
+        await cell.wait_for_owner()
+        assert anyio.current_time() - ended_at < 0.2
+
+    run_cell(program, instances=1)
+
+
+def test_a_late_owner_hands_over_to_one_that_keeps_up():
+    async def program(cell):
+        late = cell.owner()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(be_late, late)
+            seen = await owners_during(cell, 60)
+            tasks.cancel_scope.cancel()
+        assert seen[0] is late
+        assert len(seen) == 2
+
+    run_cell(program)
+
+
+def test_instances_that_are_all_late_do_not_pass_the_ownership_around():
+    async def program(cell):
+        async with anyio.create_task_group() as tasks:
+            for member in cell.members:
+                tasks.start_soon(be_late, member)
+            seen = await owners_during(cell, 60)
+            tasks.cancel_scope.cancel()
+        assert len(seen) == 1
+
+    run_cell(program)
+
+
+def test_an_owner_that_was_late_once_keeps_the_ownership():
+    async def program(cell):
+        owner = cell.owner()
+        now = anyio.current_time()
+        owner.instance.lag.note_stretch(Stretch(now - 2.0, now))
+        assert await owners_during(cell, 20) == [owner]
+
+    run_cell(program)
+
+
+def test_ownership_that_makes_every_owner_late_moves_seldom():
+    """The load makes them late, and no other machine would help."""
+
+    async def follow_the_owner(cell):
+        while True:
+            now = anyio.current_time()
+            owner = cell.owner()
+            if owner is not None:
+                owner.instance.lag.note_stretch(Stretch(now - 0.5, now))
+            await anyio.sleep(0.25)
+
+    async def program(cell):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follow_the_owner, cell)
+            seen = await owners_during(cell, 90)
+            tasks.cancel_scope.cancel()
+        assert len(seen) <= 4
+
+    run_cell(program, instances=5)
+
+
+def test_a_weak_owner_keeps_the_ownership_if_no_strong_instance_can_follow():
+    async def program(cell):
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+        await anyio.sleep(1)
+        weak, _ = await kill_owner(cell)
+        strong = cell.add_member(described=STRONG)
+        await anyio.sleep(0.01)
+        strong.store.reachable = False
+        assert await owners_during(cell, 20) == [weak]
+
+    run_cell(program, instances=1)
+
+
+def test_an_instance_that_has_just_handed_over_is_handed_nothing():
+    async def program(cell):
+        first, second = cell.members[:2]
+        if cell.owner() is second:
+            first, second = second, first
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(be_late, first)
+            assert await owners_during(cell, 14) == [first, second]
+            tasks.cancel_scope.cancel()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(be_late, second)
+            assert await owners_during(cell, 12) == [second]
+            tasks.cancel_scope.cancel()
+
+    run_cell(program, instances=2)
