--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -30,6 +30,7 @@
 
 logger = structlog.get_logger(__name__)
 RENEWALS_PER_LIFE = 5  # A lease survives three renewals without an answer.
+WEAK_LEASE_FACTOR = 2.0  # A weak machine is late more often than it dies.
 MARGIN_SHARE = 0.1  # Part of a lease's life that is not relied on.
 NEAR_DELAY_S = 0.02  # Spread of the claims of instances near the store.
 FAR_DELAY_S = 0.15  # Instances far from the store let the near ones go first.
@@ -77,7 +78,7 @@
     """Claims the ownership record when nobody holds it, and renews it.
 
     :param instance: This process; another start has another id.
-    :param lease_s: Life of the lease in seconds.
+    :param lease_s: Life of the lease in seconds, on a machine that is strong enough.
     :param strength: Strength of this instance's machine.
     """
 
@@ -100,6 +101,8 @@
         self.instance = instance
         self.address = address
         self.lease_s = lease_s
+        if strength < ENOUGH:
+            self.lease_s *= WEAK_LEASE_FACTOR
         self.rng = rng
         self.renewals = renewals
         self.owner: CellOwnerRecord | None = None
--- a/tests/test_scheduler/test_ownership.py
+++ b/tests/test_scheduler/test_ownership.py
@@ -89,6 +89,22 @@
     run_cell(program, instances=1)
 
 
+@pytest.mark.parametrize(("described", "kept"), [(WEAK, True), (STRONG, False)])
+def test_a_weak_owner_survives_a_longer_pause_of_its_renewals(described, kept):
+    async def program(cell):
+        for _ in range(3):
+            cell.add_member(described=described)
+        await anyio.sleep(1)
+        owner, _ = await kill_owner(cell)
+        owner.gate_store.close()
+        await anyio.sleep(2.4)
+        owner.gate_store.open()
+        await anyio.sleep(1)
+        assert (cell.owner() is owner) is kept
+
+    run_cell(program, instances=1)
+
+
 async def be_late(member, late_s=0.5):
     """Has an instance find again and again that it is late."""
     lag = member.instance.lag
