--- /dev/null
+++ b/lacewinghold/scheduler/admission.py
@@ -0,0 +1,220 @@
+"""Refuses at once what the owner of the cell cannot serve in time."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import Struct, field
+
+from lacewinghold.scheduler.election import LATE_S
+from lacewinghold.scheduler.model import HOPELESS_MULTIPLE, chain_s
+from lacewinghold.scheduler.ports import Resources
+
+if TYPE_CHECKING:
+    from lacewinghold.scheduler.cell import CellInstance
+    from lacewinghold.scheduler.model import Step
+    from lacewinghold.scheduler.owner import CellOwner
+    from lacewinghold.scheduler.ports import Queue
+    from lacewinghold.schema.generated.cell import CellJob
+
+CHECK_S = 1.0
+VALID_S = 2.5  # A notice or two may be lost; a dead owner's is forgotten soon.
+STEADY_CHECKS = 3  # Bursts fill the cell for a shorter time.
+RATE_CHECKS = 5  # Starts are counted over this many checks.
+FULL_SHARE = 0.8  # Large tasks find no room in what is left.
+LONGEST_WAIT_S = 60.0  # Nothing is known of a time further ahead.
+
+
+class Backlog(Struct):
+    """What waits at the owner, as an instance was told.
+
+    :param waits_s: Seconds until a new job would start, of queues with a long wait.
+    """
+
+    term: int = 0
+    told_at: float = -math.inf
+    waits_s: dict[str, float] = {}
+
+
+class Admission:
+    """Tells whether a new job would come too late, by what the owner has told."""
+
+    def __init__(self, instance: CellInstance) -> None:
+        self.instance = instance
+        self.backlog = Backlog()
+
+    def note(self, term: int, waits_s: dict[str, float]) -> None:
+        """Takes what the owner tells of its backlog."""
+        if term >= self.backlog.term:
+            self.backlog = Backlog(term, anyio.current_time(), waits_s)
+
+    def excess_s(self, record: CellJob) -> float:
+        """Returns by how much a job's start would come too late for its caller."""
+        if not self.backlog.waits_s:
+            return 0.0
+        owner = self.instance.election.owner
+        if owner is None or owner.term != self.backlog.term:
+            return 0.0
+        if anyio.current_time() - self.backlog.told_at > VALID_S:
+            return 0.0
+        if record.occurrences or any(step.long_running for step in record.steps):
+            return 0.0
+        rules = record.rules
+        work_s = chain_s(record.steps)
+        objective_s = rules.stretch * work_s + rules.slack_s
+        bound_s = max(0.0, HOPELESS_MULTIPLE * objective_s - work_s)
+        return max(0.0, self.backlog.waits_s.get(record.queue, 0.0) - bound_s)
+
+
+class Work(Struct):
+    """Tasks that wait, and the room that they take, times how long they take it."""
+
+    tasks: int = 0
+    cpu_s: float = 0.0
+    memory_s: float = 0.0
+    accelerator_s: float = 0.0
+
+    def add(self, step: Step) -> None:
+        """Adds the waiting tasks of a step."""
+        count = len(step.waiting())
+        room_s = count * step.spec.expected_ms / 1000
+        self.tasks += count
+        if step.spec.long_running:
+            return
+        self.cpu_s += room_s * step.room.cpu_millis
+        self.memory_s += room_s * step.room.memory_mb
+        self.accelerator_s += room_s * step.room.accelerators
+
+    def time_on(self, capacity: Resources) -> float:
+        """Returns how many seconds workers of a capacity need at least."""
+        longest_s = 0.0
+        for work, amount in (
+            (self.cpu_s, capacity.cpu_millis),
+            (self.memory_s, capacity.memory_mb),
+            (self.accelerator_s, capacity.accelerators),
+        ):
+            if work and amount:
+                longest_s = max(longest_s, work / amount)
+        return longest_s
+
+
+class Pool(Struct):
+    """The usable workers of one service.
+
+    :param waiting: What waits in time, by urgency; late work comes after new jobs.
+    :param full_checks: In how many checks on end there was hardly any room.
+    """
+
+    waiting: dict[int, Work] = field(default_factory=dict)
+    full_checks: int = 0
+
+    def ahead(self, urgency: int) -> Work:
+        """Returns what is started before a new job of an urgency."""
+        total = Work()
+        for found, work in self.waiting.items():
+            if found > urgency:
+                continue
+            total.tasks += work.tasks
+            total.cpu_s += work.cpu_s
+            total.memory_s += work.memory_s
+            total.accelerator_s += work.accelerator_s
+        return total
+
+
+class BacklogWatch:
+    """Measures the owner's backlog and tells the members of long waits."""
+
+    def __init__(self, instance: CellInstance, owner: CellOwner) -> None:
+        self.instance = instance
+        self.owner = owner
+        self.pools: dict[str, Pool] = {}
+        self.started: deque[float] = deque(maxlen=RATE_CHECKS + 1)
+        self.late_checks = 0
+
+    async def run(self) -> None:
+        """Measures until cancelled; tells nobody as long as all are served."""
+        while True:
+            await anyio.sleep(CHECK_S)
+            if not self.owner.loaded or not self.owner.may_order():
+                continue
+            self.measure()
+            waits_s = self.long_waits()
+            if waits_s:
+                term = self.owner.ownership.term
+                self.instance.admission.note(term, waits_s)
+                await self.instance.peer_calls.tell_waits(term, waits_s)
+
+    def measure(self) -> None:
+        """Notes what waits, how full the workers are and how fast tasks start."""
+        now = anyio.current_time()
+        for pool in self.pools.values():
+            pool.waiting.clear()
+        for step in self.owner.table.open_steps.values():
+            job = step.job
+            if now - step.due_at > job.objective_s:
+                continue
+            pool = self.pools.setdefault(job.queue.service, Pool())
+            pool.waiting.setdefault(job.queue.urgency, Work()).add(step)
+        for service, pool in self.pools.items():
+            full = self.fullness(service, now) >= FULL_SHARE
+            pool.full_checks = pool.full_checks + 1 if full else 0
+        late = self.instance.lag.lag_s > LATE_S
+        self.late_checks = self.late_checks + 1 if late else 0
+        self.started.append(self.owner.metrics.started())
+
+    def capacity(self, service: str, now: float) -> tuple[Resources, Resources]:
+        """Returns the capacity of a service's usable workers, and what is taken."""
+        capacity, used = Resources(), Resources()
+        for node in self.owner.fleet.nodes.values():
+            if node.entry.service == service and node.usable(now):
+                capacity = capacity.plus(node.entry.capacity)
+                used = used.plus(node.used)
+        return capacity, used
+
+    def fullness(self, service: str, now: float) -> float:
+        """Returns which share of a service's scarcest resource is taken."""
+        capacity, used = self.capacity(service, now)
+        share = 0.0
+        for taken, amount in (
+            (used.cpu_millis, capacity.cpu_millis),
+            (used.memory_mb, capacity.memory_mb),
+            (used.accelerators, capacity.accelerators),
+        ):
+            if amount:
+                share = max(share, taken / amount)
+        return share
+
+    def long_waits(self) -> dict[str, float]:
+        """Returns the waits that are too long for the shortest job of a queue."""
+        manifest = self.owner.state.manifest
+        waits_s = {}
+        for queue in manifest.queues if manifest else []:
+            wait_s = min(LONGEST_WAIT_S, self.expected_wait_s(queue))
+            if wait_s > HOPELESS_MULTIPLE * queue.slack_s:
+                waits_s[queue.name] = wait_s
+        return waits_s
+
+    def expected_wait_s(self, queue: Queue) -> float:
+        """Returns the least time until a new job of a queue would start.
+
+        A cell that has room makes nobody wait, unless the owner itself is late: then
+        tasks start no faster than they did lately.
+        """
+        wait_s = 0.0
+        pool = self.pools.get(queue.service)
+        if pool is not None and pool.full_checks >= STEADY_CHECKS:
+            capacity, _ = self.capacity(queue.service, anyio.current_time())
+            wait_s = pool.ahead(queue.urgency).time_on(capacity)
+        if self.late_checks < STEADY_CHECKS or len(self.started) <= RATE_CHECKS:
+            return wait_s
+        if not self.owner.certain:
+            # Jobs of the earlier owner may have to wait for the leases of its runs.
+            return wait_s
+        tasks = sum(pool.ahead(queue.urgency).tasks for pool in self.pools.values())
+        if not tasks:
+            return wait_s
+        rate = (self.started[-1] - self.started[0]) / (RATE_CHECKS * CHECK_S)
+        return max(wait_s, tasks / rate if rate else LONGEST_WAIT_S)
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -10,6 +10,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.peers.links import PeerLinks
+from lacewinghold.scheduler.admission import Admission, BacklogWatch
 from lacewinghold.scheduler.advice import AdviceBook, Lane
 from lacewinghold.scheduler.election import Election
 from lacewinghold.scheduler.front import JobFront
@@ -130,6 +131,7 @@
         )
         self.membership = Membership(self.store, prefix, member)
         self.members = Members(self.store, prefix, self.update_lane)
+        self.admission = Admission(self)
         self.front = JobFront(self)
         self.worker_keys: dict[str, WorkerId] = {}
         self.leaving = False
@@ -362,6 +364,7 @@
             tasks.start_soon(self.election.keep, ownership)
             tasks.start_soon(self.members.mirror.run)
             tasks.start_soon(HandOver(self, ownership).run)
+            tasks.start_soon(BacklogWatch(self, owner).run)
             earlier = self.election.earlier
             if earlier is None or earlier.instance == self.instance:
                 owner.earlier_stopped.set()
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -21,6 +21,7 @@
 
 logger = structlog.get_logger(__name__)
 ACCEPT_RETRY_S = 0.1
+MAX_RETRY_AFTER_S = 10.0  # Forecasts of a backlog are seldom true for longer.
 RETRY_AFTER_S = 1.0  # An outage of the store or a takeover seldom is over sooner.
 ANSWER_MARGIN_S = 0.25  # Kept of a caller's deadline for the way back.
 DEFAULT_DEADLINE_S = 3.0
@@ -89,6 +90,22 @@
         detail = "not accepted: no time is left to store it"
         return Failure(ErrorKind.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S)
 
+    def too_late(self, excess_s: float) -> Failure:
+        """Returns the failure of a job that would start too late for its caller.
+
+        :param excess_s: By how many seconds it would start too late.
+        """
+        detail = "not accepted: the backlog is too long for it to start in time"
+        retry_after_s = min(max(RETRY_AFTER_S, excess_s), MAX_RETRY_AFTER_S)
+        return Failure(ErrorKind.NOT_RUN, detail, retry_after_s=retry_after_s)
+
+    async def surely_absent(self, job: str, limit_s: float) -> bool:
+        """Returns whether the store surely does not hold a job: known ones stay."""
+        with anyio.move_on_after(limit_s / 2):
+            reply = await self.instance.jobs.read(job)
+            return isinstance(reply, Ok) and reply.ok_value.record is None
+        return False
+
     async def store_here(
         self, record: CellJob, limit_s: float
     ) -> Result[None, Failure]:
@@ -103,6 +120,9 @@
         if limit_s <= 0:
             return Err(self.no_time_left())
         give_up_at = anyio.current_time() + limit_s
+        excess_s = self.instance.admission.excess_s(record)
+        if excess_s > 0 and await self.surely_absent(record.job, limit_s):
+            return Err(self.too_late(excess_s))
         sent = False
         failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the store does not serve")
         while sent or not self.instance.store.down:
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -7,6 +7,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from lacewinghold.scheduler.ports import OrderOutcome
+
 if TYPE_CHECKING:
     from collections import Counter as Counts
 
@@ -155,6 +157,15 @@
             registry=registry,
         )
 
+    def started(self) -> float:
+        """Returns how many starts workers have carried out."""
+        for family in self.starts.collect():
+            for sample in family.samples:
+                total = sample.name.endswith("_total")
+                if total and sample.labels["outcome"] == OrderOutcome.DONE.value:
+                    return sample.value
+        return 0.0
+
     def note_calls(self, calls: Counts[CallKind]) -> None:
         """Takes over the store's counts."""
         for kind, count in calls.items():
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -26,6 +26,7 @@
     CellTakeOverCall,
     CellWaiting,
     CellWaitingCall,
+    CellWaits,
     CellYieldCall,
     CellYielded,
     MessageKind,
@@ -62,6 +63,7 @@
         self.links.on(MessageKind.CELL_SUBMIT, self.serve_submit)
         self.links.on(MessageKind.CELL_CANCEL, self.serve_cancel)
         self.links.on(MessageKind.CELL_TAKE_OVER, self.serve_take_over)
+        self.links.on(MessageKind.CELL_WAITS, self.serve_waits)
 
     def owner(self) -> InstanceId | None:
         """Returns the owner, if it is another instance.
@@ -170,6 +172,13 @@
         )
         return isinstance(reply, Ok)
 
+    async def tell_waits(self, term: int, waits_s: dict[str, float]) -> None:
+        """Tells all members how long new jobs would wait."""
+        note = CellWaits(term, waits_s)
+        for member in list(self.instance.members.members):
+            if member != self.instance.instance:
+                await self.links.notify(member, MessageKind.CELL_WAITS, note)
+
     # Calls of peers
 
     async def serve_yield(
@@ -197,6 +206,14 @@
             return Err(Failure(ErrorKind.OVERLOADED, "not able to decide now"))
         return Ok(CellReady(self.instance.instance))
 
+    async def serve_waits(
+        self, peer: InstanceId, body: bytes
+    ) -> Result[CellReady, Failure]:
+        """Takes what the owner tells of its backlog."""
+        note = unpack(body, CellWaits)
+        self.instance.admission.note(note.term, note.waits_s)
+        return Ok(CellReady(self.instance.instance))
+
     async def serve_advise(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellAdvice, Failure]:
