--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -10,9 +10,11 @@
 
 from lacewinghold.events import Event
 from lacewinghold.peers.links import PeerLinks
+from lacewinghold.scheduler.admission import Admission, BacklogWatch
 from lacewinghold.scheduler.advice import AdviceBook, Lane
 from lacewinghold.scheduler.election import Election
 from lacewinghold.scheduler.front import JobFront
+from lacewinghold.scheduler.hand_over import HandOver
 from lacewinghold.scheduler.job_store import JobStore
 from lacewinghold.scheduler.lateness import PlanningShare, RenewalWatch, WatchedDialer
 from lacewinghold.scheduler.members import MemberAdvice, Members, Membership
@@ -135,6 +137,7 @@
         )
         self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_lane)
+        self.admission = Admission(self)
         self.front = JobFront(self)
         self.worker_keys: dict[str, WorkerId] = {}
         self.leaving = False
@@ -382,6 +385,8 @@
             tasks.start_soon(self.election.keep, ownership)
             tasks.start_soon(relays.run)
             tasks.start_soon(self.members.mirror.run)
+            tasks.start_soon(HandOver(self, ownership).run)
+            tasks.start_soon(BacklogWatch(self, owner).run)
             earlier = self.election.earlier
             if earlier is None or earlier.instance == self.instance:
                 owner.earlier_stopped.set()
@@ -397,7 +402,5 @@
         """Lets another instance decide."""
         self.leaving = True
         self.election.leaving = True
-        owner = self.owner
-        if owner is not None:
-            owner.ownership.lost.set()
-            await self.election.release(owner.ownership)
+        if self.owner is not None:
+            await self.election.release(self.owner.ownership)
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -244,10 +244,16 @@
         worker.crash()
         await self.add_worker(str(worker.id), worker.incarnation + 1)
 
-    def add_member(self, declared: EntryMachine | None = None) -> Member:
-        """Starts an entry instance on a new machine.
-
-        :param declared: What its settings say of the machine.
+    def add_member(
+        self,
+        machine: Machine | None = None,
+        *,
+        described: EntryMachine | None = None,
+        region: RegionId = REGION,
+    ) -> Member:
+        """Starts an entry instance, on a new machine unless one is given.
+
+        :param described: What its settings say of its machine.
         """
         self.starts += 1
         name = InstanceId(f"entry-{self.starts}")
@@ -256,24 +262,25 @@
         store = MemoryStore(self.state, gate_store)
         settings = EntrySettings(
             instance=name,
-            region=REGION,
+            region=region,
             data_centre="dc",
             listen=EntryListen(callers="c", ready="r", peer=name),
             store=PlatformStore(address="s", lease_ms=self.lease_ms),
             bounds=EntryBounds(
                 max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
             ),
-            machine=declared,
+            machine=described,
         )
         ports = CellPorts(
             store=store,
-            transport=MemoryTransport(self.network, name, REGION, gate),
+            transport=MemoryTransport(self.network, name, region, gate),
             dialer=MemoryWorkerDialer(self.world, gate),
             advice=MemoryAdvice(self.advice),
             keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
             clock=self.clock,
         )
-        machine = self.make_machine() if self.make_machine is not None else None
+        if machine is None and self.make_machine is not None:
+            machine = self.make_machine()
         if machine is not None:
             put_on_machine(ports, machine)
         instance = CellInstance(settings, ports, name, self.rng)
