--- /dev/null
+++ b/bench/bench_loading.py
@@ -0,0 +1,216 @@
+"""What a new owner reads and does before it decides, by open and ended jobs."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import anyio
+from msgspec import Struct
+
+from bench.base import Benchmark, Figure
+from lacewinghold.ids import Epoch, LeaseId
+from lacewinghold.scheduler.advice import AdviceBook
+from lacewinghold.scheduler.election import Ownership
+from lacewinghold.scheduler.end_log import EndLog
+from lacewinghold.scheduler.job_store import OWNER, JobStore
+from lacewinghold.scheduler.metrics import CellMetrics
+from lacewinghold.scheduler.owner import CellOwner, CellState
+from lacewinghold.schema.generated.cell import (
+    CellJob,
+    JobOutcome,
+    QueueRules,
+    StepSpec,
+    TaskEndEntry,
+)
+from lacewinghold.store.base import Put, Transaction
+from lacewinghold.store.mirror import Mirror
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.gate import Gate
+from lacewinghold.testing.step_cell import StepCell
+from lacewinghold.testing.step_worker import MemoryWorkerDialer
+from lacewinghold.testing.store import MemoryStore, StoreState
+from lacewinghold.util.clock import WallClock
+
+PREFIX = "cell/"
+OPEN = 200
+OPEN_TO_BOUND = 300
+ENDED = (0, 400, 1_600, 8_600)
+ENDED_QUICK = (0, 40)
+PROGRAM = "x" * 1_600  # Of the size of the users' jobs.
+STEPS = 3
+TASKS = 10
+START = 1_700_000_000.0
+STATUS_S = 150.0
+BYTES_PER_KB = 1_000
+TARGET_S = 0.25  # A quarter of a lease, on a machine of half a core half of one.
+TARGET_TURN_MS = 20.0  # A renewal is due each 200 ms and has to go out in time.
+
+
+class Loading(Struct):
+    """What loading took.
+
+    :param longest_turn_s: Longest time in which nothing else had its turn.
+    """
+
+    elapsed_s: float
+    size: int
+    longest_turn_s: float
+
+
+class StoredCell:
+    """A store as an owner leaves it.
+
+    :param open_jobs: Jobs that have not ended; the first step of each is done.
+    """
+
+    def __init__(self, open_jobs: int, ended_jobs: int) -> None:
+        self.open_jobs = open_jobs
+        self.ended_jobs = ended_jobs
+        self.state = StoreState(latency_s=0.0)
+        self.store = MemoryStore(self.state)
+        self.jobs = JobStore(self.store, PREFIX)
+        self.state.apply(Transaction([], [Put(PREFIX + OWNER, b"{}")]))
+        self.epoch = Epoch(self.state.revision)
+        self.clock = WallClock(START)
+
+    async def fill(self) -> None:
+        """Accepts jobs and ends them as an owner does."""
+        log = EndLog(self.jobs, self.epoch, 1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(log.run)
+            for number in range(self.ended_jobs + self.open_jobs):
+                await self.play(log, number)
+            done = anyio.Event()
+            log.after_written(done.set)
+            await done.wait()
+            tasks.cancel_scope.cancel()
+
+    async def play(self, log: EndLog, number: int) -> None:
+        """Accepts a job and stores its ends, and its outcome if it ends."""
+        record = make_record(f"{number:016x}", self.clock.now())
+        await self.jobs.accept(record)
+        ends = number < self.ended_jobs
+        for step in range(STEPS if ends else 1):
+            for task in range(TASKS):
+                name = f"{record.job}.0.{step}.{task}"
+                log.note_end(TaskEndEntry(task=name, run=1, done=True))
+            await anyio.sleep(0.01)
+        if ends:
+            outcome = JobOutcome(state="completed", at=self.clock.now())
+            log.note_outcome(record.job, outcome, lambda: None)
+
+    def make_owner(self, store: MemoryStore, workers: StepCell) -> CellOwner:
+        """Returns the next owner."""
+        metrics = CellMetrics()
+        ownership = Ownership(self.epoch, 2, LeaseId(0), math.inf, anyio.Event())
+        return CellOwner(
+            ownership,
+            JobStore(store, PREFIX),
+            MemoryWorkerDialer(workers.world, Gate()),
+            CellState(),
+            Mirror(store, "workers/", ignore, ignore),
+            AdviceBook(metrics),
+            self.clock,
+            metrics,
+            STATUS_S,
+        )
+
+    async def load(self, *, watched: bool) -> Loading:
+        """Loads the cell as its next owner does.
+
+        :param watched: Whether another task notes its turns, which costs as well.
+        """
+        store = MemoryStore(self.state)
+        turns = Turns()
+        async with anyio.create_task_group() as tasks:
+            owner = self.make_owner(store, StepCell(tasks))
+            if watched:
+                tasks.start_soon(turns.run)
+                await anyio.sleep(0)
+            started = time.process_time()
+            await owner.load()
+            elapsed_s = time.process_time() - started
+            turns.note()
+            tasks.cancel_scope.cancel()
+        open_jobs = [job for job in owner.table.jobs.values() if not job.ended()]
+        assert len(open_jobs) == self.open_jobs
+        return Loading(elapsed_s, store.bytes_moved, turns.longest_s)
+
+
+class Turns:
+    """Notes the longest time between two turns of a task that is always ready."""
+
+    def __init__(self) -> None:
+        self.last = time.perf_counter()
+        self.longest_s = 0.0
+
+    def note(self) -> None:
+        """Notes a turn."""
+        now = time.perf_counter()
+        self.longest_s = max(self.longest_s, now - self.last)
+        self.last = now
+
+    async def run(self) -> None:
+        """Takes turns until cancelled."""
+        self.last = time.perf_counter()
+        while True:
+            await anyio.sleep(0)
+            self.note()
+
+
+def make_record(job: str, accepted_at: float) -> CellJob:
+    """Returns a job of three steps."""
+    steps = [
+        StepSpec(tasks=TASKS, cpu_millis=1000, memory_mb=500, expected_ms=2000)
+        for _ in range(STEPS)
+    ]
+    return CellJob(
+        job=job,
+        queue="fast",
+        host="jobs.example",
+        path=f"/fast/{job}",
+        program=PROGRAM,
+        steps=steps,
+        accepted_at=accepted_at,
+        rules=QueueRules(service="service"),
+    )
+
+
+def ignore(what: object) -> None:
+    """Takes no note."""
+
+
+async def measure(open_jobs: int, ended_jobs: int) -> Loading:
+    """Fills a store and measures how it is loaded."""
+    cell = StoredCell(open_jobs, ended_jobs)
+    await cell.fill()
+    plain = await cell.load(watched=False)
+    watched = await cell.load(watched=True)
+    return Loading(plain.elapsed_s, plain.size, watched.longest_turn_s)
+
+
+class LoadingBenchmark(Benchmark):
+    """Loads cells of several sizes."""
+
+    name = "loading"
+
+    def run(self, *, quick: bool) -> list[Figure]:
+        figures: list[Figure] = []
+        sizes = [(OPEN, ended) for ended in (ENDED_QUICK if quick else ENDED)]
+        if not quick:
+            sizes.append((OPEN_TO_BOUND, ENDED[-1]))
+        for open_jobs, ended in sizes:
+            found = run_paused(measure, open_jobs, ended, seed=1)
+            name = f"{open_jobs} open, {ended} ended:"
+            figures += [
+                Figure(f"{name} processor", found.elapsed_s, "s", target=TARGET_S),
+                Figure(f"{name} read", found.size / BYTES_PER_KB, "KB"),
+                Figure(
+                    f"{name} longest turn",
+                    found.longest_turn_s * 1000,
+                    "ms",
+                    target=TARGET_TURN_MS,
+                ),
+            ]
+        return figures
