--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -190,8 +190,11 @@
     # What the front asks
 
     def note_accepted(self, record: CellJob) -> None:
-        """Gives an accepted job to the owner at once if it is here."""
-        if self.owner is not None and self.owner.loaded:
+        """Gives an accepted job to the owner at once if it is here.
+
+        It must know which jobs have ended: one that is told of late is not new.
+        """
+        if self.owner is not None and self.owner.loaded and self.owner.ended.loaded:
             self.owner.table.accept(record)
 
     def note_cancelled(self, job: str) -> None:
@@ -211,7 +214,10 @@
 
     def knows(self, job: str) -> bool:
         """Returns whether a job surely is stored, by what this instance has read."""
-        return self.owner is not None and job in self.owner.table.jobs
+        owner = self.owner
+        if owner is None:
+            return False
+        return job in owner.table.jobs or owner.ended.knows(job)
 
     def owned_job(self, job: str) -> Job | None:
         """Returns a job if this instance surely decides about it."""
@@ -222,7 +228,8 @@
         """Returns a job's state as callers may see it, if it is decided here."""
         known = self.owned_job(job)
         if known is None:
-            return None
+            owner = self.deciding()
+            return None if owner is None else owner.ended.state(job)
         if not known.ended():
             return JobState.RUNNING if known.started else JobState.QUEUED
         if known.reported is known.state or known.state is JobState.CANCELLED:
--- a/lacewinghold/scheduler/end_log.py
+++ b/lacewinghold/scheduler/end_log.py
@@ -18,7 +18,7 @@
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Container, Iterable
 
     from lacewinghold.errors import Failure
     from lacewinghold.scheduler.job_store import JobStore
@@ -28,11 +28,14 @@
 RETRY_S = 0.1  # Pause after a failed write.
 MAX_IN_FLIGHT = 4  # Writes to a slow store that overlap.
 GATHER_S = 0.03  # Ends that arrive within this time share a write.
+OUTCOME_OPERATIONS = 3  # The outcome comes, the record and the cancellation go.
+SLICE = 50  # Batches decoded in one turn: a few milliseconds at most.
 
 
 class PendingBatch(Struct):
     """What one or more writes carry.
 
+    :param ends_key: Key of the ends that the present write carries.
     :param stored: Called once this batch is durable.
     :param settled: Called once this batch and all before it are.
     """
@@ -41,6 +44,7 @@
     outcomes: list[tuple[str, JobOutcome]] = field(default_factory=list)
     values: dict[str, bytes] = field(default_factory=dict)
     removals: list[str] = field(default_factory=list)
+    ends_key: str = ""
     stored: list[Callable[[], None]] = field(default_factory=list)
     settled: list[Callable[[], None]] = field(default_factory=list)
     durable: bool = False
@@ -73,6 +77,8 @@
         self.writes = 0
         self.failing = False
         self.open_jobs: dict[str, set[str]] = {}
+        self.batches_of: dict[str, set[str]] = {}
+        self.unstored: set[str] = set()
 
     def key(self, sequence: int) -> str:
         """Returns the key of a batch of ends."""
@@ -86,9 +92,18 @@
     def note_outcome(
         self, job: str, outcome: JobOutcome, stored: Callable[[], None]
     ) -> None:
-        """Queues a job's outcome; ``stored`` is called once it is durable."""
+        """Queues a job's outcome; ``stored`` is called once it is durable.
+
+        The same write removes the job's record, so that the next owner need not
+        read it.
+        """
+
+        def settled() -> None:
+            self.settle(job)
+            stored()
+
         self.pending.outcomes.append((job, outcome))
-        self.pending.stored.append(stored)
+        self.pending.stored.append(settled)
         self.wake.set()
 
     def note_value(self, key: str, value: bytes, stored: Callable[[], None]) -> None:
@@ -102,9 +117,18 @@
 
     def remove(self, keys: Iterable[str]) -> None:
         """Queues the removal of keys that nobody needs any more."""
-        self.pending.removals += keys
+        self.remove_later(keys)
         self.wake.set()
 
+    def remove_later(self, keys: Iterable[str]) -> None:
+        """Queues the removal of keys with whatever is written next."""
+        self.pending.removals += keys
+
+    def flush(self) -> None:
+        """Has written what is queued."""
+        if not self.pending.empty():
+            self.wake.set()
+
     def after_written(self, settled: Callable[[], None]) -> None:
         """Calls back once all that is queued now is durable."""
         self.pending.settled.append(settled)
@@ -127,6 +151,7 @@
         while not batch.empty():
             if not await self.write(self.next_operations(batch)):
                 return
+            self.note_ends_stored(batch)
         batch.durable = True
         self.slots.release()
         for call in batch.stored:
@@ -141,30 +166,56 @@
         if batch.ends:
             self.sequence += 1
             key = self.key(self.sequence)
-            self.open_jobs[key] = {entry.task.partition(".")[0] for entry in batch.ends}
+            self.note_batch(key, batch.ends)
+            self.unstored.add(key)
+            batch.ends_key = key
             operations.append(Put(key, to_json(EndBatch(ends=batch.ends))))
             batch.ends = []
         while batch.values and len(operations) < MAX_OPERATIONS:
             operations.append(Put(*batch.values.popitem()))
-        room = MAX_OPERATIONS - len(operations)
+        room = (MAX_OPERATIONS - len(operations)) // OUTCOME_OPERATIONS
         for job, outcome in batch.outcomes[:room]:
-            key = self.jobs.key(job, JobKey.OUTCOME)
-            operations.append(Put(key, to_json(outcome)))
+            operations += [
+                Put(self.jobs.ended_key(job), to_json(outcome)),
+                Delete(self.jobs.key(job, JobKey.ACCEPTED)),
+                Delete(self.jobs.key(job, JobKey.CANCELLED)),
+            ]
         batch.outcomes = batch.outcomes[room:]
         room = MAX_OPERATIONS - len(operations)
         operations += [Delete(key) for key in batch.removals[:room]]
         batch.removals = batch.removals[room:]
         return operations
 
-    def forget_job(self, job: str) -> None:
-        """Removes a job's keys, and the batches of ends that no job needs any more."""
-        keys = [self.jobs.key(job, kind) for kind in JobKey]
-        for key, jobs in list(self.open_jobs.items()):
-            jobs.discard(job)
-            if not jobs:
-                del self.open_jobs[key]
-                keys.append(key)
-        self.remove(keys)
+    def note_batch(self, key: str, ends: list[TaskEndEntry]) -> None:
+        """Notes which jobs need a batch of ends."""
+        jobs = {entry.task.partition(".")[0] for entry in ends}
+        self.open_jobs[key] = jobs
+        for job in jobs:
+            self.batches_of.setdefault(job, set()).add(key)
+
+    def note_ends_stored(self, batch: PendingBatch) -> None:
+        """Notes that a batch's ends are durable, and can be removed from now on."""
+        key, batch.ends_key = batch.ends_key, ""
+        self.unstored.discard(key)
+        if key in self.open_jobs and not self.open_jobs[key]:
+            self.drop_batch(key)
+
+    def settle(self, job: str) -> None:
+        """Removes the batches of ends that no open job needs any more.
+
+        The job's outcome has to be durable: without both it would run again.
+        """
+        for key in self.batches_of.pop(job, set()):
+            self.open_jobs[key].discard(job)
+            if not self.open_jobs[key]:
+                self.drop_batch(key)
+
+    def drop_batch(self, key: str) -> None:
+        """Removes a batch of ends, unless its own write may still be carried out."""
+        if key in self.unstored:
+            return
+        del self.open_jobs[key]
+        self.remove_later([key])
 
     async def write(self, operations: list[Put | Delete]) -> bool:
         """Writes operations until they are durable or ownership is lost."""
@@ -195,11 +246,20 @@
         if isinstance(reply, Err):
             return Err(reply.err_value)
         found: list[TaskEndEntry] = []
-        for item in sorted(reply.ok_value.items, key=lambda item: item.key):
+        items = sorted(reply.ok_value.items, key=lambda item: item.key)
+        for number, item in enumerate(items):
+            if number % SLICE == 0:
+                await anyio.sleep(0)
             try:
                 ends = from_json(item.value, EndBatch).ends
-                found += ends
-                self.open_jobs[item.key] = {e.task.partition(".")[0] for e in ends}
             except msgspec.DecodeError as error:
                 logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
+                continue
+            found += ends
+            self.note_batch(item.key, ends)
         return Ok(found)
+
+    def keep_only(self, jobs: Container[str]) -> None:
+        """Removes the loaded batches of ends that no open job needs."""
+        for job in [job for job in self.batches_of if job not in jobs]:
+            self.settle(job)
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -326,10 +326,16 @@
         """
         if self.owner.table.find_task(task_name) is not None:
             return False
+        if self.of_ended_job(task_name):
+            return False
         now = anyio.current_time()
         since = driver.unknown_since.setdefault(task_name, now)
         return now - since < UNKNOWN_JOB_S
 
+    def of_ended_job(self, task_name: str) -> bool:
+        """Returns whether a task's job surely has ended, so that it starts no more."""
+        return self.owner.ended.knows(task_name.partition(".")[0])
+
     def fullness(self) -> float:
         """Returns the share of all workers' cores that runs take."""
         used = total = 0
@@ -341,6 +347,8 @@
     def all_fenced(self) -> bool:
         """Returns whether every worker has told this owner all that runs there."""
         for node in self.nodes.values():
-            if not node.fenced or node.strays:
+            if not node.fenced:
+                return False
+            if not all(self.of_ended_job(task) for task, _ in node.strays):
                 return False
         return bool(self.nodes)
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -162,7 +162,7 @@
         if isinstance(reply, Err):
             return Err(self.unavailable(reply.err_value))
         stored = reply.ok_value
-        if stored.record is None:
+        if not stored.known():
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
         state = self.describe(stored)
         logger.info(Event.STATE_ANSWERED, job=job, state=state.value, by="store")
@@ -194,7 +194,7 @@
         if isinstance(reply, Err):
             return Err(self.unavailable(reply.err_value))
         stored = reply.ok_value
-        if stored.record is None:
+        if not stored.known():
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
         if stored.outcome is None and not stored.cancelled:
             written = await self.instance.jobs.cancel(job, stored)
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -21,6 +21,7 @@
 
 logger = structlog.get_logger(__name__)
 JOBS = "j/"
+ENDED = "e/"
 ENDS = "l/"
 OWNER = "owner"
 MEMBERS = "m/"
@@ -28,7 +29,10 @@
 
 
 class JobKey(Enum):
-    """The keys of one job, by their last letter."""
+    """The keys of one open job, by their last letter.
+
+    Earlier versions kept them with the outcome when the job had ended.
+    """
 
     ACCEPTED = "a"
     CANCELLED = "c"
@@ -43,6 +47,10 @@
     cancelled: bool = False
     outcome: JobOutcome | None = None
 
+    def known(self) -> bool:
+        """Returns whether the job is open, or has ended and is not forgotten."""
+        return self.record is not None or self.outcome is not None
+
 
 class JobStore:
     """Reads and writes jobs.
@@ -58,6 +66,18 @@
         """Returns a key of a job."""
         return f"{self.prefix}{JOBS}{job}/{kind.value}"
 
+    def ended_key(self, job: str) -> str:
+        """Returns the key that alone is left of a job when it has ended."""
+        return f"{self.prefix}{ENDED}{job}"
+
+    def keys_of_ended(self, job: str, old: bool) -> list[str]:
+        """Returns the keys of an ended job.
+
+        :param old: Whether an earlier version has left its record.
+        """
+        kept = [self.key(job, kind) for kind in JobKey] if old else []
+        return [self.ended_key(job), *kept]
+
     def parse_key(self, key: str) -> tuple[str, JobKey] | None:
         """Returns the job and kind of a key, ``None`` for a foreign one."""
         job, _, kind = key.removeprefix(f"{self.prefix}{JOBS}").partition("/")
@@ -68,29 +88,50 @@
             return None
 
     async def accept(self, record: CellJob) -> Result[bool, Failure]:
-        """Stores a job.
+        """Stores a job, unless it is open or has ended.
 
         :returns: Whether it is new; ``OUTCOME_UNKNOWN`` if it may be stored later.
         """
         key = self.key(record.job, JobKey.ACCEPTED)
-        absent = Compare(key, CompareTarget.MOD_REVISION, 0)
+        absent = [
+            Compare(key, CompareTarget.MOD_REVISION, 0),
+            Compare(self.ended_key(record.job), CompareTarget.MOD_REVISION, 0),
+        ]
         reply = await self.store.commit(
-            Transaction([absent], [Put(key, to_json(record))])
+            Transaction(absent, [Put(key, to_json(record))])
         )
         if isinstance(reply, Err):
             return Err(reply.err_value)
         return Ok(reply.ok_value.succeeded)
 
     async def read(self, job: str) -> Result[StoredJob, Failure]:
-        """Reads what is stored of a job."""
+        """Reads what is stored of a job: the open one, then the outcome.
+
+        A job that ends between the two reads is found by the second.
+        """
         reply = await self.store.range(f"{self.prefix}{JOBS}{job}/", prefix=True)
         if isinstance(reply, Err):
             return Err(reply.err_value)
         found = StoredJob()
         for item in reply.ok_value.items:
             self.merge(found, item)
+        if found.record is not None:
+            return Ok(found)
+        reply = await self.store.range(self.ended_key(job))
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        for item in reply.ok_value.items:
+            found.outcome = self.read_outcome(item) or found.outcome
         return Ok(found)
 
+    def read_outcome(self, item: KeyValue) -> JobOutcome | None:
+        """Decodes an outcome, ``None`` if it is damaged."""
+        try:
+            return from_json(item.value, JobOutcome)
+        except msgspec.DecodeError as error:
+            logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
+            return None
+
     def merge(self, found: StoredJob, item: KeyValue) -> None:
         """Adds one key to what is known of a job."""
         parsed = self.parse_key(item.key)
@@ -101,7 +142,7 @@
                 found.record = from_json(item.value, CellJob)
                 found.revision = item.mod_revision
             elif parsed[1] is JobKey.OUTCOME:
-                found.outcome = from_json(item.value, JobOutcome)
+                found.outcome = self.read_outcome(item)
             else:
                 found.cancelled = True
         except msgspec.DecodeError as error:
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 import structlog
 
 from lacewinghold.events import Event
@@ -29,6 +30,21 @@
     from lacewinghold.store.base import KeyValue
 
 logger = structlog.get_logger(__name__)
+TURN_TASKS = 200  # Tasks built in one turn: under a millisecond.
+
+
+class Turn:
+    """Lets others run each time some work is done."""
+
+    def __init__(self) -> None:
+        self.spent = 0
+
+    async def spend(self, work: int) -> None:
+        """Notes work, and waits for the others if it is enough for one turn."""
+        self.spent += work
+        if self.spent >= TURN_TASKS:
+            self.spent = 0
+            await anyio.sleep(0)
 
 
 class JobTable:
@@ -43,6 +59,8 @@
         self.steps: dict[str, Step] = {}
         self.open_steps: dict[str, Step] = {}
         self.due_later: dict[str, Job] = {}
+        self.records: dict[str, KeyValue] = {}
+        self.cancelled: set[str] = set()
 
     def note_job_key(self, item: KeyValue) -> None:
         """Takes a job's key from the store."""
@@ -50,31 +68,77 @@
         if parsed is None:
             return
         job_id, kind = parsed
-        if kind is JobKey.ACCEPTED:
-            self.accept(from_json(item.value, CellJob))
-            return
-        job = self.jobs.get(job_id)
-        if job is None:
+        if kind is JobKey.OUTCOME:
+            self.note_old_outcome(job_id, item)
+        elif not self.owner.loaded:
+            self.note_unread(job_id, kind, item)
+        elif kind is JobKey.ACCEPTED:
+            record = self.read_record(item)
+            if record is not None:
+                self.accept(record)
+        elif job_id in self.jobs:
+            self.cancel(self.jobs[job_id])
+        else:
             logger.error(Event.KEY_OF_AN_UNKNOWN_JOB, key=item.key)
-            return
-        if kind is JobKey.CANCELLED:
-            self.cancel(job)
-            return
-        outcome = from_json(item.value, JobOutcome)
-        job.state = job.reported = JobState(outcome.state)
-        job.ended_at = outcome.at
-        if not self.owner.loaded:
-            return
-        self.close_job(job)
+
+    def note_old_outcome(self, job_id: str, item: KeyValue) -> None:
+        """Takes the outcome that an earlier version has put beside the record."""
+        outcome = self.owner.job_store.read_outcome(item)
+        if outcome is not None:
+            state = JobState(outcome.state)
+            self.owner.ended.note(job_id, state, outcome.at, old=True)
+
+    def note_unread(self, job_id: str, kind: JobKey, item: KeyValue) -> None:
+        """Keeps a key until all are here: only open jobs are worth decoding."""
+        if kind is JobKey.ACCEPTED:
+            self.records[job_id] = item
+        else:
+            self.cancelled.add(job_id)
+
+    def read_record(self, item: KeyValue) -> CellJob | None:
+        """Decodes an accepted job, ``None`` if it is damaged."""
+        try:
+            return from_json(item.value, CellJob)
+        except msgspec.DecodeError as error:
+            logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
+            return None
+
+    async def build(self, ends: list[TaskEndEntry]) -> None:
+        """Builds the open jobs as earlier owners left them, by and by.
+
+        Others have their turns meanwhile: the ownership lapses without renewals.
+        """
+        turn = Turn()
+        for job_id, item in self.records.items():
+            record = None if self.owner.ended.knows(job_id) else self.read_record(item)
+            if record is None:
+                continue
+            self.accept(record)
+            await turn.spend(sum(len(step.tasks) for step in self.jobs[job_id].steps))
+        self.records = {}
+        for entry in ends:
+            self.replay(entry)
+            await turn.spend(1)
+        for job in list(self.jobs.values()):
+            if job.id in self.cancelled:
+                self.end_cancelled(job)
+            self.end_if_exhausted(job)
+            self.refresh_job(job)
+            await turn.spend(len(job.steps))
+        self.cancelled = set()
 
     def note_job_gone(self, key: str) -> None:
-        """Forgets a job whose record was removed."""
+        """Forgets an open job whose record was removed; its end removes it as well."""
         parsed = self.owner.job_store.parse_key(key)
         if parsed is None or parsed[1] is not JobKey.ACCEPTED:
             return
-        job = self.jobs.pop(parsed[0], None)
-        if job is None:
-            return
+        job = self.jobs.get(parsed[0])
+        if job is not None and not job.ended():
+            self.drop_job(job)
+
+    def drop_job(self, job: Job) -> None:
+        """Forgets the steps and tasks of a job."""
+        del self.jobs[job.id]
         for step in job.steps:
             self.steps.pop(step.name, None)
             self.open_steps.pop(step.name, None)
@@ -82,7 +146,7 @@
 
     def accept(self, record: CellJob) -> None:
         """Takes an accepted job."""
-        if record.job in self.jobs:
+        if record.job in self.jobs or self.owner.ended.knows(record.job):
             return
         queue = self.find_queue(record)
         age = max(0.0, self.owner.clock.now() - record.accepted_at)
@@ -158,17 +222,32 @@
     def report(self, job: Job) -> None:
         """Lets callers see a job's final state."""
         job.reported = job.state
-        job.ended_at = self.owner.clock.now()
+        self.owner.ended.note(job.id, job.state, self.owner.clock.now())
 
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and take no room any more."""
-        for job in list(self.jobs.values()):
-            if job.ended_at is None or job.ended_at >= before:
-                continue
-            if any(step.runs() for step in job.steps):
+        gone = []
+        for job_id, ended in self.owner.ended.jobs.items():
+            if ended.at >= before or ended.leaving or self.takes_room(job_id):
                 continue
-            job.ended_at = None
-            self.owner.log.forget_job(job.id)
+            ended.leaving = True
+            gone.append(job_id)
+            self.owner.log.remove(self.owner.job_store.keys_of_ended(job_id, ended.old))
+        if gone:
+            self.owner.log.after_written(lambda: self.drop_ended(gone))
+
+    def takes_room(self, job_id: str) -> bool:
+        """Returns whether a job has runs that have not surely ended."""
+        job = self.jobs.get(job_id)
+        return job is not None and any(step.runs() for step in job.steps)
+
+    def drop_ended(self, gone: list[str]) -> None:
+        """Forgets jobs that nobody may ask for any more."""
+        for job_id in gone:
+            self.owner.ended.forget(job_id)
+            job = self.jobs.get(job_id)
+            if job is not None:
+                self.drop_job(job)
 
     def close_job(self, job: Job) -> None:
         """Stops what still runs of a job that has ended."""
@@ -181,10 +260,13 @@
 
     def cancel(self, job: Job) -> None:
         """Cancels a job, unless it has ended."""
-        job.cancelled = True
-        if job.ended() or not self.owner.loaded:
-            return
-        self.end_job(job, JobState.CANCELLED, "cancelled by its caller")
+        if self.owner.loaded:
+            self.end_cancelled(job)
+
+    def end_cancelled(self, job: Job) -> None:
+        """Ends a job whose cancellation is stored, unless it has ended."""
+        if not job.ended():
+            self.end_job(job, JobState.CANCELLED, "cancelled by its caller")
 
     def complete(self, task: Task) -> None:
         """Notes that a task is done; all at once they are done together."""
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -112,7 +112,6 @@
 
     :param objective_s: Seconds from acceptance to completion that callers expect.
     :param known_at: When this owner learned of it, on the runtime's clock.
-    :param ended_at: Wall time from which its final state could be asked for.
     :param earlier: Whether an earlier owner may have started tasks of it.
     """
 
@@ -125,9 +124,7 @@
     earlier: bool = False
     state: JobState = JobState.QUEUED
     reported: JobState = JobState.QUEUED
-    cancelled: bool = False
     started: bool = False
-    ended_at: float | None = None
 
     @property
     def id(self) -> str:
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.scheduler.end_log import EndLog
+from lacewinghold.scheduler.ended_jobs import EndedJobs
 from lacewinghold.scheduler.fleet import WORKER_LEASE_S, Fleet
 from lacewinghold.scheduler.job_store import JOBS, ROSTER
 from lacewinghold.scheduler.job_table import JobTable
@@ -81,6 +82,7 @@
         self.status_s = status_s
         self.log = EndLog(jobs, ownership.epoch, ownership.term)
         self.pace = PaceBook()
+        self.ended = EndedJobs(jobs)
         self.table = JobTable(self)
         self.fleet = Fleet(self)
         self.runs = Runs(self)
@@ -125,6 +127,7 @@
             tasks.start_soon(self.book.run, tasks)
             self.book.on_arrival = self.planning.wake
             self.book.on_renewal = self.planning.claim
+            tasks.start_soon(self.ended.load)
             self.fleet.update_workers()
             tasks.start_soon(self.settle_uncertain)
             tasks.start_soon(SlowWorkers(self).run)
@@ -138,6 +141,7 @@
             if anyio.current_time() >= self.ownership.valid_until:
                 continue
             self.table.forget_ended(self.clock.now() - self.status_s)
+            self.log.flush()
 
     async def stop_when_lost(self, tasks: TaskGroup) -> None:
         """Ends everything once another instance may decide."""
@@ -153,20 +157,15 @@
         waits.cancel_scope.cancel()
 
     async def load(self) -> None:
-        """Reads jobs, stored ends, workers and the roster, all at the same time."""
+        """Reads open jobs, stored ends, workers and the roster at the same time."""
         async with anyio.create_task_group() as loads:
             loads.start_soon(self.mirror.load_until_done)
             loads.start_soon(self.workers.load_until_done)
             loads.start_soon(self.read_ends)
             loads.start_soon(self.read_roster)
-        for entry in self.stored_ends:
-            self.table.replay(entry)
+        await self.table.build(self.stored_ends)
+        self.log.keep_only(self.table.jobs)
         self.loaded = True
-        for job in list(self.table.jobs.values()):
-            if job.cancelled:
-                self.table.cancel(job)
-            self.table.end_if_exhausted(job)
-            self.table.refresh_job(job)
         logger.info(
             Event.CELL_LOADED,
             jobs=len(self.table.jobs),
--- /dev/null
+++ b/tests/test_scheduler/test_loading.py
@@ -0,0 +1,379 @@
+"""What a new owner reads before it decides, and what becomes of ended jobs."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.scheduler.job_store import JobKey
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.schema.generated.cell import EndBatch, JobOutcome, TaskEndEntry
+from lacewinghold.testing.step_worker import Behaviour
+from lacewinghold.testing.store import StoreFault
+from lacewinghold.util.codec import to_json
+from tests.test_scheduler.support import run_cell, step
+
+PREFIX = "lacewinghold/"
+ENDED_KEYS = (f"{PREFIX}j/", f"{PREFIX}l/", f"{PREFIX}e/")
+
+
+def other_member(cell):
+    """Returns a member that does not decide."""
+    owner = cell.owner()
+    return next(member for member in cell.members if member is not owner)
+
+
+async def complete(cell, count):
+    """Has jobs run to their end."""
+    for number in range(count):
+        cell.behaviours[f"j{number}"] = Behaviour(0.1)
+        await cell.submit(f"j{number}", [step(2), step(2, after=[0])])
+    for number in range(count):
+        assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 20)
+
+
+def owner_elsewhere(cell, owner):
+    """Returns the owner of a member other than an earlier one, if there is one."""
+    for member in cell.members:
+        found = member.instance.owner
+        if found is not None and found is not owner:
+            return found
+    return None
+
+
+def bytes_for_a_takeover(ended):
+    """Returns what the next owner reads before it decides, after some ended jobs."""
+
+    async def program(cell):
+        await complete(cell, ended)
+        cell.behaviours["open"] = Behaviour(30)
+        await cell.submit("open", [step(2)])
+        await anyio.sleep(6)
+        cell.kill(cell.owner())
+        sizes = []
+        for member in cell.members:
+            count_reads(member, sizes)
+        await cell.wait_for_owner()
+        owner = cell.owner().instance.owner
+        assert list(owner.table.jobs) == ["open"]
+        return sum(sizes)
+
+    return run_cell(program)
+
+
+def count_reads(member, sizes):
+    """Notes the sizes of what a member reads as an owner that does not decide yet."""
+    read = member.store.range
+
+    async def range_counted(key, *, prefix=False):
+        reply = await read(key, prefix=prefix)
+        owner = member.instance.owner
+        if owner is not None and not owner.loaded:
+            sizes.extend(len(item.value) for item in reply.ok_value.items)
+        return reply
+
+    member.store.range = range_counted
+
+
+def test_loading_does_not_grow_with_jobs_that_have_ended():
+    assert bytes_for_a_takeover(40) <= bytes_for_a_takeover(2)
+
+
+def note_first_call(table):
+    """Returns an event for the first job that a table takes."""
+    accept = table.accept
+    building = anyio.Event()
+
+    def accept_noted(record):
+        building.set()
+        accept(record)
+
+    table.accept = accept_noted
+    return building
+
+
+def test_renewals_go_on_while_jobs_are_loaded():
+    """Building all jobs in one turn held everything else up for seconds."""
+    count = 300
+
+    async def program(cell):
+        member = other_member(cell)
+        for number in range(count):
+            record = cell.make_job(f"j{number}", [step(10)])
+            await member.instance.jobs.accept(record)
+        earlier = cell.owner().instance.owner
+        cell.state.latency_s = 0.05
+        cell.kill(cell.owner())
+        while (owner := owner_elsewhere(cell, earlier)) is None:
+            await anyio.sleep(0.01)
+        building = note_first_call(owner.table)
+        await building.wait()
+        turns = [0]
+        while not owner.loaded:
+            turns.append(len(owner.table.jobs))
+            await anyio.sleep(0)
+        turns.append(len(owner.table.jobs))
+        assert turns[-1] == count
+        built = [later - turn for turn, later in zip(turns, turns[1:], strict=False)]
+        assert max(built) <= 50
+
+    run_cell(program)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_an_ended_job_submitted_again_is_the_same_job(seed):
+    async def program(cell):
+        await complete(cell, 3)
+        starts = len(cell.world.starts)
+        cell.kill(cell.owner())
+        for _ in range(40):
+            for number in range(3):
+                record = cell.jobs[f"j{number}"]
+                assert (
+                    await cell.rng.choice(cell.members).instance.front.submit(record)
+                ).is_ok()
+            await anyio.sleep(0.1)
+        cell.kill(cell.owner())
+        await cell.wait_for_owner()
+        await anyio.sleep(5)
+        for number in range(3):
+            assert await cell.state_of(f"j{number}") is JobState.COMPLETED
+        assert len(cell.world.starts) == starts
+
+    run_cell(program, seed=seed)
+
+
+def test_an_owner_that_is_told_late_of_an_ended_job_does_not_run_it_again():
+    async def program(cell):
+        await complete(cell, 3)
+        starts = len(cell.world.starts)
+        cell.kill(cell.owner())
+        for _ in range(4000):
+            for member in cell.members:
+                member.instance.note_accepted(cell.jobs["j0"])
+            await anyio.sleep(0.001)
+        assert cell.owner() is not None
+        assert len(cell.world.starts) == starts
+
+    run_cell(program)
+
+
+def test_an_acceptance_that_takes_effect_after_the_jobs_end_runs_nothing():
+    """Its first write had no answer and came late; the second one was carried out."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(0.2)
+        member = other_member(cell)
+        member.store.faults = [StoreFault.DELAYED]
+        record = cell.make_job("a", [step()])
+        assert (await member.instance.front.submit(record)).is_ok()
+        assert await cell.wait_for("a", JobState.COMPLETED, 1)
+        assert cell.state.late
+        await anyio.sleep(5)
+        assert not cell.state.late
+        cell.kill(cell.owner())
+        await cell.wait_for_owner()
+        await anyio.sleep(5)
+        assert len(cell.world.starts) == 1
+        assert await cell.state_of("a") is JobState.COMPLETED
+
+    run_cell(program)
+
+
+def test_an_ended_job_is_known_while_nobody_decides():
+    async def program(cell):
+        await complete(cell, 3)
+        cell.kill(cell.owner())
+        asked = 0
+        while cell.owner() is None:
+            for member in cell.members:
+                state = await member.instance.front.state("j0")
+                assert state.ok_value is JobState.COMPLETED
+                assert (await member.instance.front.cancel("j0")).is_ok()
+                asked += 1
+            await anyio.sleep(0.01)
+        assert asked > 20
+        assert await cell.state_of("j0") is JobState.COMPLETED
+        assert await cell.state_of("unknown") is None
+
+    run_cell(program)
+
+
+def test_a_job_that_ends_while_it_is_asked_for_is_known():
+    """It leaves one key for another between the two reads of the question."""
+
+    async def program(cell):
+        store = other_member(cell).instance.jobs
+        cell.behaviours["a"] = Behaviour(0.5)
+        await cell.submit("a", [step()])
+        ended = cell.wait_for("a", JobState.COMPLETED, 5)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_all_the_time, store, tasks.cancel_scope)
+            assert await ended
+            tasks.cancel_scope.cancel()
+
+    async def ask_all_the_time(store, scope):
+        while True:
+            assert (await store.read("a")).ok_value.known()
+
+    run_cell(program)
+
+
+def hold_acknowledgements(cell):
+    """Keeps the owner from telling the workers that it has stored their ends."""
+    for driver in cell.owner().instance.owner.fleet.drivers.values():
+        driver.acknowledge = lambda number: None
+
+
+def test_ends_of_an_ended_job_do_not_hold_up_a_worker_after_a_takeover():
+    """They are listed again, and ends behind them waited 2 s for the job to come."""
+
+    async def program(cell):
+        hold_acknowledgements(cell)
+        cell.behaviours["b"] = Behaviour(3.0)
+        await cell.submit("b", [step(4, cpu=1000)])
+        await complete(cell, 3)
+        await anyio.sleep(0.5)
+        cell.kill(cell.owner())
+        listing = [w.id for w in cell.world.workers.values() if w.ends]
+        assert listing
+        await cell.wait_for_owner()
+        fleet = cell.owner().instance.owner.fleet
+        await anyio.sleep(0.5)
+        assert all(fleet.drivers[worker].processed for worker in listing)
+        assert await cell.wait_for("b", JobState.COMPLETED, 4)
+
+    run_cell(program)
+
+
+def test_runs_of_a_cancelled_job_are_stopped_soon_after_a_takeover():
+    """Its end is stored and its record gone; its owner died before the stops."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step(4)])
+        await anyio.sleep(0.5)
+        owner = cell.owner()
+        owner.instance.owner.fleet.halt = lambda run: None
+        assert (await owner.instance.front.cancel("a")).is_ok()
+        await anyio.sleep(0.3)
+        assert f"{PREFIX}j/a/a" not in cell.state.keys
+        cell.kill(owner)
+        await cell.wait_for_owner()
+        await anyio.sleep(1)
+        assert not any(worker.runs for worker in cell.world.workers.values())
+        assert await cell.state_of("a") is JobState.CANCELLED
+
+    run_cell(program)
+
+
+def test_a_cancellation_that_meets_the_jobs_end_leaves_no_key():
+    async def program(cell):
+        store = other_member(cell).instance.jobs
+        cell.behaviours["a"] = Behaviour(0.2)
+        await cell.submit("a", [step()])
+        stored = (await store.read("a")).ok_value
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        assert (await store.cancel("a", stored)).ok_value is False
+        assert [key for key in cell.state.keys if "/a" in key] == [f"{PREFIX}e/a"]
+
+    run_cell(program)
+
+
+def test_the_ends_of_an_open_job_stay_until_its_outcome_is_durable():
+    """Without both, the next owner would run its tasks again."""
+
+    async def program(cell):
+        lasting = []
+
+        def check(batch):
+            ended = f"{PREFIX}e/a" in cell.state.keys
+            stored = [key for key in cell.state.keys if key.startswith(f"{PREFIX}l/")]
+            done = len(cell.world.done)
+            lasting.append((done, len(stored), ended))
+
+        cell.state.listeners.append(check)
+        cell.behaviours["a"] = Behaviour(0.2)
+        await cell.submit("a", [step(2), step(2, after=[0]), step(2, after=[1])])
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        seen = [(done, stored) for done, stored, ended in lasting if not ended]
+        assert max(stored for _, stored in seen) >= 2
+        kept = [stored for _, stored in seen]
+        assert kept == sorted(kept)
+        await anyio.sleep(10)
+        assert not [key for key in cell.state.keys if key.startswith(f"{PREFIX}l/")]
+
+    run_cell(program)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_ends_are_removed_however_the_writes_overtake_each_other(seed):
+    """A write that is carried out after the removal is cleared by the next owner."""
+
+    async def program(cell):
+        for number in range(30):
+            cell.behaviours[f"j{number}"] = Behaviour(cell.rng.uniform(0.05, 0.4))
+            await cell.submit(f"j{number}", [step(2), step(1, after=[0])])
+            owner = cell.owner()
+            if owner is not None and number % 3 == 0:
+                fault = cell.rng.choice([StoreFault.REPLY_LOST, StoreFault.DELAYED])
+                owner.store.faults.append(fault)
+        for number in range(30):
+            assert await cell.wait_for(f"j{number}", JobState.COMPLETED, 30)
+        await anyio.sleep(5)
+        cell.kill(cell.owner())
+        await cell.wait_for_owner()
+        await anyio.sleep(10)
+        kept = [key for key in cell.state.keys if key.startswith(ENDED_KEYS[:2])]
+        assert kept == []
+
+    run_cell(program, seed=seed)
+
+
+def test_a_store_of_the_previous_version_is_loaded():
+    """Ended jobs had their record, cancellation and outcome side by side."""
+
+    async def program(cell):
+        owner = cell.owner()
+        keys = owner.instance.jobs
+        for name in ("done", "cancelled", "open"):
+            record = cell.make_job(name, [step(2)])
+            await cell.put(keys.key(name, JobKey.ACCEPTED), to_json(record))
+        cell.kill(owner)
+        await cell.put(keys.key("cancelled", JobKey.CANCELLED), b"{}")
+        for name, state in (("done", "completed"), ("cancelled", "cancelled")):
+            outcome = JobOutcome(state=state, at=cell.clock.now())
+            await cell.put(keys.key(name, JobKey.OUTCOME), to_json(outcome))
+        ends = [TaskEndEntry(task=f"done.0.0.{i}", run=1, done=True) for i in (0, 1)]
+        await cell.put(f"{PREFIX}l/00000000/00000001", to_json(EndBatch(ends=ends)))
+        starts = len(cell.world.starts)
+        await cell.wait_for_owner()
+        table = cell.owner().instance.owner.table
+        assert list(table.jobs) == ["open"]
+        for _ in range(10):
+            assert await cell.state_of("done") is JobState.COMPLETED
+            assert await cell.state_of("cancelled") is JobState.CANCELLED
+            assert (
+                await cell.members[0].instance.front.submit(cell.jobs["done"])
+            ).is_ok()
+        assert await cell.wait_for("open", JobState.COMPLETED, 10)
+        late = {start.task.partition(".")[0] for start in cell.world.starts[starts:]}
+        assert late <= {"open"}
+        await anyio.sleep(170)
+        assert [key for key in cell.state.keys if key.startswith(ENDED_KEYS)] == []
+
+    run_cell(program)
+
+
+def test_ended_jobs_of_earlier_owners_are_forgotten_in_time():
+    async def program(cell):
+        await complete(cell, 4)
+        cell.kill(cell.owner())
+        await cell.wait_for_owner()
+        await anyio.sleep(100)
+        assert await cell.state_of("j0") is JobState.COMPLETED
+        await anyio.sleep(70)
+        assert await cell.state_of("j0") is None
+        assert [key for key in cell.state.keys if key.startswith(ENDED_KEYS)] == []
+
+    run_cell(program)
--- a/tests/test_scheduler/test_whole_path.py
+++ b/tests/test_scheduler/test_whole_path.py
@@ -136,7 +136,8 @@
         assert await cell.state_of("j0") is JobState.COMPLETED
         await anyio.sleep(100)
         assert await cell.state_of("j0") is None
-        kept = [key for key in cell.state.keys if "/j/" in key or "/l/" in key]
+        prefixes = ("/j/", "/l/", "/e/")
+        kept = [key for key in cell.state.keys if any(p in key for p in prefixes)]
         assert kept == []
         assert len([key for key in cell.state.keys if "/r/" in key]) <= 2
 
