--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -21,6 +21,7 @@
 
 logger = structlog.get_logger(__name__)
 RETRY_S = 0.15  # Pause after a failed call, so that an outage is not hammered.
+TURN_KEYS = 50  # Keys told in one turn: a few milliseconds at most.
 STORM_S = 1.0  # Changes closer than this are a storm; three looks at the usual pace.
 
 
@@ -58,7 +59,7 @@
         self.failing = False
 
     async def load(self) -> Result[None, Failure]:
-        """Reads all keys and tells what differs from the copy."""
+        """Reads all keys and tells what differs from the copy, by and by."""
         started = anyio.current_time()
         reply = await self.store.range(self.prefix, prefix=True)
         if isinstance(reply, Err):
@@ -67,8 +68,11 @@
         for key in set(self.revisions) - found:
             del self.revisions[key]
             self.on_delete(key)
-        for item in sorted(reply.ok_value.items, key=lambda item: item.mod_revision):
+        items = sorted(reply.ok_value.items, key=lambda item: item.mod_revision)
+        for number, item in enumerate(items, 1):
             self.put(item)
+            if number % TURN_KEYS == 0:
+                await anyio.sleep(0)
         self.revision = Revision(max(self.revision, reply.ok_value.revision))
         self.last_contact = started
         self.synced.set()
