--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -332,6 +332,13 @@
         since = driver.unknown_since.setdefault(task_name, now)
         return now - since < UNKNOWN_JOB_S
 
+    def jobs_with_runs(self) -> set[str]:
+        """Returns the jobs with runs that have not surely ended."""
+        found = set()
+        for node in self.nodes.values():
+            found |= {run.task.step.job.id for run in node.runs.values()}
+        return found
+
     def of_ended_job(self, task_name: str) -> bool:
         """Returns whether a task's job surely has ended, so that it starts no more."""
         return self.owner.ended.knows(task_name.partition(".")[0])
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -30,6 +30,7 @@
     from lacewinghold.store.base import KeyValue
 
 logger = structlog.get_logger(__name__)
+LATE_ORDER_S = 10.0  # A start without an answer is carried out seconds later at most.
 TURN_TASKS = 200  # Tasks built in one turn: under a millisecond.
 
 
@@ -226,9 +227,11 @@
 
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and take no room any more."""
+        busy = self.owner.fleet.jobs_with_runs()
+        self.drop_closed(busy)
         gone = []
         for job_id, ended in self.owner.ended.jobs.items():
-            if ended.at >= before or ended.leaving or self.takes_room(job_id):
+            if ended.at >= before or ended.leaving or job_id in busy:
                 continue
             ended.leaving = True
             gone.append(job_id)
@@ -236,10 +239,16 @@
         if gone:
             self.owner.log.after_written(lambda: self.drop_ended(gone))
 
-    def takes_room(self, job_id: str) -> bool:
-        """Returns whether a job has runs that have not surely ended."""
-        job = self.jobs.get(job_id)
-        return job is not None and any(step.runs() for step in job.steps)
+    def drop_closed(self, busy: set[str]) -> None:
+        """Forgets the steps and tasks of jobs of which only the outcome is left.
+
+        :param busy: Jobs with runs that have not surely ended.
+        """
+        before = self.owner.clock.now() - LATE_ORDER_S
+        for job in list(self.jobs.values()):
+            ended = self.owner.ended.jobs.get(job.id)
+            if ended is not None and ended.at < before and job.id not in busy:
+                self.drop_job(job)
 
     def drop_ended(self, gone: list[str]) -> None:
         """Forgets jobs that nobody may ask for any more."""
--- a/tests/test_scheduler/test_loading.py
+++ b/tests/test_scheduler/test_loading.py
@@ -267,6 +267,44 @@
     run_cell(program)
 
 
+def slow_stops(cell, seconds):
+    """Makes the workers take long to end a run."""
+
+    def slow(stop):
+        async def stop_slowly(order):
+            await anyio.sleep(seconds)
+            return await stop(order)
+
+        return stop_slowly
+
+    for worker in cell.world.workers.values():
+        worker.stop = slow(worker.stop)
+
+
+def test_a_run_of_an_ended_job_that_stops_slowly_holds_no_takeover_up():
+    """It takes room at its worker, and nothing else waits for it."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(60)
+        cell.behaviours["b"] = Behaviour(60)
+        await cell.submit("a", [step(1)])
+        await cell.submit("b", [step(1)])
+        await anyio.sleep(0.5)
+        owner = cell.owner()
+        owner.instance.owner.fleet.halt = lambda run: None
+        assert (await owner.instance.front.cancel("a")).is_ok()
+        await anyio.sleep(0.3)
+        slow_stops(cell, 3.0)
+        cell.kill(owner)
+        await cell.wait_for_owner()
+        await anyio.sleep(0.5)
+        assert cell.owner().instance.owner.certain
+        runs = [run for w in cell.world.workers.values() for run in w.runs]
+        assert {task.partition(".")[0] for task, _ in runs} == {"a", "b"}
+
+    run_cell(program)
+
+
 def test_a_cancellation_that_meets_the_jobs_end_leaves_no_key():
     async def program(cell):
         store = other_member(cell).instance.jobs
@@ -365,6 +403,49 @@
     run_cell(program)
 
 
+def test_an_owner_does_not_keep_the_tasks_of_jobs_that_have_ended():
+    """Counts, plans and manifests went over all jobs of the last 150 s."""
+
+    async def program(cell):
+        await complete(cell, 20)
+        cell.behaviours["open"] = Behaviour(60)
+        await cell.submit("open", [step(2)])
+        await anyio.sleep(20)
+        table = cell.owner().instance.owner.table
+        assert list(table.jobs) == ["open"]
+        assert len(table.steps) == 1
+        starts = len(cell.world.starts)
+        for number in range(20):
+            assert await cell.state_of(f"j{number}") is JobState.COMPLETED
+            assert (await cell.submit(f"j{number}", [step(2)])).is_ok()
+        await anyio.sleep(5)
+        assert len(cell.world.starts) == starts
+
+    run_cell(program)
+
+
+def test_a_job_that_still_runs_somewhere_is_not_forgotten():
+    """Its run takes room until it surely has ended."""
+
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step(4, cpu=4000)])
+        await anyio.sleep(0.5)
+        owner = cell.owner().instance.owner
+        owner.fleet.halt = lambda run: None
+        assert (await cell.members[0].instance.front.cancel("a")).is_ok()
+        await anyio.sleep(20)
+        assert "a" in owner.table.jobs
+        del owner.fleet.halt
+        owner.table.close_job(owner.table.jobs["a"])
+        await anyio.sleep(20)
+        assert "a" not in owner.table.jobs
+        assert not any(node.runs for node in owner.fleet.nodes.values())
+        assert await cell.state_of("a") is JobState.CANCELLED
+
+    run_cell(program)
+
+
 def test_ended_jobs_of_earlier_owners_are_forgotten_in_time():
     async def program(cell):
         await complete(cell, 4)
