--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -103,7 +103,10 @@
         """Returns whether the store surely does not hold a job: known ones stay."""
         with anyio.move_on_after(limit_s / 2):
             reply = await self.instance.jobs.read(job)
-            return isinstance(reply, Ok) and reply.ok_value.record is None
+            if isinstance(reply, Err):
+                return False
+            found = reply.ok_value
+            return found.record is None and found.outcome is None
         return False
 
     async def store_here(
@@ -182,7 +185,7 @@
         if isinstance(reply, Err):
             return Err(self.unavailable(reply.err_value))
         stored = reply.ok_value
-        if stored.record is None:
+        if not stored.known():
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
         state = self.describe(stored)
         logger.info(Event.STATE_ANSWERED, job=job, state=state.value, by="store")
@@ -214,7 +217,7 @@
         if isinstance(reply, Err):
             return Err(self.unavailable(reply.err_value))
         stored = reply.ok_value
-        if stored.record is None:
+        if not stored.known():
             return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
         if stored.outcome is None and not stored.cancelled:
             written = await self.instance.jobs.cancel(job, stored)
