--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -267,12 +267,14 @@
             if isinstance(found, Err):
                 raise FailureError(found.err_value)
             after = max(after, found.ok_value.at)
-            for batch in split_by_kind(found.ok_value.events, after):
+            for batch in split_at_returns(found.ok_value.events, after):
                 yield batch
 
 
-def split_by_kind(events: list[WireItem], revision: int) -> list[WatchBatch]:
-    """Returns changes in batches, so that writes and removals keep their order.
+def split_at_returns(events: list[WireItem], revision: int) -> list[WatchBatch]:
+    """Returns changes in batches, the next from where a removed key is back.
+
+    Within a batch the writes come first; that tells only for one and the same key.
 
     :param revision: The store's revision after all of them.
     """
@@ -282,7 +284,7 @@
         if item.deleted:
             last.deletes.append(item.key)
             continue
-        if last.deletes:
+        if item.key in last.deletes:
             last = WatchBatch(revision, [], [])
             batches.append(last)
         last.puts.append(to_key_value(item))
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -123,8 +123,9 @@
                 async with self.store.watch(self.prefix, self.revision) as batches:
                     async for batch in batches:
                         self.note_contact()
+                        same_look = batch.revision == self.revision
                         self.apply(batch)
-                        if not batch.puts and not batch.deletes:
+                        if same_look or not (batch.puts or batch.deletes):
                             continue
                         storm = self.note_change()
                         if self.pace_s:
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -142,6 +142,25 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def changes_after(self, revision: int, prefix: str) -> list[WatchBatch]:
+        """Returns what one look finds, a batch more where a removed key is back."""
+        batches: list[WatchBatch] = []
+        for change in self.history:
+            if change.revision <= revision:
+                continue
+            puts = [item for item in change.puts if item.key.startswith(prefix)]
+            deletes = [key for key in change.deletes if key.startswith(prefix)]
+            if not puts and not deletes:
+                continue
+            last = batches.pop() if batches else WatchBatch(0, [], [])
+            if any(item.key in last.deletes for item in puts):
+                batches.append(last)
+                last = WatchBatch(0, [], [])
+            batches.append(
+                WatchBatch(change.revision, last.puts + puts, last.deletes + deletes)
+            )
+        return batches
+
     def holds(self, transaction: Transaction) -> bool:
         """Returns whether all conditions of a transaction hold."""
         for compare in transaction.compares:
@@ -343,19 +362,15 @@
             changed = self.state.changed
             if self.watch_silent:
                 await anyio.sleep_forever()
-            for batch in list(self.state.history):
-                if batch.revision <= after:
-                    continue
-                after = batch.revision
-                if self.cut_off():
-                    break
+            if not self.cut_off() and self.state.revision > after:
                 await self.gate.pass_through()
-                puts = [item for item in batch.puts if item.key.startswith(prefix)]
-                deletes = [key for key in batch.deletes if key.startswith(prefix)]
-                if puts or deletes:
+                batches = self.state.changes_after(after, prefix)
+                after = self.state.revision
+                if batches:
                     await anyio.sleep(self.call_s() / 2)
-                    self.count_bytes(puts)
-                    yield WatchBatch(batch.revision, puts, deletes)
+                for batch in batches:
+                    self.count_bytes(batch.puts)
+                    yield batch
             if self.cut_off():
                 detail = "the watch broke"
                 raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -117,6 +117,26 @@
     assert seen == [("put", "p/a"), ("gone", "p/a"), ("put", "p/a")]
 
 
+def test_changes_of_unlike_keys_come_in_one_batch():
+    """A follower pauses after each batch, and fell behind where keys come and go."""
+
+    async def follow(store):
+        async with store.watch("p/", 1) as batches:
+            async for batch in batches:
+                return [item.key for item in batch.puts], batch.deletes
+        return None
+
+    events = [
+        {"key": "p/a", "value": "b25l", "revision": 2, "created": 2},
+        {"key": "p/a", "revision": 3, "deleted": True},
+        {"key": "p/b", "value": "b25l", "revision": 4, "created": 4},
+        {"key": "p/c", "revision": 5, "deleted": True},
+        {"key": "p/d", "value": "b25l", "revision": 6, "created": 6},
+    ]
+    found, _ = use(follow, reply(200, {"events": events, "at": 6}))
+    assert found == (["p/a", "p/b", "p/d"], ["p/a", "p/c"])
+
+
 def test_a_dropped_history_is_told_apart():
     async def follow(store):
         async with store.watch("p/", 1) as batches:
--- a/tests/test_store/test_mirror.py
+++ b/tests/test_store/test_mirror.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from lacewinghold.store.base import Delete, Put, Transaction
+from lacewinghold.store.base import Delete, KeyValue, Put, Transaction, WatchBatch
 from lacewinghold.store.mirror import Mirror
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.testing.store import MemoryStore, StoreState
@@ -71,3 +71,25 @@
         assert gone == ["w/0"]
 
     run_paused(program, seed=1)
+
+
+def test_a_mirror_pauses_once_for_each_look():
+    """A look in several batches held the last of them up by a pause for each."""
+
+    class Looking(MemoryStore):
+        """Finds a key that is gone and back again and again, in one look."""
+
+        async def changes(self, prefix, after):
+            for number in range(8):
+                item = KeyValue("w/a", b"", number + 2, number + 2)
+                yield WatchBatch(20, [item], ["w/a"])
+            await anyio.sleep_forever()
+
+    async def program():
+        told = []
+        mirror = Mirror(Looking(StoreState()), "w/", told.append, lambda key: None, 0.4)
+        with anyio.move_on_after(0.5):
+            await mirror.run()
+        assert len(told) == 8
+
+    run_paused(program, seed=1)
