--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -134,7 +134,10 @@
         if parsed is None or parsed[1] is not JobKey.ACCEPTED:
             return
         job = self.jobs.get(parsed[0])
-        if job is not None and not job.ended():
+        if job is None:
+            return
+        job.record_gone = True
+        if not job.ended():
             self.drop_job(job)
 
     def drop_job(self, job: Job) -> None:
@@ -227,11 +230,10 @@
 
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and take no room any more."""
-        busy = self.owner.fleet.jobs_with_runs()
-        self.drop_closed(busy)
+        self.drop_closed(self.owner.fleet.jobs_with_runs())
         gone = []
         for job_id, ended in self.owner.ended.jobs.items():
-            if ended.at >= before or ended.leaving or job_id in busy:
+            if ended.at >= before or ended.leaving or job_id in self.jobs:
                 continue
             ended.leaving = True
             gone.append(job_id)
@@ -242,21 +244,23 @@
     def drop_closed(self, busy: set[str]) -> None:
         """Forgets the steps and tasks of jobs of which only the outcome is left.
 
+        The store may tell of a job long after this owner has learned of it. It must
+        be known until its removal was told as well, or it would run again.
+
         :param busy: Jobs with runs that have not surely ended.
         """
         before = self.owner.clock.now() - LATE_ORDER_S
         for job in list(self.jobs.values()):
             ended = self.owner.ended.jobs.get(job.id)
-            if ended is not None and ended.at < before and job.id not in busy:
+            if ended is None or ended.at >= before or not job.record_gone:
+                continue
+            if job.id not in busy:
                 self.drop_job(job)
 
     def drop_ended(self, gone: list[str]) -> None:
         """Forgets jobs that nobody may ask for any more."""
         for job_id in gone:
             self.owner.ended.forget(job_id)
-            job = self.jobs.get(job_id)
-            if job is not None:
-                self.drop_job(job)
 
     def close_job(self, job: Job) -> None:
         """Stops what still runs of a job that has ended."""
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -112,6 +112,7 @@
 
     :param objective_s: Seconds from acceptance to completion that callers expect.
     :param known_at: When this owner learned of it, on the runtime's clock.
+    :param record_gone: Whether the store has told that its record was removed.
     :param earlier: Whether an earlier owner may have started tasks of it.
     """
 
@@ -121,6 +122,7 @@
     accepted_at: float
     objective_s: float
     known_at: float = 0.0
+    record_gone: bool = False
     earlier: bool = False
     state: JobState = JobState.QUEUED
     reported: JobState = JobState.QUEUED
--- a/tests/test_scheduler/test_loading.py
+++ b/tests/test_scheduler/test_loading.py
@@ -424,6 +424,43 @@
     run_cell(program)
 
 
+def test_an_owner_that_the_store_tells_late_of_an_ended_job_does_not_run_it_again():
+    """It had forgotten the job when it was told of it, a whole status time late."""
+
+    async def program(cell):
+        owner = cell.owner().instance.owner
+        cell.behaviours["a"] = Behaviour(0.2)
+        owner.mirror.pace_s = 1000
+        await cell.submit("first", [step()])
+        await cell.submit("a", [step()])
+        told = cell.state.keys[f"{PREFIX}j/a/a"]
+        assert await cell.wait_for("a", JobState.COMPLETED, 5)
+        await anyio.sleep(200)
+        assert cell.owner().instance.owner is owner
+        owner.table.note_job_key(told)
+        await anyio.sleep(5)
+        assert len([s for s in cell.world.starts if s.task.startswith("a.")]) == 1
+
+    run_cell(program)
+
+
+def test_a_busy_owner_does_not_fall_behind_the_store():
+    """Records come and go: a pause for each change let it trail by minutes."""
+
+    async def program(cell):
+        owner = cell.owner().instance.owner
+        for number in range(60):
+            cell.behaviours[f"j{number}"] = Behaviour(0.1)
+            await cell.submit(f"j{number}", [step()])
+            await anyio.sleep(0.1)
+        await anyio.sleep(1.5)
+        assert owner.mirror.revisions == {}
+        for job in owner.table.jobs.values():
+            assert job.record_gone
+
+    run_cell(program)
+
+
 def test_a_job_that_still_runs_somewhere_is_not_forgotten():
     """Its run takes room until it surely has ended."""
 
