--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -19,6 +19,7 @@
     from lacewinghold.util.turns import TurnGate
 
 CONNECT_S = 0.5  # Several round trips between regions.
+THIN_LINK_BYTES_PER_S = 125_000  # A link of 1 Mbit/s.
 KEEP_IDLE_S = 14.0  # Shorter than the platform's idle bound of 15 s.
 NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 UNKNOWN = (
@@ -148,18 +149,21 @@
             f"http://{self.address}{path}",
             headers=headers,
             content=content,
-            extensions={"timeout": self.timeouts(timeout_s)},
+            extensions={"timeout": self.timeouts(timeout_s, len(content))},
         )
         return HttpReply(response.status, response.content)
 
-    def timeouts(self, timeout_s: float) -> dict[str, float]:
-        """Returns the bounds of the parts of a call that begins now."""
+    def timeouts(self, timeout_s: float, size: int) -> dict[str, float]:
+        """Returns the bounds of the parts of a call that begins now.
+
+        :param size: Bytes of the body: a thin link takes its time to carry them.
+        """
         allowance_s = self.lag.allowance_s()
         whole_s = timeout_s + allowance_s
         return {
             "connect": min(CONNECT_S, timeout_s) + allowance_s,
             "read": whole_s,
-            "write": whole_s,
+            "write": whole_s + size / THIN_LINK_BYTES_PER_S,
             "pool": whole_s,
         }
 
--- a/lacewinghold/scheduler/end_log.py
+++ b/lacewinghold/scheduler/end_log.py
@@ -25,6 +25,8 @@
 
 logger = structlog.get_logger(__name__)
 MAX_OPERATIONS = 28  # The store takes 32 entries a write; the condition is one.
+MAX_WRITE_BYTES = 32 * 1024  # A thin link carries it well within a call's time-out.
+MAX_ENDS = 400  # Of one key; about half of the bytes of a write.
 RETRY_S = 0.1  # Pause after a failed write.
 MAX_IN_FLIGHT = 4  # Writes to a slow store that overlap.
 GATHER_S = 0.03  # Ends that arrive within this time share a write.
@@ -161,18 +163,29 @@
                 call()
 
     def next_operations(self, batch: PendingBatch) -> list[Put | Delete]:
-        """Returns as much of a batch as one write takes."""
+        """Returns as much of a batch as one write takes.
+
+        A write that the link cannot carry in time would be sent again for ever.
+        """
         operations: list[Put | Delete] = []
+        left = MAX_WRITE_BYTES
         if batch.ends:
             self.sequence += 1
             key = self.key(self.sequence)
-            self.note_batch(key, batch.ends)
+            ends, batch.ends = batch.ends[:MAX_ENDS], batch.ends[MAX_ENDS:]
+            self.note_batch(key, ends)
             self.unstored.add(key)
             batch.ends_key = key
-            operations.append(Put(key, to_json(EndBatch(ends=batch.ends))))
-            batch.ends = []
+            value = to_json(EndBatch(ends=ends))
+            left -= len(value)
+            operations.append(Put(key, value))
         while batch.values and len(operations) < MAX_OPERATIONS:
-            operations.append(Put(*batch.values.popitem()))
+            key, value = next(iter(batch.values.items()))
+            if operations and len(value) > left:
+                break
+            left -= len(value)
+            del batch.values[key]
+            operations.append(Put(key, value))
         room = (MAX_OPERATIONS - len(operations)) // OUTCOME_OPERATIONS
         for job, outcome in batch.outcomes[:room]:
             operations += [
--- a/tests/test_scheduler/test_thin_link.py
+++ b/tests/test_scheduler/test_thin_link.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 import anyio
+from result import Err
 
+from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.scheduler.end_log import EndLog
+from lacewinghold.scheduler.job_store import OWNER, JobStore
+from lacewinghold.schema.generated.cell import TaskEndEntry
+from lacewinghold.store.base import Put, Transaction
+from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.store import MemoryStore, StoreState
 from tests.test_scheduler.support import run_cell
 
 ROSTERS_PER_S = 2
 LIMIT_S = 60
+LINK_BYTES = 64 * 1024
+VALUE_BYTES = 26_000
+CALL_S = 0.8
 
 
 def test_rosters_do_not_fill_the_link_while_many_workers_join():
@@ -26,3 +37,40 @@
         assert fleet.rosters <= ROSTERS_PER_S * took_s + 1
 
     run_cell(program, workers=0)
+
+
+class ThinStore(MemoryStore):
+    """A store over a link that carries only so much within a call's time-out."""
+
+    async def commit(self, transaction):
+        size = sum(len(getattr(put, "value", b"")) for put in transaction.operations)
+        if size > LINK_BYTES:
+            await anyio.sleep(CALL_S)
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "WriteTimeout"))
+        return await super().commit(transaction)
+
+
+def test_a_log_does_not_stall_for_a_write_that_its_link_cannot_carry():
+    """What waits grows during a stall, and with it the write."""
+
+    async def program():
+        store = ThinStore(StoreState())
+        owned = await store.commit(Transaction([], [Put("p/" + OWNER, b"{}")]))
+        log = EndLog(JobStore(store, "p/"), owned.ok_value.revision, 1)
+        stored = []
+        for number in range(20):
+            log.note_value(f"p/r/{number}", b"x" * VALUE_BYTES, lambda: None)
+        for number in range(2000):
+            log.note_end(TaskEndEntry(task=f"{number:016x}.0.0.0", run=1, done=True))
+        log.after_written(lambda: stored.append(True))
+        with anyio.move_on_after(LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(log.run)
+                while not stored:
+                    await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+        assert stored
+        ends = await log.load()
+        assert len(ends.ok_value) == 2000
+
+    run_paused(program, seed=1)
