--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -13,6 +13,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.peers.base import PeerTransport
 from lacewinghold.scheduler.job_table import JobTable
+from lacewinghold.scheduler.planning import PlanLoop
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import (
     AdviceCalls,
@@ -37,7 +38,7 @@
     from lacewinghold.ids import InstanceId, LeaseId, Revision, WorkerId
     from lacewinghold.scheduler.cell import CellPorts
     from lacewinghold.scheduler.model import Step
-    from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.owner import CellOwner
     from lacewinghold.scheduler.policy import Plan
     from lacewinghold.scheduler.ports import (
         LookOrder,
@@ -59,6 +60,7 @@
 HANDLE_S = 0.0002  # What an owner does with a worker's answer.
 PAIR_S = 1e-6  # A planner's look at one worker for one step.
 NODE_S = 2e-6  # Each worker in a plan.
+STEP_S = 4e-6  # Each waiting step in a plan.
 JOB_S = 0.0003  # A job that is decoded and taken, with its tasks.
 
 CONNECT_LIMIT_S = 0.5
@@ -135,7 +137,7 @@
     """
     sleep = anyio.sleep
     make = Planner.make
-    candidates = Planner.candidates
+    init = PlanLoop.__init__
     accept = JobTable.accept
 
     async def late_sleep(delay: float) -> None:
@@ -149,13 +151,20 @@
         if machine is not None:
             machine.charge(core_s)
 
-    def charged_make(planner: Planner, steps: Iterable[Step]) -> Plan:
-        charge(NODE_S * len(planner.free))
-        return make(planner, steps)
+    def machine_time() -> float:
+        """Returns when the processor is done with all work so far."""
+        machine = RUNNING_ON.get()
+        now = anyio.current_time()
+        return now if machine is None else max(now, machine.busy_until)
 
-    def charged_candidates(planner: Planner, step: Step) -> list[WorkerNode]:
-        charge(PAIR_S * len(planner.free))
-        return candidates(planner, step)
+    def timed_init(loop: PlanLoop, owner: CellOwner) -> None:
+        init(loop, owner, machine_time)
+
+    def charged_make(planner: Planner, steps: Iterable[Step]) -> Plan:
+        plan = make(planner, steps)
+        charge(PAIR_S * planner.looks)
+        charge(NODE_S * len(planner.free) + STEP_S * len(planner.order))
+        return plan
 
     def charged_accept(table: JobTable, record: CellJob) -> None:
         if record.job not in table.jobs:
@@ -165,7 +174,7 @@
     with (
         patch.object(anyio, "sleep", late_sleep),
         patch.object(Planner, "make", charged_make),
-        patch.object(Planner, "candidates", charged_candidates),
+        patch.object(PlanLoop, "__init__", timed_init),
         patch.object(JobTable, "accept", charged_accept),
     ):
         yield
