--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -256,8 +256,10 @@
         turns = sorted((turn_of(step, self.now), step) for step in steps)
         self.order = [step for _, step in turns]
         for turn, step in turns:
-            # An answer has come for a claim, and is of use for a short while only.
-            if self.looks < urgent_looks or step.name in self.claims:
+            # Permissions are valid for a short while only, and room that is kept for
+            # a step would go to others.
+            due = step.name in self.claims or step.name in self.last_reserved
+            if due or self.looks < urgent_looks:
                 self.visit(step)
             else:
                 left.append((turn, step))
--- a/tests/test_scheduler/test_plan_cost.py
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -14,7 +14,7 @@
 from bench.planner_day import make_nodes
 from lacewinghold.events import Event
 from lacewinghold.scheduler.claims import Claim
-from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.model import JobState, Run
 from lacewinghold.scheduler.planning import MAX_REST_S, PLAN_SHARE, PlanLoop
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue
@@ -190,6 +190,35 @@
     run_paused(program, seed=1)
 
 
+def test_room_is_kept_for_a_step_beyond_the_work_of_one_plan():
+    """It would go to small work, and the step begin to wait anew."""
+
+    async def program():
+        nodes = make_nodes(10)
+        for node in nodes[:4]:
+            full = make_single("full", PATIENT, cpu=16_000)
+            node.add(Run(full.tasks[0], 1, node.id, full.room, 0.0))
+        everywhere = frozenset(node.id for node in nodes)
+        steps = [make_single(f"a{number:03d}") for number in range(60)]
+        queue = msgspec.structs.replace(PATIENT, urgency=1)
+        spec = StepSpec(tasks=10, cpu_millis=16_000, all_at_once=True)
+        wide = make_ready_step("wide", queue, spec)
+        planner = Planner(
+            0.0,
+            nodes,
+            lambda step: everywhere,
+            lambda step, node: False,
+            may_ask=lambda renewal: False,
+            last_reserved={wide.name: [node.id for node in nodes[:6]]},
+            max_looks=50,
+        )
+        plan = planner.make([*steps, wide])
+        assert plan.left
+        assert plan.reserved[wide.name]
+
+    run_paused(program, seed=1)
+
+
 class Timer:
     """A clock on which every second reading is later by the length of a plan."""
 
