--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -115,7 +115,8 @@
             if record is None:
                 continue
             self.accept(record)
-            await turn.spend(sum(len(step.tasks) for step in self.jobs[job_id].steps))
+            tasks = sum(step.tasks for step in record.steps)
+            await turn.spend(tasks * max(1, record.occurrences))
         self.records = {}
         for entry in ends:
             self.replay(entry)
--- a/tests/test_scheduler/test_loading.py
+++ b/tests/test_scheduler/test_loading.py
@@ -483,6 +483,21 @@
     run_cell(program)
 
 
+def test_a_record_that_cannot_be_read_does_not_keep_the_others_from_being_loaded():
+    async def program(cell):
+        owner = cell.owner()
+        cell.kill(owner)
+        keys = owner.instance.jobs
+        await cell.put(keys.key("a", JobKey.ACCEPTED), b"?")
+        await cell.put(keys.key("b", JobKey.ACCEPTED), to_json(cell.make_job("c", [])))
+        record = cell.make_job("good", [step(2)])
+        await cell.put(keys.key("good", JobKey.ACCEPTED), to_json(record))
+        await cell.wait_for_owner()
+        assert await cell.wait_for("good", JobState.COMPLETED, 10)
+
+    run_cell(program)
+
+
 def test_ended_jobs_of_earlier_owners_are_forgotten_in_time():
     async def program(cell):
         await complete(cell, 4)
