--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -363,7 +363,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.election.keep, ownership)
             tasks.start_soon(self.members.mirror.run)
-            tasks.start_soon(HandOver(self, ownership).run)
+            tasks.start_soon(HandOver(self, owner).run)
             tasks.start_soon(BacklogWatch(self, owner).run)
             earlier = self.election.earlier
             if earlier is None or earlier.instance == self.instance:
--- a/lacewinghold/scheduler/hand_over.py
+++ b/lacewinghold/scheduler/hand_over.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.cell import CellInstance
-    from lacewinghold.scheduler.election import Ownership
+    from lacewinghold.scheduler.owner import CellOwner
     from lacewinghold.schema.generated.cell import CellMember
 
 logger = structlog.get_logger(__name__)
@@ -33,9 +33,10 @@
     :param instance: The instance that owns.
     """
 
-    def __init__(self, instance: CellInstance, ownership: Ownership) -> None:
+    def __init__(self, instance: CellInstance, owner: CellOwner) -> None:
         self.instance = instance
-        self.ownership = ownership
+        self.owner = owner
+        self.ownership = owner.ownership
         self.taken_at = anyio.current_time()
         self.late_since = math.inf
 
@@ -45,11 +46,20 @@
             await anyio.sleep(CHECK_S)
             now = anyio.current_time()
             self.note_lateness(now)
+            if not self.alone():
+                continue
             late = self.late_too_long(now)
             for member in self.better_members(late=late)[:MAX_ASKED]:
                 if await self.offer(member, late=late):
                     return
 
+    def alone(self) -> bool:
+        """Returns whether no owner before this one can go on anywhere.
+
+        The next one asks only its predecessor whether it has stopped.
+        """
+        return self.owner.certain or self.owner.earlier_stopped.is_set()
+
     def note_lateness(self, now: float) -> None:
         """Notes since when this process has been late all the time."""
         if self.instance.lag.lag_s <= LATE_S:
--- a/tests/test_scheduler/test_ownership.py
+++ b/tests/test_scheduler/test_ownership.py
@@ -162,6 +162,32 @@
     run_cell(program, instances=1)
 
 
+def test_an_owner_that_an_earlier_one_may_outlive_does_not_hand_over():
+    """The next one would take it for the only one that may still hold workers."""
+
+    async def program(cell):
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+        await anyio.sleep(1)
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step()])
+        await anyio.sleep(0.5)
+        cell.world.workers[cell.world.starts[0].worker].silent = True
+        killed_at = anyio.current_time()
+        weak, _ = await kill_owner(cell)
+        strong = cell.add_member(described=STRONG)
+        certain = False
+        with anyio.fail_after(30):
+            while cell.owner() is weak:
+                certain = weak.instance.owner.certain
+                await anyio.sleep(POLL_S)
+        assert certain
+        assert anyio.current_time() - killed_at > 14
+        assert await cell.wait_for_owner() is strong
+
+    run_cell(program, instances=1)
+
+
 def test_a_late_owner_hands_over_to_one_that_keeps_up():
     async def program(cell):
         late = cell.owner()
