--- a/tests/test_scheduler/test_ownership.py
+++ b/tests/test_scheduler/test_ownership.py
@@ -11,6 +11,13 @@
 from lacewinghold.testing.step_worker import Behaviour
 from lacewinghold.util.lag import Stretch
 from tests.test_scheduler.support import run_cell, step
+from tests.test_scheduler.test_weak_owner import (
+    run_on,
+    stored_jobs,
+    strong,
+    wait_for_done,
+    weak,
+)
 
 STRONG = EntryMachine(processor_share=0.717, speed=3, link_mbps=100)
 WEAK = EntryMachine(processor_share=0.516, speed=1, link_mbps=5)
@@ -273,3 +280,20 @@
             tasks.cancel_scope.cancel()
 
     run_cell(program, instances=2)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_weak_owner_of_many_jobs_finds_time_to_hand_over(seed):
+    async def prepare(cell):
+        await stored_jobs(400, 400)(cell)
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+
+    async def program(cell):
+        member = cell.add_member(strong(), described=STRONG)
+        with anyio.fail_after(5):
+            while cell.owner() is not member:
+                await anyio.sleep(0.01)
+        assert await wait_for_done(cell, 800, 10)
+
+    run_on(weak, program, instances=0, workers=300, prepare=prepare, seed=seed)
