--- a/tests/test_scheduler/test_ownership.py
+++ b/tests/test_scheduler/test_ownership.py
@@ -11,6 +11,13 @@
 from lacewinghold.testing.step_worker import Behaviour
 from lacewinghold.util.lag import Stretch
 from tests.test_scheduler.support import run_cell, step
+from tests.test_scheduler.test_weak_owner import (
+    run_on,
+    stored_jobs,
+    strong,
+    wait_for_done,
+    weak,
+)
 
 STRONG = EntryMachine(processor_share=0.717, speed=3, link_mbps=100)
 WEAK = EntryMachine(processor_share=0.516, speed=1, link_mbps=5)
@@ -162,6 +169,32 @@
     run_cell(program, instances=1)
 
 
+def test_an_owner_that_an_earlier_one_may_outlive_does_not_hand_over():
+    """The next one would take it for the only one that may still hold workers."""
+
+    async def program(cell):
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+        await anyio.sleep(1)
+        cell.behaviours["a"] = Behaviour(60)
+        await cell.submit("a", [step()])
+        await anyio.sleep(0.5)
+        cell.world.workers[cell.world.starts[0].worker].silent = True
+        killed_at = anyio.current_time()
+        weak, _ = await kill_owner(cell)
+        strong = cell.add_member(described=STRONG)
+        certain = False
+        with anyio.fail_after(30):
+            while cell.owner() is weak:
+                certain = weak.instance.owner.certain
+                await anyio.sleep(POLL_S)
+        assert certain
+        assert anyio.current_time() - killed_at > 14
+        assert await cell.wait_for_owner() is strong
+
+    run_cell(program, instances=1)
+
+
 def test_a_late_owner_hands_over_to_one_that_keeps_up():
     async def program(cell):
         late = cell.owner()
@@ -247,3 +280,20 @@
             tasks.cancel_scope.cancel()
 
     run_cell(program, instances=2)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_weak_owner_of_many_jobs_finds_time_to_hand_over(seed):
+    async def prepare(cell):
+        await stored_jobs(400, 400)(cell)
+        for _ in range(3):
+            cell.add_member(described=WEAK)
+
+    async def program(cell):
+        member = cell.add_member(strong(), described=STRONG)
+        with anyio.fail_after(5):
+            while cell.owner() is not member:
+                await anyio.sleep(0.01)
+        assert await wait_for_done(cell, 800, 10)
+
+    run_on(weak, program, instances=0, workers=300, prepare=prepare, seed=seed)
