--- a/lacewinghold/scheduler/members.py
+++ b/lacewinghold/scheduler/members.py
@@ -139,15 +139,18 @@
     async def ask(
         self, step: str, workers: Sequence[WorkerId], timeout_s: float
     ) -> Result[list[Ticket], Failure]:
-        call = CellAdviseCall(step, list(workers), timeout_s)
+        call = CellAdviseCall(step, list(workers), timeout_s, by_position=True)
         reply = await self.links.call(
             self.member, MessageKind.CELL_ADVISE, call, timeout_s + LINK_SLACK_S
         )
         if isinstance(reply, Err):
             return Err(reply.err_value)
         advice = unpack(reply.ok_value, CellAdvice)
+        permitted = advice.workers
+        if advice.positions:
+            permitted = [workers[position] for position in advice.positions]
         tickets = []
-        for worker, text in zip(advice.workers, advice.tickets, strict=True):
+        for worker, text in zip(permitted, advice.tickets, strict=True):
             tickets.append(Ticket(worker, text))
         return Ok(tickets)
 
@@ -163,4 +166,11 @@
     if isinstance(answer, Err):
         return Err(answer.err_value)
     workers = [ticket.worker for ticket in answer.ok_value]
-    return Ok(CellAdvice(workers, [ticket.text for ticket in answer.ok_value]))
+    texts = [ticket.text for ticket in answer.ok_value]
+    if not call.by_position:
+        return Ok(CellAdvice(workers, texts))
+    positions = {worker: position for position, worker in enumerate(call.workers)}
+    named = [positions[worker] for worker in workers if worker in positions]
+    if len(named) < len(workers):
+        return Ok(CellAdvice(workers, texts))
+    return Ok(CellAdvice([], texts, named))
--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -28,6 +28,7 @@
     WorkerDialer,
     WorkerReport,
 )
+from lacewinghold.scheduler.reply_times import ReplyTimes
 from lacewinghold.schema.generated.messages import (
     CellOrderReplies,
     CellOrders,
@@ -134,6 +135,7 @@
         self.changed = anyio.Event()
         self.pending: dict[int, PendingOrder] = {}
         self.wanted = anyio.Event()
+        self.times = ReplyTimes()
         self.direct_slots = anyio.CapacityLimiter(DIRECT_CALLS)
 
     def open(self, entry: WorkerEntry) -> WorkerCalls:
@@ -241,6 +243,7 @@
         """Ends the wait for one reply."""
         pending = self.pending.get(number)
         if pending is None:
+            self.times.note_late(number, anyio.current_time())
             return
         pending.reply = reply
         pending.unsent = unsent
@@ -257,12 +260,18 @@
         self.pending[order.number] = pending
         lane.add(order)
         self.wanted.set()
-        limit_s += SLACK_S + self.lag.allowance_s()
+        waits_s = order.wait_s if isinstance(order, RelayedLook) else 0.0
+        usual_s = limit_s - waits_s + SLACK_S + self.lag.allowance_s()
+        sent_at = anyio.current_time()
         try:
-            with anyio.move_on_after(limit_s):
+            with anyio.move_on_after(waits_s + self.times.limit_s(usual_s)):
                 await pending.settled.wait()
         finally:
             del self.pending[order.number]
+        if pending.reply is None:
+            self.times.note_overdue(order.number, sent_at + waits_s)
+        elif not waits_s:
+            self.times.note(anyio.current_time() - sent_at)
         return pending
 
 
