--- /dev/null
+++ b/tests/test_scheduler/test_relays.py
@@ -0,0 +1,156 @@
+"""Orders that members near the workers carry out for the owner."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from structlog.testing import capture_logs
+
+from lacewinghold.events import Event
+from lacewinghold.ids import Epoch, Incarnation, InstanceId, WorkerId
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import OrderOutcome
+from lacewinghold.scheduler.reply_times import MAX_LIMIT_S, ReplyTimes
+from lacewinghold.schema.generated.messages import RelayedStop
+from lacewinghold.testing.step_worker import Behaviour
+from tests.test_scheduler.support import run_cell, step
+
+SOON_S = 2.5
+OWNER = InstanceId("owner")
+
+
+def others(cell):
+    """Returns the members that do not decide."""
+    return [member for member in cell.members if member is not cell.owner()]
+
+
+def silent_workers(lines):
+    """Returns which workers were held to be silent."""
+    return {line["worker"] for line in lines if line["event"] == Event.WORKER_SILENT}
+
+
+async def run_jobs(cell, number, name):
+    """Submits jobs to the owner and waits until all are done."""
+    for index in range(number):
+        job = f"{name}{index}"
+        cell.behaviours[job] = Behaviour(0.3)
+        record = cell.make_job(job, [step(2)])
+        assert (await cell.owner().instance.front.submit(record)).is_ok()
+    for index in range(number):
+        front = cell.owner().instance.front
+        with anyio.fail_after(SOON_S):
+            while (await front.state(f"{name}{index}")).ok() is not JobState.COMPLETED:
+                await anyio.sleep(0.05)
+
+
+def test_the_owner_calls_no_worker_itself_while_members_answer():
+    async def program(cell):
+        await run_jobs(cell, 4, "a")
+        assert not cell.owner().instance.relay_host.workers
+        called = [set(member.instance.relay_host.workers) for member in others(cell)]
+        assert set.union(*called) == set(cell.world.workers)
+
+    run_cell(program, instances=4, workers=12)
+
+
+@pytest.mark.parametrize("end", ["kill", "freeze"])
+def test_workers_of_a_member_that_ends_are_not_held_to_be_silent(end):
+    async def program(cell):
+        await run_jobs(cell, 2, "a")
+        member = others(cell)[0]
+        assert member.instance.relay_host.workers
+        if end == "kill":
+            cell.kill(member)
+        else:
+            member.gate.close()
+        await run_jobs(cell, 4, "b")
+
+    with capture_logs() as lines:
+        run_cell(program, instances=3, workers=12)
+    assert not silent_workers(lines)
+
+
+def test_an_owner_without_members_calls_the_workers_itself():
+    async def program(cell):
+        for member in others(cell):
+            cell.kill(member)
+        await run_jobs(cell, 4, "a")
+
+    run_cell(program, instances=3, workers=6)
+
+
+def test_a_member_refuses_orders_of_an_earlier_owner():
+    async def program(cell):
+        await run_jobs(cell, 1, "a")
+        host = next(m for m in others(cell) if m.instance.relay_host.workers)
+        relay_host = host.instance.relay_host
+        worker = next(iter(cell.world.workers.values()))
+        outcomes = {}
+        for epoch in (Epoch(1), relay_host.epoch):
+            order = RelayedStop(
+                1, worker.id, worker.incarnation, "", 0.5, epoch, "x.0.0.0", 1
+            )
+            await relay_host.carry_out(OWNER, order)
+            outcomes[epoch] = relay_host.replies.pop(OWNER).outcomes[0].outcome
+        assert outcomes[Epoch(1)] == OrderOutcome.FENCED.value
+        assert outcomes[relay_host.epoch] == OrderOutcome.DONE.value
+
+    run_cell(program, instances=3, workers=6)
+
+
+def test_an_order_that_gets_no_answer_is_not_waited_for_by_all():
+    """Only the first order finds out that a member does not answer."""
+
+    async def program(cell):
+        await run_jobs(cell, 2, "a")
+        relays = cell.owner().instance.relays
+        member = others(cell)[0]
+        member.gate.close()
+        await anyio.sleep(1.5)
+        assert not relays.lanes[member.instance.instance].answers
+        member.gate.open()
+        await anyio.sleep(1.5)
+        assert relays.lanes[member.instance.instance].answers
+
+    run_cell(program, instances=3, workers=12)
+
+
+def test_reply_times_follow_a_link_that_fills_and_empties():
+    times = ReplyTimes()
+    for _ in range(50):
+        times.note(0.02)
+    assert times.limit_s(0.3) == 0.3
+    for number in range(50):
+        times.note_overdue(number, 0.0)
+        times.note_late(number, 1.0)
+    assert 1.0 < times.limit_s(0.3) <= MAX_LIMIT_S
+    for _ in range(100):
+        times.note(0.02)
+    assert times.limit_s(0.3) == 0.3
+
+
+def test_a_reply_to_an_order_that_nobody_waits_for_is_no_error():
+    times = ReplyTimes()
+    times.note_late(7, 1.0)
+    assert times.limit_s(0.3) == 0.3
+
+
+def test_calls_to_a_restarted_worker_are_opened_anew():
+    """Orders name the incarnation that they are meant for."""
+
+    async def program(cell):
+        await run_jobs(cell, 1, "a")
+        host = next(m for m in others(cell) if m.instance.relay_host.workers)
+        name, called = next(iter(host.instance.relay_host.workers.items()))
+        worker = cell.world.workers[WorkerId(name)]
+        assert called.incarnation == Incarnation(1)
+        await cell.restart_worker(worker)
+        await run_jobs(cell, 4, "b")
+        found = [
+            member.instance.relay_host.workers[name].incarnation
+            for member in others(cell)
+            if name in member.instance.relay_host.workers
+        ]
+        assert Incarnation(2) in found
+
+    run_cell(program, instances=3, workers=6)
