--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -153,7 +153,7 @@
         )
         return HttpReply(response.status, response.content)
 
-    def timeouts(self, timeout_s: float, size: int) -> dict[str, float]:
+    def timeouts(self, timeout_s: float, size: int = 0) -> dict[str, float]:
         """Returns the bounds of the parts of a call that begins now.
 
         :param size: Bytes of the body: a thin link takes its time to carry them.
