--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -122,7 +122,7 @@
     ) -> None:
         self.tasks = tasks
         self.rng = random.Random(seed)
-        self.state = StoreState()
+        self.state = StoreState(joins_changes=True)
         self.state.max_operations = STORE_OPERATIONS
         self.network = MemoryNetwork(lambda one, other: 0.001)
         self.queues = queues or [Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)]
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -75,9 +75,14 @@
     """The contents that all clients of one fake store share.
 
     :param latency_s: Time that each call takes, in seconds.
+    :param joins_changes: Whether watchers are told all changes of a look together,
+        as the platform's store does; else each by itself.
     """
 
-    def __init__(self, latency_s: float = 0.002) -> None:
+    def __init__(
+        self, latency_s: float = 0.002, *, joins_changes: bool = False
+    ) -> None:
+        self.joins_changes = joins_changes
         self.latency_s = latency_s
         self.revision = 1
         self.keys: dict[str, KeyValue] = {}
@@ -100,7 +105,7 @@
 
     def copy(self) -> StoreState:
         """Returns an independent copy, as a backup of now would restore it."""
-        copied = StoreState(self.latency_s)
+        copied = StoreState(self.latency_s, joins_changes=self.joins_changes)
         copied.revision = self.revision
         copied.keys = dict(self.keys)
         copied.leases = {
@@ -142,16 +147,22 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def changes_after(self, revision: int, prefix: str) -> list[WatchBatch]:
-        """Returns what one look finds, a batch more where a removed key is back."""
-        batches: list[WatchBatch] = []
+    def look(self, revision: int, prefix: str) -> list[WatchBatch]:
+        """Returns the changes under a prefix after a revision, oldest first."""
+        changes = []
         for change in self.history:
             if change.revision <= revision:
                 continue
             puts = [item for item in change.puts if item.key.startswith(prefix)]
             deletes = [key for key in change.deletes if key.startswith(prefix)]
-            if not puts and not deletes:
-                continue
+            changes.append(WatchBatch(change.revision, puts, deletes))
+        return self.join(changes) if self.joins_changes else changes
+
+    def join(self, changes: list[WatchBatch]) -> list[WatchBatch]:
+        """Returns changes together, a batch more where a removed key is back."""
+        batches: list[WatchBatch] = []
+        for change in changes:
+            puts, deletes = change.puts, change.deletes
             last = batches.pop() if batches else WatchBatch(0, [], [])
             if any(item.key in last.deletes for item in puts):
                 batches.append(last)
@@ -362,13 +373,13 @@
             changed = self.state.changed
             if self.watch_silent:
                 await anyio.sleep_forever()
-            if not self.cut_off() and self.state.revision > after:
+            for batch in self.state.look(after, prefix):
+                after = batch.revision
+                if self.cut_off():
+                    break
                 await self.gate.pass_through()
-                batches = self.state.changes_after(after, prefix)
-                after = self.state.revision
-                if batches:
+                if batch.puts or batch.deletes:
                     await anyio.sleep(self.call_s() / 2)
-                for batch in batches:
                     self.count_bytes(batch.puts)
                     yield batch
             if self.cut_off():
