--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -104,7 +104,7 @@
         self.lag = ports.lag or LagMonitor()
         self.lag.details = self.describe_lateness
         self.lag.lags = self.metrics.late_seconds
-        self.store = WatchedStore(ports.store)
+        self.store = WatchedStore(ports.store, self.lag)
         self.jobs = JobStore(self.store, prefix)
         self.state = CellState()
         self.strength = strength_of(settings.machine)
@@ -120,7 +120,7 @@
         )
         self.owner: CellOwner | None = None
         self.peers = PeerLinks(
-            instance, ports.transport, self.address_of, self.is_paid, rng
+            instance, ports.transport, self.address_of, self.is_paid, rng, self.lag
         )
         self.peer_calls = PeerCalls(self)
         member = CellMember(
@@ -129,7 +129,7 @@
             region=settings.region,
             strength=self.strength,
         )
-        self.membership = Membership(self.store, prefix, member)
+        self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_lane)
         self.admission = Admission(self)
         self.front = JobFront(self)
@@ -342,7 +342,7 @@
 
     async def decide_under(self, ownership: Ownership) -> None:
         """Decides until the ownership is lost."""
-        book = AdviceBook(self.metrics)
+        book = AdviceBook(self.metrics, self.lag)
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
         owner = CellOwner(
