--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -270,7 +270,7 @@
             del self.pending[order.number]
         if pending.reply is None:
             self.times.note_overdue(order.number, sent_at + waits_s)
-        elif not waits_s:
+        elif not waits_s and answered(pending.reply):
             self.times.note(anyio.current_time() - sent_at)
         return pending
 
@@ -442,6 +442,11 @@
             await self.direct.close()
 
 
+def answered(reply: RelayedReply) -> bool:
+    """Returns whether the worker itself has answered, and not the member for it."""
+    return isinstance(reply, WorkerReport) or reply.clock_ms is not None
+
+
 def as_order_reply(reply: RelayedReply | OrderOutcome) -> OrderReply:
     """Returns the reply to a start or stop; a report answers neither."""
     if isinstance(reply, OrderReply):
