--- /dev/null
+++ b/tests/test_scheduler/test_earlier_owners.py
@@ -0,0 +1,40 @@
+"""Owners before the last one, which may still hold workers."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.scheduler.owner import CUT_OFF_HOLD_S
+from tests.test_scheduler.support import run_cell
+
+
+def cut_off(cell, member):
+    """Cuts a member off from the store and all others; it still reaches workers."""
+    member.gate_store.close()
+    name = member.instance.instance
+    for other in cell.members:
+        if other is not member:
+            cell.network.cut.add((name, other.instance.instance))
+            cell.network.cut.add((other.instance.instance, name))
+
+
+@pytest.mark.parametrize("instances", [2, 3])
+def test_an_owner_waits_for_the_hold_of_the_owner_before_its_predecessor(instances):
+    async def program(cell):
+        first = cell.owner()
+        held_until = first.instance.owner.ownership.valid_until + CUT_OFF_HOLD_S
+        cut_off(cell, first)
+        while cell.owner() in (None, first):
+            await anyio.sleep(0.01)
+        second = cell.owner()
+        ownership = second.instance.owner.ownership
+        await second.instance.election.release(ownership)
+        while cell.owner() in (None, first):
+            await anyio.sleep(0.01)
+        third = cell.owner().instance.owner
+        assert third.ownership.term == ownership.term + 1
+        await anyio.sleep(0.5)
+        assert third.certain_at() > held_until
+
+    run_cell(program, instances=instances, limit_s=60)
--- /dev/null
+++ b/tests/test_scheduler/test_relay_faults.py
@@ -0,0 +1,92 @@
+"""Members that carry out orders, and what can go wrong with them."""
+
+from __future__ import annotations
+
+import anyio
+
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.schema.generated.messages import (
+    CellOrderReplies,
+    MessageKind,
+    RelayedEnd,
+    RelayedOutcome,
+    RelayedReport,
+)
+from lacewinghold.testing.step_worker import Behaviour
+from tests.test_scheduler.support import run_cell, step
+
+
+def other_than(cell, owner):
+    """Returns a member that does not decide."""
+    return next(member for member in cell.members if member is not owner)
+
+
+async def send_replies(cell, reports, outcomes):
+    """Has a member send replies to the owner."""
+    owner = cell.owner()
+    member = other_than(cell, owner)
+    await member.instance.peers.notify(
+        owner.instance.instance,
+        MessageKind.CELL_ORDER_REPLIES,
+        CellOrderReplies(reports, outcomes),
+    )
+    await anyio.sleep(0.1)
+
+
+def test_an_outcome_of_a_newer_version_does_not_end_the_owner():
+    async def program(cell):
+        await send_replies(cell, [], [RelayedOutcome(1, "of_a_newer_version", None)])
+        await cell.submit("a", [step()])
+        assert await cell.wait_for("a", JobState.COMPLETED, 10)
+
+    run_cell(program, limit_s=30)
+
+
+def test_an_end_of_a_newer_version_does_not_end_the_owner():
+    async def program(cell):
+        end = RelayedEnd(1, "a.0.0.0", 1, "of_a_newer_version", "")
+        await send_replies(cell, [RelayedReport(1, 0.0, [], [end])], [])
+        await cell.submit("a", [step()])
+        assert await cell.wait_for("a", JobState.COMPLETED, 10)
+
+    run_cell(program, limit_s=30)
+
+
+def test_an_undecodable_message_of_a_member_does_not_end_the_process():
+    async def program(cell):
+        owner = cell.owner()
+        member = other_than(cell, owner)
+        links = member.instance.peers
+        for kind in (MessageKind.CELL_ORDERS, MessageKind.CELL_ORDER_REPLIES):
+            links.queue(owner.instance.instance, kind, 0, b"\xc1")
+        await anyio.sleep(0.1)
+        await cell.submit("a", [step()])
+        assert await cell.wait_for("a", JobState.COMPLETED, 10)
+
+    run_cell(program, limit_s=30)
+
+
+def test_a_reply_to_the_earlier_start_of_an_instance_settles_no_order_of_the_next():
+    async def program(cell):
+        before = next(cell.owner().instance.relays.numbers)
+        cell.kill(cell.owner())
+        owner = await cell.wait_for_owner()
+        relays = owner.instance.relays
+        # Another process would begin to count anew.
+        assert next(relays.numbers) > before + 1_000_000
+
+    run_cell(program, limit_s=30)
+
+
+def test_runs_outlive_a_frozen_member_while_the_owners_link_is_full():
+    async def program(cell):
+        cell.behaviours["a"] = Behaviour(20)
+        await cell.submit("a", [step(tasks=8)])
+        await anyio.sleep(1)
+        owner = cell.owner()
+        owner.instance.relays.times.limit_s = lambda usual_s: 3.0
+        other_than(cell, owner).gate.close()
+        await anyio.sleep(12)
+        assert len(cell.world.starts) == 8
+
+    run_cell(program, instances=4, limit_s=60)
