--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -197,7 +197,11 @@
             return Err(Failure(ErrorKind.UNSUPPORTED_VERSION, detail))
         if self.answering > MAX_ANSWERS:
             return Err(Failure(ErrorKind.OVERLOADED, "too many requests of peers"))
-        return await handler(envelope.sender, envelope.body)
+        try:
+            return await handler(envelope.sender, envelope.body)
+        except DecodeError as error:
+            logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
+            return Err(Failure(ErrorKind.INVALID, f"damaged {envelope.kind}"))
 
     def queue(
         self, peer: InstanceId, kind: MessageKind, correlation: int, body: bytes
