--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -371,7 +371,9 @@
         if self.ports.advice is not None:
             book.lanes.append(Lane(str(self.instance), self.ports.advice))
         data_centre = self.settings.data_centre
-        relays = OrderRelays(self.peers, self.ports.dialer, data_centre, self.lag)
+        relays = OrderRelays(
+            self.peers, self.ports.dialer, data_centre, self.lag, ownership.epoch
+        )
         owner = CellOwner(
             ownership,
             self.jobs,
--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -40,6 +40,7 @@
 from lacewinghold.util.codec import unpack
 
 if TYPE_CHECKING:
+    from lacewinghold.ids import Epoch
     from lacewinghold.peers.links import PeerLinks
     from lacewinghold.scheduler.ports import (
         LookOrder,
@@ -59,9 +60,12 @@
 FIRST_ANSWER_S = 0.2  # Orders wait this long for members that were just asked.
 ASK_AGAIN_S = 1.0  # Members that do not answer are asked again this often.
 AVOID_S = 2.0  # A member that did not reach a worker calls others meanwhile.
+NUMBERS_AN_EPOCH = 2**24  # More than a process sends while an old reply is under way.
+
 
 RelayedOrder: TypeAlias = RelayedLook | RelayedStart | RelayedStop
 RelayedReply: TypeAlias = WorkerReport | OrderReply
+UNREADABLE = OrderReply(OrderOutcome.UNKNOWN)  # A reply that says nothing.
 
 
 class PendingOrder(Struct, eq=False):
@@ -114,10 +118,11 @@
     :param direct: Opens calls from this instance.
     :param data_centre: Where this instance is.
     :param lag: Tells when this process itself is late.
+    :param epoch: Of the ownership: replies to an earlier one find nothing, even of
+        another process at the same address.
     """
 
     name = "relays"
-    numbers = itertools.count(1)  # Replies to an earlier ownership find nothing.
 
     def __init__(
         self,
@@ -125,7 +130,9 @@
         direct: WorkerDialer,
         data_centre: str,
         lag: LagMonitor,
+        epoch: Epoch,
     ) -> None:
+        self.numbers = itertools.count(epoch * NUMBERS_AN_EPOCH)
         self.links = links
         self.data_centre = data_centre
         self.direct = direct
@@ -221,9 +228,9 @@
             self.note_change()
         replies = unpack(body, CellOrderReplies)
         for report in replies.reports:
-            self.settle(report.number, read_report(report))
+            self.settle(report.number, read_report(report) or UNREADABLE)
         for found in replies.outcomes:
-            outcome = OrderOutcome(found.outcome)
+            outcome = read_outcome(found.outcome)
             self.settle(found.number, OrderReply(outcome, found.clock_ms))
 
     def note_silent(self, lane: RelayLane) -> None:
@@ -451,13 +458,30 @@
     return OrderReply(OrderOutcome.UNKNOWN)
 
 
-def read_report(report: RelayedReport) -> WorkerReport:
-    """Returns a worker's report as a member has sent it."""
+def read_outcome(name: str) -> OrderOutcome:
+    """Returns an outcome by its name; one of another version says nothing."""
+    try:
+        return OrderOutcome(name)
+    except ValueError:
+        logger.warning(Event.DAMAGED_MESSAGE, detail=f"outcome {name}")
+        return OrderOutcome.UNKNOWN
+
+
+def read_report(report: RelayedReport) -> WorkerReport | None:
+    """Returns a worker's report as a member has sent it.
+
+    :returns: ``None`` if it names a kind of end of another version: ends that are
+        left out would be acknowledged.
+    """
     runs = []
     for run in report.runs:
         runs.append(RunReport(run.task, run.run, run.checkpoint, run.percent))
     ends = []
     for end in report.ends:
-        kind = EndKind(end.kind)
+        try:
+            kind = EndKind(end.kind)
+        except ValueError:
+            logger.warning(Event.DAMAGED_MESSAGE, detail=f"kind of end {end.kind}")
+            return None
         ends.append(EndReport(end.number, end.task, end.run, kind, end.checkpoint))
     return WorkerReport(report.clock_ms, runs, ends)
