--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -14,6 +14,7 @@
 import anyio
 import structlog
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err
 
 from lacewinghold.events import Event
@@ -28,7 +29,7 @@
     WorkerDialer,
     WorkerReport,
 )
-from lacewinghold.scheduler.reply_times import ReplyTimes
+from lacewinghold.scheduler.reply_times import MAX_LIMIT_S, ReplyTimes
 from lacewinghold.schema.generated.messages import (
     CellOrderReplies,
     CellOrders,
@@ -271,7 +272,8 @@
         usual_s = limit_s - waits_s + SLACK_S + self.lag.allowance_s()
         sent_at = anyio.current_time()
         try:
-            with anyio.move_on_after(waits_s + self.times.limit_s(usual_s)):
+            limit_s = min(waits_s + self.times.limit_s(usual_s), MAX_LIMIT_S)
+            with anyio.move_on_after(limit_s):
                 await pending.settled.wait()
         finally:
             del self.pending[order.number]
@@ -433,6 +435,7 @@
             # The member did not answer, which says nothing of the worker.
             relayed.number = next(self.relays.numbers)
             relayed.wait_s = 0.0
+            order = replace(order, wait_s=0.0)
         return OrderOutcome.UNKNOWN
 
     async def look_directly(
--- a/tests/test_scheduler/test_relay_faults.py
+++ b/tests/test_scheduler/test_relay_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.schema.generated.messages import (
@@ -78,15 +79,22 @@
     run_cell(program, limit_s=30)
 
 
-def test_runs_outlive_a_frozen_member_while_the_owners_link_is_full():
+@pytest.mark.parametrize("lag_s, limit_s", [(0.5, None), (0.0, 3.0), (0.5, 3.0)])
+def test_runs_outlive_a_frozen_member_of_an_owner_that_is_late_or_has_a_full_link(
+    lag_s, limit_s
+):
     async def program(cell):
         cell.behaviours["a"] = Behaviour(20)
         await cell.submit("a", [step(tasks=8)])
         await anyio.sleep(1)
         owner = cell.owner()
-        owner.instance.relays.times.limit_s = lambda usual_s: 3.0
+        if limit_s:
+            owner.instance.relays.times.limit_s = lambda usual_s: limit_s
+        if lag_s:
+            owner.instance.lag.late_s = lambda: lag_s
+        await anyio.sleep(2)
         other_than(cell, owner).gate.close()
         await anyio.sleep(12)
         assert len(cell.world.starts) == 8
 
-    run_cell(program, instances=4, limit_s=60)
+    run_cell(program, instances=2, limit_s=60)
