--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -76,6 +76,10 @@
         elif not self.owner.loaded:
             self.note_unread(job_id, kind, item)
         elif kind is JobKey.ACCEPTED:
+            ended = self.owner.ended.jobs.get(job_id)
+            if ended is not None and not ended.old:
+                # The previous version stores an ended job again.
+                self.owner.log.remove_later([item.key])
             record = self.read_record(item)
             if record is not None:
                 self.accept(record)
