--- /dev/null
+++ b/tests/test_scheduler/test_late_admission.py
@@ -0,0 +1,23 @@
+"""Submissions to a late owner that still starts all that has room."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+from result import Ok
+
+from lacewinghold.util.lag import LagMonitor
+from tests.test_scheduler.support import run_cell, step
+
+
+def test_a_step_without_room_does_not_have_other_jobs_refused(monkeypatch):
+    monkeypatch.setattr(LagMonitor, "lag_s", property(lambda monitor: 0.5))
+
+    async def program(cell):
+        gang = step(tasks=22, cpu=4000, all_at_once=True)
+        await cell.submit("gang", [msgspec.structs.replace(gang, expected_ms=60_000)])
+        for number in range(40):
+            assert isinstance(await cell.submit(f"job-{number}", [step()]), Ok)
+            await anyio.sleep(0.5)
+
+    run_cell(program, limit_s=60)
