--- a/bench/bench_loading.py
+++ b/bench/bench_loading.py
@@ -20,6 +20,7 @@
 from lacewinghold.scheduler.owner import CellOwner, CellState
 from lacewinghold.schema.generated.cell import (
     CellJob,
+    CellOwnerRecord,
     JobOutcome,
     QueueRules,
     StepSpec,
@@ -109,7 +110,10 @@
     def make_owner(self, store: MemoryStore, workers: StepCell) -> CellOwner:
         """Returns the next owner."""
         metrics = CellMetrics()
-        ownership = Ownership(self.epoch, 2, LeaseId(0), math.inf, anyio.Event())
+        record = CellOwnerRecord(instance="i", address="a", term=2)
+        ownership = Ownership(
+            self.epoch, 2, LeaseId(0), math.inf, anyio.Event(), record
+        )
         return CellOwner(
             ownership,
             JobStore(store, PREFIX),
--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.scheduler.election import LATE_S
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE, chain_s
+from lacewinghold.scheduler.policy import fitting_count
 from lacewinghold.scheduler.ports import Resources
 
 if TYPE_CHECKING:
@@ -70,18 +71,25 @@
 
 
 class Work(Struct):
-    """Tasks that wait, and the room that they take, times how long they take it."""
+    """Work that waits.
+
+    :param tasks: Those that could start at once.
+    :param cpu_s: Room that all of them take, times how long they take it.
+    """
 
     tasks: int = 0
     cpu_s: float = 0.0
     memory_s: float = 0.0
     accelerator_s: float = 0.0
 
-    def add(self, step: Step) -> None:
-        """Adds the waiting tasks of a step."""
+    def add(self, step: Step, *, has_room: bool) -> None:
+        """Adds the waiting tasks of a step.
+
+        :param has_room: Whether they wait for the owner, and not for room.
+        """
         count = len(step.waiting())
         room_s = count * step.spec.expected_ms / 1000
-        self.tasks += count
+        self.tasks += count if has_room else 0
         if step.spec.long_running:
             return
         self.cpu_s += room_s * step.room.cpu_millis
@@ -150,6 +158,7 @@
     def measure(self) -> None:
         """Notes what waits, how full the workers are and how fast tasks start."""
         now = anyio.current_time()
+        late = self.instance.lag.lag_s > LATE_S
         for pool in self.pools.values():
             pool.waiting.clear()
         for step in self.owner.table.open_steps.values():
@@ -157,14 +166,25 @@
             if now - step.due_at > job.objective_s:
                 continue
             pool = self.pools.setdefault(job.queue.service, Pool())
-            pool.waiting.setdefault(job.queue.urgency, Work()).add(step)
+            work = pool.waiting.setdefault(job.queue.urgency, Work())
+            work.add(step, has_room=late and self.has_room(step, now))
         for service, pool in self.pools.items():
             full = self.fullness(service, now) >= FULL_SHARE
             pool.full_checks = pool.full_checks + 1 if full else 0
-        late = self.instance.lag.lag_s > LATE_S
         self.late_checks = self.late_checks + 1 if late else 0
         self.started.append(self.owner.metrics.started())
 
+    def has_room(self, step: Step, now: float) -> bool:
+        """Returns whether the workers have room for a step now."""
+        needed = step.spec.tasks if step.spec.all_at_once else 1
+        for node in self.owner.fleet.nodes.values():
+            if node.entry.service != step.job.queue.service or not node.usable(now):
+                continue
+            needed -= fitting_count(step.room, node.free(), needed)
+            if needed <= 0:
+                return True
+        return False
+
     def capacity(self, service: str, now: float) -> tuple[Resources, Resources]:
         """Returns the capacity of a service's usable workers, and what is taken."""
         capacity, used = Resources(), Resources()
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -397,8 +397,10 @@
             tasks.start_soon(HandOver(self, owner).run)
             tasks.start_soon(BacklogWatch(self, owner).run)
             earlier = self.election.earlier
-            if earlier is None or earlier.instance == self.instance:
+            if earlier is None:
                 owner.earlier_stopped.set()
+            elif earlier.instance == self.instance:
+                owner.note_earlier_stopped(earlier)
             else:
                 tasks.start_soon(self.peer_calls.stop_earlier, owner, earlier)
             for member in list(self.members.members):
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -52,6 +52,7 @@
     :param epoch: Revision of the record, the fencing token.
     :param term: Number of the claim, from 1.
     :param valid_until: Until when it surely holds, on the runtime's clock.
+    :param record: What the store says of it.
     """
 
     epoch: Epoch
@@ -59,6 +60,7 @@
     lease: LeaseId
     valid_until: float
     lost: anyio.Event
+    record: CellOwnerRecord
 
 
 class Invitation(Struct, frozen=True):
@@ -202,7 +204,10 @@
         self.earlier = from_json(items[0].value, CellOwnerRecord) if items else None
         term = self.earlier.term + 1 if self.earlier else 1
         record = CellOwnerRecord(
-            instance=self.instance, address=self.address, term=term
+            instance=self.instance,
+            address=self.address,
+            term=term,
+            alone=self.earlier is None,
         )
         key = self.prefix + OWNER
         reply = await self.store.commit(
@@ -228,6 +233,7 @@
             lease=granted.ok_value,
             valid_until=started + self.lease_s * (1 - MARGIN_SHARE),
             lost=anyio.Event(),
+            record=record,
         )
         logger.info(Event.OWNERSHIP_TAKEN, term=term, epoch=ownership.epoch)
         return ownership
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from lacewinghold.events import Event
+from lacewinghold.scheduler.election import TERM_KEY
 from lacewinghold.scheduler.end_log import EndLog
 from lacewinghold.scheduler.ended_jobs import EndedJobs
 from lacewinghold.scheduler.fleet import WORKER_LEASE_S, Fleet
@@ -22,7 +23,7 @@
 from lacewinghold.scheduler.slow_workers import SlowWorkers
 from lacewinghold.schema.generated.cell import WorkerRoster
 from lacewinghold.store.mirror import Mirror
-from lacewinghold.util.codec import from_json
+from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -34,7 +35,7 @@
     from lacewinghold.scheduler.lateness import PlanningShare
     from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.ports import Manifest, WorkerDialer, WorkerEntry
-    from lacewinghold.schema.generated.cell import TaskEndEntry
+    from lacewinghold.schema.generated.cell import CellOwnerRecord, TaskEndEntry
     from lacewinghold.util.clock import WallClock
     from lacewinghold.util.lag import LagMonitor
 
@@ -210,11 +211,30 @@
         logger.warning(Event.FENCED, worker=node.id, epoch=self.epoch)
         self.ownership.lost.set()
 
+    def note_earlier_stopped(self, earlier: CellOwnerRecord) -> None:
+        """Notes that the last owner has stopped.
+
+        If it was not alone itself, owners before it may still hold workers.
+        """
+        if earlier.alone:
+            self.earlier_stopped.set()
+            self.tell_alone()
+
+    def tell_alone(self) -> None:
+        """Stores for the next owner that none before this one can go on."""
+        record = self.ownership.record
+        if record.alone:
+            return
+        record.alone = True
+        key = self.job_store.prefix + TERM_KEY
+        self.log.note_value(key, to_json(record), lambda: None)
+
     async def settle_uncertain(self) -> None:
         """Waits until no earlier owner's run can be where this one cannot see it."""
         while not self.fleet.all_fenced() and anyio.current_time() < self.certain_at():
             await anyio.sleep(FENCE_CHECK_S)
         self.certain = True
+        self.tell_alone()
         self.metrics.takeover_seconds.observe(anyio.current_time() - self.taken_at)
         self.stop_incomplete()
         logger.info(
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -159,7 +159,7 @@
             if isinstance(reply, Ok):
                 answer = unpack(reply.ok_value, CellYielded)
                 logger.info(Event.EARLIER_OWNER_STOPPED, asked=peer, by=answer.instance)
-                owner.earlier_stopped.set()
+                owner.note_earlier_stopped(earlier)
                 return
             await anyio.sleep(YIELD_RETRY_S)
 
