--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -84,9 +84,12 @@
     # Calls to the owner
 
     async def tell_accepted(self, record: CellJob) -> None:
-        """Tells the owner of a stored job; it would find it in the store as well."""
+        """Tells the owner of a stored job; it would find it in the store as well.
+
+        Over a thin link the job would take the place of two.
+        """
         owner = self.owner()
-        if owner is not None:
+        if owner is not None and owner not in self.links.narrow_peers:
             note = CellAccepted(to_json(record))
             await self.links.notify(owner, MessageKind.CELL_ACCEPTED, note)
 
--- a/tests/test_scheduler/test_thin_link.py
+++ b/tests/test_scheduler/test_thin_link.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 from result import Err
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.scheduler.end_log import EndLog
 from lacewinghold.scheduler.job_store import OWNER, JobStore
 from lacewinghold.schema.generated.cell import TaskEndEntry
+from lacewinghold.schema.generated.messages import MessageKind
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.testing.store import MemoryStore, StoreState
-from tests.test_scheduler.support import run_cell
+from tests.test_scheduler.support import run_cell, step
 
 ROSTERS_PER_S = 2
 LIMIT_S = 60
@@ -74,3 +76,23 @@
         assert len(ends.ok_value) == 2000
 
     run_paused(program, seed=1)
+
+
+@pytest.mark.parametrize("narrow", [True, False])
+def test_accepted_jobs_do_not_cross_the_thin_link_of_an_owner_twice(narrow):
+    """The store tells of them as well."""
+
+    async def program(cell):
+        owner = cell.owner()
+        member = next(member for member in cell.members if member is not owner)
+        links = member.instance.peers
+        if narrow:
+            links.narrow_peers.add(owner.instance.instance)
+        record = cell.make_job("a", [step()])
+        assert (await member.instance.front.submit(record)).is_ok()
+        with anyio.fail_after(LIMIT_S):
+            while "a.0.0.0" not in cell.world.done:
+                await anyio.sleep(0.1)
+        assert bool(links.bytes_sent[MessageKind.CELL_ACCEPTED]) is not narrow
+
+    run_cell(program)
