--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -73,8 +73,8 @@
     ),
     Mutant(
         "cancellation at load",
-        CELL + "owner:CellOwner.load",
-        "if job.cancelled:",
+        CELL + "job_table:JobTable.build",
+        "if job.id in self.cancelled:",
         "if False:",
         (TAKEOVER,),
     ),
