--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -408,7 +408,7 @@
     Mutant(
         "silent link",
         PEER_LINK + "watch",
-        "now - self.heard_at > SILENCE_S",
+        "now > self.links.lag.deadline(self.heard_at, SILENCE_S)",
         "False",
         LINKS,
     ),
