--- a/tests/test_scheduler/test_takeover.py
+++ b/tests/test_scheduler/test_takeover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 import msgspec
 import pytest
@@ -363,7 +365,9 @@
         owner.log.remove = removed.extend
         for _ in range(3):
             owner.fleet.roster_due = True
+            owner.fleet.roster_at = -math.inf
             owner.fleet.write_due_roster()
+        assert len(written) == 3
         for _, stored in reversed(written):
             stored()
         keys = [key for key, _ in written]
