--- a/lacewinghold/peers/nng.py
+++ b/lacewinghold/peers/nng.py
@@ -23,6 +23,7 @@
 RECONNECT_LIMIT_MS = 2000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 SEND_BUFFER_MESSAGES = 64
+MAX_MESSAGES_PER_TURN = 16  # Keeps a turn of the event loop to a few milliseconds.
 
 
 def tls_config(tls: Tls, mode: int, host: str | None = None) -> pynng.TLSConfig:
@@ -43,6 +44,10 @@
 class NngTransport(PeerTransport):
     """Carries messages with nng over TCP, with TLS unless plaintext is allowed.
 
+    Messages are sent and received without blocking where possible. An asynchronous
+    operation of nng ends in a thread of nng, which then waits for the interpreter: on
+    a machine with little CPU, messages would be late although the event loop is not.
+
     :param listen: IP address and port to listen on.
     :param tls: Certificate files, or ``None`` for plaintext.
     """
@@ -54,6 +59,7 @@
         self.scheme = "tcp" if tls is None else "tls+tcp"
         self.tls = tls
         self.inbound = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
+        self.messages_in_turn = 0
         self.outbound: dict[InstanceId, pynng.Push0] = {}
         if tls is not None:
             self.inbound.tls_config = tls_config(tls, pynng.TLSConfig.MODE_SERVER)
@@ -69,13 +75,21 @@
 
     async def receive(self) -> bytes:
         while True:
+            if self.messages_in_turn >= MAX_MESSAGES_PER_TURN:
+                self.messages_in_turn = 0
+                await anyio.sleep(0)
             try:
-                return bytes(await self.inbound.arecv())
-            except pynng.Timeout:
-                continue
+                try:
+                    message = bytes(self.inbound.recv(block=False))
+                except pynng.TryAgain:
+                    self.messages_in_turn = 0
+                    await anyio.wait_readable(self.inbound.recv_fd)
+                    continue
             except pynng.Closed:
                 # The transport is being closed; its receiver is cancelled next.
                 await anyio.sleep_forever()
+            self.messages_in_turn += 1
+            return message
 
     def open(self, address: str) -> pynng.Push0:
         """Opens a socket to an address; it connects in the background."""
@@ -99,7 +113,10 @@
             socket = self.open(address)
             self.outbound[peer] = socket
         try:
-            await socket.asend(message)
+            try:
+                socket.send(message, block=False)
+            except pynng.TryAgain:
+                await socket.asend(message)
         except pynng.NNGException as error:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{peer}: {error}"))
         return Ok(None)
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import anyio
+import pynng
 import pytest
 import trio
 from msgspec import Struct
@@ -21,7 +22,7 @@
     SILENCE_TIMEOUT_S,
 )
 from lacewinghold.peers.links import MESSAGE_VERSION, PeerLinks
-from lacewinghold.peers.nng import NngTransport
+from lacewinghold.peers.nng import MAX_MESSAGES_PER_TURN, NngTransport
 from lacewinghold.schema.generated.messages import JobList, MessageKind, Views
 from lacewinghold.schema.generated.settings import Tls
 from lacewinghold.testing.clock import run_paused
@@ -299,3 +300,68 @@
 
     replies = anyio.run(session, backend="trio")
     assert all(isinstance(reply, Ok) for reply in replies)
+
+
+def test_messages_need_no_thread_of_the_message_library(monkeypatch):
+    """A completion in a library thread waits for the interpreter of a busy process.
+
+    Instances with 0.12 of a core lost all links that way while their event loop was on
+    time.
+    """
+    completions = 0
+    make_helper = pynng._aio.AIOHelper
+
+    def count_helper(*args):
+        nonlocal completions
+        completions += 1
+        return make_helper(*args)
+
+    monkeypatch.setattr(pynng._aio, "AIOHelper", count_helper)
+    book = {"a": free_address(), "b": free_address()}
+
+    async def session():
+        async with anyio.create_task_group() as tasks:
+            pair = []
+            for name, address in book.items():
+                links = PeerLinks(InstanceId(name), NngTransport(address), book.get)
+                links.on(MessageKind.JOB_LIST, echo)
+                tasks.start_soon(links.run)
+                pair.append(links)
+            replies = [await ask(pair[0], "b", 20.0) for _ in range(50)]
+            tasks.cancel_scope.cancel()
+        return replies
+
+    replies = anyio.run(session, backend="trio")
+    assert all(isinstance(reply, Ok) for reply in replies)
+    assert completions == 0
+
+
+def test_a_flood_of_messages_leaves_turns_to_other_tasks():
+    address = free_address()
+    turns = 0
+
+    async def session():
+        nonlocal turns
+        receiver, sender = NngTransport(address), NngTransport(free_address())
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await anyio.sleep(0)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(receiver.run)
+            for _ in range(60):
+                await sender.send(InstanceId("r"), address, b"x")
+            await receiver.receive()
+            await anyio.sleep(0.2)
+            tasks.start_soon(count_turns)
+            await anyio.sleep(0)
+            turns = 0
+            for _ in range(59):
+                await receiver.receive()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(session, backend="trio")
+    assert turns >= 59 // MAX_MESSAGES_PER_TURN
