--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -23,6 +23,7 @@
     LOG_LINES_DROPPED = "log lines dropped"
     PROCESS_LATE = "process late"
     PROCESS_ON_TIME_AGAIN = "process on time again"
+    UNEXPECTED_ERROR = "unexpected error"
 
     # Callers
     JOB_ACCEPTED = "job accepted"
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -23,6 +23,7 @@
     MessageKind,
 )
 from lacewinghold.util.codec import pack, unpack
+from lacewinghold.util.containment import contained
 from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
@@ -112,20 +113,23 @@
             try:
                 while True:
                     data = await self.transport.receive()
-                    self.dispatch(data, tasks)
+                    with contained("message of a peer"):
+                        self.dispatch(data, tasks)
             finally:
                 self.stopped = True
 
     def dispatch(self, data: bytes, tasks: TaskGroup) -> None:
         """Decodes a message and passes it to its handler or to the waiting caller."""
         try:
-            envelope = unpack(data, Envelope)
-            if envelope.compressed:
-                unpacker = zstandard.ZstdDecompressor()
-                envelope.body = unpacker.decompress(envelope.body, MAX_BODY_BYTES)
+            self.deliver(decode_envelope(data), tasks)
         except (DecodeError, zstandard.ZstdError) as error:
             logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
-            return
+
+    def deliver(self, envelope: Envelope, tasks: TaskGroup) -> None:
+        """Passes a message to its handler or to the waiting caller.
+
+        :raises DecodeError: If the body of a control message is malformed.
+        """
         if self.address(envelope.sender) is not None:
             self.versions[envelope.sender] = envelope.highest
             if envelope.narrow:
@@ -201,13 +205,16 @@
             return Err(
                 Failure(ErrorKind.OVERLOADED, "too many concurrent requests from peers")
             )
-        try:
-            return await handler(envelope.sender, envelope.body)
-        except DecodeError as error:
-            logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
-            return Err(
-                Failure(ErrorKind.INVALID, f"malformed body of {envelope.kind} message")
-            )
+        with contained("request of a peer", kind=envelope.kind, peer=envelope.sender):
+            try:
+                return await handler(envelope.sender, envelope.body)
+            except DecodeError as error:
+                logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
+                detail = f"malformed body of {envelope.kind} message"
+                return Err(Failure(ErrorKind.INVALID, detail))
+        # The handler may have taken effect before it failed.
+        detail = f"unexpected error while handling {envelope.kind} message"
+        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
 
     def queue(
         self, peer: InstanceId, kind: MessageKind, correlation: int, body: bytes
@@ -336,6 +343,19 @@
         return False
 
 
+def decode_envelope(data: bytes) -> Envelope:
+    """Decodes a message and decompresses its body.
+
+    :raises DecodeError: If the message is malformed.
+    :raises zstandard.ZstdError: If the body cannot be decompressed.
+    """
+    envelope = unpack(data, Envelope)
+    if envelope.compressed:
+        unpacker = zstandard.ZstdDecompressor()
+        envelope.body = unpacker.decompress(envelope.body, MAX_BODY_BYTES)
+    return envelope
+
+
 def to_result(envelope: Envelope) -> Result[bytes, Failure]:
     """Returns the result that a reply carries."""
     if envelope.kind is MessageKind.REPLY:
--- a/lacewinghold/platform/advice.py
+++ b/lacewinghold/platform/advice.py
@@ -12,6 +12,7 @@
 from lacewinghold.ids import WorkerId
 from lacewinghold.platform.http import JsonClient
 from lacewinghold.scheduler.ports import AdviceCalls, Ticket
+from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -50,7 +51,7 @@
             detail = f"advice service returned status {reply.ok_value.status}"
             return Err(Failure(ErrorKind.OVERLOADED, detail))
         try:
-            wire = msgspec.json.decode(reply.ok_value.body, type=WireAdvice)
+            wire = from_json(reply.ok_value.body, WireAdvice)
         except msgspec.DecodeError as error:
             return Err(Failure(ErrorKind.INVALID, str(error)))
         return Ok([Ticket(WorkerId(worker), text) for worker, text in wire.good])
--- a/lacewinghold/platform/manifest.py
+++ b/lacewinghold/platform/manifest.py
@@ -8,6 +8,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.scheduler.ports import AdviceRules, Manifest, Queue
+from lacewinghold.util.codec import from_json
 
 logger = structlog.get_logger(__name__)
 MANIFEST_KEY = "op/config"
@@ -71,8 +72,8 @@
 def read_manifest(value: bytes) -> Manifest | None:
     """Returns the decoded manifest, or ``None`` if it is malformed."""
     try:
-        wire = msgspec.json.decode(value, type=WireManifest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        wire = from_json(value, WireManifest)
+    except msgspec.DecodeError as error:
         logger.error(Event.MANIFEST_UNREADABLE, detail=str(error)[:200])
         return None
     return Manifest(
--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -25,6 +25,7 @@
     TransactionReply,
     WatchBatch,
 )
+from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -157,7 +158,7 @@
     def decode(self, reply: HttpReply, kind: type[T]) -> Result[T, Failure]:
         """Decodes a response."""
         try:
-            return Ok(msgspec.json.decode(reply.body, type=kind))
+            return Ok(from_json(reply.body, kind))
         except msgspec.DecodeError as error:
             detail = f"status {reply.status}: {error}"
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 import structlog
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 from result import Err
 
 from lacewinghold.errors import ErrorKind
@@ -27,6 +28,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from lacewinghold.util.codec import from_json
 from lacewinghold.util.turns import MAX_CONNECTS_PER_TURN, TurnGate
 
 if TYPE_CHECKING:
@@ -35,6 +37,8 @@
 
 logger = structlog.get_logger(__name__)
 WORKERS_PREFIX = "servers/"
+MAX_PORT = 65535
+MAX_AMOUNT = 2**40  # Of one resource of a worker; more is a mistake of the writer.
 MAX_CONNECTIONS = 24  # The platform allows 64 connections to each worker.
 EXPECT_INSTANCE_HEADER = "Lacewinghold-Expect-Instance"
 OUTCOME_BY_REASON = {
@@ -53,12 +57,15 @@
 }
 
 
+Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+
+
 class WireCapacity(Struct):
     """The capacity of a worker."""
 
-    cpu: int = 0
-    mem_mb: int = field(name="memMb", default=0)
-    gpus: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = field(name="memMb", default=0)
+    gpus: Amount = 0
 
 
 class WireWorker(Struct):
@@ -93,9 +100,10 @@
 def read_worker(key: str, value: bytes) -> WorkerEntry | None:
     """Returns a worker's entry, or ``None`` if another program wrote the value."""
     try:
-        wire = msgspec.json.decode(value, type=WireWorker)
+        wire = from_json(value, WireWorker)
         state = ServerState(wire.state)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        check_address(wire.address)
+    except (msgspec.DecodeError, ValueError) as error:
         logger.warning(Event.FOREIGN_WORKER_ENTRY, key=key, detail=str(error)[:200])
         return None
     room = wire.capacity
@@ -114,6 +122,17 @@
     )
 
 
+def check_address(address: str) -> None:
+    """Checks that an address is an IPv4 address and a port.
+
+    :raises ValueError: If it is not.
+    """
+    host, _, port = address.rpartition(":")
+    IPv4Address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError(f"no usable port in address {address!r}")
+
+
 def decode_run(row: list[object]) -> RunReport:
     """Decodes a current run: task, run, checkpoint, percent; a fifth is ignored."""
     return RunReport(str(row[0]), int(str(row[1])), str(row[2]), float(str(row[3])))
@@ -154,7 +173,7 @@
             return OrderReply(OrderOutcome.UNKNOWN)
         found = reply.ok_value
         try:
-            wire = msgspec.json.decode(found.body, type=WireReply)
+            wire = from_json(found.body, WireReply)
         except msgspec.DecodeError:
             wire = WireReply()
         if found.status == 409:
@@ -207,7 +226,7 @@
         if found.status != 200:
             return OUTCOME_BY_STATUS.get(found.status, OrderOutcome.UNKNOWN)
         try:
-            decoded = msgspec.json.decode(found.body, type=WirePollReply)
+            decoded = from_json(found.body, WirePollReply)
             if decoded.born is not None and decoded.born != self.entry.incarnation:
                 return OrderOutcome.OTHER_INCARNATION
             return WorkerReport(
@@ -224,7 +243,7 @@
     def decode_refusal(self, body: bytes) -> OrderOutcome:
         """Returns the reason for which a poll was refused."""
         try:
-            reason = msgspec.json.decode(body, type=WireReply).reason
+            reason = from_json(body, WireReply).reason
         except msgspec.DecodeError:
             return OrderOutcome.UNKNOWN
         return OUTCOME_BY_REASON.get(reason, OrderOutcome.UNKNOWN)
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -21,6 +21,7 @@
     StopOrder,
     WorkerReport,
 )
+from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -100,7 +101,8 @@
             reply = await self.poll(self.poll_wait_s() if may_wait else 0.0)
             if isinstance(reply, WorkerReport):
                 self.excused_polls = 0
-                self.owner.fleet.apply_report(self, reply, sent_at)
+                with contained("report of a worker", worker=node.id):
+                    self.owner.fleet.apply_report(self, reply, sent_at)
                 await self.pause_after_poll(reply)
                 continue
             if reply is OrderOutcome.FENCED:
@@ -199,7 +201,14 @@
     def start_run(self, run: Run, ticket: str) -> None:
         """Begins to order the start of a run, in the background."""
         if self.task_group is not None:
-            self.task_group.start_soon(self.order_start, run, ticket)
+            self.task_group.start_soon(self.order_start_contained, run, ticket)
+
+    async def order_start_contained(self, run: Run, ticket: str) -> None:
+        """Orders a start; gives the run up after an unexpected error."""
+        with contained("start of a run", task=run.task.name, worker=self.node.id):
+            await self.order_start(run, ticket)
+            return
+        self.stop_run(run)
 
     async def order_start(self, run: Run, ticket: str) -> None:
         """Orders a start until the worker has answered.
--- a/lacewinghold/scheduler/members.py
+++ b/lacewinghold/scheduler/members.py
@@ -153,14 +153,29 @@
         )
         if isinstance(reply, Err):
             return Err(reply.err_value)
-        advice = unpack(reply.ok_value, CellAdvice)
-        permitted = advice.workers
-        if advice.positions:
-            permitted = [workers[position] for position in advice.positions]
-        tickets = []
-        for worker, text in zip(permitted, advice.tickets, strict=True):
-            tickets.append(Ticket(worker, text))
-        return Ok(tickets)
+        try:
+            return Ok(decode_advice(reply.ok_value, workers))
+        except (msgspec.DecodeError, IndexError, ValueError) as error:
+            logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
+            return Err(Failure(ErrorKind.INVALID, f"malformed advice: {error}"))
+
+
+def decode_advice(body: bytes, workers: Sequence[WorkerId]) -> list[Ticket]:
+    """Returns the tickets in a member's answer.
+
+    :param workers: The workers that were asked about.
+    :raises msgspec.DecodeError: If the answer is malformed.
+    :raises IndexError: If it names a position of no worker.
+    :raises ValueError: If workers and tickets differ in number.
+    """
+    advice = unpack(body, CellAdvice)
+    permitted = advice.workers
+    if advice.positions:
+        permitted = [workers[position] for position in advice.positions]
+    tickets = []
+    for worker, text in zip(permitted, advice.tickets, strict=True):
+        tickets.append(Ticket(worker, text))
+    return tickets
 
 
 async def advise_for_peer(
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.exposition import generate_latest
 
 from lacewinghold.scheduler.ports import OrderOutcome
+from lacewinghold.util.containment import UNEXPECTED_ERRORS
 
 if TYPE_CHECKING:
     from collections import Counter as Counts
@@ -30,6 +31,7 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         registry = self.registry
+        registry.register(UNEXPECTED_ERRORS)
         self.submissions = Counter(
             "lacewinghold_submissions",
             "Submissions by result.",
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -32,6 +32,7 @@
     MessageKind,
 )
 from lacewinghold.util.codec import from_json, to_json, unpack
+from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.cell import CellInstance
@@ -116,7 +117,11 @@
         )
         if isinstance(reply, Err):
             return None
-        return JobState(unpack(reply.ok_value, CellJobState).state)
+        try:
+            return JobState(unpack(reply.ok_value, CellJobState).state)
+        except ValueError as error:
+            logger.warning(Event.DAMAGED_MESSAGE, peer=owner, detail=str(error))
+            return None
 
     async def fetch_waiting_count(self, queue: str) -> int | None:
         """Returns the owner's count of waiting jobs, ``None`` without an answer."""
@@ -179,10 +184,13 @@
                 OWNER_TIMEOUT_S,
             )
             if isinstance(reply, Ok):
-                answer = unpack(reply.ok_value, CellYielded)
-                logger.info(Event.EARLIER_OWNER_STOPPED, asked=peer, by=answer.instance)
-                owner.record_predecessor_stopped(earlier)
-                return
+                with contained("answer of the earlier owner", peer=peer):
+                    answer = unpack(reply.ok_value, CellYielded)
+                    logger.info(
+                        Event.EARLIER_OWNER_STOPPED, asked=peer, by=answer.instance
+                    )
+                    owner.record_predecessor_stopped(earlier)
+                    return
             await anyio.sleep(YIELD_RETRY_S)
 
     async def request_takeover(
--- a/lacewinghold/scheduler/relay_host.py
+++ b/lacewinghold/scheduler/relay_host.py
@@ -31,6 +31,7 @@
     RelayedStart,
 )
 from lacewinghold.util.codec import unpack
+from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -103,9 +104,14 @@
         if self.task_group is not None:
             for group in (orders.starts, orders.stops, orders.looks):
                 for order in group:
-                    self.task_group.start_soon(self.execute, peer, order)
+                    self.task_group.start_soon(self.execute_contained, peer, order)
         return Ok(CellOrderReplies([], []))
 
+    async def execute_contained(self, peer: InstanceId, order: RelayedOrder) -> None:
+        """Carries out one order; after an unexpected error it stays unanswered."""
+        with contained("relayed order", worker=order.worker, peer=peer):
+            await self.execute(peer, order)
+
     async def execute(self, peer: InstanceId, order: RelayedOrder) -> None:
         """Carries out one order and queues the reply.
 
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -12,6 +12,7 @@
 from lacewinghold.errors import ErrorKind, FailureError
 from lacewinghold.events import Event
 from lacewinghold.ids import Revision
+from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,8 +71,7 @@
             return Err(reply.err_value)
         found = {item.key for item in reply.ok_value.items}
         for key in set(self.revisions) - found:
-            del self.revisions[key]
-            self.on_delete(key)
+            self.delete(key)
         items = sorted(reply.ok_value.items, key=lambda item: item.mod_revision)
         for number, item in enumerate(items, 1):
             self.put(item)
@@ -87,7 +87,15 @@
         if self.revisions.get(item.key, 0) >= item.mod_revision:
             return
         self.revisions[item.key] = item.mod_revision
-        self.on_put(item)
+        with contained("entry in the store", key=item.key):
+            self.on_put(item)
+
+    def delete(self, key: str) -> None:
+        """Reports a removal, unless the copy does not have the key."""
+        if self.revisions.pop(key, None) is None:
+            return
+        with contained("entry in the store", key=key):
+            self.on_delete(key)
 
     def apply(self, batch: WatchBatch) -> None:
         """Applies a batch of changes to the copy and reports them."""
@@ -95,8 +103,7 @@
         for item in batch.puts:
             self.put(item)
         for key in batch.deletes:
-            if self.revisions.pop(key, None) is not None:
-                self.on_delete(key)
+            self.delete(key)
         self.revision = Revision(max(self.revision, batch.revision))
 
     async def load_until_done(self) -> None:
--- a/lacewinghold/util/codec.py
+++ b/lacewinghold/util/codec.py
@@ -22,11 +22,14 @@
 
 
 def from_json(data: bytes | str, kind: type[T]) -> T:
-    """Decodes trusted JSON, written by this program.
+    """Decodes JSON.
 
     :raises msgspec.DecodeError: If the data is malformed.
     """
-    return msgspec.json.decode(data, type=kind)
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (RecursionError, UnicodeDecodeError) as error:
+        raise msgspec.DecodeError(str(error)) from error
 
 
 def parse_json(data: bytes | str, kind: type[T], path: str = "$") -> Result[T, Failure]:
@@ -36,12 +39,10 @@
     :returns: The value, or a failure whose field is the JSON path of the error.
     """
     try:
-        return Ok(msgspec.json.decode(data, type=kind))
-    except (msgspec.DecodeError, RecursionError) as error:
+        return Ok(from_json(data, kind))
+    except msgspec.DecodeError as error:
         text, _, field = str(error).partition(" - at `")
         return Err(Failure(ErrorKind.INVALID, text, path + field.rstrip("`")[1:]))
-    except UnicodeDecodeError as error:
-        return Err(Failure(ErrorKind.INVALID, f"not UTF-8: {error}", path))
 
 
 def pack(value: PackedStruct) -> bytes:
@@ -54,4 +55,7 @@
 
     :raises msgspec.DecodeError: If the data is malformed.
     """
-    return msgspec.msgpack.decode(data, type=kind)
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (RecursionError, UnicodeDecodeError) as error:
+        raise msgspec.DecodeError(str(error)) from error
