--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -5,78 +5,42 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import httpcore
 import msgspec
 from msgspec import Struct
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.platform.http_connections import (
+    ConnectionPool,
+    ConnectTimeoutError,
+    HttpReply,
+    NoResponseError,
+    NotSentError,
+)
 from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
     from lacewinghold.util.turns import TurnGate
 
 CONNECT_TIMEOUT_S = 0.5  # Several round trips between regions.
 MIN_LINK_BYTES_PER_S = 125_000  # A link of 1 Mbit/s.
-KEEPALIVE_EXPIRY_S = 14.0  # Shorter than the platform's idle time-out of 15 s.
-NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-OUTCOME_UNKNOWN_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-)
-
-
-class HttpReply(Struct, frozen=True):
-    """A complete response."""
 
-    status: int
-    body: bytes
 
+class Timeouts(Struct, frozen=True):
+    """Time limits of one call, in seconds.
 
-class RateLimitedBackend(httpcore.AsyncNetworkBackend):
-    """Limits how many connections are opened in one turn of the event loop.
-
-    The wait at the gate does not count towards the connect time-out.
-
-    :param gate: Limits the connections that all clients sharing it open.
+    :param exchange_s: For sending the request and receiving its response.
     """
 
-    def __init__(
-        self, gate: TurnGate, inner: httpcore.AsyncNetworkBackend | None = None
-    ) -> None:
-        self.gate = gate
-        self.inner = inner or httpcore.TrioBackend()
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        await self.gate.enter()
-        return await self.inner.connect_tcp(
-            host,
-            port,
-            timeout=timeout,
-            local_address=local_address,
-            socket_options=socket_options,
-        )
-
-    async def sleep(self, seconds: float) -> None:
-        await self.inner.sleep(seconds)
+    connect_s: float
+    exchange_s: float
 
 
 class JsonClient:
     """Client of one address with a pool of persistent connections.
 
-    A connection whose response is late or lost is closed, so that a delayed
-    response cannot be matched to a later call.
-
     :param address: IP address and port.
     :param max_connections: Maximum number of open connections.
     :param lag: Measures this process's scheduling lag; ``None`` assumes no lag.
@@ -91,14 +55,10 @@
         gate: TurnGate | None = None,
     ) -> None:
         self.address = address
+        self.max_connections = max_connections
         self.lag = lag or LagMonitor()
         self.gate = gate
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            network_backend=RateLimitedBackend(gate) if gate else None,
-        )
+        self.pool = ConnectionPool(address, max_connections, gate)
 
     async def call(
         self,
@@ -116,74 +76,66 @@
         """
         started_at = anyio.current_time()
         content = b"" if body is None else msgspec.json.encode(body)
-        request_headers = [
-            ("Host", self.address),
-            ("Content-Length", str(len(content))),
-        ]
-        if content:
-            request_headers.append(("Content-Type", "application/json"))
-        request_headers += (headers or {}).items()
+        request = self.encode(method, path, content, headers or {})
         try:
             try:
-                return Ok(
-                    await self.request(
-                        method, path, timeout_s, content, request_headers
-                    )
-                )
-            except httpcore.ConnectTimeout:
+                return Ok(await self.send(request, timeout_s, len(content)))
+            except ConnectTimeoutError:
                 # Connecting takes several turns of the event loop, so that lag of this
                 # process can cause the time-out; the call is retried once.
                 if not self.lag.lagged_since(started_at):
                     raise
-                return Ok(
-                    await self.request(
-                        method, path, timeout_s, content, request_headers
-                    )
-                )
-        except NOT_SENT_ERRORS as error:
-            detail = f"{self.address}: {type(error).__name__}"
+                return Ok(await self.send(request, timeout_s, len(content)))
+        except NotSentError as error:
+            detail = f"{self.address}: {error}"
             return Err(Failure(ErrorKind.UNREACHABLE, detail))
-        except OUTCOME_UNKNOWN_ERRORS as error:
-            detail = f"{self.address}: {type(error).__name__}"
+        except NoResponseError as error:
+            detail = f"{self.address}: {error}"
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
 
-    async def request(
-        self,
-        method: str,
-        path: str,
-        timeout_s: float,
-        content: bytes,
-        headers: list[tuple[str, str]],
-    ) -> HttpReply:
-        """Sends one request; httpcore's exceptions are raised unchanged."""
-        response = await self.pool.request(
-            method,
-            f"http://{self.address}{path}",
-            headers=headers,
-            content=content,
-            extensions={"timeout": self.timeouts(timeout_s, len(content))},
-        )
-        return HttpReply(response.status, response.content)
+    def encode(
+        self, method: str, path: str, content: bytes, headers: Mapping[str, str]
+    ) -> bytes:
+        """Returns the bytes of a request."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {self.address}",
+            f"Content-Length: {len(content)}",
+        ]
+        if content:
+            lines.append("Content-Type: application/json")
+        for name, value in headers.items():
+            lines.append(f"{name}: {value}")
+        return "\r\n".join([*lines, "", ""]).encode("latin-1") + content
+
+    async def send(self, request: bytes, timeout_s: float, size: int) -> HttpReply:
+        """Sends one request; errors of the connections are raised unchanged."""
+        limits = self.timeouts(timeout_s, size)
+        return await self.pool.request(request, limits.connect_s, limits.exchange_s)
 
-    def timeouts(self, timeout_s: float, size: int = 0) -> dict[str, float]:
-        """Returns httpcore's time-outs in seconds for a call that starts now.
+    def timeouts(self, timeout_s: float, size: int = 0) -> Timeouts:
+        """Returns the time limits of a call that starts now.
 
-        :param size: Size of the body in bytes; the write time-out allows for its
-            transfer over a slow link.
+        :param size: Size of the body in bytes; its transfer over a slow link is
+            allowed for.
         """
         allowance_s = self.lag.allowance_s()
-        total_s = timeout_s + allowance_s
-        return {
-            "connect": min(CONNECT_TIMEOUT_S, timeout_s) + allowance_s,
-            "read": total_s,
-            "write": total_s + size / MIN_LINK_BYTES_PER_S,
-            "pool": total_s,
-        }
+        return Timeouts(
+            connect_s=min(CONNECT_TIMEOUT_S, timeout_s) + allowance_s,
+            exchange_s=timeout_s + allowance_s + size / MIN_LINK_BYTES_PER_S,
+        )
 
     def set_address(self, address: str) -> None:
-        """Directs later calls to another address; connections to the old one expire."""
+        """Directs later calls to another address.
+
+        Connections to the old address close once their calls are complete.
+        """
+        if address == self.address:
+            return
         self.address = address
+        self.pool.retire()
+        self.pool = ConnectionPool(address, self.max_connections, self.gate)
 
     async def close(self) -> None:
-        """Closes all connections."""
-        await self.pool.aclose()
+        """Closes all idle connections."""
+        await self.pool.close()
--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from lacewinghold.platform.http import HttpReply
+    from lacewinghold.platform.http_connections import HttpReply
     from lacewinghold.util.lag import LagMonitor
 
 T = TypeVar("T")
--- a/tests/test_platform/support.py
+++ b/tests/test_platform/support.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.platform.http import HttpReply
+from lacewinghold.platform.http_connections import HttpReply
 
 LOST = Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "no answer"))
 UNREACHABLE = Err(Failure(ErrorKind.UNREACHABLE, "no connection"))
--- a/tests/test_platform/test_http_lateness.py
+++ b/tests/test_platform/test_http_lateness.py
@@ -3,36 +3,49 @@
 from __future__ import annotations
 
 import anyio
-import httpcore
 import pytest
 from result import Ok
 
 from lacewinghold.errors import ErrorKind
 from lacewinghold.ids import Incarnation, WorkerId
-from lacewinghold.platform.http import CONNECT_TIMEOUT_S, JsonClient, RateLimitedBackend
+from lacewinghold.platform.http import CONNECT_TIMEOUT_S, JsonClient
+from lacewinghold.platform.http_connections import (
+    Connection,
+    ConnectionPool,
+    HttpReply,
+)
 from lacewinghold.platform.workers import PlatformWorkerDialer
 from lacewinghold.scheduler.ports import Resources, ServerState, WorkerEntry
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.util.lag import LagMonitor, LagPeriod
 from lacewinghold.util.turns import TurnGate
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
+class AnsweringConnection(Connection):
+    """A connection that answers each request at once."""
 
-class SlowBackend(httpcore.AsyncNetworkBackend):
+    def __init__(self):
+        self.reusable = False
+
+    async def exchange(self, request):
+        return HttpReply(200, b"{}")
+
+    async def close(self):
+        """Does nothing; there is no socket."""
+
+
+class SlowPool(ConnectionPool):
     """Opens connections, each after the next delay of a list."""
 
-    def __init__(self, delays_s):
+    def __init__(self, delays_s, gate=None):
+        super().__init__("10.0.0.1:1", 1, gate)
         self.delays_s = delays_s
         self.attempts = 0
 
-    async def connect_tcp(self, host, port, timeout=None, **options):
+    async def connect(self, host, port):
         self.attempts += 1
-        with anyio.move_on_after(timeout) as scope:
-            await anyio.sleep(self.delays_s.pop(0))
-        if scope.cancelled_caught:
-            raise httpcore.ConnectTimeout
-        return httpcore.AsyncMockStream([ANSWER])
+        await anyio.sleep(self.delays_s.pop(0))
+        return AnsweringConnection()
 
 
 def call(delays_s, late_s):
@@ -43,9 +56,8 @@
 
     async def session():
         lag = LagMonitor()
-        backend = SlowBackend(list(delays_s))
-        client = JsonClient("h:1", 1, lag)
-        client.pool = httpcore.AsyncConnectionPool(network_backend=backend)
+        client = JsonClient("10.0.0.1:1", 1, lag)
+        client.pool = SlowPool(list(delays_s))
 
         async def cause_lag():
             await anyio.sleep(CONNECT_TIMEOUT_S / 2)
@@ -55,7 +67,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(cause_lag)
             reply = await client.call("GET", "/", 0.8)
-        return reply, backend.attempts
+        return reply, client.pool.attempts
 
     return run_paused(session, seed=1)
 
@@ -85,9 +97,9 @@
         if late_s:
             now = anyio.current_time()
             lag.record_period(LagPeriod(now - late_s, now))
-        timeouts = JsonClient("h:1", 1, lag).timeouts(0.8)
-        assert timeouts["read"] == pytest.approx(read_s)
-        assert timeouts["connect"] == pytest.approx(CONNECT_TIMEOUT_S + read_s - 0.8)
+        timeouts = JsonClient("10.0.0.1:1", 1, lag).timeouts(0.8)
+        assert timeouts.exchange_s == pytest.approx(read_s)
+        assert timeouts.connect_s == pytest.approx(CONNECT_TIMEOUT_S + read_s - 0.8)
 
     run_paused(session, seed=1)
 
@@ -98,9 +110,8 @@
         await gate.enter()
         # Another caller holds the gate for longer than the connect time-out.
         await gate.lock.acquire()
-        backend = RateLimitedBackend(gate, SlowBackend([CONNECT_TIMEOUT_S / 2]))
-        client = JsonClient("h:1", 1)
-        client.pool = httpcore.AsyncConnectionPool(network_backend=backend)
+        client = JsonClient("10.0.0.1:1", 1)
+        client.pool = SlowPool([CONNECT_TIMEOUT_S / 2], gate)
         replies = []
 
         async def call_once():
--- a/tests/test_scheduler/test_containment.py
+++ b/tests/test_scheduler/test_containment.py
@@ -10,7 +10,7 @@
 from result import Ok
 
 from lacewinghold.platform.advice import PlatformAdvice
-from lacewinghold.platform.http import HttpReply
+from lacewinghold.platform.http_connections import HttpReply
 from lacewinghold.platform.manifest import read_manifest
 from lacewinghold.platform.workers import PlatformWorkerCalls, read_worker
 from lacewinghold.scheduler.driver import WorkerDriver
