--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-import itertools
 import math
+from itertools import chain, count
 from typing import TYPE_CHECKING, TypeAlias
-from zlib import crc32
 
 import anyio
 import structlog
@@ -30,6 +29,7 @@
     WorkerDialer,
     WorkerReport,
 )
+from lacewinghold.scheduler.relay_choice import RelayChoice
 from lacewinghold.scheduler.reply_times import MAX_LIMIT_S, ReplyTimes
 from lacewinghold.schema.generated.messages import (
     CellOrderReplies,
@@ -42,6 +42,8 @@
 from lacewinghold.util.codec import unpack
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from lacewinghold.ids import Epoch
     from lacewinghold.peers.links import PeerLinks
     from lacewinghold.scheduler.ports import (
@@ -98,6 +100,7 @@
         self.name = InstanceId(record.instance)
         self.region = record.region
         self.data_centre = record.data_centre
+        self.strength = record.strength
         self.first_probed_at = first_probed_at
         self.answering = False
         self.probe_due = True
@@ -139,13 +142,12 @@
         lag: LagMonitor,
         epoch: Epoch,
     ) -> None:
-        self.order_numbers = itertools.count(epoch * ORDER_NUMBERS_PER_EPOCH)
+        self.order_numbers = count(epoch * ORDER_NUMBERS_PER_EPOCH)
         self.links = links
         self.data_centre = data_centre
         self.direct_dialer = direct_dialer
         self.lag = lag
-        self.members: dict[InstanceId, RelayMember] = {}
-        self.members_version = 0
+        self.choice = RelayChoice()
         self.member_answered = anyio.Event()
         self.pending_orders: dict[int, PendingOrder] = {}
         self.send_requested = anyio.Event()
@@ -157,37 +159,19 @@
 
     # Members
 
+    @property
+    def members(self) -> dict[InstanceId, RelayMember]:
+        """Returns the members by their ids."""
+        return self.choice.members
+
     def add_member(self, record: CellMember) -> None:
         """Adds a member and probes it; it is used once it has answered."""
-        member = RelayMember(record, anyio.current_time())
-        self.members[member.name] = member
-        self.members_version += 1
+        self.choice.add_member(RelayMember(record, anyio.current_time()))
         self.send_requested.set()
 
     def remove_member(self, instance: InstanceId) -> None:
         """Removes a member."""
-        if self.members.pop(instance, None) is not None:
-            self.members_version += 1
-
-    def rank_members(self, entry: WorkerEntry) -> list[RelayMember]:
-        """Returns the members in order of preference for a worker.
-
-        Members of the worker's data centre come first, then those of its region. A
-        hash of worker and member spreads the workers evenly over equal members.
-        """
-        regions = {
-            member.data_centre: member.region for member in self.members.values()
-        }
-        region = regions.get(entry.data_centre)
-
-        def preference(member: RelayMember) -> tuple[bool, bool, int]:
-            return (
-                member.data_centre != entry.data_centre,
-                member.region != region,
-                crc32(f"{entry.worker}/{member.name}".encode()),
-            )
-
-        return sorted(self.members.values(), key=preference)
+        self.choice.remove_member(instance)
 
     # Messages
 
@@ -311,30 +295,30 @@
     def __init__(self, relays: OrderRelays, entry: WorkerEntry) -> None:
         self.relays = relays
         self.entry = entry
-        self.ranked_members: list[RelayMember] = []
+        self.ranked_relays: list[RelayMember] = []
         self.ranked_version = -1
+        relays.choice.count_worker(entry.data_centre, 1)
         self.avoided_until: dict[InstanceId, float] = {}
         self.direct_calls: WorkerCalls | None = None
 
-    def usable_members(self) -> list[RelayMember]:
-        """Returns the members that may relay to this worker, the preferred ones first.
+    def usable_members(self) -> Iterator[RelayMember]:
+        """Yields the members that may relay to this worker, the preferred ones first.
 
         If this instance is in the worker's data centre, members elsewhere are left
         out: a direct call is nearer.
         """
-        if self.ranked_version != self.relays.members_version:
-            self.ranked_version = self.relays.members_version
-            self.ranked_members = self.relays.rank_members(self.entry)
+        choice = self.relays.choice
+        if self.ranked_version != choice.version:
+            self.ranked_version = choice.version
+            self.ranked_relays = choice.ranked_relays(self.entry)
             self.avoided_until = {}
-        now = anyio.current_time()
         near = self.relays.data_centre == self.entry.data_centre
-        found = []
-        for member in self.ranked_members:
+        for member in chain(self.ranked_relays, choice.fallbacks(self.entry)):
             if near and member.data_centre != self.entry.data_centre:
-                break
-            if now >= self.avoided_until.get(member.name, -math.inf):
-                found.append(member)
-        return found
+                return
+            until = self.avoided_until.get(member.name, -math.inf)
+            if anyio.current_time() >= until:
+                yield member
 
     async def choose_member(self) -> RelayMember | None:
         """Returns the member to use.
@@ -481,6 +465,7 @@
             return await self.open_direct_calls().poll(order, timeout_s)
 
     async def close(self) -> None:
+        self.relays.choice.count_worker(self.entry.data_centre, -1)
         if self.direct_calls is not None:
             await self.direct_calls.close()
 
