--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -32,6 +32,7 @@
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import HealthCheckedStore
 from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
@@ -242,7 +243,7 @@
         owner = self.owner
         if owner is None or not owner.loaded:
             return None
-        if anyio.current_time() >= owner.ownership.valid_until:
+        if lease_time() >= owner.ownership.valid_until:
             return None
         return owner
 
--- a/lacewinghold/scheduler/election.py
+++ b/lacewinghold/scheduler/election.py
@@ -18,6 +18,7 @@
 from lacewinghold.schema.generated.cell import CellOwnerRecord
 from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
 from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
@@ -53,7 +54,7 @@
 
     :param epoch: Store revision of the claim, used as the fencing token.
     :param term: Number of the term, from 1.
-    :param valid_until: Until when the lease certainly holds, on the event loop's clock.
+    :param valid_until: Until when the lease certainly holds, by ``lease_time``.
     :param lost: Set once the ownership is lost or given up.
     :param record: The record in the store.
     """
@@ -203,6 +204,7 @@
             failed.
         """
         started = anyio.current_time()
+        requested_at = lease_time()
         granted, term_reply = await self.grant_lease_and_read_term()
         if isinstance(granted, Err) or isinstance(term_reply, Err):
             await anyio.sleep(CLAIM_RETRY_DELAY_S)
@@ -243,7 +245,7 @@
             epoch=Epoch(reply.ok_value.revision),
             term=term,
             lease=granted.ok_value,
-            valid_until=started + self.lease_s * (1 - LEASE_MARGIN_SHARE),
+            valid_until=requested_at + self.lease_s * (1 - LEASE_MARGIN_SHARE),
             lost=anyio.Event(),
             record=record,
         )
@@ -282,7 +284,7 @@
 
         :param due: When the renewal was due, on the event loop's clock.
         """
-        started = anyio.current_time()
+        requested_at = lease_time()
         reply = await self.store.renew_lease(ownership.lease)
         if isinstance(reply, Err):
             return
@@ -295,8 +297,8 @@
                 )
             ownership.lost.set()
             return
-        self.renewals.record_renewal(due, ownership.valid_until - anyio.current_time())
-        valid_until = started + self.lease_s * (1 - LEASE_MARGIN_SHARE)
+        self.renewals.record_renewal(due, ownership.valid_until - lease_time())
+        valid_until = requested_at + self.lease_s * (1 - LEASE_MARGIN_SHARE)
         ownership.valid_until = max(ownership.valid_until, valid_until)
 
     async def release(self, ownership: Ownership) -> None:
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -22,6 +22,7 @@
 )
 from lacewinghold.scheduler.ports import stored_queue
 from lacewinghold.schema.generated.cell import CellJob, JobOutcome
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
@@ -173,7 +174,7 @@
         age = max(0.0, self.owner.clock.now() - record.accepted_at)
         accepted_at = anyio.current_time() - age
         job = make_job(record, queue, accepted_at, self.owner.clock.offset_s)
-        job.learned_at = anyio.current_time()
+        job.learned_at = lease_time()
         job.from_earlier_owner = not self.owner.loaded
         self.jobs[job.id] = job
         for step in job.steps:
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -123,7 +123,7 @@
     """One accepted job.
 
     :param objective_s: Time from acceptance to completion that callers expect.
-    :param learned_at: When this owner learned of it, on the runtime's clock in seconds.
+    :param learned_at: When this owner learned of it, by ``lease_time``.
     :param record_removed: Whether the store has reported the removal of its record.
     :param from_earlier_owner: Whether an earlier owner may have started its tasks.
     """
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -27,6 +27,7 @@
 from lacewinghold.scheduler.slow_workers import SlowWorkers
 from lacewinghold.schema.generated.cell import WorkerRoster
 from lacewinghold.store.mirror import Mirror
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
@@ -127,8 +128,7 @@
 
         They may also during a store outage, for ``STORE_OUTAGE_GRACE_S``.
         """
-        now = anyio.current_time()
-        return now < self.ownership.valid_until + STORE_OUTAGE_GRACE_S
+        return lease_time() < self.ownership.valid_until + STORE_OUTAGE_GRACE_S
 
     def may_send_orders(self) -> bool:
         """Returns whether orders may be sent to workers."""
@@ -157,7 +157,7 @@
         """Removes ended jobs from the store after their retention period."""
         while True:
             await anyio.sleep(EXPIRY_CHECK_INTERVAL_S)
-            if anyio.current_time() >= self.ownership.valid_until:
+            if lease_time() >= self.ownership.valid_until:
                 continue
             self.table.forget_ended(self.clock.now() - self.status_retention_s)
             self.log.flush()
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -15,6 +15,7 @@
 from lacewinghold.scheduler.policy import Planner, fullness
 from lacewinghold.scheduler.searches import WorkerSearches
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
+from lacewinghold.util.clock import lease_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -62,7 +63,7 @@
         """Requests a plan; returns at once."""
         self.wake_event.set()
 
-    def may_start(self, job: Job, now: float) -> bool:
+    def may_start(self, job: Job) -> bool:
         """Returns whether no other owner can have started tasks of a job.
 
         Jobs of earlier owners wait until their runs are found or their leases have
@@ -72,7 +73,7 @@
         if job.from_earlier_owner and not self.owner.recovered:
             return False
         valid_until = self.owner.ownership.valid_until
-        return now < valid_until or job.learned_at < valid_until
+        return lease_time() < valid_until or job.learned_at < valid_until
 
     async def run(self) -> None:
         """Makes plans until cancelled.
@@ -122,7 +123,7 @@
         self.owner.table.open_due_steps()
         usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
         usable = [node for node in usable if not node.slow] or usable
-        steps = self.waiting_steps(now)
+        steps = self.waiting_steps()
         self.claims.retain(steps)
         finished = self.claims.expired_or_answered(
             now, self.owner.advice_book.renewal_pending
@@ -164,11 +165,11 @@
         self.choice_log.retain(steps)
         return plan.deferred
 
-    def waiting_steps(self, now: float) -> dict[str, Step]:
+    def waiting_steps(self) -> dict[str, Step]:
         """Returns the open steps with tasks that may be started, by their names."""
         steps = {}
         for name, step in list(self.owner.table.open_steps.items()):
-            if not self.may_start(step.job, now):
+            if not self.may_start(step.job):
                 continue
             if not step.has_waiting_tasks():
                 del self.owner.table.open_steps[name]
--- a/lacewinghold/util/clock.py
+++ b/lacewinghold/util/clock.py
@@ -41,6 +41,24 @@
         return datetime.fromtimestamp(self.now(), UTC).isoformat()
 
 
+def suspended_s() -> float:
+    """Returns how long the machine has been suspended since it booted, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(
+        time.CLOCK_MONOTONIC
+    )
+
+
+def lease_time() -> float:
+    """Returns the runtime's clock, advanced by the time that the machine was suspended.
+
+    The runtime's clock stands still meanwhile, but a lease that others hold against
+    this process runs on.
+
+    :returns: Seconds; comparable only with other values of this function.
+    """
+    return anyio.current_time() + suspended_s()
+
+
 def until_tick(interval_s: float) -> float:
     """Returns the seconds until the next multiple of an interval.
 
