--- a/examples/run_cell.py
+++ b/examples/run_cell.py
@@ -29,21 +29,22 @@
 
 
 def wait_until_owned(client: httpx.Client, urls: list[str], shards: int) -> None:
-    """Waits until the entry instances own a number of shards."""
+    """Waits until all entry instances answer and together own a number of shards."""
     deadline = time.monotonic() + START_LIMIT_S
     while time.monotonic() < deadline:
-        if sum(count_served_shards(client, url) for url in urls) >= shards:
+        served = [count_served_shards(client, url) for url in urls]
+        if None not in served and sum(count or 0 for count in served) >= shards:
             return
         time.sleep(CHECK_INTERVAL_S)
     raise SystemExit("the entry instances did not become ready in time")
 
 
-def count_served_shards(client: httpx.Client, url: str) -> int:
-    """Returns how many shards an entry instance serves."""
+def count_served_shards(client: httpx.Client, url: str) -> int | None:
+    """Returns how many shards an entry instance serves, ``None`` without an answer."""
     try:
         status = client.get(f"{url}/status").json()
     except httpx.HTTPError:
-        return 0
+        return None
     return sum(shard["ready"] for shard in status["shards"].values())
 
 
