--- a/lacewinghold/peers/link.py
+++ b/lacewinghold/peers/link.py
@@ -156,6 +156,8 @@
         silent = self.replacements and self.backoff.attempt
         self.echoed_number = echo
         self.silent_since = anyio.current_time()
+        if echo == self.heartbeat_number:
+            self.links.on_round_trip(self.silent_since - self.last_heartbeat_at)
         self.backoff.reset()
         if silent:
             self.links.on_reconnect(self.peer)
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -59,6 +59,9 @@
     :param addresses: Returns the address of a peer, or ``None`` if it is unknown.
     :param paid: Returns whether traffic to a peer is charged for.
     :param lag: Measures this process's scheduling lag; ``None`` assumes no lag.
+
+    ``on_round_trip`` is called with the seconds from a heartbeat to its echo. They
+    include the time that messages wait at both ends before they are handled.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         self.tasks: TaskGroup | None = None
         self.get_document_revision: Callable[[], int] = lambda: 0
         self.on_document_revision: Callable[[int], object] = lambda revision: None
+        self.on_round_trip: Callable[[float], object] = lambda seconds: None
         self.on_reconnect: Callable[[InstanceId], object] = lambda peer: None
 
     def on(self, kind: MessageKind, handler: Handler) -> None:
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -129,6 +129,7 @@
         self.peers = PeerLinks(
             instance, ports.transport, self.address_of, self.is_remote, rng, self.lag
         )
+        self.peers.on_round_trip = self.metrics.heartbeat_seconds.observe
         self.peers.narrow = self.strength < SUFFICIENT_STRENGTH
         self.peer_calls = PeerCalls(self)
         self.relay_host = RelayHost(self.peers, ports.dialer, self.lag)
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -44,6 +44,12 @@
             buckets=CALL_BUCKETS_S,
             registry=registry,
         )
+        self.heartbeat_seconds = Histogram(
+            "lacewinghold_heartbeat_seconds",
+            "Time from a heartbeat to a peer until its echo is handled.",
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
         self.first_start_seconds = Histogram(
             "lacewinghold_first_start_seconds",
             "Time from a job's acceptance to its first start.",
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -365,3 +365,42 @@
 
     anyio.run(session, backend="trio")
     assert turns >= 59 // MAX_MESSAGES_PER_TURN
+
+
+def test_round_trips_of_heartbeats_include_the_wait_before_they_are_handled():
+    delay_s = 0.4
+
+    async def session():
+        times = []
+        network = MemoryNetwork(lambda one, other: 0.01)
+        async with anyio.create_task_group() as tasks:
+            pair = []
+            for name in ("a", "b"):
+                transport = MemoryTransport(network, InstanceId(name), RegionId("r"))
+                links = PeerLinks(InstanceId(name), transport, lambda peer: peer)
+                links.on(MessageKind.JOB_LIST, echo)
+                tasks.start_soon(links.run)
+                pair.append(links)
+            pair[0].on_round_trip = times.append
+            await ask(pair[0], "b", 20.0)
+            await anyio.sleep(2 * HEARTBEAT_INTERVAL_S)
+            prompt = list(times)
+            receive = pair[0].transport.receive
+
+            async def receive_late():
+                message = await receive()
+                await anyio.sleep(delay_s)
+                return message
+
+            pair[0].transport.receive = receive_late
+            await ask(pair[0], "b", 20.0)
+            times.clear()
+            await anyio.sleep(4 * HEARTBEAT_INTERVAL_S)
+            tasks.cancel_scope.cancel()
+        return prompt, times
+
+    prompt, late = run_paused(session, seed=1)
+    assert prompt
+    assert max(prompt) < 0.1
+    assert late
+    assert min(late) >= delay_s
