--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -4,6 +4,7 @@
 
 import math
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.scheduler.ports import Resources, ServerState
@@ -27,6 +28,7 @@
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
+        self.id_hash = crc32(entry.worker.encode())
         self.listed = True
         self.fenced = False
         self.enrolled = False  # Whether a stored roster lists it.
--- a/lacewinghold/scheduler/searches.py
+++ b/lacewinghold/scheduler/searches.py
@@ -4,7 +4,9 @@
 
 import math
 from collections import Counter
+from heapq import nsmallest
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from lacewinghold.scheduler.advice import MAX_WORKERS_PER_CALL, Purpose
 from lacewinghold.scheduler.policy import fitting_count, has_label
@@ -42,7 +44,7 @@
         self.recheck_at = -math.inf
         self.fully_asked: set[str] = set()
         self.requested: set[str] = set()
-        self.nodes_by_room: dict[tuple[str, str, Resources], list[WorkerNode]] = {}
+        self.rooms: dict[tuple[str, str, Resources], dict[WorkerId, int]] = {}
 
     def request_searches(
         self,
@@ -64,7 +66,7 @@
         :param now: Time on the runtime's clock, in seconds.
         """
         self.reset_if_workers_changed(usable, now)
-        self.nodes_by_room = {}
+        self.rooms = {}
         max_queued = max(MIN_QUEUED_SEARCHES, len(self.book.lanes))
         counts: Counter[str] = Counter()
         for step in steps:
@@ -107,20 +109,40 @@
         return self.book.search_queued(step)
 
     def next_unasked(self, step: Step, usable: list[WorkerNode]) -> list[WorkerNode]:
-        """Returns the workers to ask about next, those with the most room first."""
+        """Returns the workers to ask about next, those with the most room first.
+
+        Among workers with equal room, each step begins with others. In a large cell
+        that has room, all steps would otherwise get permissions for the same workers,
+        which fill up while the others stay idle.
+        """
+        room_by_worker = self.room_by_worker(step, usable)
+        unasked = self.book.unasked(
+            step, [node for node in usable if node.id in room_by_worker]
+        )
+        step_hash = crc32(step.name.encode())
+
+        def preference(node: WorkerNode) -> tuple[int, int]:
+            return -room_by_worker[node.id], node.id_hash ^ step_hash
+
+        return nsmallest(MAX_WORKERS_PER_CALL, unasked, key=preference)
+
+    def room_by_worker(
+        self, step: Step, usable: list[WorkerNode]
+    ) -> dict[WorkerId, int]:
+        """Returns how many tasks of a step fit on each worker that may run it.
+
+        Steps whose tasks have the same size share the result within one plan.
+        """
         service, label = step.job.queue.service, step.spec.required_label
         key = service, label, step.room
-        nodes = self.nodes_by_room.get(key)
-        if nodes is None:
-            nodes = [
-                node
-                for node in usable
-                if node.entry.service == service and has_label(step, node)
-            ]
-            nodes.sort(
-                key=lambda node: (
-                    -fitting_count(step.room, node.free(), MAX_COMPARED_TASKS)
+        found = self.rooms.get(key)
+        if found is None:
+            found = {}
+            for node in usable:
+                if node.entry.service != service or not has_label(step, node):
+                    continue
+                found[node.id] = fitting_count(
+                    step.room, node.free(), MAX_COMPARED_TASKS
                 )
-            )
-            self.nodes_by_room[key] = nodes
-        return self.book.unasked(step, nodes)[:MAX_WORKERS_PER_CALL]
+            self.rooms[key] = found
+        return found
