--- a/lacewinghold/platform/http_connections.py
+++ b/lacewinghold/platform/http_connections.py
@@ -50,6 +50,11 @@
         self.headers_complete = False
         self.ends_with_connection = True
         self.keep_alive = False
+        self.surplus = False
+
+    def on_message_begin(self) -> None:
+        """Records that the connection carries a response that nobody asked for."""
+        self.surplus = self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records whether the length of the body is known from the headers."""
@@ -83,6 +88,8 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise NoResponseError(f"malformed response: {error}") from error
+        if self.surplus:
+            raise NoResponseError("more than one response to a request")
         if len(self.body) > MAX_RESPONSE_BYTES:
             raise NoResponseError("response exceeds the size limit")
 
--- a/tests/test_platform/test_http_connections.py
+++ b/tests/test_platform/test_http_connections.py
@@ -113,7 +113,12 @@
 
 @pytest.mark.parametrize(
     "answer",
-    [None, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nclose", b"nonsense\r\n"],
+    [
+        None,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nclose",
+        b"nonsense\r\n",
+        PLAIN + PLAIN,
+    ],
 )
 def test_a_lost_or_malformed_response_leaves_the_outcome_unknown(answer):
     async def program(client, server):
