--- a/tests/test_scheduler/test_containment.py
+++ b/tests/test_scheduler/test_containment.py
@@ -89,68 +89,46 @@
     run_cell(program, limit_s=30, unexpected_errors=1)
 
 
-def test_an_unexpected_error_of_one_report_does_not_end_the_owner(monkeypatch):
-    apply_report = Fleet.apply_report
-    failures = 0
-
-    def fail_twice(fleet, driver, report, sent_at):
-        nonlocal failures
-        if fleet.owner.recovered and failures < 2:
-            failures += 1
-            raise ValueError("unexpected")
-        apply_report(fleet, driver, report, sent_at)
+def fail_at_first(monkeypatch, owner_class, name, times):
+    """Makes the first calls of a method raise an unexpected error.
 
-    async def program(cell):
-        owner = cell.owner()
-        monkeypatch.setattr(Fleet, "apply_report", fail_twice)
-        await anyio.sleep(2)
-        assert failures == 2
-        assert cell.owner() is owner
-        await assert_cell_works(cell)
+    :returns: The failures so far, one item each.
+    """
+    method = getattr(owner_class, name)
+    failures = []
 
-    run_cell(program, limit_s=40, unexpected_errors=2)
-
-
-def test_an_unexpected_error_of_one_start_gives_that_run_up(monkeypatch):
-    build = WorkerDriver.build_start_order
-    failures = 0
-
-    def fail_once(driver, run, ticket):
-        nonlocal failures
-        if not failures:
-            failures += 1
+    def fail_or_call(*args):
+        if len(failures) < times:
+            failures.append(name)
             raise ValueError("unexpected")
-        return build(driver, run, ticket)
+        return method(*args)
 
-    async def program(cell):
-        owner = cell.owner()
-        monkeypatch.setattr(WorkerDriver, "build_start_order", fail_once)
-        await assert_cell_works(cell)
-        assert failures == 1
-        assert cell.owner() is owner
-
-    run_cell(program, limit_s=40, unexpected_errors=1)
-
-
-def test_an_unexpected_error_of_a_relayed_order_ends_only_that_order(monkeypatch):
-    connection_for = RelayHost.connection_for
-    failures = 0
+    monkeypatch.setattr(owner_class, name, fail_or_call)
+    return failures
 
-    def fail_twice(host, order):
-        nonlocal failures
-        if failures < 2:
-            failures += 1
-            raise ValueError("unexpected")
-        return connection_for(host, order)
 
+@pytest.mark.parametrize(
+    ("owner_class", "name", "times"),
+    [
+        pytest.param(Fleet, "apply_report", 2, id="report"),
+        pytest.param(WorkerDriver, "build_start_order", 1, id="start"),
+        pytest.param(RelayHost, "connection_for", 2, id="relayed order"),
+    ],
+)
+def test_an_unexpected_error_ends_only_one_piece_of_work(
+    monkeypatch, owner_class, name, times
+):
     async def program(cell):
-        members = list(cell.members)
-        monkeypatch.setattr(RelayHost, "connection_for", fail_twice)
+        owner, members = cell.owner(), list(cell.members)
+        assert owner.instance.owner.recovered
+        failures = fail_at_first(monkeypatch, owner_class, name, times)
+        await anyio.sleep(2)
         await assert_cell_works(cell)
-        assert failures == 2
+        assert len(failures) == times
+        assert cell.owner() is owner
         assert list(cell.members) == members
 
-    run_cell(program, limit_s=40, unexpected_errors=2)
+    run_cell(program, limit_s=40, unexpected_errors=times)
 
 
 def read(**changes):
