--- a/lacewinghold/platform/http_connections.py
+++ b/lacewinghold/platform/http_connections.py
@@ -16,7 +16,7 @@
     from lacewinghold.util.turns import TurnGate
 
 KEEPALIVE_EXPIRY_S = 14.0  # Shorter than the platform's idle time-out of 15 s.
-READ_SIZE = 65536
+READ_SIZE_BYTES = 65536
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
@@ -121,7 +121,7 @@
             await self.stream.send(request)
             while not parser.complete:
                 try:
-                    data = await self.stream.receive(READ_SIZE)
+                    data = await self.stream.receive(READ_SIZE_BYTES)
                 except anyio.EndOfStream:
                     data = b""
                 parser.feed(data)
--- a/lacewinghold/scheduler/relay_choice.py
+++ b/lacewinghold/scheduler/relay_choice.py
@@ -21,7 +21,7 @@
     from lacewinghold.scheduler.ports import WorkerEntry
     from lacewinghold.scheduler.relays import RelayMember
 
-# About 40 calls a second to busy workers: 0.06 of a core.
+# Bounds the calls that one relay makes, also on a small machine.
 WORKERS_PER_RELAY = 12
 MIN_RELAYS = 2  # In each data centre, so that one may fail.
 
