Review case 2: a serving job never starts beside filling work

A caller's job with a serving task stays queued for as long as filling tasks run in pairs on the workers, though it fits on each; the filling tasks of one worker are stopped and started again about six times a second.

--- a/review/standin.py
+++ b/review/standin.py
@@ -19,13 +19,15 @@
 import time
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
+from zlib import crc32
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "jobs.example"
 PREFIX = "/jobs/"
 SERVICE = "printing"
 STORE_CALL_S = 0.004  # The store's usual time for an answer.
-STOP_S = 0.05
+STOP_STEP_S = 0.05  # A stop takes one to ten of these; 0.9 s at most is allowed.
+LASTING_START_S = 0.3
 MAX_HOLD_MS = 6000
 GANG_TIMEOUT_S = 3.0
 RESTART_S = 0.5  # Until a process that has ended by itself is started again.
@@ -308,7 +310,8 @@
 class Worker:
     """One worker; it crashes and starts again under its id and address.
 
-    A task's ``spec`` is JSON: ``ms`` is its run time, ``fails`` ends it ``failed``.
+    A task's ``spec`` is JSON: ``ms`` is its run time, ``fails`` ends it ``failed``, and
+    with ``lasts`` it runs until it is stopped.
 
     :param cell: The script's cell, which records starts and ends.
     """
@@ -442,13 +445,21 @@
         loop = asyncio.get_running_loop()
         how = "failed" if spec.get("fails") else "done"
         seconds = spec["ms"] / 1000
-        timer = loop.call_later(seconds, self.finish, key, how)
+        if spec.get("lasts"):
+            seconds = LASTING_START_S  # It is at work then, and never ends by itself.
+            timer = loop.call_later(seconds, self.record_at_work, key)
+        else:
+            timer = loop.call_later(seconds, self.finish, key, how)
         self.running[key] = {"timer": timer, "began": time.monotonic(), "s": seconds}
         self.cell.record.write(f"START {task}#{number} on {self.id}")
         self.cell.check_start(task, number, self)
         self.cell.started.append((self.cell.record.now(), task, number, self.id))
         return self.answer(200)
 
+    def record_at_work(self, key) -> None:
+        """Records that a lasting task is at work."""
+        self.cell.record.write(f"AT WORK {key[0]}#{key[1]} on {self.id}")
+
     def finish(self, key, how: str) -> None:
         """Ends a run by itself."""
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
@@ -460,7 +471,8 @@
         self.highest[task] = max(self.highest.get(task, 0), number)
         if (task, number) in self.running:
             loop = asyncio.get_running_loop()
-            loop.call_later(STOP_S, self.end, (task, number), "stopped")
+            seconds = STOP_STEP_S * (1 + crc32(task.encode()) % 10)
+            loop.call_later(seconds, self.end, (task, number), "stopped")
         return self.answer(200)
 
     async def hold(self, body):
@@ -477,7 +489,7 @@
         now = time.monotonic()
         rows = []
         for (task, number), run in self.running.items():
-            percent = min(99, round(100 * (now - run["began"]) / run["s"]))
+            percent = min(100, round(100 * (now - run["began"]) / run["s"]))
             rows.append([task, number, "", percent, 0])
         return self.answer(200, running=rows, ended=self.ends[:500])
 
@@ -739,6 +751,7 @@
             return 2
         finally:
             await cell.stop()
+            await asyncio.sleep(0.1)
         cell.record.write(f"BROKEN {broken}" if broken else "HELD")
         return 1 if broken else 0
 
