--- a/review/standin.py
+++ b/review/standin.py
@@ -658,9 +658,9 @@
                 return entry
         return None
 
-    async def submit(self, entry, job: str, spec, steps) -> int:
+    async def submit(self, entry, job: str, spec, steps, **fields) -> int:
         """Submits a job once and returns the status."""
-        body = {"spec": json.dumps(spec), "steps": steps}
+        body = {"spec": json.dumps(spec), "steps": steps, **fields}
         status, _ = await request(
             entry.front, "POST", PREFIX + job, body, 3.0, host=HOST
         )
