--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -87,6 +87,7 @@
     # Workers
     WORKER_ENTRY = "worker entry"
     WORKER_JOINED = "worker joined"
+    OTHER_INCARNATION_ANSWERED = "other incarnation answered"
     WORKER_UNLISTED = "worker unlisted"
     WORKER_SILENT = "worker silent"
     WORKER_GONE = "worker gone"
--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from lacewinghold.platform.http_connections import ConnectionCheck
     from lacewinghold.util.turns import TurnGate
 
 CONNECT_TIMEOUT_S = 0.5  # Several round trips between regions.
@@ -67,10 +68,13 @@
         timeout_s: float,
         body: object = None,
         headers: Mapping[str, str] | None = None,
+        check: ConnectionCheck | None = None,
     ) -> Result[HttpReply, Failure]:
         """Makes one call.
 
         :param timeout_s: Time-out in seconds, extended while this process lags.
+        :param check: Check that the connection must have passed; a failed check counts
+            as ``UNREACHABLE``.
         :returns: The response, or a failure: ``UNREACHABLE`` if the request certainly
             was not sent, ``OUTCOME_UNKNOWN`` if no complete response arrived.
         """
@@ -79,13 +83,13 @@
         request = self.encode(method, path, content, headers or {})
         try:
             try:
-                return Ok(await self.send(request, timeout_s, len(content)))
+                return Ok(await self.send(request, timeout_s, len(content), check))
             except ConnectTimeoutError:
                 # Connecting takes several turns of the event loop, so that lag of this
                 # process can cause the time-out; the call is retried once.
                 if not self.lag.lagged_since(started_at):
                     raise
-                return Ok(await self.send(request, timeout_s, len(content)))
+                return Ok(await self.send(request, timeout_s, len(content), check))
         except NotSentError as error:
             detail = f"{self.address}: {error}"
             return Err(Failure(ErrorKind.UNREACHABLE, detail))
@@ -108,10 +112,18 @@
             lines.append(f"{name}: {value}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + content
 
-    async def send(self, request: bytes, timeout_s: float, size: int) -> HttpReply:
+    async def send(
+        self,
+        request: bytes,
+        timeout_s: float,
+        size: int,
+        check: ConnectionCheck | None = None,
+    ) -> HttpReply:
         """Sends one request; errors of the connections are raised unchanged."""
         limits = self.timeouts(timeout_s, size)
-        return await self.pool.request(request, limits.connect_s, limits.exchange_s)
+        return await self.pool.request(
+            request, limits.connect_s, limits.exchange_s, check
+        )
 
     def timeouts(self, timeout_s: float, size: int = 0) -> Timeouts:
         """Returns the time limits of a call that starts now.
--- a/lacewinghold/platform/http_connections.py
+++ b/lacewinghold/platform/http_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 import anyio
@@ -98,10 +99,27 @@
         return HttpReply(self.parser.get_status_code(), bytes(self.body))
 
 
+class ConnectionCheck(ABC):
+    """Finds out over a new connection whether the intended peer has accepted it.
+
+    A peer that restarts loses its connections, so that whatever is sent over a checked
+    one reaches the intended peer or nobody, however late it is sent.
+    """
+
+    @abstractmethod
+    def request(self) -> bytes:
+        """Returns the request to send before any other."""
+
+    @abstractmethod
+    def accepts(self, reply: HttpReply) -> bool:
+        """Returns whether the response is that of the intended peer."""
+
+
 class Connection:
     """One connection; it carries one request at a time.
 
     :param used_at: When the last response was complete, on the runtime's clock.
+    :param checked: Whether the intended peer is known to be at the other end.
     """
 
     def __init__(self, stream: SocketStream) -> None:
@@ -109,6 +127,7 @@
         self.descriptor: int = stream.extra(SocketAttribute.raw_socket).fileno()
         self.used_at = anyio.current_time()
         self.reusable = False
+        self.checked = False
 
     async def exchange(self, request: bytes) -> HttpReply:
         """Sends a request and receives its response.
@@ -131,6 +150,20 @@
         self.used_at = anyio.current_time()
         return parser.reply()
 
+    async def check(self, check: ConnectionCheck) -> None:
+        """Checks the connection.
+
+        :raises NotSentError: If the check fails; the connection must not be used again.
+        """
+        try:
+            reply = await self.exchange(check.request())
+        except NoResponseError as error:
+            raise NotSentError(f"no response to the check: {error}") from error
+        self.checked = self.reusable and check.accepts(reply)
+        if not self.checked:
+            self.reusable = False
+            raise NotSentError("the check of the connection failed")
+
     def is_alive(self) -> bool:
         """Returns whether an idle connection may be used again.
 
@@ -169,7 +202,11 @@
         self.retired = False
 
     async def request(
-        self, request: bytes, connect_s: float, exchange_s: float
+        self,
+        request: bytes,
+        connect_s: float,
+        exchange_s: float,
+        check: ConnectionCheck | None = None,
     ) -> HttpReply:
         """Sends a request over an idle or new connection.
 
@@ -178,9 +215,12 @@
 
         :param connect_s: Timeout for opening a connection, in seconds. The wait at the
             gate does not count.
-        :param exchange_s: Timeout for a free connection, and again for sending the
-            request and receiving its response, in seconds.
-        :raises NotSentError: If no connection was free or could be opened.
+        :param exchange_s: Timeout for a free connection, and again for the check,
+            sending the request and receiving its response, in seconds.
+        :param check: Check that the connection must have passed, ``None`` if any
+            connection will do.
+        :raises NotSentError: If no connection was free, could be opened or passed the
+            check.
         :raises NoResponseError: If no complete response arrived in time.
         """
         try:
@@ -190,10 +230,16 @@
             raise NotSentError("all connections are in use") from error
         try:
             connection = await self.take_idle() or await self.open(connect_s)
+            checked = check is None or connection.checked
             try:
                 with anyio.fail_after(exchange_s):
+                    if check is not None and not checked:
+                        await connection.check(check)
+                        checked = True
                     return await connection.exchange(request)
             except TimeoutError as error:
+                if not checked:
+                    raise NotSentError("no response to the check") from error
                 raise NoResponseError("no response before the timeout") from error
             finally:
                 if connection.reusable and not self.retired:
--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -15,6 +15,7 @@
 from lacewinghold.events import Event
 from lacewinghold.ids import ANY_INCARNATION, Incarnation, WorkerId
 from lacewinghold.platform.http import JsonClient
+from lacewinghold.platform.http_connections import ConnectionCheck
 from lacewinghold.scheduler.ports import (
     EndKind,
     EndReport,
@@ -28,10 +29,13 @@
     WorkerEntry,
     WorkerReport,
 )
-from lacewinghold.util.codec import from_json
+from lacewinghold.util.codec import from_json, to_json
 from lacewinghold.util.turns import MAX_CONNECTS_PER_TURN, TurnGate
 
 if TYPE_CHECKING:
+    from lacewinghold.errors import Failure
+    from lacewinghold.ids import Epoch
+    from lacewinghold.platform.http_connections import HttpReply
     from lacewinghold.scheduler.ports import PollOrder, StartOrder, StopOrder
     from lacewinghold.util.lag import LagMonitor
 
@@ -149,8 +153,45 @@
     )
 
 
+class IncarnationCheck(ConnectionCheck):
+    """Asks over a new connection which incarnation of the worker has accepted it.
+
+    A restarted worker keeps its id, and nothing else in an order tells it that the
+    order was meant for its earlier incarnation.
+
+    :param outcome: Outcome of an order that was not sent since the check failed.
+    """
+
+    def __init__(self, calls: PlatformWorkerCalls, epoch: Epoch) -> None:
+        self.calls = calls
+        self.epoch = epoch
+        self.outcome = OrderOutcome.NOT_SENT
+
+    def request(self) -> bytes:
+        content = to_json({"fencingToken": self.epoch, "lastSeen": 0})
+        return self.calls.client.encode("POST", "/hold", content, self.calls.headers)
+
+    def accepts(self, reply: HttpReply) -> bool:
+        found = self.calls.decode_poll(reply)
+        if isinstance(found, WorkerReport):
+            return True
+        if found is not OrderOutcome.UNKNOWN:
+            self.outcome = found
+        if found is OrderOutcome.OTHER_INCARNATION:
+            logger.info(
+                Event.OTHER_INCARNATION_ANSWERED,
+                worker=self.calls.entry.worker,
+                incarnation=self.calls.entry.incarnation,
+            )
+        return False
+
+
 class PlatformWorkerCalls(WorkerCalls):
-    """Calls to one incarnation of a worker."""
+    """Calls to one incarnation of a worker.
+
+    Whatever a later incarnation must not carry out is sent over connections that this
+    incarnation has accepted.
+    """
 
     name = "platform"
 
@@ -164,13 +205,19 @@
         self.client = JsonClient(entry.address, MAX_CONNECTIONS, lag, gate)
         self.headers = {EXPECT_INSTANCE_HEADER: str(entry.worker)}
 
-    async def send_order(self, path: str, body: object, timeout_s: float) -> OrderReply:
+    async def send_order(
+        self,
+        path: str,
+        body: object,
+        timeout_s: float,
+        check: IncarnationCheck | None = None,
+    ) -> OrderReply:
         """Sends an order that changes the worker's state."""
-        reply = await self.client.call("POST", path, timeout_s, body, self.headers)
+        reply = await self.client.call(
+            "POST", path, timeout_s, body, self.headers, check
+        )
         if isinstance(reply, Err):
-            if reply.err_value.kind is ErrorKind.UNREACHABLE:
-                return OrderReply(OrderOutcome.NOT_SENT)
-            return OrderReply(OrderOutcome.UNKNOWN)
+            return OrderReply(outcome_of_failure(reply.err_value, check))
         found = reply.ok_value
         try:
             wire = from_json(found.body, WireReply)
@@ -196,9 +243,11 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self.send_order("/run-start", body, timeout_s)
+        check = IncarnationCheck(self, order.epoch)
+        return await self.send_order("/run-start", body, timeout_s, check)
 
     async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
+        # A later incarnation that gets the stop refuses a late start of the run.
         body = {"task": order.task, "run": order.run, "fencingToken": order.epoch}
         return await self.send_order("/run-stop", body, timeout_s)
 
@@ -213,20 +262,25 @@
             body["untilMs"] = math.floor(order.lease_until_ms)
         if order.wait_s > 0:
             body["waitMs"] = round(order.wait_s * 1000)
+        check = None
+        if order.acknowledged or order.lease_until_ms is not None:
+            # Both count on the clock and the numbers of this incarnation.
+            check = IncarnationCheck(self, order.epoch)
         reply = await self.client.call(
-            "POST", "/hold", order.wait_s + timeout_s, body, self.headers
+            "POST", "/hold", order.wait_s + timeout_s, body, self.headers, check
         )
         if isinstance(reply, Err):
-            if reply.err_value.kind is ErrorKind.UNREACHABLE:
-                return OrderOutcome.NOT_SENT
-            return OrderOutcome.UNKNOWN
-        found = reply.ok_value
-        if found.status == 409:
-            return self.decode_refusal(found.body)
-        if found.status != 200:
-            return OUTCOME_BY_STATUS.get(found.status, OrderOutcome.UNKNOWN)
+            return outcome_of_failure(reply.err_value, check)
+        return self.decode_poll(reply.ok_value)
+
+    def decode_poll(self, reply: HttpReply) -> WorkerReport | OrderOutcome:
+        """Decodes the response to a poll."""
+        if reply.status == 409:
+            return self.decode_refusal(reply.body)
+        if reply.status != 200:
+            return OUTCOME_BY_STATUS.get(reply.status, OrderOutcome.UNKNOWN)
         try:
-            decoded = from_json(found.body, WirePollReply)
+            decoded = from_json(reply.body, WirePollReply)
             expected = self.entry.incarnation
             if expected != ANY_INCARNATION and decoded.born not in (None, expected):
                 return OrderOutcome.OTHER_INCARNATION
@@ -253,6 +307,15 @@
         await self.client.close()
 
 
+def outcome_of_failure(
+    failure: Failure, check: IncarnationCheck | None
+) -> OrderOutcome:
+    """Returns the outcome of an order that got no response."""
+    if failure.kind is not ErrorKind.UNREACHABLE:
+        return OrderOutcome.UNKNOWN
+    return OrderOutcome.NOT_SENT if check is None else check.outcome
+
+
 class PlatformWorkerDialer(WorkerDialer):
     """Creates clients for the platform's workers.
 
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -278,7 +278,11 @@
 
 
 class WorkerCalls(ABC):
-    """Calls to one incarnation of a worker."""
+    """Calls to one incarnation of a worker.
+
+    However late a call is sent, no other incarnation carries out its start, or counts
+    its acknowledgement or lease as its own.
+    """
 
     name: ClassVar[str]
 
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -99,6 +99,8 @@
         counts for starts, in seconds.
     :param guards_capacity: Whether the workers refuse what does not fit.
     :param refusals: How many starts they have refused for that.
+    :param binds_orders: Whether orders reach only the incarnation that they are meant
+        for. Otherwise they reach any, as those of the previous program version do.
     :param crash_worker: Crashes a worker and brings it back later.
     """
 
@@ -117,6 +119,7 @@
     shrink_grace_s: float = 0.0
     guards_capacity: bool = False
     refusals: int = 0
+    binds_orders: bool = False
 
     def group_of(self, task: str, run: int) -> RunGroup | None:
         """Returns the gang of a task's run, ``None`` if it runs by itself."""
@@ -169,6 +172,7 @@
         self.silent = False
         self.faults: list[OrderFault] = []
         self.earlier_capacities: list[tuple[float, Resources]] = []
+        self.lives = 1
         self.late_starts = 0  # Orders that are still to be carried out late.
         world.workers[entry.worker] = self
         tasks.start_soon(self.expire)
@@ -216,6 +220,7 @@
 
     def crash(self) -> None:
         """Ends all runs and loses the worker's state, as a crash does."""
+        self.lives += 1
         self.discard_unacknowledged_ends()
         runs = list(self.runs.values())
         self.runs.clear()
@@ -365,10 +370,7 @@
 
 
 class MemoryWorkerCalls(WorkerCalls):
-    """Calls to a stand-in worker, with faults.
-
-    Only reports tell the incarnation: any incarnation carries out orders.
-    """
+    """Calls to a stand-in worker, with faults."""
 
     name = "memory"
 
@@ -398,6 +400,10 @@
         await anyio.sleep(CALL_S)
         return None
 
+    def is_for_other_incarnation(self) -> bool:
+        """Returns whether the worker has restarted since its entry was read."""
+        return self.incarnation not in (ANY_INCARNATION, self.worker.incarnation)
+
     def next_fault(self) -> OrderFault | None:
         """Returns the fault of the present order, if it has one."""
         return self.worker.faults.pop(0) if self.worker.faults else None
@@ -406,6 +412,8 @@
         failure = await self.connect(timeout_s)
         if failure is not None:
             return OrderReply(failure)
+        if self.worker.world.binds_orders and self.is_for_other_incarnation():
+            return OrderReply(OrderOutcome.OTHER_INCARNATION)
         fault = self.next_fault()
         if fault is OrderFault.NOT_SENT:
             return OrderReply(OrderOutcome.NOT_SENT)
@@ -423,9 +431,11 @@
 
     async def start_late(self, order: StartOrder) -> None:
         """Carries out a start after its sender timed out."""
+        life = self.worker.lives
         await anyio.sleep(LATE_START_DELAY_S)
         self.worker.late_starts -= 1
-        self.worker.start(order)
+        if not self.worker.world.binds_orders or life == self.worker.lives:
+            self.worker.start(order)
 
     async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
         failure = await self.connect(timeout_s)
@@ -441,11 +451,13 @@
         failure = await self.connect(timeout_s)
         if failure is not None:
             return failure
+        if self.worker.world.binds_orders and self.is_for_other_incarnation():
+            return OrderOutcome.OTHER_INCARNATION
         report = await self.worker.poll(order)
         await self.gate.pass_through()
         if self.is_unreachable():
             return OrderOutcome.UNKNOWN
-        if self.incarnation not in (ANY_INCARNATION, self.worker.incarnation):
+        if self.is_for_other_incarnation():
             return OrderOutcome.OTHER_INCARNATION
         return report
 
--- a/tests/test_scheduler/test_takeover_soak.py
+++ b/tests/test_scheduler/test_takeover_soak.py
@@ -147,14 +147,15 @@
     async def restart_worker(self):
         """Crashes a worker, which returns and registers a little later.
 
-        Not while a start order is under way: it may reach the next incarnation after
-        the run has ended on this one (KNOWN-RED.txt).
+        Where orders of the previous program version reach any incarnation, it does not
+        crash while a start order is under way: the next one would carry it out, perhaps
+        after the run has ended on this one.
         """
         worker = self.rng.choice(list(self.cell.world.workers.values()))
         if worker.id in self.crashed:
             return
         self.crashed.add(worker.id)
-        while worker.late_starts:
+        while worker.late_starts and not self.cell.world.binds_orders:
             await anyio.sleep(0.1)
         worker.crash()
         worker.silent = True
@@ -178,9 +179,11 @@
         worker.faults += self.rng.choices(list(OrderFault), k=4)
 
 
+@pytest.mark.parametrize("binds_orders", [False, True])
 @pytest.mark.parametrize("seed", chosen_seeds())
-def test_no_task_runs_twice_and_all_jobs_complete(seed):
+def test_no_task_runs_twice_and_all_jobs_complete(seed, binds_orders):
     async def program(cell):
+        cell.world.binds_orders = binds_orders
         await TakeoverSoak(cell, seed).run()
 
     rng = random.Random(seed)
