--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -29,7 +29,7 @@
     WorkerEntry,
     WorkerReport,
 )
-from lacewinghold.util.codec import from_json, to_json
+from lacewinghold.util.codec import MAX_INTEGER, from_json, to_json
 from lacewinghold.util.turns import MAX_CONNECTS_PER_TURN, TurnGate
 
 if TYPE_CHECKING:
@@ -81,7 +81,7 @@
     state: str
     capacity: WireCapacity
     labels: list[str] = []
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] = 0
     remaining_ms: float | None = field(name="remainingMs", default=None)
 
 
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -29,6 +29,7 @@
 )
 from lacewinghold.scheduler.pace import PaceTracker
 from lacewinghold.scheduler.planning import PlanLoop
+from lacewinghold.scheduler.ports import is_addressable
 from lacewinghold.scheduler.runs import RunLifecycle
 from lacewinghold.scheduler.slow_workers import SlowWorkers
 from lacewinghold.scheduler.suspects import Suspects
@@ -48,7 +49,12 @@
     from lacewinghold.scheduler.lateness import PlanningShare
     from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.ports import Manifest, WorkerDialer, WorkerEntry
-    from lacewinghold.schema.generated.cell import CellOwnerRecord, TaskEndEntry
+    from lacewinghold.schema.generated.cell import (
+        CellOwnerRecord,
+        EnrolledWorker,
+        TaskEndEntry,
+    )
+    from lacewinghold.store.base import KeyValue
     from lacewinghold.util.clock import WallClock
     from lacewinghold.util.lag import LagMonitor
 
@@ -238,7 +244,7 @@
             await anyio.sleep(LOAD_RETRY_DELAY_S)
         for item in sorted(roster.ok_value.items, key=lambda item: item.key):
             self.fleet.stored_roster_keys.append(item.key)
-            self.fleet.earlier_workers = from_json(item.value, WorkerRoster).workers
+            self.fleet.earlier_workers = read_enrolled_workers(item)
 
     def record_fenced(self, node: WorkerNode) -> None:
         """Gives up the ownership: a worker has seen a newer owner's epoch."""
@@ -314,3 +320,19 @@
         lease_s = WORKER_LEASE_S + LAPSE_MARGIN_MS / 1000
         lease_s *= 1 + 2 * MAX_CLOCK_DRIFT_SHARE
         return self.earlier_renewals_end_at + lease_s
+
+
+def read_enrolled_workers(item: KeyValue) -> list[EnrolledWorker]:
+    """Returns the workers of a stored roster to which orders can be sent.
+
+    The previous program version enrolled whatever an entry named.
+    """
+    found = []
+    for enrolled in from_json(item.value, WorkerRoster).workers:
+        if not is_addressable(enrolled.incarnation):
+            logger.warning(
+                Event.FOREIGN_WORKER_ENTRY, key=item.key, worker=enrolled.worker
+            )
+            continue
+        found.append(enrolled)
+    return found
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -9,8 +9,9 @@
 from msgspec import Struct, field
 
 # msgspec needs these types at run time to decode entries.
-from lacewinghold.ids import Incarnation, WorkerId  # noqa: TC001
+from lacewinghold.ids import ANY_INCARNATION, Incarnation, WorkerId
 from lacewinghold.schema.generated.cell import QueueRules
+from lacewinghold.util.codec import MAX_INTEGER
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -147,6 +148,11 @@
         return found
 
 
+def is_addressable(incarnation: int) -> bool:
+    """Returns whether orders to an incarnation of a worker can be encoded."""
+    return ANY_INCARNATION <= incarnation <= MAX_INTEGER
+
+
 class ServerState(StrEnum):
     """State that a worker reports in its entry."""
 
--- a/lacewinghold/util/codec.py
+++ b/lacewinghold/util/codec.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from lacewinghold.schema.base import PackedStruct
 
+MAX_INTEGER = 2**63 - 1  # The greatest that every encoding in use carries.
+
 T = TypeVar("T")
 P = TypeVar("P", bound="PackedStruct")
 
