--- a/lacewinghold/scheduler/relay_host.py
+++ b/lacewinghold/scheduler/relay_host.py
@@ -193,7 +193,8 @@
             for peer, message in replies.items():
                 kind = MessageKind.CELL_ORDER_REPLIES
                 # Lost replies need no retry: the owner's time limit ends the order.
-                await self.links.notify(peer, kind, message)
+                with contained("replies to an owner", peer=peer):
+                    await self.links.notify(peer, kind, message)
 
     def connection_for(self, order: RelayedOrder) -> WorkerConnection:
         """Returns the calls to the worker of an order.
--- a/lacewinghold/scheduler/relays.py
+++ b/lacewinghold/scheduler/relays.py
@@ -40,6 +40,7 @@
     RelayedStop,
 )
 from lacewinghold.util.codec import unpack
+from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -104,21 +105,7 @@
         self.first_probed_at = first_probed_at
         self.answering = False
         self.probe_due = True
-        self.queued_orders = CellOrders([], [], [])
-
-    def add(self, order: RelayedOrder) -> None:
-        """Adds an order to the next message."""
-        if isinstance(order, RelayedLook):
-            self.queued_orders.looks.append(order)
-        elif isinstance(order, RelayedStart):
-            self.queued_orders.starts.append(order)
-        else:
-            self.queued_orders.stops.append(order)
-
-    def drain_orders(self) -> CellOrders:
-        """Returns the queued orders and empties the queue."""
-        orders, self.queued_orders = self.queued_orders, CellOrders([], [], [])
-        return orders
+        self.queued_orders: list[RelayedOrder] = []
 
 
 class OrderRelays(WorkerDialer):
@@ -196,26 +183,31 @@
 
     async def send_queued(self, member: RelayMember) -> None:
         """Sends a member its queued orders, or a probe if one is due."""
-        orders = member.drain_orders()
-        numbers = [
-            order.number
-            for group in (orders.looks, orders.starts, orders.stops)
-            for order in group
-        ]
-        if not numbers and not member.probe_due:
+        orders = member.queued_orders
+        if not orders and not member.probe_due:
             return
+        member.queued_orders = []
         member.probe_due = False
-        if not await self.send_orders(member, orders):
-            for number in numbers:
-                self.settle(number, None, unsent=True)
-
-    async def send_orders(self, member: RelayMember, orders: CellOrders) -> bool:
-        """Sends one message with orders.
+        await self.send_orders(member, orders)
 
-        :returns: Whether the message may have left this instance.
-        """
-        sent = await self.links.notify(member.name, MessageKind.CELL_ORDERS, orders)
-        return not isinstance(sent, Err)
+    async def send_orders(
+        self, member: RelayMember, orders: list[RelayedOrder]
+    ) -> None:
+        """Sends orders in one message, or each by itself if one cannot be encoded."""
+        with contained("orders to a member", member=member.name):
+            message = group_orders(orders)
+            sent = await self.links.notify(
+                member.name, MessageKind.CELL_ORDERS, message
+            )
+            if isinstance(sent, Err):
+                for order in orders:
+                    self.settle(order.number, None, unsent=True)
+            return
+        if len(orders) == 1:
+            self.settle(orders[0].number, OrderReply(OrderOutcome.NOT_SENT))
+            return
+        for order in orders:
+            await self.send_orders(member, [order])
 
     def apply_replies(self, instance: InstanceId, body: bytes) -> None:
         """Settles the orders that a message of replies answers."""
@@ -269,7 +261,7 @@
         """
         pending = PendingOrder(anyio.Event())
         self.pending_orders[order.number] = pending
-        member.add(order)
+        member.queued_orders.append(order)
         self.send_requested.set()
         wait_s = order.wait_s if isinstance(order, RelayedLook) else 0.0
         usual_limit_s = limit_s - wait_s + RELAY_OVERHEAD_S + self.lag.allowance_s()
@@ -471,6 +463,19 @@
             await self.direct_calls.close()
 
 
+def group_orders(orders: list[RelayedOrder]) -> CellOrders:
+    """Returns the message with some orders."""
+    message = CellOrders([], [], [])
+    for order in orders:
+        if isinstance(order, RelayedLook):
+            message.looks.append(order)
+        elif isinstance(order, RelayedStart):
+            message.starts.append(order)
+        else:
+            message.stops.append(order)
+    return message
+
+
 def worker_answered(reply: RelayedReply) -> bool:
     """Returns whether a reply came from the worker and not from the member alone."""
     return isinstance(reply, WorkerReport) or reply.clock_ms is not None
--- a/tests/test_scheduler/test_foreign_entries.py
+++ b/tests/test_scheduler/test_foreign_entries.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
+from lacewinghold.ids import Epoch
 from lacewinghold.scheduler.job_store import ROSTER_PREFIX
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import OrderOutcome
 from lacewinghold.schema.generated.cell import EnrolledWorker, WorkerRoster
 from lacewinghold.schema.generated.entry import PlatformStore
+from lacewinghold.schema.generated.messages import RelayedOutcome, RelayedStop
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.util.codec import MAX_INTEGER, to_json
 from tests.test_scheduler.support import run_cell, step
-from tests.test_scheduler.test_containment import read
+from tests.test_scheduler.test_containment import assert_cell_works, read
+from tests.test_scheduler.test_relay_faults import other_member
 
 ABSURD_INCARNATIONS = [2**63, 2**64, 10**21, -2]
 
@@ -53,3 +58,61 @@
         assert cell.owner() is owner
 
     run_cell(program, prepare=prepare, limit_s=30)
+
+
+def relayed_stop(worker, number, run):
+    """Returns an order for a member to relay."""
+    return RelayedStop(
+        number,
+        worker.id,
+        worker.incarnation,
+        worker.entry.address,
+        1.0,
+        Epoch(1),
+        "x.0.0.0",
+        run,
+    )
+
+
+def test_an_order_that_cannot_be_encoded_ends_neither_the_owner_nor_other_orders():
+    """Guards against one order that ends the owner's loop for all orders (review/3)."""
+
+    async def program(cell):
+        owner = cell.owner()
+        relays = owner.instance.relays
+        member = next(m for m in relays.members.values() if m.answering)
+        worker = next(iter(cell.world.workers.values()))
+        settled = {}
+
+        async def send(run):
+            order = relayed_stop(worker, next(relays.order_numbers), run)
+            order.epoch = owner.instance.owner.epoch
+            pending = await relays.call(member, order, 1.0)
+            settled[run] = pending.reply
+
+        async with anyio.create_task_group() as tasks:
+            for run in (1, 2**64, 2):
+                tasks.start_soon(send, run)
+        assert settled[1].outcome is settled[2].outcome is OrderOutcome.DONE
+        assert settled[2**64].outcome is OrderOutcome.NOT_SENT
+        await assert_cell_works(cell)
+        assert cell.owner() is owner
+
+    run_cell(program, limit_s=40, unexpected_errors=2)
+
+
+def test_replies_that_cannot_be_encoded_do_not_end_a_member():
+    """Guards against a worker whose answer ends the instance that relays for it."""
+
+    async def program(cell):
+        owner = cell.owner()
+        member = other_member(cell, owner)
+        host = member.instance.relay_host
+        replies = host.replies_for(owner.instance.instance)
+        replies.outcomes.append(RelayedOutcome(2**64, "done", None))
+        await assert_cell_works(cell)
+        assert member in cell.members
+        assert not member.scope.cancel_called
+        assert host.task_group is not None
+
+    run_cell(program, limit_s=40, unexpected_errors=1)
