--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -28,8 +28,9 @@
     WorkerDialer,
     WorkerEntry,
     WorkerReport,
+    is_addressable,
 )
-from lacewinghold.util.codec import MAX_INTEGER, from_json, to_json
+from lacewinghold.util.codec import from_json, to_json
 from lacewinghold.util.turns import MAX_CONNECTS_PER_TURN, TurnGate
 
 if TYPE_CHECKING:
@@ -81,7 +82,7 @@
     state: str
     capacity: WireCapacity
     labels: list[str] = []
-    born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] = 0
+    born: Annotated[int, Meta(ge=0)] = 0
     remaining_ms: float | None = field(name="remainingMs", default=None)
 
 
@@ -107,13 +108,16 @@
         wire = from_json(value, WireWorker)
         state = ServerState(wire.state)
         check_address(wire.address)
+        worker = WorkerId(key.removeprefix(WORKERS_PREFIX))
+        if not is_addressable(worker, wire.born):
+            raise ValueError("no order can name this worker")
     except (msgspec.DecodeError, ValueError) as error:
         logger.warning(Event.FOREIGN_WORKER_ENTRY, key=key, detail=str(error)[:200])
         return None
     room = wire.capacity
     remaining = None if wire.remaining_ms is None else wire.remaining_ms / 1000
     return WorkerEntry(
-        worker=WorkerId(key.removeprefix(WORKERS_PREFIX)),
+        worker=worker,
         incarnation=Incarnation(wire.born),
         service=wire.service,
         address=wire.address,
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -329,7 +329,7 @@
     """
     found = []
     for enrolled in from_json(item.value, WorkerRoster).workers:
-        if not is_addressable(enrolled.incarnation):
+        if not is_addressable(enrolled.worker, enrolled.incarnation):
             logger.warning(
                 Event.FOREIGN_WORKER_ENTRY, key=item.key, worker=enrolled.worker
             )
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -148,8 +148,13 @@
         return found
 
 
-def is_addressable(incarnation: int) -> bool:
-    """Returns whether orders to an incarnation of a worker can be encoded."""
+def is_addressable(worker: str, incarnation: int) -> bool:
+    """Returns whether orders to an incarnation of a worker can be encoded.
+
+    Messages carry its number, and headers its id.
+    """
+    if not worker or not worker.isascii() or not worker.isprintable() or " " in worker:
+        return False
     return ANY_INCARNATION <= incarnation <= MAX_INTEGER
 
 
--- a/tests/test_scheduler/test_foreign_entries.py
+++ b/tests/test_scheduler/test_foreign_entries.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import anyio
+import msgspec
 import pytest
 
 from lacewinghold.ids import Epoch
+from lacewinghold.platform.workers import read_worker
 from lacewinghold.scheduler.job_store import ROSTER_PREFIX
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.ports import OrderOutcome
@@ -15,9 +17,10 @@
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.util.codec import MAX_INTEGER, to_json
 from tests.test_scheduler.support import run_cell, step
-from tests.test_scheduler.test_containment import assert_cell_works, read
+from tests.test_scheduler.test_containment import ENTRY, assert_cell_works, read
 from tests.test_scheduler.test_relay_faults import other_member
 
+UNUSABLE_IDS = ["", "i 1", "i-\u00fc", "\u5de5", "i-1\r\nHost: x", "i-1\x00"]
 ABSURD_INCARNATIONS = [2**63, 2**64, 10**21, -2]
 
 
@@ -28,6 +31,14 @@
     assert read(born=born) is None
 
 
+@pytest.mark.parametrize("worker", UNUSABLE_IDS)
+def test_an_entry_under_an_id_that_no_header_carries_names_no_worker(worker):
+    """Guards against members that count as silent for an error of their own."""
+    value = msgspec.json.encode(ENTRY)
+    assert read_worker("servers/i-1", value) is not None
+    assert read_worker(f"servers/{worker}", value) is None
+
+
 async def enroll(cell, **changes):
     """Stores a roster of an earlier owner that names a worker of another writer."""
     fields = {
@@ -60,6 +71,20 @@
     run_cell(program, prepare=prepare, limit_s=30)
 
 
+@pytest.mark.parametrize("worker", UNUSABLE_IDS)
+def test_no_member_is_asked_to_poll_a_stored_worker_whose_id_no_header_carries(worker):
+    """Guards against members that count as silent for an error of their own."""
+
+    async def prepare(cell):
+        await enroll(cell, worker=worker)
+
+    async def program(cell):
+        assert set(cell.owner().instance.owner.fleet.nodes) == set(cell.world.workers)
+        await assert_cell_works(cell)
+
+    run_cell(program, prepare=prepare, limit_s=30)
+
+
 def relayed_stop(worker, number, run):
     """Returns an order for a member to relay."""
     return RelayedStop(
