--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -30,7 +30,7 @@
     WorkerReport,
     is_addressable,
 )
-from lacewinghold.util.codec import from_json, to_json
+from lacewinghold.util.codec import MAX_INTEGER, from_json, to_json
 from lacewinghold.util.turns import MAX_CONNECTS_PER_TURN, TurnGate
 
 if TYPE_CHECKING:
@@ -44,6 +44,7 @@
 WORKERS_PREFIX = "servers/"
 MAX_PORT = 65535
 MAX_AMOUNT = 2**40  # Of one resource of a worker; more is a mistake of the writer.
+MAX_CLOCK_MS = 2**53  # Beyond it a reading is not exact.
 MAX_CONNECTIONS = 24  # The platform allows 64 connections to each worker.
 EXPECT_INSTANCE_HEADER = "Lacewinghold-Expect-Instance"
 OUTCOME_BY_REASON = {
@@ -63,6 +64,7 @@
 
 
 Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+ClockReading = Annotated[float, Meta(ge=-MAX_CLOCK_MS, le=MAX_CLOCK_MS)]
 
 
 class WireCapacity(Struct):
@@ -89,14 +91,14 @@
 class WireReply(Struct):
     """The response to an order."""
 
-    clock_ms: float | None = field(name="clockMs", default=None)
+    clock_ms: ClockReading | None = field(name="clockMs", default=None)
     reason: str = ""
 
 
 class WirePollReply(Struct):
     """The response to a poll: rows of current runs and of ended runs."""
 
-    clock_ms: float = field(name="clockMs")
+    clock_ms: ClockReading = field(name="clockMs")
     running: list[list[object]] = []
     ended: list[list[object]] = []
     born: int | None = None
@@ -141,17 +143,30 @@
         raise ValueError(f"no usable port in address {address!r}")
 
 
+def decode_number(value: object) -> int:
+    """Decodes the number of a run or of an end.
+
+    :raises ValueError: If it is none, or if no message carries it.
+    """
+    number = int(str(value))
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError(f"number {number} is out of range")
+    return number
+
+
 def decode_run(row: list[object]) -> RunReport:
     """Decodes a current run: task, run, checkpoint, percent; a fifth is ignored."""
-    return RunReport(str(row[0]), int(str(row[1])), str(row[2]), float(str(row[3])))
+    return RunReport(
+        str(row[0]), decode_number(row[1]), str(row[2]), float(str(row[3]))
+    )
 
 
 def decode_end(row: list[object]) -> EndReport:
     """Decodes an ended run: number, task, run, kind of end and checkpoint."""
     return EndReport(
-        int(str(row[0])),
+        decode_number(row[0]),
         str(row[1]),
-        int(str(row[2])),
+        decode_number(row[2]),
         EndKind(str(row[3])),
         str(row[4]) if len(row) > 4 else "",
     )
--- a/tests/test_platform/test_platform_workers.py
+++ b/tests/test_platform/test_platform_workers.py
@@ -174,6 +174,8 @@
         (reply(421), OrderOutcome.OTHER_INCARNATION),
         (reply(200, {"running": []}), OrderOutcome.UNKNOWN),
         (reply(200, {"clockMs": 1, "ended": [[1]]}), OrderOutcome.UNKNOWN),
+        (reply(200, {"clockMs": 1e300}), OrderOutcome.UNKNOWN),
+        (reply(200, {"clockMs": -1e300}), OrderOutcome.UNKNOWN),
         (LOST, OrderOutcome.UNKNOWN),
         (UNREACHABLE, OrderOutcome.NOT_SENT),
     ],
@@ -181,3 +183,27 @@
 def test_outcomes_of_a_poll(answer, outcome):
     found, _ = use(lambda c: c.poll(PollOrder(9, 0), 1), answer)
     assert found is outcome
+
+
+@pytest.mark.parametrize("number", [-1, 2**63, 2**64, "9" * 40])
+@pytest.mark.parametrize(
+    "body",
+    [
+        lambda number: {"running": [["j.0.0.0", number, "", 5]]},
+        lambda number: {"ended": [[number, "j.0.0.0", 1, "done", ""]]},
+        lambda number: {"ended": [[1, "j.0.0.0", number, "done", ""]]},
+    ],
+    ids=["run", "end", "run that ended"],
+)
+def test_a_report_with_a_number_that_no_message_carries_is_unreadable(body, number):
+    """Guards against a worker whose answer ends or silences those who relay it."""
+    fields = {"clockMs": 1, "running": [], "ended": [], **body(number)}
+    found, _ = use(lambda c: c.poll(PollOrder(9, 0), 1), reply(200, fields))
+    assert found is OrderOutcome.UNKNOWN
+
+
+def test_an_order_whose_answer_has_an_absurd_clock_is_done_without_a_reading():
+    """Guards against leases that no order can carry."""
+    reply_, _ = use(lambda c: c.start(START, 1), reply(200, {"clockMs": 1e300}))
+    assert reply_.outcome is OrderOutcome.DONE
+    assert reply_.clock_ms is None
