--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -44,6 +44,7 @@
 WORKERS_PREFIX = "servers/"
 MAX_PORT = 65535
 MAX_AMOUNT = 2**40  # Of one resource of a worker; more is a mistake of the writer.
+MAX_NAME_LENGTH = 200  # Of a service or zone, which the stored roster repeats.
 MAX_CLOCK_MS = 2**53  # Beyond it a reading is not exact.
 MAX_CONNECTIONS = 24  # The platform allows 64 connections to each worker.
 EXPECT_INSTANCE_HEADER = "Lacewinghold-Expect-Instance"
@@ -63,6 +64,7 @@
 }
 
 
+Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 ClockReading = Annotated[float, Meta(ge=-MAX_CLOCK_MS, le=MAX_CLOCK_MS)]
 
@@ -78,9 +80,9 @@
 class WireWorker(Struct):
     """A worker's entry; its labels are its kind, then its rack."""
 
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Name
+    zone: Name
     state: str
     capacity: WireCapacity
     labels: list[str] = []
--- a/tests/test_scheduler/test_foreign_entries.py
+++ b/tests/test_scheduler/test_foreign_entries.py
@@ -31,6 +31,13 @@
     assert read(born=born) is None
 
 
+@pytest.mark.parametrize("field", ["service", "zone"])
+def test_an_entry_with_a_text_that_would_fill_the_roster_names_no_worker(field):
+    """Guards against a roster that the store refuses, and all writes behind it."""
+    assert read(**{field: "x" * 200}) is not None
+    assert read(**{field: "x" * 201}) is None
+
+
 @pytest.mark.parametrize("worker", UNUSABLE_IDS)
 def test_an_entry_under_an_id_that_no_header_carries_names_no_worker(worker):
     """Guards against members that count as silent for an error of their own."""
