--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -55,6 +55,10 @@
 DRAINED_WORKERS = "tests/test_scheduler/test_drained_workers.py"
 DEADLY_TASKS = "tests/test_scheduler/test_deadly_tasks.py"
 WITHHELD_ENDS = "tests/test_scheduler/test_withheld_ends.py"
+WORKER_INCARNATIONS = "tests/test_platform/test_worker_incarnations.py"
+FOREIGN_ENTRIES = "tests/test_scheduler/test_foreign_entries.py"
+POOL = "lacewinghold.platform.http_connections:ConnectionPool."
+CONNECTION = "lacewinghold.platform.http_connections:Connection."
 RELAY_FAULTS = "tests/test_scheduler/test_relay_faults.py"
 OPERATORS = "tests/test_scheduler/test_operators.py"
 PERMISSIONS = "tests/test_scheduler/test_permissions.py"
@@ -128,6 +132,27 @@
         "if False:",
         (WITHHELD_ENDS,),
     ),
+    Mutant(
+        "start over an unchecked connection",
+        POOL + "request",
+        "checked = check is None or connection.checked",
+        "checked = True",
+        (WORKER_INCARNATIONS,),
+    ),
+    Mutant(
+        "connection to another incarnation",
+        CONNECTION + "check",
+        "self.reusable and check.accepts(reply)",
+        "self.reusable",
+        (WORKER_INCARNATIONS,),
+    ),
+    Mutant(
+        "one order that cannot be encoded",
+        CELL + "relays:OrderRelays.send_orders",
+        'with contained("orders to a member", member=member.name):',
+        "if True:",
+        (FOREIGN_ENTRIES,),
+    ),
     Mutant(
         "ends of the next one, late member",
         CELL + "relay_host:RelayHost.poll",
