--- a/examples/load_requests.py
+++ b/examples/load_requests.py
@@ -135,17 +135,18 @@
 
 
 async def wait_until_owned(client: httpx.AsyncClient, urls: list[str]) -> None:
-    """Waits until the entry instances serve all shards."""
+    """Waits until all entry instances answer and together serve all shards."""
     with anyio.fail_after(START_LIMIT_S):
         while True:
-            ready = 0
+            ready = answered = 0
             for url in urls:
                 try:
                     status = (await client.get(f"{url}/status")).json()
                 except httpx.HTTPError:
                     continue
+                answered += 1
                 ready += sum(shard["ready"] for shard in status["shards"].values())
-            if ready >= SHARD_COUNT:
+            if answered == len(urls) and ready >= SHARD_COUNT:
                 return
             await anyio.sleep(0.2)
 
