--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -44,8 +44,8 @@
 WORKERS_PREFIX = "servers/"
 MAX_PORT = 65535
 MAX_AMOUNT = 2**40  # Of one resource of a worker; more is a mistake of the writer.
-MAX_NAME_LENGTH = 200  # Of a service or zone, which the stored roster repeats.
-MAX_CLOCK_MS = 2**53  # Beyond it a reading is not exact.
+MAX_NAME_LENGTH = 200  # In characters; the stored roster repeats names of workers.
+MAX_CLOCK_MS = 2**53  # Greater floats skip whole milliseconds.
 MAX_CONNECTIONS = 24  # The platform allows 64 connections to each worker.
 EXPECT_INSTANCE_HEADER = "Lacewinghold-Expect-Instance"
 OUTCOME_BY_REASON = {
@@ -268,7 +268,7 @@
         return await self.send_order("/run-start", body, timeout_s, check)
 
     async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
-        # A later incarnation that gets the stop refuses a late start of the run.
+        # Not checked: a later incarnation that gets it refuses a late start.
         body = {"task": order.task, "run": order.run, "fencingToken": order.epoch}
         return await self.send_order("/run-stop", body, timeout_s)
 
@@ -285,7 +285,7 @@
             body["waitMs"] = round(order.wait_s * 1000)
         check = None
         if order.acknowledged or order.lease_until_ms is not None:
-            # Both count on the clock and the numbers of this incarnation.
+            # Ends are numbered, and leases timed, anew by each incarnation.
             check = IncarnationCheck(self, order.epoch)
         reply = await self.client.call(
             "POST", "/hold", order.wait_s + timeout_s, body, self.headers, check
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -172,7 +172,7 @@
         self.silent = False
         self.faults: list[OrderFault] = []
         self.earlier_capacities: list[tuple[float, Resources]] = []
-        self.lives = 1
+        self.crash_count = 0
         self.late_starts = 0  # Orders that are still to be carried out late.
         world.workers[entry.worker] = self
         tasks.start_soon(self.expire)
@@ -220,7 +220,7 @@
 
     def crash(self) -> None:
         """Ends all runs and loses the worker's state, as a crash does."""
-        self.lives += 1
+        self.crash_count += 1
         self.discard_unacknowledged_ends()
         runs = list(self.runs.values())
         self.runs.clear()
@@ -431,10 +431,10 @@
 
     async def start_late(self, order: StartOrder) -> None:
         """Carries out a start after its sender timed out."""
-        life = self.worker.lives
+        crash_count = self.worker.crash_count
         await anyio.sleep(LATE_START_DELAY_S)
         self.worker.late_starts -= 1
-        if not self.worker.world.binds_orders or life == self.worker.lives:
+        if not self.worker.world.binds_orders or crash_count == self.worker.crash_count:
             self.worker.start(order)
 
     async def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
--- a/lacewinghold/util/codec.py
+++ b/lacewinghold/util/codec.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from lacewinghold.schema.base import PackedStruct
 
-MAX_INTEGER = 2**63 - 1  # The greatest that every encoding in use carries.
+MAX_INTEGER = 2**63 - 1  # JSON, MessagePack and signed 64-bit fields carry it.
 
 T = TypeVar("T")
 P = TypeVar("P", bound="PackedStruct")
