--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -51,6 +51,7 @@
     RUN_MOVED = "run moved"
     RUN_NOT_LISTED = "run not listed"
     RUN_LOST = "run lost"
+    RUNS_RELEASED = "runs released"
     SUSPECT_CLEARED = "suspect cleared"
     SUPERFLUOUS_RUN = "superfluous run"
     STOPPING_A_STRAY_RUN = "stopping a stray run"
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -27,6 +27,7 @@
     WorkerEntry,
 )
 from lacewinghold.schema.generated.cell import EnrolledWorker, WorkerRoster
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.codec import to_json
 
 if TYPE_CHECKING:
@@ -221,7 +222,7 @@
             if may_be_removed:
                 self.remove_worker(driver, "it never answered and is not listed")
             elif now > node.inherited_lease_until:
-                self.release_lapsed_runs(node)
+                self.release_lapsed_runs(node, "inherited lease lapsed")
             return
         if not node.listed and node.is_idle():
             # All runs that were ordered there have ended, so no lease has to expire.
@@ -230,14 +231,27 @@
         if not node.leases_lapsed(now):
             return
         self.owner.crashes.record_lapse(node)
-        self.release_lapsed_runs(node)
+        self.release_lapsed_runs(node, "lease lapsed")
         node.stray_runs.clear()
         node.ends_cut_off = False
         if not node.listed:
             self.remove_worker(driver, "its lease has expired and it is not listed")
 
-    def release_lapsed_runs(self, node: WorkerNode) -> None:
-        """Releases all runs of a worker, which have ended without its report."""
+    def release_lapsed_runs(self, node: WorkerNode, reason: str) -> None:
+        """Releases all runs of a worker, which have ended without its report.
+
+        :param reason: Why they count as ended, for the log.
+        """
+        if node.runs:
+            confirmed_ago_s = lease_time() - self.owner.ownership.confirmed_at
+            logger.info(
+                Event.RUNS_RELEASED,
+                worker=node.id,
+                runs=len(node.runs),
+                reason=reason,
+                epoch=self.owner.epoch,
+                confirmed_ago_s=round(confirmed_ago_s, 3),
+            )
         for run in list(node.runs.values()):
             self.owner.runs.release(node, run, EndKind.LAPSED)
 
@@ -254,7 +268,7 @@
         logger.info(
             Event.WORKER_GONE, worker=node.id, reason=reason, runs=len(node.runs)
         )
-        self.release_lapsed_runs(node)
+        self.release_lapsed_runs(node, reason)
         if self.nodes.get(node.id) is node:
             self.owner.pace.forget(node.id)
             del self.nodes[node.id]
