--- a/lacewinghold/scheduler/confirmation.py
+++ b/lacewinghold/scheduler/confirmation.py
@@ -1,7 +1,8 @@
-"""Confirms that jobs were stored while this owner's record stood in the store."""
+"""Confirms from the store that this instance owned the cell at a time in the past."""
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,19 +21,25 @@
 RETRY_DELAY_S = 0.1  # After a failed read.
 
 
-class JobConfirmations:
-    """Jobs that this owner may not start before the store has confirmed them.
+class OwnershipConfirmations:
+    """Reads the ownership record where the owner has to know that it stood.
 
-    A job that was stored while this owner's record stood is in every later owner's
-    load. A lease cannot tell this: the store may drop the record before it ends.
+    A lease cannot tell this: the store may drop the record before it ends. Any later
+    owner has claimed after a time at which the record stood. So its load holds all jobs
+    that were stored by then, and it cannot have kept a run that had ended by then.
 
-    :param owner: The owner that learns of the jobs.
+    :param owner: The owner that needs the confirmations.
+    :ivar confirmed_at: Latest time at which the record is known to have stood, on the
+        runtime's clock.
     """
 
     def __init__(self, owner: CellOwner) -> None:
         self.owner = owner
         self.waiting: dict[str, Job] = {}
+        self.confirmed_at = -math.inf
+        self.needed_at = -math.inf
         self.requested = anyio.Event()
+        self.advanced = anyio.Event()
 
     def request(self, job: Job) -> None:
         """Requests the confirmation of a new job, unless its record confirms it."""
@@ -55,21 +62,32 @@
         if self.waiting.pop(job.id, None) is not None:
             self.owner.planning.wake()
 
+    async def wait_until_confirmed(self, moment: float) -> None:
+        """Waits until the record is known to have stood at a moment or later.
+
+        :param moment: A time that has passed, on the runtime's clock.
+        """
+        while self.confirmed_at < moment:
+            self.needed_at = max(self.needed_at, moment)
+            self.requested.set()
+            await self.advanced.wait()
+
     async def run(self) -> None:
-        """Reads the ownership record while jobs wait, until it is gone."""
+        """Reads the ownership record while it is needed, until it is gone."""
         while True:
             await self.requested.wait()
             self.requested = anyio.Event()
-            while self.waiting:
+            while self.waiting or self.confirmed_at < self.needed_at:
                 if not await self.read_owner():
                     return
 
     async def read_owner(self) -> bool:
-        """Confirms what was learned before the read, if this owner's record stands.
+        """Confirms what preceded the read, if this owner's record stands.
 
         :returns: Whether this instance may still be the owner.
         """
         learned = list(self.waiting.values())
+        sent_at = anyio.current_time()
         store = self.owner.job_store
         reply = await store.store.range(store.prefix + OWNER_KEY)
         if isinstance(reply, Err):
@@ -82,4 +100,7 @@
             return False
         for job in learned:
             self.confirm(job)
+        self.confirmed_at = sent_at
+        self.advanced.set()
+        self.advanced = anyio.Event()
         return True
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -118,7 +118,7 @@
                 return
             if not self.is_silence_excused(sent_at):
                 node.unanswered_calls += 1
-                self.owner.fleet.handle_silence(self)
+                await self.owner.fleet.handle_silence(self)
             await anyio.sleep(self.owner.lag.pause_s(POLL_RETRY_S))
 
     def handle_other_incarnation(self) -> None:
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -39,6 +39,7 @@
 logger = structlog.get_logger(__name__)
 WORKER_LEASE_S = 4.0  # Longer than a takeover, shorter than the platform's limit.
 MAX_LEASE_S = 10.0  # The platform shortens longer ones.
+CONFIRMATION_WAIT_S = 0.4  # A silent worker is polled again after this time.
 MIN_ROSTER_INTERVAL_S = 0.5  # A roster lists all workers; many join at the same time.
 
 
@@ -206,36 +207,56 @@
         self.add_node(entry, inherited)
         self.nodes[node.id].listed = node.listed
 
-    def handle_silence(self, driver: WorkerDriver) -> None:
+    async def handle_silence(self, driver: WorkerDriver) -> None:
         """Handles a worker that did not answer a poll.
 
-        Its runs are released once every lease that it was granted has expired.
+        Its runs are released once every lease that it was granted has expired, and the
+        store has confirmed since that no later owner had claimed the cell by then. A
+        later owner may have renewed the lease and acknowledged ends.
         """
         node = driver.node
-        now = anyio.current_time()
         if node.unanswered_calls == 1:
             logger.info(Event.WORKER_SILENT, worker=node.id, runs=len(node.runs))
-        may_be_removed = not node.listed and now > max(
-            self.owner.earlier_runs_ended_at(), node.inherited_lease_until
-        )
-        if node.clock_ms is None:
-            if may_be_removed:
-                self.remove_worker(driver, "it never answered and is not listed")
-            elif now > node.inherited_lease_until:
-                self.release_lapsed_runs(node, "inherited lease lapsed")
-            return
         if not node.listed and node.is_idle():
             # All runs that were ordered there have ended, so no lease has to expire.
             self.remove_worker(driver, "it is not listed and runs nothing")
             return
-        if not node.leases_lapsed(now):
+        if node.listed and not (node.runs or node.stray_runs or node.ends_cut_off):
+            return
+        ended_at = self.leases_end_at(node)
+        if anyio.current_time() <= ended_at:
+            return
+        with anyio.move_on_after(CONFIRMATION_WAIT_S) as wait:
+            await self.owner.confirmations.wait_until_confirmed(ended_at)
+        if wait.cancelled_caught or node.dead or not node.unanswered_calls:
             return
-        self.owner.crashes.record_lapse(node)
+        if anyio.current_time() <= self.leases_end_at(node):
+            return
+        self.release_silent_worker(driver)
+
+    def leases_end_at(self, node: WorkerNode) -> float:
+        """Returns by when the leases of a silent worker have certainly ended.
+
+        :returns: A time on the runtime's clock.
+        """
+        if node.clock_ms is not None:
+            return node.leases_lapse_at()
+        if node.listed:
+            return node.inherited_lease_until
+        return max(node.inherited_lease_until, self.owner.earlier_runs_ended_at())
+
+    def release_silent_worker(self, driver: WorkerDriver) -> None:
+        """Releases all runs of a silent worker, and removes it unless it is listed."""
+        node = driver.node
+        reason = "it never answered and is not listed"
+        if node.clock_ms is not None:
+            reason = "its lease has expired and it is not listed"
+            self.owner.crashes.record_lapse(node)
         self.release_lapsed_runs(node, "lease lapsed")
         node.stray_runs.clear()
         node.ends_cut_off = False
         if not node.listed:
-            self.remove_worker(driver, "its lease has expired and it is not listed")
+            self.remove_worker(driver, reason)
 
     def release_lapsed_runs(self, node: WorkerNode, reason: str) -> None:
         """Releases all runs of a worker, which have ended without its report.
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -156,9 +156,17 @@
 
     def leases_lapsed(self, now: float) -> bool:
         """Returns whether all leases requested for the worker have certainly ended."""
-        if self.clock_ms is None:
-            return False
-        return self.earliest_clock_ms(now) > self.lease_until_ms + LAPSE_MARGIN_MS
+        return self.clock_ms is not None and now > self.leases_lapse_at()
+
+    def leases_lapse_at(self) -> float:
+        """Returns by when all leases requested for the worker have certainly ended.
+
+        :returns: A time on the runtime's clock.
+        """
+        assert self.clock_ms is not None
+        remaining_ms = self.lease_until_ms + LAPSE_MARGIN_MS - self.clock_ms
+        slowest = 1000 * (1 - MAX_CLOCK_DRIFT_SHARE)  # In ms per second.
+        return self.clock_read_at + max(0.0, remaining_ms) / slowest
 
     def record_failure(self, job: str, now: float) -> bool:
         """Records a failed run.
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -14,7 +14,7 @@
 from result import Ok
 
 from lacewinghold.events import Event
-from lacewinghold.scheduler.confirmation import JobConfirmations
+from lacewinghold.scheduler.confirmation import OwnershipConfirmations
 from lacewinghold.scheduler.crashes import CrashRecorder
 from lacewinghold.scheduler.election import TERM_KEY
 from lacewinghold.scheduler.end_log import EndLog
@@ -116,7 +116,7 @@
         self.ended = EndedJobs(jobs)
         self.table = JobTable(self)
         self.unknown_jobs = UnknownJobs(self)
-        self.confirmations = JobConfirmations(self)
+        self.confirmations = OwnershipConfirmations(self)
         self.suspects = Suspects()
         self.crashes = CrashRecorder(self)
         self.fleet = Fleet(self)
