--- a/lacewinghold/scheduler/confirmation.py
+++ b/lacewinghold/scheduler/confirmation.py
@@ -62,14 +62,25 @@
         if self.waiting.pop(job.id, None) is not None:
             self.owner.planning.wake()
 
+    def is_confirmed(self, moment: float) -> bool:
+        """Returns whether the record is known to have stood at a moment or later.
+
+        Requests a read if it is not.
+
+        :param moment: A time that has passed, on the runtime's clock.
+        """
+        if self.confirmed_at >= moment:
+            return True
+        self.needed_at = max(self.needed_at, moment)
+        self.requested.set()
+        return False
+
     async def wait_until_confirmed(self, moment: float) -> None:
         """Waits until the record is known to have stood at a moment or later.
 
         :param moment: A time that has passed, on the runtime's clock.
         """
-        while self.confirmed_at < moment:
-            self.needed_at = max(self.needed_at, moment)
-            self.requested.set()
+        while not self.is_confirmed(moment):
             await self.advanced.wait()
 
     async def run(self) -> None:
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -286,7 +286,7 @@
         answer have ended once their leases have expired.
         """
         while not self.fleet.earlier_runs_known(
-            leases_ended=anyio.current_time() >= self.earlier_runs_ended_at()
+            leases_ended=self.earlier_runs_have_ended()
         ):
             await anyio.sleep(FENCE_CHECK_INTERVAL_S)
         self.recovered = True
@@ -302,6 +302,16 @@
         )
         self.planning.wake()
 
+    def earlier_runs_have_ended(self) -> bool:
+        """Returns whether all runs on silent workers have certainly ended.
+
+        The store has to confirm it: an owner after this one may have kept them running.
+        """
+        ended_at = self.earlier_runs_ended_at()
+        if anyio.current_time() < ended_at:
+            return False
+        return self.confirmations.is_confirmed(ended_at)
+
     def stop_partial_gangs(self) -> None:
         """Stops all-at-once steps of which an earlier owner started only some tasks."""
         for step in self.table.open_steps.values():
