--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -114,16 +114,23 @@
                 self.owner.record_fenced(node)
                 return
             if reply is OrderOutcome.OTHER_INCARNATION:
-                self.handle_other_incarnation()
+                await self.handle_other_incarnation()
                 return
             if not self.is_silence_excused(sent_at):
                 node.unanswered_calls += 1
                 await self.owner.fleet.handle_silence(self)
             await anyio.sleep(self.owner.lag.pause_s(POLL_RETRY_S))
 
-    def handle_other_incarnation(self) -> None:
-        """Handles an answer of another incarnation, or of another worker."""
+    async def handle_other_incarnation(self) -> None:
+        """Handles an answer of another incarnation, or of another worker.
+
+        Waits until the store has confirmed that no later owner had claimed the cell
+        when it was heard. A later owner may have acknowledged ends of this incarnation.
+        """
         node = self.node
+        node.replaced = True
+        heard_at = anyio.current_time()
+        await self.owner.confirmations.wait_until_confirmed(heard_at)
         moved = node.other_entry and node.other_entry.address != node.entry.address
         if node.entry.incarnation == ANY_INCARNATION and not moved:
             reason = "another worker has its address"
@@ -165,6 +172,9 @@
                 self.owner.record_fenced(node)
                 return
             if isinstance(reply, WorkerReport) and node.other_entry is entry:
+                node.replaced = True
+                heard_at = anyio.current_time()
+                await self.owner.confirmations.wait_until_confirmed(heard_at)
                 self.owner.fleet.replace_worker(self)
                 return
             await anyio.sleep(self.owner.lag.pause_s(CONFIRM_RETRY_S))
@@ -350,7 +360,8 @@
         elif outcome is OrderOutcome.FENCED:
             self.owner.record_fenced(self.node)
         elif outcome is OrderOutcome.OTHER_INCARNATION:
-            self.handle_other_incarnation()
+            if self.task_group is not None:
+                self.task_group.start_soon(self.handle_other_incarnation)
         elif outcome is not OrderOutcome.OLD_RUN:
             if may_still_start:
                 return False
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -42,6 +42,7 @@
         self.ends_cut_off = False  # Whether the last report had no room for all ends.
         # The present entry in the store, if it is of another incarnation.
         self.other_entry: WorkerEntry | None = None
+        self.replaced = False  # Whether another incarnation has answered.
         self.dead = False
         self.runs: dict[tuple[str, int], Run] = {}
         self.lapsed_runs: list[LostRun] = []  # Released since the last answer.
@@ -77,6 +78,7 @@
             and self.enrolled
             and not self.stray_runs
             and not self.dead
+            and not self.replaced
             and self.other_entry is None
             and self.entry.state is ServerState.READY
             and self.unanswered_calls == 0
