--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -238,6 +238,7 @@
         self.bytes_moved = 0
         self.reachable = True
         self.watch_silent = False
+        self.watch_timeout_s = math.inf  # After which a silent watch fails.
         self.faults: list[StoreFault] = []
 
     async def call(
@@ -372,7 +373,9 @@
         while True:
             changed = self.state.changed
             if self.watch_silent:
-                await anyio.sleep_forever()
+                await anyio.sleep(self.watch_timeout_s)
+                detail = "the watch was silent"
+                raise FailureError(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
             for batch in self.state.changes_after(after, prefix):
                 after = batch.revision
                 if self.is_cut_off():
--- a/tests/test_scheduler/test_takeover_soak.py
+++ b/tests/test_scheduler/test_takeover_soak.py
@@ -16,6 +16,7 @@
 from lacewinghold.testing.step_cell import WORKERS_PREFIX
 from lacewinghold.testing.step_worker import Behaviour, OrderFault
 from tests.test_scheduler.support import run_cell, step
+from tests.test_scheduler.test_divided_cell import divide, heal
 
 SUITE_SEEDS = "1-10"
 JOBS = 40
@@ -23,6 +24,7 @@
 SERIES = 3  # Of faults, side by side.
 RESUBMITTED_SHARE = 0.3
 FINISH_LIMIT_S = 60
+WATCH_TIMEOUT_S = 2.8  # As of the client of the platform's store.
 
 
 def chosen_seeds():
@@ -42,6 +44,7 @@
         self.rng = random.Random(seed)
         self.accepted = []
         self.crashed = set()
+        self.divided = False
 
     async def run(self):
         """Submits jobs while faults come, and checks that all of them complete."""
@@ -89,6 +92,7 @@
             self.kill_owner,
             self.restart_owner,
             self.cut_owner_off,
+            self.divide_cell,
             self.slow_store_down,
             self.slow_instance_down,
             self.restart_worker,
@@ -131,6 +135,19 @@
         await anyio.sleep(self.rng.uniform(0.5, 6.0))
         member.store.reachable = True
 
+    async def divide_cell(self):
+        """Cuts the owner and some workers off from the store and from all others."""
+        if self.divided:
+            return
+        self.divided = True
+        member = self.any_owner()
+        workers = self.cell.world.workers.keys()
+        near = {worker for worker in sorted(workers) if self.rng.random() < 0.5}
+        divide(self.cell, member, near)
+        await anyio.sleep(self.rng.uniform(1.0, 12.0))
+        heal(self.cell)
+        self.divided = False
+
     async def slow_store_down(self):
         usual_s = 0.002
         self.cell.state.latency_s = self.rng.uniform(0.1, 0.3)
@@ -170,6 +187,7 @@
     async def silence_watches(self):
         """Lets an instance hear nothing from its watches for a while."""
         member = self.any_owner()
+        member.store.watch_timeout_s = WATCH_TIMEOUT_S
         member.store.watch_silent = True
         await anyio.sleep(self.rng.uniform(1.0, 5.0))
         member.store.watch_silent = False
