--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -67,6 +67,8 @@
 CELL_OWNERSHIP = "tests/test_scheduler/test_ownership.py"
 EARLIER_OWNERS = "tests/test_scheduler/test_earlier_owners.py"
 AFTER_THE_CLAIM = "tests/test_scheduler/test_jobs_after_the_claim.py"
+DIVIDED_CELL = "tests/test_scheduler/test_divided_cell.py"
+DIVIDED_CONFIRMATIONS = "tests/test_scheduler/test_divided_confirmations.py"
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
     Mutant(
@@ -223,6 +225,90 @@
         "for job in list(self.waiting.values()):",
         (AFTER_THE_CLAIM,),
     ),
+    Mutant(
+        "silent worker of an unconfirmed owner",
+        CELL + "fleet:Fleet.handle_silence",
+        "await self.owner.confirmations.wait_until_confirmed(ended_at)",
+        "pass",
+        (DIVIDED_CELL,),
+    ),
+    Mutant(
+        "silent worker, no answer of the store",
+        CELL + "fleet:Fleet.handle_silence",
+        "wait.cancelled_caught or ",
+        "",
+        (DIVIDED_CELL,),
+    ),
+    Mutant(
+        "silent worker, earlier confirmation",
+        CELL + "fleet:Fleet.handle_silence",
+        "wait_until_confirmed(ended_at)",
+        "wait_until_confirmed(0.0)",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "recovery of an unconfirmed owner",
+        CELL + "owner:CellOwner.earlier_runs_have_ended",
+        "self.confirmations.is_confirmed(ended_at)",
+        "True",
+        (DIVIDED_CELL,),
+    ),
+    Mutant(
+        "recovery, earlier confirmation",
+        CELL + "owner:CellOwner.earlier_runs_have_ended",
+        "is_confirmed(ended_at)",
+        "is_confirmed(self.acquired_at)",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "restart and an unconfirmed owner",
+        CELL + "driver:WorkerDriver.handle_other_incarnation",
+        "await self.owner.confirmations.wait_until_confirmed(heard_at)",
+        "pass",
+        (DIVIDED_CELL,),
+    ),
+    Mutant(
+        "restart, earlier confirmation",
+        CELL + "driver:WorkerDriver.handle_other_incarnation",
+        "wait_until_confirmed(heard_at)",
+        "wait_until_confirmed(0.0)",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "named restart, unconfirmed owner",
+        CELL + "driver:WorkerDriver.ask_other_incarnation",
+        "await self.owner.confirmations.wait_until_confirmed(heard_at)",
+        "pass",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "named restart, earlier confirmation",
+        CELL + "driver:WorkerDriver.ask_other_incarnation",
+        "wait_until_confirmed(heard_at)",
+        "wait_until_confirmed(0.0)",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "start on a replaced worker",
+        CELL + "nodes:WorkerNode.usable",
+        "and not self.replaced",
+        "",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "time of a late confirmation",
+        CELL + "confirmation:OwnershipConfirmations.read_owner",
+        "self.confirmed_at = sent_at",
+        "self.confirmed_at = anyio.current_time()",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
+    Mutant(
+        "confirmation without waiting jobs",
+        CELL + "confirmation:OwnershipConfirmations.run",
+        "self.waiting or self.confirmed_at < self.needed_at",
+        "self.waiting",
+        (DIVIDED_CONFIRMATIONS,),
+    ),
     Mutant(
         "strays take room",
         CELL + "fleet:Fleet.adopt_run",
