--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -239,17 +239,20 @@
 
         :returns: A time on the runtime's clock.
         """
-        if node.clock_ms is not None:
-            return node.leases_lapse_at()
+        ended_at = -math.inf if node.clock_ms is None else node.leases_lapse_at()
+        if node.fenced:
+            return ended_at
+        # Only a report shows what the clock reading means for leases of others.
+        ended_at = max(ended_at, node.inherited_lease_until)
         if node.listed:
-            return node.inherited_lease_until
-        return max(node.inherited_lease_until, self.owner.earlier_runs_ended_at())
+            return ended_at
+        return max(ended_at, self.owner.earlier_runs_ended_at())
 
     def release_silent_worker(self, driver: WorkerDriver) -> None:
         """Releases all runs of a silent worker, and removes it unless it is listed."""
         node = driver.node
-        reason = "it never answered and is not listed"
-        if node.clock_ms is not None:
+        reason = "it never reported and is not listed"
+        if node.fenced:
             reason = "its lease has expired and it is not listed"
             self.owner.crashes.record_lapse(node)
         self.release_lapsed_runs(node, "lease lapsed")
