--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -424,14 +424,28 @@
         for key, run in list(node.runs.items()):
             if key in listed or not run.orders_settled or run.began_at >= sent_at:
                 continue
+            if not run.missed_polls:
+                run.missed_since = anyio.current_time()
             run.missed_polls += 1
             if run.missed_polls < MISSED_POLLS_LIMIT:
                 continue
+            if not self.may_release_unlisted(node, run):
+                continue
             logger.warning(
                 Event.RUN_NOT_LISTED, task=key[0], run=key[1], worker=node.id
             )
             self.owner.runs.release(node, run, EndKind.LAPSED)
 
+    def may_release_unlisted(self, node: WorkerNode, run: Run) -> bool:
+        """Returns whether no later owner can have acknowledged the end of a run.
+
+        A worker that has seen a later owner's epoch does not answer this one, unless it
+        has restarted since. That goes unnoticed where the incarnation is unknown.
+        """
+        if node.entry.incarnation != ANY_INCARNATION:
+            return True
+        return self.owner.confirmations.is_confirmed(run.missed_since)
+
     def adopt_run(self, driver: WorkerDriver, task_name: str, number: int) -> None:
         """Adopts a run that an earlier owner has started, or stops it.
 
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -50,6 +50,7 @@
     :param began_at: When the start was decided, on the runtime's clock in seconds.
     :param orders_settled: Whether no start or stop order of the run is in flight.
     :param missed_polls: Consecutive polls of the worker that did not list the run.
+    :param missed_since: When the first of them was answered, on the runtime's clock.
     :param listed: Whether the worker has listed the run.
     :param start_unanswered: Whether a start order of the run has no answer.
     :param confirmed: Whether the worker has answered that it started the run.
@@ -64,6 +65,7 @@
     state: RunState = RunState.STARTING
     orders_settled: bool = False
     missed_polls: int = 0
+    missed_since: float = 0.0
     listed: bool = False
     start_unanswered: bool = False
     confirmed: bool = False
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -69,6 +69,7 @@
 AFTER_THE_CLAIM = "tests/test_scheduler/test_jobs_after_the_claim.py"
 DIVIDED_CELL = "tests/test_scheduler/test_divided_cell.py"
 DIVIDED_CONFIRMATIONS = "tests/test_scheduler/test_divided_confirmations.py"
+DIVIDED_INCARNATIONS = "tests/test_scheduler/test_divided_incarnations.py"
 INHERITED_STARTS = "tests/test_scheduler/test_inherited_starts.py"
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
@@ -317,6 +318,13 @@
         "if node.clock_ms is not None:",
         (INHERITED_STARTS,),
     ),
+    Mutant(
+        "list of an unknown incarnation",
+        CELL + "fleet:Fleet.may_release_unlisted",
+        "return self.owner.confirmations.is_confirmed(run.missed_since)",
+        "return True",
+        (DIVIDED_INCARNATIONS,),
+    ),
     Mutant(
         "strays take room",
         CELL + "fleet:Fleet.adopt_run",
