--- /dev/null
+++ b/tests/test_shards/test_divided_cell.py
@@ -0,0 +1,80 @@
+"""Owners of a shard on both sides of a cut, each of which reaches one worker.
+
+``pair`` is two entry instances that share a store and two workers; a third instance
+takes the shard over from the second.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lacewinghold.schema.generated.worker import WorkerState
+from lacewinghold.testing.pair import PLACE, SHARD
+from tests.test_shards.test_epoch_partition import run_scenario
+
+HOLD_S = 20.0
+RENEWED_S = 5.0  # For which an owner renews its lease before it is cut off.
+
+
+def divide(pair, running, far):
+    """Cuts an instance off from the store, all instances and a worker.
+
+    All other instances are cut off from the other worker.
+    """
+    pair.cell.cut_off(running.instance.instance, cut=True)
+    pair.cut_worker(running, far)
+    for other in pair.cell.instances.values():
+        if other is not running:
+            pair.cut_worker(other, pair.other(far))
+
+
+async def take_over_without(pair, worker):
+    """Has the second instance take over from the first without reaching a worker."""
+    pair.cut_worker(pair.second, worker)
+    pair.cell.kill(pair.first.instance.instance)
+    owner = await pair.taken_over()
+    await anyio.sleep(RENEWED_S)
+    assert not owner.recovery.recovered
+    assert owner.ownership.held()
+    return owner
+
+
+async def take_over_beyond_the_cut(pair, far):
+    """Cuts the second instance off and has a third one take over and reach a worker."""
+    third = pair.cell.instances[pair.cell.start_instance(PLACE, "third")]
+    divide(pair, pair.second, far)
+    await pair.until(lambda: far.record.worker in pair.usable(third))
+    assert SHARD in pair.second.instance.manager.owners
+    return third
+
+
+@pytest.mark.parametrize("seconds", [13.0, 100.0])
+def test_an_owner_that_recovers_without_the_store_starts_nothing_again(seconds):
+    async def scenario(pair):
+        task = await pair.submit("running", expected_run_s=seconds)
+        place = await pair.started(task)
+        second = await take_over_without(pair, place)
+        await take_over_beyond_the_cut(pair, place)
+        await pair.until(lambda: not second.may_command())
+        assert pair.recorder.violations == []
+        assert pair.recorder.starts[task] == 1
+
+    run_scenario(scenario, hold_s=HOLD_S)
+
+
+def test_a_worker_that_is_gone_ends_no_recovery_without_the_store():
+    async def scenario(pair):
+        task = await pair.submit("short", expected_run_s=12.0)
+        place = await pair.started(task)
+        second = await take_over_without(pair, place)
+        await take_over_beyond_the_cut(pair, place)
+        await pair.until(lambda: task not in place.running and not place.ended)
+        place.alive = False
+        place.record.state = WorkerState.GONE
+        assert second.may_command()
+        await pair.until(lambda: not second.may_command())
+        assert pair.recorder.violations == []
+        assert pair.recorder.starts[task] == 1
+
+    run_scenario(scenario, hold_s=HOLD_S)
