--- a/lacewinghold/shards/recovery.py
+++ b/lacewinghold/shards/recovery.py
@@ -52,11 +52,15 @@
                 task.detail = outcome.detail
 
     async def run(self) -> None:
-        """Waits until no earlier owner can start a task, then queues the tasks."""
+        """Waits until no other owner can start a task, then queues the tasks."""
         ends_at = self.owner.acquired_at + add_clock_margin(self.owner.hold_s)
-        while not self.all_fenced() and self.owner.now() < ends_at:
+        while not self.others_excluded(ends_at):
             changed = self.owner.changed
-            with anyio.move_on_after(min(CHECK_INTERVAL_S, ends_at - self.owner.now())):
+            remaining_s = ends_at - self.owner.now()
+            wait_s = CHECK_INTERVAL_S
+            if 0 < remaining_s < CHECK_INTERVAL_S:
+                wait_s = remaining_s
+            with anyio.move_on_after(wait_s):
                 await changed.wait()
         self.recovered = True
         for task in list(self.owner.tasks.values()):
@@ -68,6 +72,18 @@
             await anyio.sleep(until_tick(CHECK_INTERVAL_S))
             self.resume()
 
+    def others_excluded(self, ends_at: float) -> bool:
+        """Returns whether no other owner can start a task or keep one running.
+
+        An owner that is cut off from the store may have been replaced. The next owner
+        may reach workers that this one does not, and extend their holds.
+
+        :param ends_at: When the holds of earlier owners are certainly over.
+        """
+        if not self.all_fenced() and self.owner.now() < ends_at:
+            return False
+        return self.owner.ownership.held()
+
     def all_fenced(self) -> bool:
         """Returns whether every worker of the shard refuses earlier epochs.
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,6 +23,7 @@
     from collections.abc import Iterator
 
 EPOCH = "tests/test_shards/test_epoch_partition.py"
+DIVIDED_SHARD = "tests/test_shards/test_divided_cell.py"
 CHAOS = "tests/test_shards/test_chaos.py::test_nothing_lost_and_nothing_doubled"
 LEDGER = "tests/test_coordination/test_ledger.py"
 OWNERSHIP = "tests/test_coordination/test_ownership.py"
@@ -531,6 +532,13 @@
         "self.clock() > min(start.not_after, start.hold_until)",
         "False",
     ),
+    Mutant(
+        "recover under the lease",
+        RECOVERY + "others_excluded",
+        "return self.owner.ownership.held()",
+        "return True",
+        (DIVIDED_SHARD,),
+    ),
     Mutant("wait for all", RECOVERY + "all_fenced", "return all(", "return any("),
     Mutant(
         "stop at hold",
