--- a/tests/test_shards/test_divided_cell.py
+++ b/tests/test_shards/test_divided_cell.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from lacewinghold.schema.generated.jobs import TaskState
 from lacewinghold.schema.generated.worker import WorkerState
 from lacewinghold.testing.pair import PLACE, SHARD
 from tests.test_shards.test_epoch_partition import run_scenario
@@ -78,3 +79,46 @@
         assert pair.recorder.starts[task] == 1
 
     run_scenario(scenario, hold_s=HOLD_S)
+
+
+def test_a_task_whose_start_was_under_way_at_a_restart_may_have_run():
+    async def scenario(pair):
+        pair.first.worker_links.cut_replies.update(pair.cell.workers)
+        task = await pair.submit("once", expected_run_s=30.0, repeatable=False)
+        place = await pair.started(task)
+        pair.first.worker_links.cut_replies.clear()
+        place.restart()
+        await pair.until(lambda: task in pair.recorder.outcomes)
+        assert pair.recorder.violations == []
+        assert pair.recorder.starts[task] == 1
+        assert pair.recorder.outcomes[task] is TaskState.UNKNOWN
+
+    run_scenario(scenario)
+
+
+def test_an_owner_without_the_store_repeats_no_start_that_was_under_way():
+    async def scenario(pair):
+        first = pair.owner(pair.first)
+        blocker = await pair.submit("short", expected_run_s=8.0)
+        place = await pair.started(blocker)
+        await pair.started(await pair.submit("longer", expected_run_s=8.3))
+        task = await pair.submit("queued", expected_run_s=100.0)
+        await anyio.sleep(6.4)
+        pair.cut_off()
+        pair.cut_worker(pair.second, pair.other(place))
+        worker = first.workers[place.record.worker]
+        while task not in worker.sending:
+            await anyio.sleep(0.0005)
+        pair.first.worker_links.cut_replies.add(place.record.worker)
+        second = await pair.taken_over()
+        await pair.until(lambda: second.tasks[task].state is TaskState.RUNNING)
+        assert task in worker.sending
+        pair.cut_worker(pair.second, place)
+        place.restart()
+        pair.first.worker_links.cut_replies.clear()
+        await anyio.sleep(5.0)
+        pair.second.worker_links.cut.discard(place.record.worker)
+        assert await pair.started(task, times=2) is place
+        assert pair.recorder.violations == []
+
+    run_scenario(scenario)
