--- a/lacewinghold/shards/worker_task.py
+++ b/lacewinghold/shards/worker_task.py
@@ -130,7 +130,7 @@
     def requeue_all(self, detail: str) -> None:
         """Queues again all tasks booked on this worker, none of which runs any more."""
         self.capacity.usable = False
-        unsent = set(self.starts) - self.unconfirmed
+        unsent = set(self.starts) - self.unconfirmed - self.sending
         self.starts.clear()
         self.unconfirmed.clear()
         self.owner.part_host.requeue_reservations(self.capacity)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -576,6 +576,13 @@
         "start.task in self.unconfirmed or ",
         "",
     ),
+    Mutant(
+        "start under way at a restart",
+        WORKER_TASK + "requeue_all",
+        " - self.sending",
+        "",
+        (DIVIDED_SHARD,),
+    ),
     Mutant(
         "ended start is dropped",
         WORKER_TASK + "apply_ended",
