--- a/tests/test_shards/test_divided_cell.py
+++ b/tests/test_shards/test_divided_cell.py
@@ -122,3 +122,28 @@
         assert pair.recorder.violations == []
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("seconds", [10.0, 100.0])
+def test_an_owner_without_the_store_restarts_no_task_of_a_silent_worker(seconds):
+    async def scenario(pair):
+        # Without an answer to its start, the owner goes on calling the worker.
+        pair.first.worker_links.cut_replies.update(pair.cell.workers)
+        task = await pair.submit("running", expected_run_s=seconds)
+        place = await pair.started(task)
+        first = pair.owner(pair.first)
+        # The other worker may start tasks for longer than this one.
+        pair.cut_worker(pair.first, place)
+        pair.first.worker_links.cut_replies.clear()
+        await anyio.sleep(RENEWED_S)
+        divide(pair, pair.first, place)
+        await pair.until(lambda: place.record.worker in pair.usable(pair.second))
+        worker = first.workers[place.record.worker]
+        assert worker.unconfirmed
+        await pair.until(lambda: worker.worker_now() > worker.hold_until)
+        assert first.may_command()
+        await pair.until(lambda: not first.may_command())
+        assert pair.recorder.violations == []
+        assert pair.recorder.starts[task] == 1
+
+    run_scenario(scenario, hold_s=HOLD_S)
