--- a/tests/test_coordination/test_ownership.py
+++ b/tests/test_coordination/test_ownership.py
@@ -170,3 +170,30 @@
         assert member.lease.generation == 1
 
     run_scenario(scenario)
+
+
+def test_a_late_write_of_an_earlier_lease_ends_no_ownership():
+    async def scenario(state, tasks):
+        settings = LeaseSettings(ttl_s=6.0, renew_s=1.0, margin_s=0.3)
+        first, second = Member(state, "first", settings), Member(state, "second")
+        grant = first.store.grant_lease
+
+        async def grant_and_delay(ttl_s):
+            granted = await grant(ttl_s)
+            if not state.late_writes and first.lease.generation == 0:
+                first.store.faults.append(StoreFault.DELAYED)
+            return granted
+
+        first.store.grant_lease = grant_and_delay
+        tasks.start_soon(first.lease.run)
+        while not first.lease.valid():
+            await anyio.sleep(0.01)
+        claim = await first.claim()
+        assert (await claim.acquire(first.known())).is_ok()
+        await anyio.sleep(12.0)
+        assert claim.held()
+        await second.lease.open()
+        taken = await second.claim()
+        assert (await taken.acquire(second.known())).is_err()
+
+    run_scenario(scenario)
