--- a/lacewinghold/coordination/lease.py
+++ b/lacewinghold/coordination/lease.py
@@ -40,6 +40,7 @@
     :ivar revision: Store revision of the record under the current lease.
     :ivar registered: The same revision; 0 once the lease is closed.
     :ivar generation: Number of leases opened so far.
+    :ivar unsettled: A lease under which a write of the record may still take effect.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.settings = settings
         self.record = record
         self.lease: LeaseId | None = None
+        self.unsettled: LeaseId | None = None
         self.expires_at = 0.0
         self.revision = Revision(0)
         self.registered = Revision(0)
@@ -95,6 +97,8 @@
 
         :returns: Whether both succeeded.
         """
+        if self.unsettled is not None and not await self.settle(self.unsettled):
+            return False
         started = anyio.current_time()
         granted = await self.store.grant_lease(self.settings.ttl_s)
         if isinstance(granted, Err):
@@ -107,6 +111,7 @@
         ]
         written = await self.store.commit(Transaction([], puts))
         if isinstance(written, Err):
+            self.unsettled = lease
             return False
         self.registered = Revision(written.ok_value.revision)
         self.lease = lease
@@ -116,6 +121,18 @@
         logger.info(Event.LEASE_OPENED, lease=lease, generation=self.generation)
         return True
 
+    async def settle(self, lease: LeaseId) -> bool:
+        """Ends a lease, so that no late write can tie the record to it any more.
+
+        :returns: Whether it has certainly ended.
+        """
+        if isinstance(await self.store.revoke_lease(lease), Err):
+            remaining = await self.store.renew_lease(lease)
+            if isinstance(remaining, Err) or remaining.ok_value > 0:
+                return False
+        self.unsettled = None
+        return True
+
     async def renew(self) -> bool:
         """Renews the lease, or clears it if it has lapsed in the store.
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -532,6 +532,13 @@
         "self.clock() > min(start.not_after, start.hold_until)",
         "False",
     ),
+    Mutant(
+        "late write of an earlier lease",
+        "lacewinghold.coordination.lease:InstanceLease.open",
+        "self.unsettled = lease",
+        "pass",
+        (OWNERSHIP,),
+    ),
     Mutant(
         "recover under the lease",
         RECOVERY + "others_excluded",
