--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,6 +23,7 @@
     from collections.abc import Iterator
 
 EPOCH = "tests/test_shards/test_epoch_partition.py"
+DIVIDED_SHARD = "tests/test_shards/test_divided_cell.py"
 CHAOS = "tests/test_shards/test_chaos.py::test_nothing_lost_and_nothing_doubled"
 LEDGER = "tests/test_coordination/test_ledger.py"
 OWNERSHIP = "tests/test_coordination/test_ownership.py"
@@ -633,6 +634,20 @@
         "self.clock() > min(start.not_after, start.hold_until)",
         "False",
     ),
+    Mutant(
+        "late write of an earlier lease",
+        "lacewinghold.coordination.lease:InstanceLease.open",
+        "self.unsettled = lease",
+        "pass",
+        (OWNERSHIP,),
+    ),
+    Mutant(
+        "recover under the lease",
+        RECOVERY + "others_excluded",
+        "return self.owner.ownership.held()",
+        "return True",
+        (DIVIDED_SHARD,),
+    ),
     Mutant("wait for all", RECOVERY + "all_fenced", "return all(", "return any("),
     Mutant(
         "stop at hold",
@@ -670,6 +685,13 @@
         "start.task in self.unconfirmed or ",
         "",
     ),
+    Mutant(
+        "start under way at a restart",
+        WORKER_TASK + "requeue_all",
+        " - self.sending",
+        "",
+        (DIVIDED_SHARD,),
+    ),
     Mutant(
         "ended start is dropped",
         WORKER_TASK + "apply_ended",
