--- a/tools/divided_run.py
+++ b/tests/processes/divided_run.py
@@ -1,6 +1,6 @@
 """Divides a cell of real processes and checks that no task runs twice.
 
-Usage: ``python -m tools.divided_run FOLDER [--case C] [--seed N] [--root CHECKOUT]``.
+Usage: ``python -m tests.processes.divided_run FOLDER [--case C] [--seed N]``.
 The owner and half of the workers are cut off from the store, the other workers and all
 other entries for 9 s. The cases differ in what else happens:
 
@@ -9,10 +9,10 @@
 - ``claim``: the cut begins just after the owner's claim, and the owner has not reached
   the workers beyond it before.
 
-Processes are those of the checkout; store and workers are stand-ins on loopback
-addresses. The record goes to ``record.txt`` in the folder, the logs beside it. The exit
-code is 1 if a task ran twice or a job did not complete, and 2 if the run could not be
-made.
+Processes are those of the checkout, or of ``--root CHECKOUT``; store and workers are
+stand-ins on loopback addresses. The record goes to ``record.txt`` in the folder, the
+logs beside it. The exit code is 1 if a task ran twice or a job did not complete, and 2
+if the run could not be made.
 
 Each entry reaches the store at an address of its own, and is shown addresses of workers
 and peers that no other entry is shown. So a caller is known by the address it calls.
@@ -36,7 +36,7 @@
 
 from review import standin
 
-CHECKOUT = Path(__file__).resolve().parent.parent
+CHECKOUT = Path(__file__).resolve().parents[2]
 ENTRIES = 5
 WORKERS = 10
 CASES = ("silence", "restart", "claim")
@@ -256,7 +256,7 @@
         for end in self.ends:
             if end[0] <= seen and end[3] == "done":
                 self.cell.acknowledge(self, end[1], end[2])
-        answer: Answer = await super().hold(body)  # type: ignore[no-untyped-call]
+        answer: Answer = await super().hold(body)
         return answer
 
 
