--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -242,7 +242,7 @@
         ended_at = -math.inf if node.clock_ms is None else node.leases_lapse_at()
         if node.fenced:
             return ended_at
-        # Only a report shows what the clock reading means for leases of others.
+        # Leases by earlier orders are known from the first report on.
         ended_at = max(ended_at, node.inherited_lease_until)
         if node.listed:
             return ended_at
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,7 +23,7 @@
     from collections.abc import Iterator
 
 EPOCH = "tests/test_shards/test_epoch_partition.py"
-DIVIDED_SHARD = "tests/test_shards/test_divided_cell.py"
+DIVIDED_SHARD = "tests/test_shards/test_divided_shard.py"
 CHAOS = "tests/test_shards/test_chaos.py::test_nothing_lost_and_nothing_doubled"
 LEDGER = "tests/test_coordination/test_ledger.py"
 OWNERSHIP = "tests/test_coordination/test_ownership.py"
