--- a/tests/test_scheduler/test_divided_cell.py
+++ b/tests/test_scheduler/test_divided_cell.py
@@ -62,6 +62,28 @@
     assert await cell.wait_for("a", JobState.COMPLETED, JOB_LIMIT_S)
 
 
+async def replace_owner_that_reaches_all(cell, idle):
+    """Shuts the owner down; all others reach only the idle workers.
+
+    :returns: The next owner, which may start tasks on the idle workers.
+    """
+    first = cell.owner()
+    for member in cell.members:
+        if member is not first:
+            member.dialer.unreachable |= cell.world.workers.keys() - idle
+    await first.instance.shut_down()
+    while cell.owner() in (None, first):
+        await anyio.sleep(0.001)
+    second = cell.owner()
+    owner = second.instance.owner
+    while not owner.predecessor_stopped.is_set():
+        await anyio.sleep(0.001)
+    nodes = owner.fleet.nodes
+    while not all(nodes[worker].usable(anyio.current_time()) for worker in idle):
+        await anyio.sleep(0.001)
+    return second
+
+
 @pytest.mark.parametrize("seconds", [3.0, 7.0, 30.0])
 def test_an_owner_without_the_store_restarts_no_task_of_a_silent_worker(seconds):
     async def program(cell):
@@ -92,19 +114,7 @@
 def test_an_owner_that_recovers_without_the_store_restarts_no_task(seconds):
     async def program(cell):
         idle = await start_job(cell, seconds)
-        first = cell.owner()
-        for member in cell.members:
-            if member is not first:
-                member.dialer.unreachable |= cell.world.workers.keys() - idle
-        await first.instance.shut_down()
-        while cell.owner() in (None, first):
-            await anyio.sleep(0.001)
-        second = cell.owner()
-        while not second.instance.owner.predecessor_stopped.is_set():
-            await anyio.sleep(0.001)
-        nodes = second.instance.owner.fleet.nodes
-        while not all(nodes[worker].usable(anyio.current_time()) for worker in idle):
-            await anyio.sleep(0.001)
+        second = await replace_owner_that_reaches_all(cell, idle)
         for member in cell.members:
             member.dialer.unreachable.clear()
         divide(cell, second, idle)
--- a/tests/test_scheduler/test_divided_confirmations.py
+++ b/tests/test_scheduler/test_divided_confirmations.py
@@ -18,6 +18,7 @@
     divide,
     move_across_the_cut,
     outlast_the_hold_and_heal,
+    replace_owner_that_reaches_all,
     start_job,
 )
 
@@ -172,20 +173,7 @@
 def test_a_confirmation_before_the_leases_have_ended_ends_no_recovery(seconds):
     async def program(cell):
         idle = await start_job(cell, seconds)
-        first = cell.owner()
-        for member in cell.members:
-            if member is not first:
-                member.dialer.unreachable |= cell.world.workers.keys() - idle
-        await first.instance.shut_down()
-        while cell.owner() in (None, first):
-            await anyio.sleep(0.001)
-        second = cell.owner()
-        owner = second.instance.owner
-        while not owner.predecessor_stopped.is_set():
-            await anyio.sleep(0.001)
-        nodes = owner.fleet.nodes
-        while not all(nodes[worker].usable(anyio.current_time()) for worker in idle):
-            await anyio.sleep(0.001)
+        second = await replace_owner_that_reaches_all(cell, idle)
         await confirm(second)
         for member in cell.members:
             member.dialer.unreachable.clear()
