--- a/review/platform_2/stand_in.py
+++ b/review/platform_2/stand_in.py
@@ -11,6 +11,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -21,6 +22,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+FIRST_PORT, LAST_PORT = 12000, 30000
 CALLER_HOST = "orders.example"
 SERVICE = "press"
 HEARTBEAT_S = 1.5
@@ -574,10 +576,12 @@
 
 
 def free_port() -> int:
-    """Returns a free port."""
-    with socket.socket() as found:
-        found.bind((HOST, 0))
-        return int(found.getsockname()[1])
+    """Returns a free port below those that the system gives to connections."""
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as found, suppress(OSError):
+            found.bind((HOST, port))
+            return port
 
 
 def manifest(version: int, routes: list[dict]) -> dict:
