--- a/bench/bench_loading.py
+++ b/bench/bench_loading.py
@@ -30,7 +30,7 @@
 from lacewinghold.store.mirror import Mirror
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.testing.gate import Gate
-from lacewinghold.testing.step_cell import StepCell
+from lacewinghold.testing.step_cell import JOB_IDS, StepCell
 from lacewinghold.testing.step_worker import MemoryWorkerDialer
 from lacewinghold.testing.store import MemoryStore, StoreState
 from lacewinghold.util.clock import WallClock
@@ -79,7 +79,7 @@
         self.ended_jobs = ended_jobs
         self.state = StoreState(latency_s=0.0)
         self.store = MemoryStore(self.state)
-        self.jobs = JobStore(self.store, PREFIX)
+        self.jobs = JobStore(self.store, PREFIX, JOB_IDS)
         self.state.apply(Transaction([], [Put(PREFIX + OWNER_KEY, b"{}")]))
         self.epoch = Epoch(self.state.revision)
         self.clock = WallClock(START_TIME_S)
@@ -119,7 +119,7 @@
         )
         return CellOwner(
             ownership,
-            JobStore(store, PREFIX),
+            JobStore(store, PREFIX, JOB_IDS),
             MemoryWorkerDialer(workers.world, Gate()),
             CellState(),
             Mirror(store, "workers/", ignore, ignore),
--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -14,7 +14,7 @@
 from lacewinghold.ids import InstanceId
 from lacewinghold.peers.nng import NngTransport
 from lacewinghold.platform.advice import PlatformAdvice
-from lacewinghold.platform.front import PlatformFront
+from lacewinghold.platform.front import JOB_ID_PATTERN, PlatformFront
 from lacewinghold.platform.manifest import MANIFEST_KEY, read_manifest
 from lacewinghold.platform.store import PlatformStore
 from lacewinghold.platform.workers import (
@@ -23,6 +23,7 @@
     read_worker,
 )
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
+from lacewinghold.scheduler.job_ids import JobIds
 from lacewinghold.util.clock import WallClock
 from lacewinghold.util.http_server import serve_http
 from lacewinghold.util.lag import LagMonitor
@@ -63,6 +64,7 @@
         advice=advice,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
         clock=WallClock(),
+        job_ids=JobIds(JOB_ID_PATTERN),
         lag=lag,
     )
 
--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -15,14 +15,18 @@
 from lacewinghold.util.codec import parse_json
 
 if TYPE_CHECKING:
+    from lacewinghold.ids import JobId
     from lacewinghold.scheduler.cell import CellInstance
     from lacewinghold.scheduler.ports import Queue
 
 READY_PATH = b"/ready"
 DEADLINE_HEADER = b"lacewinghold-deadline-ms"
+JOB_ID_PATTERN = "[0-9A-Fa-f]{16}"  # Chosen by the caller.
+METHODS = ("GET", "POST", "DELETE")
 MAX_BODY_BYTES = 262_144  # The manifest's limit for bodies.
 STATUS_BY_KIND = {
     ErrorKind.INVALID: HTTPStatus.BAD_REQUEST,
+    ErrorKind.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
     ErrorKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ErrorKind.NOT_RUN: HTTPStatus.SERVICE_UNAVAILABLE,
     ErrorKind.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -168,17 +172,23 @@
 
     async def serve(self, call: Call) -> Result[object, Failure]:
         """Serves one request to submit, cancel or query a job, or to count a queue."""
+        if call.method not in METHODS:
+            detail = f"method {call.method[:20]}, expected one of {', '.join(METHODS)}"
+            return Err(Failure(ErrorKind.METHOD_NOT_ALLOWED, detail))
         front = self.instance.front
         found = front.find_queue(call.host, call.path)
         if isinstance(found, Err):
             return Err(found.err_value)
         queue = found.ok_value
-        job = call.path[len(queue.prefix) :]
-        if not job:
+        if call.method == "GET" and call.path == queue.prefix:
             count = await front.count_waiting(queue)
             if isinstance(count, Err):
                 return Err(count.err_value)
             return Ok({"waiting": count.ok_value})
+        named = front.find_job(queue, call.path)
+        if isinstance(named, Err):
+            return Err(named.err_value)
+        job = named.ok_value
         if call.method == "POST":
             return await self.submit(call, queue, job)
         if call.method == "DELETE":
@@ -192,7 +202,7 @@
         return Ok({"state": state.ok_value.value})
 
     async def submit(
-        self, call: Call, queue: Queue, job: str
+        self, call: Call, queue: Queue, job: JobId
     ) -> Result[object, Failure]:
         """Decodes a job and submits it."""
         parsed = parse_json(call.body, WireJob)
@@ -225,7 +235,7 @@
         failure = result.err_value
         status = STATUS_BY_KIND.get(failure.kind, HTTPStatus.SERVICE_UNAVAILABLE)
         if failure.kind is ErrorKind.NOT_FOUND:
-            # An unknown queue gives 404, an unknown job in a known queue gives 410.
+            # No queue or no job id gives 404, an unknown job in a queue gives 410.
             status = HTTPStatus.NOT_FOUND
             if failure.field == "job":
                 status = HTTPStatus.GONE
@@ -244,6 +254,8 @@
         headers = [(b"content-length", str(len(content)).encode())]
         if content:
             headers.append((b"content-type", b"application/json"))
+        if status == HTTPStatus.METHOD_NOT_ALLOWED:
+            headers.append((b"allow", ", ".join(METHODS).encode()))
         if retry_after_s is not None:
             headers.append((b"retry-after", str(math.ceil(retry_after_s)).encode()))
         await send(
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -43,6 +43,7 @@
     from lacewinghold.ids import InstanceId, WorkerId
     from lacewinghold.peers.base import PeerTransport
     from lacewinghold.scheduler.election import Ownership
+    from lacewinghold.scheduler.job_ids import JobIds
     from lacewinghold.scheduler.model import Job
     from lacewinghold.scheduler.ports import (
         AdviceCalls,
@@ -77,6 +78,7 @@
 class CellPorts(Struct):
     """What an instance is connected to; tests pass fakes.
 
+    :param job_ids: Format of the ids that callers choose for their jobs.
     :param lag: Shared with the transports; a new one if ``None``.
     """
 
@@ -86,6 +88,7 @@
     advice: AdviceCalls | None
     keys: OperatorKeys
     clock: WallClock
+    job_ids: JobIds
     lag: LagMonitor | None = None
 
 
@@ -113,7 +116,7 @@
         self.lag.details = self.describe_lateness
         self.lag.lags = self.metrics.late_seconds
         self.store = HealthCheckedStore(ports.store, self.lag)
-        self.jobs = JobStore(self.store, prefix)
+        self.jobs = JobStore(self.store, prefix, ports.job_ids)
         self.state = CellState()
         self.strength = strength_of(settings.machine)
         self.election = Election(
--- a/lacewinghold/scheduler/ended_jobs.py
+++ b/lacewinghold/scheduler/ended_jobs.py
@@ -75,13 +75,17 @@
         for number, item in enumerate(reply.ok_value.items):
             if number % OUTCOMES_PER_TURN == 0:
                 await anyio.sleep(0)
+            job = self.store.ids.parse(item.key.removeprefix(prefix))
+            if job is None:
+                logger.warning(Event.FOREIGN_KEY, key=item.key)
+                continue
             try:
                 outcome = from_json(item.value, JobOutcome)
                 state = JobState(outcome.state)
             except (msgspec.DecodeError, ValueError) as error:
                 logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
                 continue
-            self.record(item.key.removeprefix(prefix), state, outcome.at)
+            self.record(job, state, outcome.at)
         self.loaded = True
 
     def forget(self, job: str) -> None:
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -493,8 +493,8 @@
             return False
         if self.belongs_to_ended_job(task_name):
             return False
-        job = task_name.partition(".")[0]
-        if self.owner.unknown_jobs.is_absent(job):
+        job = self.owner.job_store.ids.job_of_task(task_name)
+        if job is None or self.owner.unknown_jobs.is_absent(job):
             return False
         if task_name not in driver.unknown_tasks:
             driver.unknown_tasks.add(task_name)
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -15,6 +15,7 @@
 from lacewinghold.scheduler.model import JobState
 
 if TYPE_CHECKING:
+    from lacewinghold.ids import JobId
     from lacewinghold.scheduler.cell import CellInstance
     from lacewinghold.scheduler.ports import Queue
     from lacewinghold.schema.generated.cell import CellJob
@@ -50,6 +51,18 @@
             return Err(Failure(ErrorKind.NOT_FOUND, f"no queue for {host}{path}"))
         return Ok(queue)
 
+    def find_job(self, queue: Queue, path: str) -> Result[JobId, Failure]:
+        """Returns the id of the job that a path of a queue names.
+
+        A path of any other form, such as that of a queue which was removed and whose
+        prefix lay within this one's, names nothing that exists.
+        """
+        job = self.instance.jobs.ids.parse(path.removeprefix(queue.prefix))
+        if job is None:
+            detail = f"no job id after the prefix {queue.prefix}"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail))
+        return Ok(job)
+
     async def submit(
         self, record: CellJob, deadline_s: float | None = None
     ) -> Result[None, Failure]:
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -19,6 +19,7 @@
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
+    from lacewinghold.scheduler.job_ids import JobIds
     from lacewinghold.store.base import KeyValue, Store
 
 logger = structlog.get_logger(__name__)
@@ -42,6 +43,9 @@
     OUTCOME = "e"
 
 
+JOB_KEY_LETTERS = frozenset(kind.value for kind in JobKey)
+
+
 class StoredJob(Struct):
     """One job as stored.
 
@@ -63,11 +67,13 @@
     """Reads and writes jobs.
 
     :param prefix: Prefix of all keys of this program.
+    :param ids: Format of the jobs' ids.
     """
 
-    def __init__(self, store: Store, prefix: str) -> None:
+    def __init__(self, store: Store, prefix: str, ids: JobIds) -> None:
         self.store = store
         self.prefix = prefix
+        self.ids = ids
 
     def key(self, job: str, kind: JobKey) -> str:
         """Returns the key of one kind of a job."""
@@ -86,13 +92,24 @@
         return [self.ended_key(job), *kept]
 
     def parse_key(self, key: str) -> tuple[str, JobKey] | None:
-        """Returns the job and kind of a key, ``None`` for an unknown kind."""
-        job, _, kind = key.removeprefix(f"{self.prefix}{JOBS_PREFIX}").partition("/")
-        try:
-            return job, JobKey(kind)
-        except ValueError:
+        """Returns the job and kind of a key, ``None`` if it is not a job's key."""
+        text, _, kind = key.removeprefix(f"{self.prefix}{JOBS_PREFIX}").partition("/")
+        job = self.ids.parse(text)
+        if job is None or kind not in JOB_KEY_LETTERS:
             logger.warning(Event.FOREIGN_KEY, key=key)
             return None
+        return job, JobKey(kind)
+
+    def decode_record(self, value: bytes, job: str | None = None) -> CellJob:
+        """Decodes the record of an accepted job.
+
+        :param job: The only job that it may be of; ``None`` allows any.
+        :raises msgspec.DecodeError: If it is malformed, or of another job.
+        """
+        record = from_json(value, CellJob)
+        if self.ids.parse(record.job) is None or job not in (None, record.job):
+            raise msgspec.ValidationError(f"record of job {record.job[:80]!r}")
+        return record
 
     async def accept(
         self, record: CellJob, epoch: Epoch = NO_EPOCH
@@ -170,7 +187,7 @@
             return
         try:
             if parsed[1] is JobKey.ACCEPTED:
-                found.record = from_json(item.value, CellJob)
+                found.record = self.decode_record(item.value, parsed[0])
                 found.revision = item.mod_revision
             elif parsed[1] is JobKey.OUTCOME:
                 found.outcome = self.read_outcome(item)
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -22,13 +22,16 @@
 )
 from lacewinghold.scheduler.ports import stored_queue
 from lacewinghold.scheduler.suspects import WorkerCrash, crashes_of, is_guilty
-from lacewinghold.schema.generated.cell import CellJob, JobOutcome
-from lacewinghold.util.codec import from_json
+from lacewinghold.schema.generated.cell import JobOutcome
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.owner import CellOwner
     from lacewinghold.scheduler.ports import Queue
-    from lacewinghold.schema.generated.cell import CrashEvidence, TaskEndEntry
+    from lacewinghold.schema.generated.cell import (
+        CellJob,
+        CrashEvidence,
+        TaskEndEntry,
+    )
     from lacewinghold.store.base import KeyValue
 
 logger = structlog.get_logger(__name__)
@@ -81,7 +84,7 @@
             if ended is not None and not ended.legacy:
                 # Instances of the previous version may store an ended job again.
                 self.owner.log.remove_with_next_write([item.key])
-            record = self.read_record(item)
+            record = self.read_record(job_id, item)
             if record is not None:
                 self.accept(record, item.mod_revision)
         elif job_id in self.jobs:
@@ -106,10 +109,10 @@
         else:
             self.unread_cancellations.add(job_id)
 
-    def read_record(self, item: KeyValue) -> CellJob | None:
+    def read_record(self, job_id: str, item: KeyValue) -> CellJob | None:
         """Returns the decoded record of an accepted job, ``None`` if it is damaged."""
         try:
-            return from_json(item.value, CellJob)
+            return self.owner.job_store.decode_record(item.value, job_id)
         except msgspec.DecodeError as error:
             logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
             return None
@@ -124,7 +127,9 @@
         turn = TurnBudget()
         for job_id, item in self.unread_records.items():
             record = (
-                None if self.owner.ended.has_ended(job_id) else self.read_record(item)
+                None
+                if self.owner.ended.has_ended(job_id)
+                else self.read_record(job_id, item)
             )
             if record is None:
                 continue
@@ -211,10 +216,15 @@
             self.refresh_job(job)
 
     def find_queue(self, record: CellJob) -> Queue:
-        """Returns a job's queue from the manifest, or else as stored at acceptance."""
+        """Returns a job's queue from the manifest, or else as stored at acceptance.
+
+        A path whose queue was removed may lie within the prefix of another queue.
+        """
         manifest = self.owner.state.manifest
         found = None if manifest is None else manifest.find(record.host, record.path)
-        return found or stored_queue(record)
+        if found is None or not found.is_job_path(record.path, record.job):
+            return stored_queue(record)
+        return found
 
     def update_queues(self) -> None:
         """Applies a new manifest to the jobs that have not ended."""
@@ -409,9 +419,11 @@
 
     def find_task(self, name: str) -> Task | None:
         """Returns a task by its name."""
+        if self.owner.job_store.ids.job_of_task(name) is None:
+            return None
         step_name, _, index = name.rpartition(".")
         step = self.steps.get(step_name)
-        if step is None or not index.isdecimal() or int(index) >= len(step.tasks):
+        if step is None or int(index) >= len(step.tasks):
             return None
         return step.tasks[int(index)]
 
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -15,7 +15,6 @@
 from lacewinghold.scheduler.election import Invitation
 from lacewinghold.scheduler.members import advise_for_peer
 from lacewinghold.scheduler.model import JobState
-from lacewinghold.schema.generated.cell import CellJob
 from lacewinghold.schema.generated.messages import (
     CellAccepted,
     CellAdvice,
@@ -31,13 +30,14 @@
     CellYielded,
     MessageKind,
 )
-from lacewinghold.util.codec import from_json, to_json, unpack
+from lacewinghold.util.codec import to_json, unpack
 from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
+    from lacewinghold.ids import JobId
     from lacewinghold.scheduler.cell import CellInstance
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.schema.generated.cell import CellOwnerRecord
+    from lacewinghold.schema.generated.cell import CellJob, CellOwnerRecord
 
 logger = structlog.get_logger(__name__)
 YIELD_RETRY_S = 0.05
@@ -219,6 +219,21 @@
 
     # Calls of peers
 
+    def read_job_id(self, body: bytes) -> Result[JobId, Failure]:
+        """Decodes a call that names a job; refuses what is no job's id."""
+        job = self.instance.jobs.ids.parse(unpack(body, CellJobCall).job)
+        if job is None:
+            return Err(Failure(ErrorKind.INVALID, "the call names no job", "job"))
+        return Ok(job)
+
+    def read_record(self, peer: InstanceId, value: bytes) -> Result[CellJob, Failure]:
+        """Decodes the record of a job that a peer has sent."""
+        try:
+            return Ok(self.instance.jobs.decode_record(value))
+        except msgspec.DecodeError as error:
+            logger.error(Event.DAMAGED_RECORD, peer=peer, detail=str(error))
+            return Err(Failure(ErrorKind.INVALID, str(error)))
+
     async def serve_yield(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellYielded, Failure]:
@@ -264,19 +279,20 @@
         self, peer: InstanceId, body: bytes
     ) -> Result[CellJobState, Failure]:
         """Applies a member's notice of a job that it has stored."""
-        try:
-            record = from_json(unpack(body, CellAccepted).record, CellJob)
-        except msgspec.DecodeError as error:
-            logger.error(Event.DAMAGED_RECORD, peer=peer, detail=str(error))
-            return Err(Failure(ErrorKind.INVALID, str(error)))
-        self.instance.apply_accepted_job(record)
+        record = self.read_record(peer, unpack(body, CellAccepted).record)
+        if isinstance(record, Err):
+            return record
+        self.instance.apply_accepted_job(record.ok_value)
         return Ok(CellJobState(JobState.QUEUED.value))
 
     async def serve_cancelled(
         self, peer: InstanceId, body: bytes
     ) -> Result[CellJobState, Failure]:
         """Applies a member's notice of a cancellation that it has stored."""
-        self.instance.apply_cancelled_job(unpack(body, CellJobCall).job)
+        job = self.read_job_id(body)
+        if isinstance(job, Err):
+            return job
+        self.instance.apply_cancelled_job(job.ok_value)
         return Ok(CellJobState(JobState.CANCELLED.value))
 
     async def serve_submit(
@@ -284,8 +300,10 @@
     ) -> Result[CellJobState, Failure]:
         """Stores a job for a member that the store does not serve."""
         request = unpack(body, CellSubmitCall)
-        record = from_json(request.record, CellJob)
-        stored = await self.instance.front.store_job(record, request.limit_s)
+        record = self.read_record(peer, request.record)
+        if isinstance(record, Err):
+            return record
+        stored = await self.instance.front.store_job(record.ok_value, request.limit_s)
         if isinstance(stored, Err):
             return Err(stored.err_value)
         return Ok(CellJobState(JobState.QUEUED.value))
@@ -294,8 +312,10 @@
         self, peer: InstanceId, body: bytes
     ) -> Result[CellJobState, Failure]:
         """Cancels a job for a member that the store does not serve."""
-        job = unpack(body, CellJobCall).job
-        cancelled = await self.instance.front.cancel_in_store(job)
+        job = self.read_job_id(body)
+        if isinstance(job, Err):
+            return job
+        cancelled = await self.instance.front.cancel_in_store(job.ok_value)
         if isinstance(cancelled, Err):
             return Err(cancelled.err_value)
         return Ok(CellJobState(JobState.CANCELLED.value))
@@ -304,7 +324,10 @@
         self, peer: InstanceId, body: bytes
     ) -> Result[CellJobState, Failure]:
         """Answers with a job's state, if this instance is certain to own the cell."""
-        state = self.instance.owned_state(unpack(body, CellJobCall).job)
+        job = self.read_job_id(body)
+        if isinstance(job, Err):
+            return job
+        state = self.instance.owned_state(job.ok_value)
         if state is None:
             return Err(
                 Failure(ErrorKind.NOT_OWNER, "this instance does not decide on the job")
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -94,6 +94,10 @@
     slack_s: float = 0.0
     advice: AdviceRules | None = None
 
+    def is_job_path(self, path: str, job: str) -> bool:
+        """Returns whether a path names a job of this queue."""
+        return path == self.prefix + job
+
     def to_rules(self) -> QueueRules:
         """Returns the rules as they are stored with a job."""
         rules = QueueRules(
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -12,6 +12,7 @@
 
 from lacewinghold.ids import Incarnation, InstanceId, RegionId, WorkerId
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
+from lacewinghold.scheduler.job_ids import JobIds
 from lacewinghold.scheduler.model import JobState, task_room
 from lacewinghold.scheduler.ports import (
     AdviceRules,
@@ -59,6 +60,7 @@
 SETTLE_S = 1.0
 CRASHED_S = 3.0  # How long a worker is down after a crash.
 POLL_S = 0.05
+JOB_IDS = JobIds("[0-9A-Za-z-]{1,40}")
 STORE_OPERATIONS = 31  # The platform's store takes 32 entries with the condition.
 
 
@@ -131,6 +133,7 @@
     :param queues: Queues of the manifest; one without advice if none are given.
     :param make_machine: Returns the machine of a new member; none by default.
     :param lease_ms: Duration of the owner's lease in milliseconds.
+    :param job_ids: Format of the jobs' ids; short names by default.
     """
 
     def __init__(
@@ -140,6 +143,7 @@
         queues: list[Queue] | None = None,
         make_machine: Callable[[], Machine] | None = None,
         lease_ms: int = LEASE_MS,
+        job_ids: JobIds = JOB_IDS,
     ) -> None:
         self.tasks = tasks
         self.rng = random.Random(seed)
@@ -161,6 +165,7 @@
         self.members: list[Member] = []
         self.make_machine = make_machine
         self.lease_ms = lease_ms
+        self.job_ids = job_ids
         self.operator = MemoryStore(self.state)
         self.clock = WallClock(start=1_700_000_000.0)
         self.starts = 0
@@ -302,6 +307,7 @@
             advice=MemoryAdvice(self.advice),
             keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
             clock=self.clock,
+            job_ids=self.job_ids,
         )
         if machine is None and self.make_machine is not None:
             machine = self.make_machine()
--- a/tests/test_scheduler/test_thin_link.py
+++ b/tests/test_scheduler/test_thin_link.py
@@ -13,6 +13,7 @@
 from lacewinghold.schema.generated.messages import MessageKind
 from lacewinghold.store.base import Put, Transaction
 from lacewinghold.testing.clock import run_paused
+from lacewinghold.testing.step_cell import JOB_IDS
 from lacewinghold.testing.store import MemoryStore, StoreState
 from tests.test_scheduler.support import run_cell, step
 
@@ -62,7 +63,7 @@
     async def program():
         store = ThinStore(StoreState())
         owned = await store.commit(Transaction([], [Put("p/" + OWNER_KEY, b"{}")]))
-        log = EndLog(JobStore(store, "p/"), owned.ok_value.revision, 1)
+        log = EndLog(JobStore(store, "p/", JOB_IDS), owned.ok_value.revision, 1)
         stored = []
         for number in range(20):
             log.append_value(f"p/r/{number}", b"x" * VALUE_BYTES, lambda: None)
