--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -29,6 +29,7 @@
     JOB_ACCEPTED = "job accepted"
     JOB_NOT_ACCEPTED = "job not accepted"
     JOB_CANCELLED = "job cancelled"
+    UNSTORED_JOB_CANCELLED = "unstored job cancelled"
     STATE_ANSWERED = "state answered"
     REQUEST_FAILED = "request failed"
     REQUEST_RECORD_LOST = "request record lost"
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -30,6 +30,7 @@
 from lacewinghold.scheduler.relay_host import RelayHost
 from lacewinghold.scheduler.relays import OrderRelays
 from lacewinghold.scheduler.strength import SUFFICIENT_STRENGTH, strength_of
+from lacewinghold.scheduler.tombstones import TombstoneBudget
 from lacewinghold.schema.generated.cell import CellMember
 from lacewinghold.store.health import HealthCheckedStore
 from lacewinghold.store.mirror import Mirror
@@ -148,6 +149,7 @@
         self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_advice_lane)
         self.admission = Admission(self)
+        self.tombstone_budget = TombstoneBudget()
         self.front = JobFront(self)
         self.worker_keys: dict[str, WorkerId] = {}
         self.leaving = False
--- a/lacewinghold/scheduler/ended_jobs.py
+++ b/lacewinghold/scheduler/ended_jobs.py
@@ -85,7 +85,8 @@
             except (msgspec.DecodeError, ValueError) as error:
                 logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
                 continue
-            self.record(job, state, outcome.at)
+            if not outcome.tombstone:
+                self.record(job, state, outcome.at)
         self.loaded = True
 
     def forget(self, job: str) -> None:
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -27,6 +27,13 @@
 REPLY_MARGIN_S = 0.25  # Part of a caller's deadline reserved for sending the reply.
 DEFAULT_DEADLINE_S = 3.0
 FORWARD_ROUND_TRIP_S = 0.15  # Round trip to the owner in another region.
+MAX_CANCEL_ATTEMPTS = 3
+# Of the owner, so that they hold for the job and not only for this instance's call.
+FINAL_SUBMISSION_ERRORS = (
+    ErrorKind.OUTCOME_UNKNOWN,
+    ErrorKind.NOT_RUN,
+    ErrorKind.NOT_FOUND,
+)
 
 
 class JobFront:
@@ -70,7 +77,7 @@
 
         :param deadline_s: How long the caller waits for the answer, in seconds.
         :returns: ``NOT_RUN`` if the job is certainly not stored, ``OUTCOME_UNKNOWN``
-            if it may be.
+            if it may be, ``NOT_FOUND`` if it was cancelled before it was stored.
         """
         checked = check_job(record)
         if isinstance(checked, Err):
@@ -100,7 +107,7 @@
         if isinstance(reply, Ok):
             return reply
         failure = reply.err_value
-        if is_outcome_unknown(failure) or failure.kind is ErrorKind.NOT_RUN:
+        if failure.kind in FINAL_SUBMISSION_ERRORS:
             return Err(failure)
         detail = f"not accepted: {failure.detail}"
         return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=MIN_RETRY_AFTER_S))
@@ -122,7 +129,7 @@
     async def is_confirmed_absent(self, job: str, limit_s: float) -> bool:
         """Returns whether the store has confirmed that it does not hold a job.
 
-        A job that is stored already is not refused for a backlog.
+        A job that is stored already, or will never be, is not refused for a backlog.
 
         :param limit_s: Time limit in seconds; half of it is used at most.
         """
@@ -131,7 +138,7 @@
             if isinstance(reply, Err):
                 return False
             found = reply.ok_value
-            return found.record is None and found.outcome is None
+            return not found.exists() and not found.tombstone
         return False
 
     async def store_job(self, record: CellJob, limit_s: float) -> Result[None, Failure]:
@@ -164,6 +171,8 @@
                     await self.instance.peer_calls.notify_accepted(reply.ok_value)
                     return Ok(None)
                 failure = reply.err_value
+                if failure.kind is ErrorKind.NOT_FOUND:
+                    return Err(failure)
                 sent = sent or is_outcome_unknown(failure)
                 await anyio.sleep(ACCEPT_RETRY_DELAY_S)
             if scope.cancelled_caught or anyio.current_time() >= give_up_at:
@@ -213,7 +222,7 @@
             return Err(self.store_unavailable(reply.err_value))
         stored = reply.ok_value
         if not stored.exists():
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
+            return Err(self.unknown_job_failure(job))
         state = self.state_from_store(stored)
         logger.info(Event.STATE_ANSWERED, job=job, state=state.value, by="store")
         return Ok(state)
@@ -231,30 +240,81 @@
         )
 
     async def cancel(self, job: str) -> Result[None, Failure]:
-        """Cancels a job; the cancellation is stored before this returns."""
+        """Cancels a job; the cancellation is stored before this returns.
+
+        :returns: ``NOT_FOUND`` if no such job is stored; none will be.
+        """
         if self.instance.store.down:
             forwarded = await self.instance.peer_calls.cancel(job)
-            if isinstance(forwarded, Ok):
+            if isinstance(forwarded, Ok) or is_confirmed_unknown(forwarded.err_value):
                 return forwarded
         return await self.cancel_in_store(job)
 
     async def cancel_in_store(self, job: str) -> Result[None, Failure]:
-        """Cancels a job by calls to the store from this instance."""
-        reply = await self.instance.jobs.read(job)
-        if isinstance(reply, Err):
-            return Err(self.store_unavailable(reply.err_value))
-        stored = reply.ok_value
-        if not stored.exists():
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job"))
+        """Cancels a job by calls to the store from this instance.
+
+        A write without a reply is followed by a read, which tells its outcome unless
+        it takes effect later. The write is conditional, so that it may be made again.
+        """
+        failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the job keeps changing")
+        for _ in range(MAX_CANCEL_ATTEMPTS):
+            reply = await self.instance.jobs.read(job)
+            if isinstance(reply, Err):
+                return Err(self.store_unavailable(reply.err_value))
+            stored = reply.ok_value
+            if stored.tombstone:
+                return Err(self.unknown_job_failure(job))
+            if stored.exists():
+                written = await self.cancel_stored(job, stored)
+            else:
+                written = await self.cancel_unstored(job)
+            if isinstance(written, Ok) or not may_repeat_cancellation(
+                written.err_value
+            ):
+                return written
+            failure = written.err_value
+        return Err(self.store_unavailable(failure))
+
+    async def cancel_stored(self, job: str, stored: StoredJob) -> Result[None, Failure]:
+        """Cancels a job as the store holds it, unless it has ended."""
         if stored.outcome is None and not stored.cancelled:
             written = await self.instance.jobs.cancel(job, stored)
             if isinstance(written, Err):
-                return Err(self.store_unavailable(written.err_value))
+                return Err(written.err_value)
             self.instance.apply_cancelled_job(job)
             await self.instance.peer_calls.notify_cancelled(job)
         logger.info(Event.JOB_CANCELLED, job=job)
         return Ok(None)
 
+    async def cancel_unstored(self, job: str) -> Result[None, Failure]:
+        """Keeps a job that is not stored from being stored later.
+
+        :returns: ``NOT_FOUND`` if it is kept so, ``CONFLICT`` if it is stored by now.
+        """
+        tombstones = self.instance.metrics.tombstones
+        budget = self.instance.tombstone_budget
+        if not budget.try_spend():
+            tombstones.labels("refused").inc()
+            detail = "not cancelled: too many jobs that do not exist are cancelled"
+            retry_after_s = budget.seconds_until_token()
+            return Err(
+                Failure(ErrorKind.OVERLOADED, detail, retry_after_s=retry_after_s)
+            )
+        written = await self.instance.jobs.put_tombstone(
+            job, self.instance.ports.clock.now()
+        )
+        if isinstance(written, Err):
+            return Err(written.err_value)
+        if not written.ok_value:
+            return Err(Failure(ErrorKind.CONFLICT, "the job was stored meanwhile"))
+        tombstones.labels("stored").inc()
+        logger.info(Event.UNSTORED_JOB_CANCELLED, job=job)
+        return Err(self.unknown_job_failure(job))
+
+    def unknown_job_failure(self, job: str) -> Failure:
+        """Returns the failure of a request for a job that does not exist."""
+        return Failure(ErrorKind.NOT_FOUND, f"no job {job}", "job")
+
     async def count_waiting(self, queue: Queue) -> Result[int, Failure]:
         """Returns the number of accepted jobs of a queue that have not started.
 
@@ -269,3 +329,13 @@
         detail = "the owner of the cell is not reachable"
         failure = Failure(ErrorKind.UNREACHABLE, detail)
         return Err(self.store_unavailable(failure))
+
+
+def is_confirmed_unknown(failure: Failure) -> bool:
+    """Returns whether an instance has answered that a job does not exist."""
+    return failure.kind is ErrorKind.NOT_FOUND and failure.field == "job"
+
+
+def may_repeat_cancellation(failure: Failure) -> bool:
+    """Returns whether a cancellation has to read the store again."""
+    return failure.kind in (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.CONFLICT)
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -15,10 +15,12 @@
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
 from lacewinghold.schema.generated.cell import CellJob, JobOutcome
-from lacewinghold.store.base import Compare, CompareTarget, Put, Transaction
+from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
 from lacewinghold.util.codec import from_json, to_json
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from lacewinghold.scheduler.job_ids import JobIds
     from lacewinghold.store.base import KeyValue, Store
 
@@ -29,6 +31,8 @@
 OWNER_KEY = "owner"
 MEMBERS_PREFIX = "m/"
 ROSTER_PREFIX = "r/"
+TOMBSTONES_PREFIX = "x/"
+MAX_TOMBSTONES_PER_WRITE = 10  # The store accepts 32 entries; each takes three.
 NO_EPOCH = Epoch(0)  # Store revisions begin at 1.
 
 
@@ -51,12 +55,14 @@
 
     :param record: The accepted job, ``None`` if no record is stored.
     :param revision: Store revision of the record.
+    :param tombstone: Whether the job was cancelled before it was stored.
     """
 
     record: CellJob | None = None
     revision: int = 0
     cancelled: bool = False
     outcome: JobOutcome | None = None
+    tombstone: bool = False
 
     def exists(self) -> bool:
         """Returns whether the job is open, or has an outcome that is still stored."""
@@ -83,6 +89,10 @@
         """Returns the key of a job's outcome, the only key of an ended job."""
         return f"{self.prefix}{ENDED_PREFIX}{job}"
 
+    def tombstone_entry_key(self, job: str) -> str:
+        """Returns the key by which a tombstone is found, beside that of the outcome."""
+        return f"{self.prefix}{TOMBSTONES_PREFIX}{job}"
+
     def ended_job_keys(self, job: str, legacy: bool) -> list[str]:
         """Returns the keys of an ended job.
 
@@ -114,13 +124,14 @@
     async def accept(
         self, record: CellJob, epoch: Epoch = NO_EPOCH
     ) -> Result[CellJob, Failure]:
-        """Stores a job, unless it is open or has ended.
+        """Stores a job, unless it is open, has ended or has a tombstone.
 
         The record names the epoch only if the owner's record stood as it was stored.
 
         :param epoch: Epoch of the newest owner known.
         :returns: The record, with the epoch that is certain; a failure of kind
-            ``OUTCOME_UNKNOWN`` if the write may still take effect.
+            ``OUTCOME_UNKNOWN`` if the job may be stored or the write may still take
+            effect, ``NOT_FOUND`` if it has a tombstone.
         """
         stored = replace(record, epoch=epoch)
         reply = await self.put_if_new(stored)
@@ -128,7 +139,24 @@
             # The job is not new, or another instance owns the cell by now.
             stored = replace(record, epoch=NO_EPOCH)
             reply = await self.put_if_new(stored)
-        return Err(reply.err_value) if isinstance(reply, Err) else Ok(stored)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(stored) if reply.ok_value else await self.find_accepted(stored)
+
+    async def find_accepted(self, record: CellJob) -> Result[CellJob, Failure]:
+        """Returns the record of a job that was not stored because it is not new."""
+        reply = await self.read(record.job)
+        if isinstance(reply, Err):
+            detail = f"the job may be stored: {reply.err_value.detail}"
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+        found = reply.ok_value
+        if found.exists():
+            return Ok(record)
+        if found.tombstone:
+            detail = "the job was cancelled before it was stored"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail, "job"))
+        detail = "the job was removed meanwhile"
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
 
     async def put_if_new(self, record: CellJob) -> Result[bool, Failure]:
         """Stores a job that is neither open nor ended, under its epoch if it has one.
@@ -145,12 +173,7 @@
             conditions.append(
                 Compare(owner_key, CompareTarget.MOD_REVISION, record.epoch)
             )
-        reply = await self.store.commit(
-            Transaction(conditions, [Put(key, to_json(record))])
-        )
-        if isinstance(reply, Err):
-            return Err(reply.err_value)
-        return Ok(reply.ok_value.succeeded)
+        return await self.commit(Transaction(conditions, [Put(key, to_json(record))]))
 
     async def read(self, job: str) -> Result[StoredJob, Failure]:
         """Reads a job: the keys of an open job first, then the outcome.
@@ -169,7 +192,13 @@
         if isinstance(reply, Err):
             return Err(reply.err_value)
         for item in reply.ok_value.items:
-            found.outcome = self.read_outcome(item) or found.outcome
+            outcome = self.read_outcome(item)
+            if outcome is None:
+                continue
+            if outcome.tombstone:
+                found.tombstone = True
+                continue
+            found.outcome = outcome
         return Ok(found)
 
     def read_outcome(self, item: KeyValue) -> JobOutcome | None:
@@ -204,7 +233,63 @@
         accepted = self.key(job, JobKey.ACCEPTED)
         still_open = Compare(accepted, CompareTarget.MOD_REVISION, stored.revision)
         put = Put(self.key(job, JobKey.CANCELLED), b"{}")
-        reply = await self.store.commit(Transaction([still_open], [put]))
+        return await self.commit(Transaction([still_open], [put]))
+
+    async def put_tombstone(self, job: str, at: float) -> Result[bool, Failure]:
+        """Stores a tombstone for a job that is not stored.
+
+        :param at: Wall time in seconds.
+        :returns: Whether the job was still not stored, so that the tombstone is.
+        """
+        accepted, ended = self.key(job, JobKey.ACCEPTED), self.ended_key(job)
+        conditions = [
+            Compare(key, CompareTarget.MOD_REVISION, 0) for key in (accepted, ended)
+        ]
+        outcome = JobOutcome(
+            state="cancelled", at=at, reason="cancelled unstored", tombstone=True
+        )
+        puts = [
+            Put(ended, to_json(outcome)),
+            Put(self.tombstone_entry_key(job), b"{}"),
+        ]
+        return await self.commit(Transaction(conditions, [*puts]))
+
+    async def list_tombstones(self) -> Result[list[KeyValue], Failure]:
+        """Returns the entries of all tombstones."""
+        reply = await self.store.range(self.prefix + TOMBSTONES_PREFIX, prefix=True)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        return Ok(reply.ok_value.items)
+
+    async def remove_tombstones(
+        self, entries: Sequence[KeyValue]
+    ) -> Result[bool, Failure]:
+        """Removes tombstones, unless an outcome has taken the place of one of them.
+
+        :returns: Whether they are removed; otherwise all of them are left.
+        """
+        conditions, removals = [], []
+        for entry in entries:
+            job = entry.key.removeprefix(self.prefix + TOMBSTONES_PREFIX)
+            ended = self.ended_key(job)
+            # One write has stored both keys, so that they have the same revision.
+            conditions.append(
+                Compare(ended, CompareTarget.MOD_REVISION, entry.mod_revision)
+            )
+            removals += [Delete(ended), Delete(entry.key)]
+        return await self.commit(Transaction(conditions, [*removals]))
+
+    async def remove_tombstone_entry(self, entry: KeyValue) -> Result[bool, Failure]:
+        """Removes the entry of a tombstone that has gone."""
+        unchanged = Compare(entry.key, CompareTarget.MOD_REVISION, entry.mod_revision)
+        return await self.commit(Transaction([unchanged], [Delete(entry.key)]))
+
+    async def commit(self, transaction: Transaction) -> Result[bool, Failure]:
+        """Applies a transaction.
+
+        :returns: Whether its conditions held.
+        """
+        reply = await self.store.commit(transaction)
         if isinstance(reply, Err):
             return Err(reply.err_value)
         return Ok(reply.ok_value.succeeded)
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -38,6 +38,12 @@
             ["result"],
             registry=registry,
         )
+        self.tombstones = Counter(
+            "lacewinghold_tombstones",
+            "Cancellations of jobs that are not stored, by result.",
+            ["result"],
+            registry=registry,
+        )
         self.submission_seconds = Histogram(
             "lacewinghold_submission_seconds",
             "Time from a submission to its answer.",
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -33,6 +33,7 @@
 from lacewinghold.scheduler.runs import RunLifecycle
 from lacewinghold.scheduler.slow_workers import SlowWorkers
 from lacewinghold.scheduler.suspects import Suspects
+from lacewinghold.scheduler.tombstones import TombstoneSweeper
 from lacewinghold.scheduler.unknown_jobs import UnknownJobs
 from lacewinghold.schema.generated.cell import WorkerRoster
 from lacewinghold.store.mirror import Mirror
@@ -173,6 +174,7 @@
             tasks.start_soon(self.wait_for_earlier_runs)
             tasks.start_soon(SlowWorkers(self).run)
             tasks.start_soon(self.delete_expired_jobs)
+            tasks.start_soon(TombstoneSweeper(self).run)
             await self.planning.run()
 
     async def find_unknown_jobs(self) -> None:
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -135,3 +135,29 @@
     assert manifest.find("h", "/q/") is None
     assert read_manifest(b"\xff") is None
     assert read_manifest(b"{}") is None
+
+
+def test_cancelled_job_that_was_never_stored_stays_gone():
+    """Guards against an acceptance after a cancellation was acknowledged (review/8)."""
+
+    async def program(cell):
+        assert (await call(cell, "DELETE", "/fast/a"))[0] == 410
+        assert (await call(cell, "POST", "/fast/a", JOB))[0] == 410
+        assert (await call(cell, "GET", "/fast/a"))[0] == 410
+        assert (await call(cell, "DELETE", "/fast/a"))[0] == 410
+        await anyio.sleep(2)
+        assert cell.world.starts == []
+
+    run_cell(program)
+
+
+def test_cancelling_many_unknown_jobs_is_refused_with_a_time_to_return():
+    """Guards against a client that fills the store with ids of its own."""
+
+    async def program(cell):
+        answers = [await call(cell, "DELETE", f"/fast/u{n}") for n in range(100)]
+        assert {status for status, _, _ in answers} == {410, 429}
+        assert answers[-1][0] == 429
+        assert int(answers[-1][1][b"retry-after"]) >= 1
+
+    run_cell(program)
