--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -27,6 +27,8 @@
 CHAOS = "tests/test_shards/test_chaos.py::test_nothing_lost_and_nothing_doubled"
 LEDGER = "tests/test_coordination/test_ledger.py"
 OWNERSHIP = "tests/test_coordination/test_ownership.py"
+JOB_ID_TESTS = "tests/test_platform/test_job_ids.py"
+TOMBSTONES = "tests/test_scheduler/test_cancelled_before_stored.py"
 
 
 class Mutant(Struct, frozen=True):
@@ -74,6 +76,34 @@
 INHERITED_STARTS = "tests/test_scheduler/test_inherited_starts.py"
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
+    Mutant(
+        "job id of a path",
+        CELL + "front:JobFront.find_job",
+        "self.instance.jobs.ids.parse(path.removeprefix(queue.prefix))",
+        "path.removeprefix(queue.prefix)",
+        (JOB_ID_TESTS,),
+    ),
+    Mutant(
+        "job path in another queue",
+        CELL + "job_table:JobTable.find_queue",
+        "not found.is_job_path(record.path, record.job)",
+        "False",
+        (JOB_ID_TESTS,),
+    ),
+    Mutant(
+        "tombstone beside a stored job",
+        CELL + "job_store:JobStore.put_tombstone",
+        "for key in (accepted, ended)",
+        "for key in (ended,)",
+        (TOMBSTONES,),
+    ),
+    Mutant(
+        "outcome in the place of a tombstone",
+        CELL + "job_store:JobStore.remove_tombstones",
+        "entry.mod_revision)",
+        "0)",
+        (TOMBSTONES,),
+    ),
     Mutant(
         "unanswered start",
         CELL + "driver:WorkerDriver.apply_start_outcome",
