--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -28,7 +28,7 @@
 DEFAULT_DEADLINE_S = 3.0
 FORWARD_ROUND_TRIP_S = 0.15  # Round trip to the owner in another region.
 MAX_CANCEL_ATTEMPTS = 3
-# Of the owner, so that they hold for the job and not only for this instance's call.
+# Failures of the owner that the caller gets unchanged; others count as not accepted.
 FINAL_SUBMISSION_ERRORS = (
     ErrorKind.OUTCOME_UNKNOWN,
     ErrorKind.NOT_RUN,
--- a/lacewinghold/scheduler/tombstones.py
+++ b/lacewinghold/scheduler/tombstones.py
@@ -20,8 +20,8 @@
     from lacewinghold.scheduler.owner import CellOwner
     from lacewinghold.store.base import KeyValue
 
-BUDGET_PER_S = 1.0
-BUDGET_BURST = 30.0
+BUDGET_PER_S = 1.0  # Tombstones per second of one instance.
+BUDGET_BURST = 30.0  # Tombstones that one instance may store at once.
 
 
 class TombstoneBudget:
