--- a/bench/bench_document.py
+++ b/bench/bench_document.py
@@ -118,7 +118,7 @@
             yield batch
 
     store.range = metered_range  # type: ignore[method-assign]
-    store.changes = metered_changes  # type: ignore[method-assign]
+    store.changes = metered_changes  # type: ignore[method-assign, assignment]
 
 
 def item_size(value: bytes) -> float:
--- a/lacewinghold/document/sections.py
+++ b/lacewinghold/document/sections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import re
 from typing import TYPE_CHECKING, Any
 
@@ -20,6 +19,7 @@
     TimingSection,
 )
 from lacewinghold.schema.generated.records import SectionRecord
+from lacewinghold.util.bearer import hash_key
 from lacewinghold.util.codec import from_json, parse_json, to_json
 
 if TYPE_CHECKING:
@@ -55,11 +55,6 @@
     return Ok(None)
 
 
-def hash_key(text: str) -> str:
-    """Returns the hash of a bearer key, as stored in the document."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 class Document:
     """This instance's latest copy of the document.
 
--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -85,6 +85,8 @@
     OLDER_MANIFEST_IGNORED = "older manifest ignored"
     MANIFEST_REMOVED = "manifest removed"
     MANIFEST_UNREADABLE = "manifest unreadable"
+    KEYS_CONFIRMED = "keys confirmed"
+    KEYS_UNCONFIRMED = "keys unconfirmed"
 
     # Workers
     WORKER_ENTRY = "worker entry"
--- a/lacewinghold/ids.py
+++ b/lacewinghold/ids.py
@@ -11,6 +11,7 @@
 InstanceId = NewType("InstanceId", str)
 ShardId = NewType("ShardId", str)
 TeamId = NewType("TeamId", str)
+OrganisationId = TeamId  # The operators' document calls an organisation a team.
 ServiceId = NewType("ServiceId", str)
 JobId = NewType("JobId", str)
 TaskId = NewType("TaskId", str)
--- /dev/null
+++ b/lacewinghold/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations that share the cell: keys, caps and fair shares."""
--- /dev/null
+++ b/lacewinghold/organisations/caps.py
@@ -0,0 +1,154 @@
+"""Keeps what each organisation has running below its cap.
+
+The load that this answers: organisations whose demand exceeds what they may use at a
+time. What runs is counted from the decision to start a run until its end is certain,
+so that unanswered, late and refused orders and runs that are being stopped count.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lacewinghold.scheduler.ports import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from lacewinghold.scheduler.model import Run, Step
+    from lacewinghold.scheduler.ports import Manifest
+    from lacewinghold.schema.generated.cell import StepSpec
+
+
+def task_demand(spec: StepSpec) -> Resources:
+    """Returns what a task of a step counts against the cap of its organisation.
+
+    Unlike the room on a worker, this includes the CPU of filler tasks.
+    """
+    return Resources(spec.cpu_millis, spec.memory_mb, spec.accelerators)
+
+
+def tasks_below(cap: Resources, used: Resources, demand: Resources) -> int | None:
+    """Returns how many more tasks stay below a cap, ``None`` if it limits none.
+
+    :param demand: What each task takes.
+    """
+    counts = []
+    for limit, taken, size in (
+        (cap.cpu_millis, used.cpu_millis, demand.cpu_millis),
+        (cap.memory_mb, used.memory_mb, demand.memory_mb),
+        (cap.accelerators, used.accelerators, demand.accelerators),
+    ):
+        if limit > 0 and size > 0:
+            counts.append(max(0, (limit - taken) // size))
+    return min(counts, default=None)
+
+
+def exceeds_cap(spec: StepSpec, cap: Resources) -> bool:
+    """Returns whether an all-at-once step can never run below a cap."""
+    if not spec.all_at_once:
+        return False
+    count = tasks_below(cap, Resources(), task_demand(spec))
+    return count is not None and count < spec.tasks
+
+
+class UsageAccount:
+    """What each organisation has running, by the runs that are booked on workers."""
+
+    def __init__(self) -> None:
+        self.used: dict[str, Resources] = {}
+
+    def add(self, run: Run) -> None:
+        """Adds a run that is booked on a worker."""
+        self.change(run, 1)
+
+    def remove(self, run: Run) -> None:
+        """Removes a run that has certainly ended."""
+        self.change(run, -1)
+
+    def change(self, run: Run, count: int) -> None:
+        """Adds the demand of a run, ``count`` times."""
+        organisation = run.task.step.job.record.organisation
+        if not organisation:
+            return
+        demand = task_demand(run.task.step.spec).times(count)
+        used = self.used.get(organisation, Resources()).plus(demand)
+        if used == Resources():
+            del self.used[organisation]
+        else:
+            self.used[organisation] = used
+
+
+class CapBudget:
+    """What each organisation may still start within one plan.
+
+    :param caps: The caps by organisation; others have none.
+    :param used: What the organisations have running.
+    """
+
+    def __init__(
+        self,
+        caps: Mapping[str, Resources] | None = None,
+        used: Mapping[str, Resources] | None = None,
+    ) -> None:
+        self.caps = caps or {}
+        self.used = {name: (used or {}).get(name, Resources()) for name in self.caps}
+
+    def limit(self, step: Step, count: int) -> int:
+        """Returns how many of a number of tasks of a step may start.
+
+        One that exceeds the cap by itself may start while nothing else of its
+        organisation runs; otherwise it would wait for ever.
+        """
+        organisation = step.job.record.organisation
+        cap = self.caps.get(organisation)
+        if cap is None:
+            return count
+        used = self.used[organisation]
+        below = tasks_below(cap, used, task_demand(step.spec))
+        if below is None:
+            return count
+        if below == 0 and used == Resources() and not step.spec.all_at_once:
+            return min(1, count)
+        return min(below, count)
+
+    def take(self, step: Step, count: int) -> None:
+        """Counts tasks of a step as running; a negative count returns them."""
+        organisation = step.job.record.organisation
+        if organisation in self.caps:
+            demand = task_demand(step.spec).times(count)
+            self.used[organisation] = self.used[organisation].plus(demand)
+
+
+class CapPolicy:
+    """Makes the budgets of plans from the manifest and the runs on workers."""
+
+    def __init__(self) -> None:
+        self.usage = UsageAccount()
+        self.caps: dict[str, Resources] = {}
+        self.version: int | None = None
+
+    def update(self, manifest: Manifest) -> None:
+        """Applies the caps of a manifest.
+
+        The cap of an organisation that a manifest does not name any more stays, since
+        its jobs go on.
+        """
+        if manifest.version == self.version:
+            return
+        self.version = manifest.version
+        for organisation in (manifest.organisations or {}).values():
+            self.caps[organisation.name] = organisation.cap
+        unlimited = {name for name, cap in self.caps.items() if cap == Resources()}
+        for name in unlimited:
+            del self.caps[name]
+
+    def make_budget(self, possible: Iterable[Step] = ()) -> CapBudget:
+        """Returns the budget of a plan.
+
+        :param possible: Steps whose waiting tasks an earlier owner may have started.
+        """
+        budget = CapBudget(self.caps, self.usage.used)
+        if self.caps:
+            for step in possible:
+                budget.take(step, len(step.waiting_tasks()))
+        return budget
--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -6,12 +6,14 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import msgspec
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
+from lacewinghold.util.bearer import read_bearer
 from lacewinghold.util.codec import parse_json
 
 if TYPE_CHECKING:
@@ -21,11 +23,17 @@
 
 READY_PATH = b"/ready"
 DEADLINE_HEADER = b"lacewinghold-deadline-ms"
+AUTHORIZATION_HEADER = b"authorization"
+# A body that is not read is discarded for this long: closing a connection with unread
+# bytes resets it, and the reset could destroy the response.
+DISCARD_TIMEOUT_S = 1.0
 JOB_ID_PATTERN = "[0-9A-Fa-f]{16}"  # Chosen by the caller.
 METHODS = ("GET", "POST", "DELETE")
 MAX_BODY_BYTES = 262_144  # The manifest's limit for bodies.
 STATUS_BY_KIND = {
     ErrorKind.INVALID: HTTPStatus.BAD_REQUEST,
+    ErrorKind.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
+    ErrorKind.FORBIDDEN: HTTPStatus.FORBIDDEN,
     ErrorKind.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
     ErrorKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ErrorKind.NOT_RUN: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -98,13 +106,33 @@
 
 
 class Call(Struct):
-    """One request, with the caller's remaining deadline in seconds if it sent one."""
+    """One request.
+
+    :param deadline_s: The caller's remaining deadline in seconds, if it sent one.
+    :param key: The caller's key, if it sent one.
+    :param organisation: The organisation of the caller, empty if it is anonymous.
+    """
 
     method: str
     host: str
     path: str
-    body: bytes
-    deadline_s: float | None
+    body: bytes = b""
+    deadline_s: float | None = None
+    key: str | None = None
+    organisation: str = ""
+
+
+def read_head(scope: dict[str, Any]) -> Call:
+    """Returns a request without its body."""
+    call = Call(scope["method"], "", scope["path"])
+    for name, value in scope["headers"]:
+        if name == b"host":
+            call.host = value.decode("latin-1").partition(":")[0]
+        elif name == DEADLINE_HEADER and value.isdigit():
+            call.deadline_s = int(value) / 1000
+        elif name == AUTHORIZATION_HEADER:
+            call.key = read_bearer(value)
+    return call
 
 
 class PlatformFront:
@@ -127,11 +155,28 @@
             status = 200 if self.instance.ready() else 503
             await self.send_response(send, status, None, None)
             return
-        call = await self.read_request(scope, receive)
-        if isinstance(call, Err):
-            await self.send_result(send, call)
+        call = read_head(scope)
+        authenticated = self.authenticate(call)
+        if isinstance(authenticated, Err):
+            await self.send_result(send, authenticated, receive)
+            return
+        body = await self.read_body(receive)
+        if isinstance(body, Err):
+            await self.send_result(send, body)
             return
-        await self.send_result(send, await self.serve(call.ok_value))
+        call.body = body.ok_value
+        await self.send_result(send, await self.serve(call))
+
+    def authenticate(self, call: Call) -> Result[None, Failure]:
+        """Identifies the organisation of a request; its body is not needed."""
+        found = self.instance.front.find_queue(call.host, call.path)
+        if isinstance(found, Err):
+            return Ok(None)
+        checked = self.instance.authenticator.authenticate(found.ok_value, call.key)
+        if isinstance(checked, Err):
+            return Err(checked.err_value)
+        call.organisation = checked.ok_value or ""
+        return Ok(None)
 
     async def run_lifespan(self, receive: Any, send: Any) -> None:
         """Acknowledges the lifespan events until the server shuts down."""
@@ -141,16 +186,8 @@
             if message["type"] == "lifespan.shutdown":
                 return
 
-    async def read_request(
-        self, scope: dict[str, Any], receive: Any
-    ) -> Result[Call, Failure]:
-        """Reads a complete request, including its body."""
-        host, deadline = "", None
-        for name, value in scope["headers"]:
-            if name == b"host":
-                host = value.decode("latin-1").partition(":")[0]
-            elif name == DEADLINE_HEADER and value.isdigit():
-                deadline = int(value) / 1000
+    async def read_body(self, receive: Any) -> Result[bytes, Failure]:
+        """Reads the complete body of a request."""
         body = bytearray()
         while True:
             message = await receive()
@@ -168,7 +205,17 @@
                 )
             if not message.get("more_body", False):
                 break
-        return Ok(Call(scope["method"], host, scope["path"], bytes(body), deadline))
+        return Ok(bytes(body))
+
+    async def discard_body(self, receive: Any) -> None:
+        """Discards the body of a request that has been answered without it."""
+        size = 0
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            while size <= MAX_BODY_BYTES:
+                message = await receive()
+                size += len(message.get("body", b""))
+                if message["type"] == "http.disconnect" or not message.get("more_body"):
+                    return
 
     async def serve(self, call: Call) -> Result[object, Failure]:
         """Serves one request to submit, cancel or query a job, or to count a queue."""
@@ -192,11 +239,11 @@
         if call.method == "POST":
             return await self.submit(call, queue, job)
         if call.method == "DELETE":
-            cancelled = await front.cancel(job)
+            cancelled = await front.cancel(job, call.organisation)
             if isinstance(cancelled, Err):
                 return Err(cancelled.err_value)
             return Ok({})
-        state = await front.state(job)
+        state = await front.state(job, call.organisation)
         if isinstance(state, Err):
             return Err(state.err_value)
         return Ok({"state": state.ok_value.value})
@@ -221,14 +268,20 @@
             first_due_ms=wire.start_at_ms,
             occurrences=wire.repeat_count,
             interval_ms=wire.interval_ms,
+            organisation=call.organisation,
         )
         accepted = await self.instance.front.submit(record, call.deadline_s)
         if isinstance(accepted, Err):
             return Err(accepted.err_value)
         return Ok({})
 
-    async def send_result(self, send: Any, result: Result[object, Failure]) -> None:
-        """Sends a result with the status codes that the platform expects."""
+    async def send_result(
+        self, send: Any, result: Result[object, Failure], unread: Any = None
+    ) -> None:
+        """Sends a result with the status codes that the platform expects.
+
+        :param unread: Receives the body of a request that has not been read.
+        """
         if isinstance(result, Ok):
             await self.send_response(send, 200, result.ok_value, None)
             return
@@ -240,15 +293,21 @@
             if failure.field == "job":
                 status = HTTPStatus.GONE
         await self.send_response(
-            send, status, {"error": failure.detail}, failure.retry_after_s
+            send, status, {"error": failure.detail}, failure.retry_after_s, unread
         )
 
     async def send_response(
-        self, send: Any, status: int, body: object, retry_after_s: float | None
+        self,
+        send: Any,
+        status: int,
+        body: object,
+        retry_after_s: float | None,
+        unread: Any = None,
     ) -> None:
         """Sends a response.
 
         :param body: Encoded as JSON; ``None`` sends an empty body.
+        :param unread: Receives the body of a request that has not been read.
         """
         content = b"" if body is None else msgspec.json.encode(body)
         headers = [(b"content-length", str(len(content)).encode())]
@@ -256,9 +315,16 @@
             headers.append((b"content-type", b"application/json"))
         if status == HTTPStatus.METHOD_NOT_ALLOWED:
             headers.append((b"allow", ", ".join(METHODS).encode()))
+        if status == HTTPStatus.UNAUTHORIZED:
+            headers.append((b"www-authenticate", b"Bearer"))
         if retry_after_s is not None:
             headers.append((b"retry-after", str(math.ceil(retry_after_s)).encode()))
         await send(
             {"type": "http.response.start", "status": int(status), "headers": headers}
         )
+        if unread is not None:
+            part = {"type": "http.response.body", "body": content, "more_body": True}
+            await send(part)
+            await self.discard_body(unread)
+            content = b""
         await send({"type": "http.response.body", "body": content})
--- a/lacewinghold/platform/manifest.py
+++ b/lacewinghold/platform/manifest.py
@@ -7,7 +7,15 @@
 from msgspec import Struct, field
 
 from lacewinghold.events import Event
-from lacewinghold.scheduler.ports import AdviceRules, Manifest, Queue
+from lacewinghold.ids import OrganisationId
+from lacewinghold.scheduler.ports import (
+    AdviceRules,
+    Manifest,
+    Organisation,
+    Queue,
+    Resources,
+)
+from lacewinghold.util.bearer import hash_key
 from lacewinghold.util.codec import from_json
 
 logger = structlog.get_logger(__name__)
@@ -38,6 +46,24 @@
     stretch: float = 1.0
     target_latency_ms: float = field(name="targetLatencyMs", default=0.0)
     advice: WireAdviceRules | None = None
+    allow_anonymous: bool = field(name="allowAnonymous", default=False)
+
+
+class WireCap(Struct):
+    """The most that an organisation may have running; 0 is unlimited."""
+
+    cpu: int = 0
+    mem_mb: int = field(name="memMb", default=0)
+    gpus: int = 0
+
+
+class WireTenant(Struct):
+    """An organisation with its keys, share and cap."""
+
+    name: str
+    keys: list[str] = field(name="apiKeys", default_factory=list)
+    weight: float = 0.0
+    cap: WireCap = field(default_factory=WireCap)
 
 
 class WireManifest(Struct):
@@ -45,10 +71,25 @@
 
     version: int
     routes: list[WireRoute]
+    tenants: list[WireTenant] | None = None
+
+
+def to_organisation(tenant: WireTenant) -> Organisation:
+    """Returns the project's representation of an organisation."""
+    return Organisation(
+        name=OrganisationId(tenant.name),
+        key_hashes=frozenset(hash_key(key) for key in tenant.keys),
+        weight=tenant.weight,
+        cap=Resources(tenant.cap.cpu, tenant.cap.mem_mb, tenant.cap.gpus),
+    )
+
 
+def to_queue(route: WireRoute, *, has_organisations: bool = False) -> Queue:
+    """Returns the project's representation of a queue.
 
-def to_queue(route: WireRoute) -> Queue:
-    """Returns the project's representation of a queue."""
+    :param has_organisations: Whether the manifest has organisations, so that callers
+        need keys.
+    """
     rules = None
     if route.advice is not None:
         rules = AdviceRules(
@@ -66,6 +107,7 @@
         stretch=route.stretch,
         slack_s=route.target_latency_ms / 1000,
         advice=rules,
+        requires_key=has_organisations and not route.allow_anonymous,
     )
 
 
@@ -76,7 +118,16 @@
     except msgspec.DecodeError as error:
         logger.error(Event.MANIFEST_UNREADABLE, detail=str(error)[:200])
         return None
+    organisations = None
+    if wire.tenants is not None:
+        found = [to_organisation(tenant) for tenant in wire.tenants]
+        organisations = {organisation.name: organisation for organisation in found}
+    has_organisations = organisations is not None
     return Manifest(
         version=wire.version,
-        queues=[to_queue(route) for route in wire.routes],
+        queues=[
+            to_queue(route, has_organisations=has_organisations)
+            for route in wire.routes
+        ],
+        organisations=organisations,
     )
--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from msgspec import Meta, Struct, field
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure, FailureError
@@ -25,6 +26,7 @@
     TransactionReply,
     WatchBatch,
 )
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
@@ -271,23 +273,26 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
-        yield self.changes(prefix, after)
+        wait_ms = WATCH_WAIT_MS if confirm_s is None else round(confirm_s * 1000)
+        yield self.changes(prefix, after, min(wait_ms, WATCH_WAIT_MS))
 
-    async def changes(self, prefix: str, after: int) -> AsyncIterator[WatchBatch]:
-        """Yields batches of changes by long polling."""
+    async def changes(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> AsyncIterator[WatchBatch]:
+        """Yields batches of changes by long polling.
+
+        :param wait_ms: How long an answer without changes is held back.
+        """
         while True:
-            query = {
-                "pathPrefix": prefix,
-                "after": after,
-                "waitMs": WATCH_WAIT_MS,
-            }
+            query = {"pathPrefix": prefix, "after": after, "waitMs": wait_ms}
+            asked_at = lease_time()
             reply = await self.call(
                 CallKind.WATCH,
                 "GET",
                 "/kv-watch?" + urlencode(query),
-                timeout_s=WATCH_WAIT_MS / 1000 + CALL_TIMEOUT_S,
+                timeout_s=wait_ms / 1000 + CALL_TIMEOUT_S,
             )
             if isinstance(reply, Err):
                 raise FailureError(reply.err_value)
@@ -298,7 +303,9 @@
             if isinstance(found, Err):
                 raise FailureError(found.err_value)
             after = max(after, found.ok_value.at)
-            for batch in split_at_recreated_keys(found.ok_value.events, after):
+            batches = split_at_recreated_keys(found.ok_value.events, after)
+            batches[-1] = replace(batches[-1], asked_at=asked_at)
+            for batch in batches:
                 yield batch
 
 
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,6 +11,8 @@
 
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
+from lacewinghold.organisations.authentication import Authenticator
+from lacewinghold.organisations.revocation import ManifestConfirmation
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.scheduler.admission import Admission, BacklogMonitor
 from lacewinghold.scheduler.advice import AdviceBook, Lane
@@ -151,6 +154,11 @@
         self.admission = Admission(self)
         self.tombstone_budget = TombstoneBudget()
         self.front = JobFront(self)
+        bounds = settings.bounds
+        self.confirmation = ManifestConfirmation(
+            bounds.revoke_ms / 1000 if bounds.strict_revocation else math.inf
+        )
+        self.authenticator = Authenticator(self.confirmation, self.metrics)
         self.worker_keys: dict[str, WorkerId] = {}
         self.leaving = False
         keys = ports.keys
@@ -161,7 +169,9 @@
             self.record_manifest_removed,
             MANIFEST_SYNC_INTERVAL_S,
             newest_only=True,
+            confirm_s=self.confirmation.confirm_interval_s(),
         )
+        self.manifest_mirror.on_confirmed = self.confirmation.confirm
         self.worker_mirror = Mirror(
             self.store,
             keys.workers_prefix,
@@ -176,9 +186,12 @@
         """Puts a manifest into force unless a newer one is in force."""
         if item.key != self.ports.keys.manifest_key:
             return
+        # A manifest that cannot be applied may have removed keys.
+        self.confirmation.readable = False
         manifest = self.ports.keys.read_manifest(item.value)
         if manifest is None:
             return
+        self.confirmation.readable = True
         current = self.state.manifest
         if current is not None and manifest.version <= current.version:
             logger.warning(
@@ -188,6 +201,7 @@
             )
             return
         self.state.manifest = manifest
+        self.authenticator.update(manifest)
         logger.info(
             Event.MANIFEST_IN_FORCE,
             version=manifest.version,
@@ -260,12 +274,19 @@
         own = NO_EPOCH if self.owner is None else self.owner.epoch
         return max(own, Epoch(followed))
 
-    def has_stored_job(self, job: str) -> bool:
-        """Returns whether this instance knows that a job is stored."""
+    def organisation_of(self, job: str) -> str | None:
+        """Returns the organisation of a stored job, empty if it has none.
+
+        :returns: ``None`` if this instance does not know the job.
+        """
         owner = self.owner
         if owner is None:
-            return False
-        return job in owner.table.jobs or owner.ended.has_ended(job)
+            return None
+        known = owner.table.jobs.get(job)
+        if known is not None:
+            return known.record.organisation
+        ended = owner.ended.jobs.get(job)
+        return None if ended is None else ended.organisation
 
     def owned_job(self, job: str) -> Job | None:
         """Returns an open job if this instance is the active owner."""
@@ -356,7 +377,9 @@
 
     def ready(self) -> bool:
         """Returns whether this instance should receive requests."""
-        return self.state.manifest is not None and not self.leaving
+        if self.state.manifest is None or self.leaving:
+            return False
+        return self.authenticator.can_check_keys()
 
     # Lifecycle
 
--- a/lacewinghold/scheduler/ended_jobs.py
+++ b/lacewinghold/scheduler/ended_jobs.py
@@ -30,12 +30,14 @@
     :param at: Wall time in seconds from which callers could query it.
     :param legacy: Whether an earlier version has kept the job's record beside it.
     :param removal_pending: Whether its removal from the store is queued.
+    :param organisation: Organisation that submitted it, empty if none was identified.
     """
 
     state: JobState
     at: float
     legacy: bool = False
     removal_pending: bool = False
+    organisation: str = ""
 
 
 class EndedJobs:
@@ -59,10 +61,17 @@
         return None if found is None else found.state
 
     def record(
-        self, job: str, state: JobState, at: float, *, legacy: bool = False
+        self,
+        job: str,
+        state: JobState,
+        at: float,
+        *,
+        legacy: bool = False,
+        organisation: str = "",
     ) -> None:
         """Records a durable outcome, unless one is known already."""
-        self.jobs.setdefault(job, EndedJob(state, at, legacy))
+        ended = EndedJob(state, at, legacy, organisation=organisation)
+        self.jobs.setdefault(job, ended)
 
     async def load(self) -> None:
         """Loads the outcomes that earlier owners have stored; retries until read."""
@@ -86,7 +95,7 @@
                 logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
                 continue
             if not outcome.tombstone:
-                self.record(job, state, outcome.at)
+                self.record(job, state, outcome.at, organisation=outcome.organisation)
         self.loaded = True
 
     def forget(self, job: str) -> None:
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -171,7 +171,7 @@
         if self.owner.task_group is None:
             return
         self.owner.crashes.record_entry(entry)
-        node = WorkerNode(entry)
+        node = WorkerNode(entry, self.owner.caps.usage)
         for run in inherited_runs:
             run.missed_polls = 0
             node.add(run)
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -10,6 +10,9 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
+from lacewinghold.ids import OrganisationId
+from lacewinghold.organisations.authentication import check_access
+from lacewinghold.organisations.caps import exceeds_cap
 from lacewinghold.scheduler.job_checks import check_job
 from lacewinghold.scheduler.job_store import StoredJob, is_outcome_unknown
 from lacewinghold.scheduler.model import JobState
@@ -33,6 +36,7 @@
     ErrorKind.OUTCOME_UNKNOWN,
     ErrorKind.NOT_RUN,
     ErrorKind.NOT_FOUND,
+    ErrorKind.FORBIDDEN,
 )
 
 
@@ -82,6 +86,9 @@
         checked = check_job(record)
         if isinstance(checked, Err):
             return checked
+        capped = self.check_caps(record)
+        if isinstance(capped, Err):
+            return capped
         started = anyio.current_time()
         limit_s = (deadline_s or DEFAULT_DEADLINE_S) - REPLY_MARGIN_S
         if self.instance.store.down and self.instance.owner is None:
@@ -92,6 +99,24 @@
         self.log_submission(record, result, took_s)
         return result
 
+    def check_caps(self, record: CellJob) -> Result[None, Failure]:
+        """Refuses a job with an all-at-once step that is wider than its cap.
+
+        A later manifest may raise the cap, so that the caller may come back.
+        """
+        manifest = self.instance.state.manifest
+        organisations = (manifest and manifest.organisations) or {}
+        organisation = organisations.get(OrganisationId(record.organisation))
+        if organisation is None:
+            return Ok(None)
+        for number, spec in enumerate(record.steps):
+            if exceeds_cap(spec, organisation.cap):
+                detail = f"not accepted: step {number} exceeds the organisation's cap"
+                return Err(
+                    Failure(ErrorKind.NOT_RUN, detail, retry_after_s=MIN_RETRY_AFTER_S)
+                )
+        return Ok(None)
+
     async def submit_via_owner(
         self, record: CellJob, limit_s: float
     ) -> Result[None, Failure]:
@@ -150,8 +175,10 @@
 
         :param limit_s: Time limit in seconds.
         """
-        if self.instance.has_stored_job(record.job):
-            return Ok(None)
+        owner = self.instance.organisation_of(record.job)
+        if owner is not None:
+            denied = check_access(owner, record.organisation)
+            return Ok(None) if denied is None else Err(denied)
         if limit_s <= 0:
             return Err(self.out_of_time_failure())
         give_up_at = anyio.current_time() + limit_s
@@ -171,7 +198,7 @@
                     await self.instance.peer_calls.notify_accepted(reply.ok_value)
                     return Ok(None)
                 failure = reply.err_value
-                if failure.kind is ErrorKind.NOT_FOUND:
+                if failure.kind in (ErrorKind.NOT_FOUND, ErrorKind.FORBIDDEN):
                     return Err(failure)
                 sent = sent or is_outcome_unknown(failure)
                 await anyio.sleep(ACCEPT_RETRY_DELAY_S)
@@ -209,11 +236,17 @@
             took_s=round(took_s, 3),
         )
 
-    async def state(self, job: str) -> Result[JobState, Failure]:
-        """Returns a job's state; a final state only once it is stored."""
+    async def state(self, job: str, caller: str = "") -> Result[JobState, Failure]:
+        """Returns a job's state; a final state only once it is stored.
+
+        :param caller: Organisation of the caller, empty if it is anonymous.
+        """
+        denied = check_access(self.instance.organisation_of(job) or "", caller)
+        if denied is not None:
+            return Err(denied)
         known = self.instance.owned_state(job)
         if known is None:
-            known = await self.instance.peer_calls.fetch_state(job)
+            known = await self.instance.peer_calls.fetch_state(job, caller)
         if known is not None:
             logger.info(Event.STATE_ANSWERED, job=job, state=known.value, by="owner")
             return Ok(known)
@@ -223,6 +256,9 @@
         stored = reply.ok_value
         if not stored.exists():
             return Err(self.unknown_job_failure(job))
+        denied = check_access(stored.organisation(), caller)
+        if denied is not None:
+            return Err(denied)
         state = self.state_from_store(stored)
         logger.info(Event.STATE_ANSWERED, job=job, state=state.value, by="store")
         return Ok(state)
@@ -239,18 +275,21 @@
             ErrorKind.STORE_UNAVAILABLE, failure.detail, retry_after_s=MIN_RETRY_AFTER_S
         )
 
-    async def cancel(self, job: str) -> Result[None, Failure]:
+    async def cancel(self, job: str, caller: str = "") -> Result[None, Failure]:
         """Cancels a job; the cancellation is stored before this returns.
 
+        :param caller: Organisation of the caller, empty if it is anonymous.
         :returns: ``NOT_FOUND`` if no such job is stored; none will be.
         """
         if self.instance.store.down:
-            forwarded = await self.instance.peer_calls.cancel(job)
-            if isinstance(forwarded, Ok) or is_confirmed_unknown(forwarded.err_value):
+            forwarded = await self.instance.peer_calls.cancel(job, caller)
+            if isinstance(forwarded, Ok) or is_final_refusal(forwarded.err_value):
                 return forwarded
-        return await self.cancel_in_store(job)
+        return await self.cancel_in_store(job, caller)
 
-    async def cancel_in_store(self, job: str) -> Result[None, Failure]:
+    async def cancel_in_store(
+        self, job: str, caller: str = ""
+    ) -> Result[None, Failure]:
         """Cancels a job by calls to the store from this instance.
 
         A write without a reply is followed by a read, which tells its outcome unless
@@ -264,6 +303,9 @@
             stored = reply.ok_value
             if stored.tombstone:
                 return Err(self.unknown_job_failure(job))
+            denied = check_access(stored.organisation(), caller)
+            if denied is not None:
+                return Err(denied)
             if stored.exists():
                 written = await self.cancel_stored(job, stored)
             else:
@@ -331,8 +373,10 @@
         return Err(self.store_unavailable(failure))
 
 
-def is_confirmed_unknown(failure: Failure) -> bool:
-    """Returns whether an instance has answered that a job does not exist."""
+def is_final_refusal(failure: Failure) -> bool:
+    """Returns whether an instance knows that a job does not exist, or is another's."""
+    if failure.kind is ErrorKind.FORBIDDEN:
+        return True
     return failure.kind is ErrorKind.NOT_FOUND and failure.field == "job"
 
 
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -14,6 +14,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
+from lacewinghold.organisations.authentication import check_access
 from lacewinghold.schema.generated.cell import CellJob, JobOutcome
 from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
 from lacewinghold.util.codec import from_json, to_json
@@ -68,6 +69,12 @@
         """Returns whether the job is open, or has an outcome that is still stored."""
         return self.record is not None or self.outcome is not None
 
+    def organisation(self) -> str:
+        """Returns the organisation of the job, empty if it has none."""
+        if self.record is not None:
+            return self.record.organisation
+        return "" if self.outcome is None else self.outcome.organisation
+
 
 class JobStore:
     """Reads and writes jobs.
@@ -131,7 +138,8 @@
         :param epoch: Epoch of the newest owner known.
         :returns: The record, with the epoch that is certain; a failure of kind
             ``OUTCOME_UNKNOWN`` if the job may be stored or the write may still take
-            effect, ``NOT_FOUND`` if it has a tombstone.
+            effect, ``NOT_FOUND`` if it has a tombstone, ``FORBIDDEN`` if it is another
+            organisation's.
         """
         stored = replace(record, epoch=epoch)
         reply = await self.put_if_new(stored)
@@ -151,7 +159,8 @@
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
         found = reply.ok_value
         if found.exists():
-            return Ok(record)
+            denied = check_access(found.organisation(), record.organisation)
+            return Ok(record) if denied is None else Err(denied)
         if found.tombstone:
             detail = "the job was cancelled before it was stored"
             return Err(Failure(ErrorKind.NOT_FOUND, detail, "job"))
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -270,7 +270,10 @@
         age_s = anyio.current_time() - job.accepted_at
         self.owner.metrics.job_seconds.labels(state.value).observe(age_s)
         outcome = JobOutcome(
-            state=state.value, at=self.owner.clock.now(), reason=reason
+            state=state.value,
+            at=self.owner.clock.now(),
+            reason=reason,
+            organisation=job.record.organisation,
         )
         self.owner.log.append_outcome(job.id, outcome, lambda: self.mark_reported(job))
         logger.info(
@@ -287,7 +290,12 @@
     def mark_reported(self, job: Job) -> None:
         """Makes a job's final state visible to callers."""
         job.reported_state = job.state
-        self.owner.ended.record(job.id, job.state, self.owner.clock.now())
+        self.owner.ended.record(
+            job.id,
+            job.state,
+            self.owner.clock.now(),
+            organisation=job.record.organisation,
+        )
 
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and hold no resources."""
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -44,6 +44,12 @@
             ["result"],
             registry=registry,
         )
+        self.authentications = Counter(
+            "lacewinghold_authentications",
+            "Checks of callers' keys by result.",
+            ["result"],
+            registry=registry,
+        )
         self.submission_seconds = Histogram(
             "lacewinghold_submission_seconds",
             "Time from a submission to its answer.",
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -7,6 +7,7 @@
 from zlib import crc32
 
 from lacewinghold.invariants import Invariant, require
+from lacewinghold.organisations.caps import UsageAccount
 from lacewinghold.scheduler.ports import Resources, ServerState
 
 if TYPE_CHECKING:
@@ -26,10 +27,12 @@
     """One incarnation of a worker.
 
     :param entry: The worker's own description of itself.
+    :param usage: Account of what organisations have running on all workers.
     """
 
-    def __init__(self, entry: WorkerEntry) -> None:
+    def __init__(self, entry: WorkerEntry, usage: UsageAccount | None = None) -> None:
         self.entry = entry
+        self.usage = usage or UsageAccount()
         self.id_hash = crc32(entry.worker.encode())
         self.listed = True
         self.fenced = False  # Whether a report to this owner has been applied.
@@ -106,6 +109,7 @@
         self.runs[(run.task.name, run.number)] = run
         self.used = self.used.plus(run.room)
         self.update_kind_counts(run, 1)
+        self.usage.add(run)
 
     def update_kind_counts(self, run: Run, change: int) -> None:
         """Adjusts the counts of latency-sensitive and of filler runs.
@@ -129,6 +133,7 @@
         del self.runs[(run.task.name, run.number)]
         self.used = self.used.minus(run.room)
         self.update_kind_counts(run, -1)
+        self.usage.remove(run)
 
     def record_clock(self, clock_ms: float, now: float) -> None:
         """Records the worker's clock from an answer that has just arrived.
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -14,6 +14,7 @@
 from result import Ok
 
 from lacewinghold.events import Event
+from lacewinghold.organisations.caps import CapPolicy
 from lacewinghold.scheduler.confirmation import OwnershipConfirmations
 from lacewinghold.scheduler.crashes import CrashRecorder
 from lacewinghold.scheduler.election import TERM_KEY
@@ -119,6 +120,7 @@
         self.unknown_jobs = UnknownJobs(self)
         self.confirmations = OwnershipConfirmations(self)
         self.suspects = Suspects()
+        self.caps = CapPolicy()
         self.crashes = CrashRecorder(self)
         self.fleet = Fleet(self)
         self.runs = RunLifecycle(self)
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -12,6 +12,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId
+from lacewinghold.organisations.authentication import check_access
 from lacewinghold.scheduler.election import Invitation
 from lacewinghold.scheduler.members import advise_for_peer
 from lacewinghold.scheduler.model import JobState
@@ -107,13 +108,18 @@
                 owner, MessageKind.CELL_CANCELLED, CellJobCall(job), OWNER_TIMEOUT_S
             )
 
-    async def fetch_state(self, job: str) -> JobState | None:
-        """Returns a job's state from the owner, ``None`` if the owner has none."""
+    async def fetch_state(self, job: str, caller: str = "") -> JobState | None:
+        """Returns a job's state from the owner.
+
+        :param caller: Organisation of the caller, empty if it is anonymous.
+        :returns: ``None`` if the owner has none, or the caller may not see it.
+        """
         owner = self.remote_owner()
         if owner is None:
             return None
+        request = CellJobCall(job, caller)
         reply = await self.links.call(
-            owner, MessageKind.CELL_STATE, CellJobCall(job), OWNER_TIMEOUT_S
+            owner, MessageKind.CELL_STATE, request, OWNER_TIMEOUT_S
         )
         if isinstance(reply, Err):
             return None
@@ -153,8 +159,8 @@
         )
         return Err(reply.err_value) if isinstance(reply, Err) else Ok(None)
 
-    async def cancel(self, job: str) -> Result[None, Failure]:
-        """Has the owner cancel a job."""
+    async def cancel(self, job: str, caller: str = "") -> Result[None, Failure]:
+        """Has the owner cancel a job for a caller of an organisation."""
         owner = self.remote_owner()
         if owner is None:
             return Err(
@@ -162,8 +168,9 @@
                     ErrorKind.UNREACHABLE, "no other instance is known to own the cell"
                 )
             )
+        request = CellJobCall(job, caller)
         reply = await self.links.call(
-            owner, MessageKind.CELL_CANCEL, CellJobCall(job), FORWARD_TIMEOUT_S
+            owner, MessageKind.CELL_CANCEL, request, FORWARD_TIMEOUT_S
         )
         return Err(reply.err_value) if isinstance(reply, Err) else Ok(None)
 
@@ -226,6 +233,10 @@
             return Err(Failure(ErrorKind.INVALID, "the call names no job", "job"))
         return Ok(job)
 
+    def read_caller(self, body: bytes) -> str:
+        """Returns the caller's organisation in a call that names a job."""
+        return unpack(body, CellJobCall).organisation
+
     def read_record(self, peer: InstanceId, value: bytes) -> Result[CellJob, Failure]:
         """Decodes the record of a job that a peer has sent."""
         try:
@@ -315,7 +326,9 @@
         job = self.read_job_id(body)
         if isinstance(job, Err):
             return job
-        cancelled = await self.instance.front.cancel_in_store(job.ok_value)
+        cancelled = await self.instance.front.cancel_in_store(
+            job.ok_value, self.read_caller(body)
+        )
         if isinstance(cancelled, Err):
             return Err(cancelled.err_value)
         return Ok(CellJobState(JobState.CANCELLED.value))
@@ -327,6 +340,10 @@
         job = self.read_job_id(body)
         if isinstance(job, Err):
             return job
+        owner = self.instance.organisation_of(job.ok_value) or ""
+        denied = check_access(owner, self.read_caller(body))
+        if denied is not None:
+            return Err(denied)
         state = self.instance.owned_state(job.ok_value)
         if state is None:
             return Err(
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable, Iterable
 
     from lacewinghold.ids import WorkerId
+    from lacewinghold.organisations.caps import CapBudget
     from lacewinghold.scheduler.model import Job, Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
@@ -145,6 +146,7 @@
             self.ticket_availability_check(now),
             self.resume_at,
             suspects=suspects,
+            caps=self.make_cap_budget(now),
         )
         plan = planner.make_plan(steps.values())
         self.reserved = plan.reserved
@@ -159,7 +161,8 @@
             self.start_tasks(placement.step, placement.tasks, now)
             if not placement.step.waiting_tasks():
                 del steps[placement.step.name]
-        in_order = [step for step in planner.order if step.name in steps]
+        waiting = steps.keys() - plan.capped
+        in_order = [step for step in planner.order if step.name in waiting]
         self.searches.request_searches(
             in_order, self.chosen_task_count, plan.skipped, usable, now
         )
@@ -167,6 +170,23 @@
         self.choice_log.retain(steps)
         return plan.deferred
 
+    def make_cap_budget(self, now: float) -> CapBudget:
+        """Returns what the organisations may start in one plan.
+
+        Before the owner has recovered, any task of an earlier job may be running: its
+        worker has not been heard yet, or the end of its predecessors was not stored.
+        """
+        caps = self.owner.caps
+        if self.owner.state.manifest is not None:
+            caps.update(self.owner.state.manifest)
+        if self.owner.recovered or not caps.caps:
+            return caps.make_budget()
+        possible = []
+        for job in self.owner.table.jobs.values():
+            if job.from_earlier_owner and not job.ended():
+                possible += [step for step in job.steps if step.due_at <= now]
+        return caps.make_budget(possible)
+
     def waiting_steps(self) -> dict[str, Step]:
         """Returns the open steps with tasks that may be started, by their names."""
         steps = {}
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -17,6 +17,7 @@
 
 from msgspec import Struct, field
 
+from lacewinghold.organisations.caps import CapBudget
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
 from lacewinghold.scheduler.ports import Resources
 from lacewinghold.scheduler.suspects import Suspects, is_idle, isolates
@@ -77,6 +78,7 @@
         is limited.
     :param deferred: The skipped steps that were not considered at all.
     :param resume_at: The first deferred step; the next plan resumes there.
+    :param capped: Steps of which tasks wait because of the cap of their organisation.
     """
 
     placements: list[Placement] = field(default_factory=list)
@@ -85,6 +87,7 @@
     skipped: set[str] = field(default_factory=set)
     deferred: set[str] = field(default_factory=set)
     resume_at: PlanPosition | None = None
+    capped: set[str] = field(default_factory=set)
 
 
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
@@ -203,6 +206,7 @@
     :param resume_at: ``Plan.resume_at`` of the last plan.
     :param max_evaluations: Work limit of the plan, in evaluations.
     :param suspects: Tasks that are suspected of crashing their workers.
+    :param caps: What each organisation may still start.
     """
 
     def __init__(
@@ -219,6 +223,7 @@
         resume_at: PlanPosition | None = None,
         max_evaluations: int = MAX_EVALUATIONS,
         suspects: Suspects | None = None,
+        caps: CapBudget | None = None,
     ) -> None:
         self.now = now
         self.permitted = permitted
@@ -231,6 +236,7 @@
         self.resume_at = resume_at
         self.max_evaluations = max_evaluations
         self.suspects = suspects or Suspects()
+        self.caps = caps or CapBudget()
         self.evaluations = 0
         self.blocked_steps: Counter[str] = Counter()
         self.nodes_by_service: dict[str, list[WorkerNode]] = {}
@@ -274,6 +280,7 @@
 
         Workers of the claim that are no longer usable are ignored.
         """
+        self.caps.take(claim.step, claim.task_count())
         for worker, count in claim.tasks.items():
             if worker in self.free:
                 self.allocate(worker, claim.step.room, count)
@@ -333,6 +340,7 @@
             # The claim is over: the answer has arrived, or is too late. The step can
             # use the claimed resources, or choose other workers.
             self.release(step.room, self.claims[step.name].tasks)
+            self.caps.take(step, -self.claims[step.name].task_count())
         if not self.worker_index(step).order:
             if step.spec.all_at_once:
                 self.reserve_workers(step)
@@ -487,6 +495,7 @@
         if step.name in self.awaiting_answer:
             # The claim holds the resources of the last tasks.
             waiting = waiting[: -self.claims[step.name].task_count()]
+        waiting = self.within_cap(step, waiting)
         if any(task.failed_workers or task.crashes for task in waiting):
             self.add_to_plan(step, self.choose_worker_per_task(step, waiting))
         elif waiting:
@@ -494,6 +503,13 @@
                 step, self.choose_workers(step, waiting, self.ranked_workers(step))
             )
 
+    def within_cap(self, step: Step, tasks: list[Task]) -> list[Task]:
+        """Returns the tasks that the cap of the step's organisation lets start."""
+        allowed = tasks[: self.caps.limit(step, len(tasks))]
+        if len(allowed) < len(tasks):
+            self.plan.capped.add(step.name)
+        return allowed
+
     def choose_workers(
         self, step: Step, tasks: list[Task], ranked: Iterable[WorkerNode]
     ) -> list[tuple[Task, WorkerNode]]:
@@ -576,7 +592,9 @@
         elsewhere.
         """
         tasks = step.waiting_tasks()
-        if len(tasks) < step.spec.tasks:
+        if len(tasks) < step.spec.tasks or len(self.within_cap(step, tasks)) < len(
+            tasks
+        ):
             return
         avoided = set().union(*(task.failed_workers for task in tasks))
         worker_groups: list[Iterable[WorkerNode]] = [self.ranked_workers(step)]
@@ -620,6 +638,7 @@
         if (
             self.reserving_steps >= MAX_RESERVING_STEPS
             or len(step.waiting_tasks()) < step.spec.tasks
+            or self.caps.limit(step, step.spec.tasks) < step.spec.tasks
         ):
             return
         nodes = self.eligible_workers(step)
@@ -684,6 +703,7 @@
             if not self.may_ask(renewal):
                 for worker in waiting:
                     del counts[worker]
+        self.caps.take(step, counts.total())
         for worker, count in counts.items():
             self.allocate(worker, step.room, count)
         if all_at_once and without_ticket:
--- a/lacewinghold/scheduler/ports.py
+++ b/lacewinghold/scheduler/ports.py
@@ -9,7 +9,7 @@
 from msgspec import Struct, field
 
 # msgspec needs these types at run time to decode entries.
-from lacewinghold.ids import ANY_INCARNATION, Incarnation, WorkerId
+from lacewinghold.ids import ANY_INCARNATION, Incarnation, OrganisationId, WorkerId
 from lacewinghold.schema.generated.cell import QueueRules
 from lacewinghold.util.codec import MAX_INTEGER
 
@@ -82,6 +82,7 @@
     :param urgency: Priority; 0 is the most urgent.
     :param stretch: Target for a job's total time as a multiple of its critical path.
     :param slack_s: Seconds that the target allows in addition.
+    :param requires_key: Whether its callers must send the key of an organisation.
     """
 
     name: str
@@ -93,6 +94,7 @@
     stretch: float = 1.0
     slack_s: float = 0.0
     advice: AdviceRules | None = None
+    requires_key: bool = False
 
     def is_job_path(self, path: str, job: str) -> bool:
         """Returns whether a path names a job of this queue."""
@@ -135,11 +137,30 @@
     )
 
 
+class Organisation(Struct, frozen=True):
+    """An organisation that shares the cell with others.
+
+    :param key_hashes: Hashes of the keys that its callers send.
+    :param weight: Its share of a full cell relative to the others, and the number of
+        jobs per second that it may submit.
+    :param cap: What its tasks may use at a time, over all workers; 0 is unlimited.
+    """
+
+    name: OrganisationId
+    key_hashes: frozenset[str] = frozenset()
+    weight: float = 0.0
+    cap: Resources = Resources()
+
+
 class Manifest(Struct, frozen=True):
-    """One version of the operators' manifest."""
+    """One version of the operators' manifest.
+
+    :param organisations: The organisations by name; ``None`` if callers need no keys.
+    """
 
     version: int
     queues: list[Queue]
+    organisations: dict[OrganisationId, Organisation] | None = None
 
     def find(self, host: str, path: str) -> Queue | None:
         """Returns the queue of a host with the longest matching path prefix."""
--- a/lacewinghold/store/base.py
+++ b/lacewinghold/store/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections import Counter
 from enum import StrEnum
@@ -89,11 +90,16 @@
 
 
 class WatchBatch(Struct, frozen=True):
-    """Changes of one or more revisions: values written, and keys deleted."""
+    """Changes of one or more revisions: values written, and keys deleted.
+
+    :param asked_at: When the read was sent whose answer is complete with this batch,
+        as ``lease_time``; negative infinity if that is not known.
+    """
 
     revision: int
     puts: list[KeyValue]
     deletes: list[str]
+    asked_at: float = -math.inf
 
 
 class Store(ABC):
@@ -143,10 +149,12 @@
 
     @abstractmethod
     def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AbstractAsyncContextManager[AsyncIterator[WatchBatch]]:
         """Streams the changes under a prefix with a revision above ``after``.
 
+        :param confirm_s: Yields a batch at least this often, if need be an empty one,
+            with ``asked_at``; ``None`` leaves that to the store.
         :raises FailureError: While iterating, when the stream breaks.
         """
 
--- a/lacewinghold/store/etcd.py
+++ b/lacewinghold/store/etcd.py
@@ -171,7 +171,7 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         self.calls[CallKind.WATCH] += 1
         body = {
--- a/lacewinghold/store/guarded.py
+++ b/lacewinghold/store/guarded.py
@@ -202,12 +202,12 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         if not self.breaker.admit():
             self.refused += 1
             detail = "call rejected: circuit breaker open after repeated store failures"
             raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
         self.breaker.probing = False
-        async with self.inner.watch(prefix, after) as changes:
+        async with self.inner.watch(prefix, after, confirm_s) as changes:
             yield changes
--- a/lacewinghold/store/health.py
+++ b/lacewinghold/store/health.py
@@ -132,10 +132,10 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         try:
-            async with self.inner.watch(prefix, after) as batches:
+            async with self.inner.watch(prefix, after, confirm_s) as batches:
                 yield self.track_batches(batches)
         except FailureError as error:
             self.record_outcome(error.failure, self.last_answer_at)
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -12,6 +12,7 @@
 from lacewinghold.errors import ErrorKind, FailureError
 from lacewinghold.events import Event
 from lacewinghold.ids import Revision
+from lacewinghold.util.clock import lease_time
 from lacewinghold.util.containment import contained
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
     :param min_poll_interval_s: Minimum time between two polls for changes, in seconds.
     :param newest_only: Whether to load the current state in a burst of changes.
         Following the history would transfer every version, and fall behind.
+    :param confirm_s: How often the store confirms that the copy is complete; ``None``
+        if that is not needed.
     """
 
     def __init__(
@@ -46,8 +49,11 @@
         min_poll_interval_s: float = 0.0,
         *,
         newest_only: bool = False,
+        confirm_s: float | None = None,
     ) -> None:
         self.newest_only = newest_only
+        self.confirm_s = confirm_s
+        self.on_confirmed: Callable[[float], None] = lambda asked_at: None
         self.changed_at = -math.inf
         self.store = store
         self.prefix = prefix
@@ -65,7 +71,7 @@
 
         Yields to other tasks after every ``KEYS_PER_TURN`` keys.
         """
-        started = anyio.current_time()
+        started, asked_at = anyio.current_time(), lease_time()
         reply = await self.store.range(self.prefix, prefix=True)
         if isinstance(reply, Err):
             return Err(reply.err_value)
@@ -80,6 +86,7 @@
         self.revision = Revision(max(self.revision, reply.ok_value.revision))
         self.last_contact_at = started
         self.synced.set()
+        self.on_confirmed(asked_at)
         return Ok(None)
 
     def put(self, item: KeyValue) -> None:
@@ -105,6 +112,7 @@
         for key in batch.deletes:
             self.delete(key)
         self.revision = Revision(max(self.revision, batch.revision))
+        self.on_confirmed(batch.asked_at)
 
     async def load_until_done(self) -> None:
         """Reads all keys, retrying until the store responds."""
@@ -135,7 +143,8 @@
         """
         while True:
             try:
-                async with self.store.watch(self.prefix, self.revision) as batches:
+                watch = self.store.watch(self.prefix, self.revision, self.confirm_s)
+                async with watch as batches:
                     async for batch in batches:
                         self.record_contact()
                         same_poll = batch.revision == self.revision
--- a/lacewinghold/testing/cell.py
+++ b/lacewinghold/testing/cell.py
@@ -11,7 +11,6 @@
 
 from lacewinghold.application import EntryInstance, Ports
 from lacewinghold.coordination.keys import Keys
-from lacewinghold.document.sections import hash_key
 from lacewinghold.ids import (
     DataCentreId,
     InstanceId,
@@ -54,6 +53,7 @@
     MemoryInstanceList,
     MemoryWorkerLinks,
 )
+from lacewinghold.util.bearer import hash_key
 from lacewinghold.util.clock import WallClock
 from lacewinghold.util.codec import to_json
 
--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -457,9 +457,9 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
-        async with self.inner.watch(prefix, after) as batches:
+        async with self.inner.watch(prefix, after, confirm_s) as batches:
             yield self.receive_batches(batches)
 
     async def receive_batches(
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -10,13 +10,20 @@
 from msgspec import Struct
 from result import Err, Result
 
-from lacewinghold.ids import Incarnation, InstanceId, RegionId, WorkerId
+from lacewinghold.ids import (
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+    RegionId,
+    WorkerId,
+)
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
 from lacewinghold.scheduler.job_ids import JobIds
 from lacewinghold.scheduler.model import JobState, task_room
 from lacewinghold.scheduler.ports import (
     AdviceRules,
     Manifest,
+    Organisation,
     Queue,
     Resources,
     ServerState,
@@ -69,6 +76,7 @@
 
     version: int
     queues: list[Queue]
+    organisations: dict[OrganisationId, Organisation] | None = None
 
 
 def read_manifest(value: bytes) -> Manifest | None:
@@ -77,7 +85,7 @@
         stored = msgspec.json.decode(value, type=StoredManifest)
     except msgspec.DecodeError:
         return None
-    return Manifest(stored.version, stored.queues)
+    return Manifest(stored.version, stored.queues, stored.organisations)
 
 
 def read_worker(key: str, value: bytes) -> WorkerEntry | None:
@@ -134,6 +142,7 @@
     :param make_machine: Returns the machine of a new member; none by default.
     :param lease_ms: Duration of the owner's lease in milliseconds.
     :param job_ids: Format of the jobs' ids; short names by default.
+    :param revoke_ms: Limit of strict revocation in milliseconds; 0 is none.
     """
 
     def __init__(
@@ -144,6 +153,7 @@
         make_machine: Callable[[], Machine] | None = None,
         lease_ms: int = LEASE_MS,
         job_ids: JobIds = JOB_IDS,
+        revoke_ms: float = 0,
     ) -> None:
         self.tasks = tasks
         self.rng = random.Random(seed)
@@ -166,6 +176,7 @@
         self.make_machine = make_machine
         self.lease_ms = lease_ms
         self.job_ids = job_ids
+        self.revoke_ms = revoke_ms
         self.operator = MemoryStore(self.state)
         self.clock = WallClock(start=1_700_000_000.0)
         self.starts = 0
@@ -295,7 +306,13 @@
             listen=EntryListen(callers="c", ready="r", peer=name),
             store=PlatformStore(address="s", lease_ms=self.lease_ms),
             bounds=EntryBounds(
-                max_hold_ms=6000, stop_ms=200, grace_s=6, status_s=120, remote_factor=1
+                max_hold_ms=6000,
+                stop_ms=200,
+                grace_s=6,
+                status_s=120,
+                remote_factor=1,
+                strict_revocation=self.revoke_ms > 0,
+                revoke_ms=self.revoke_ms or 5000,
             ),
             machine=described,
         )
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -25,6 +25,7 @@
     WatchBatch,
 )
 from lacewinghold.testing.gate import Gate
+from lacewinghold.util.clock import lease_time
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
@@ -359,19 +360,28 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision
+        self, prefix: str, after: Revision, confirm_s: float | None = None
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         self.calls[CallKind.WATCH] += 1
-        yield self.changes(prefix, after)
+        if confirm_s is None:
+            yield self.changes(prefix, after)
+        else:
+            yield self.changes(prefix, after, confirms=True)
 
     def is_cut_off(self) -> bool:
         """Returns whether this client's watch streams break."""
         return not self.reachable or self.state.outage is not Outage.NONE
 
-    async def changes(self, prefix: str, after: int) -> AsyncIterator[WatchBatch]:
-        """Yields the batches under a prefix after a revision, in order."""
+    async def changes(
+        self, prefix: str, after: int, *, confirms: bool = False
+    ) -> AsyncIterator[WatchBatch]:
+        """Yields the batches under a prefix after a revision, in order.
+
+        :param confirms: Whether an empty batch follows when all changes are delivered.
+        """
         while True:
             changed = self.state.changed
+            asked_at = lease_time()
             if self.watch_silent:
                 await anyio.sleep(self.watch_timeout_s)
                 detail = "the watch was silent"
@@ -388,6 +398,8 @@
             if self.is_cut_off():
                 detail = "the watch broke"
                 raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+            if confirms:
+                yield WatchBatch(after, [], [], asked_at)
             with anyio.move_on_after(LEASE_CHECK_S):
                 await changed.wait()
             await self.gate.pass_through()
--- a/tests/test_document/test_editing.py
+++ b/tests/test_document/test_editing.py
@@ -15,12 +15,12 @@
 from lacewinghold.document.changes import MAX_BODIES, MAX_CHANGES
 from lacewinghold.document.checks import check_section
 from lacewinghold.document.editor import Edit
-from lacewinghold.document.sections import hash_key
 from lacewinghold.errors import ErrorKind
 from lacewinghold.schema.generated.document import Section, SectionKind
 from lacewinghold.store.base import CallKind, Delete, Transaction
 from lacewinghold.testing.paused import run_session
 from lacewinghold.testing.store import StoreFault
+from lacewinghold.util.bearer import hash_key
 
 TEAMS = {"operators": "operators-key", "counters": "c-key", "routes": "r-key"}
 TIMING = {"kind": SectionKind.TIMING, "author": "operators", "operator": True}
