--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -161,10 +161,14 @@
             self.start_tasks(placement.step, placement.tasks, now)
             if not placement.step.waiting_tasks():
                 del steps[placement.step.name]
-        waiting = steps.keys() - plan.capped
-        in_order = [step for step in planner.order if step.name in waiting]
+        in_order = [step for step in planner.order if step.name in steps]
         self.searches.request_searches(
-            in_order, self.chosen_task_count, plan.skipped, usable, now
+            in_order,
+            self.chosen_task_count,
+            plan.skipped,
+            usable,
+            now,
+            plan.task_limits,
         )
         self.wait_log.log_longest_overdue(steps, usable, now)
         self.choice_log.retain(steps)
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -78,7 +78,8 @@
         is limited.
     :param deferred: The skipped steps that were not considered at all.
     :param resume_at: The first deferred step; the next plan resumes there.
-    :param capped: Steps of which tasks wait because of the cap of their organisation.
+    :param task_limits: How many tasks may start of each step of which others wait
+        because of the cap of their organisation.
     """
 
     placements: list[Placement] = field(default_factory=list)
@@ -87,7 +88,7 @@
     skipped: set[str] = field(default_factory=set)
     deferred: set[str] = field(default_factory=set)
     resume_at: PlanPosition | None = None
-    capped: set[str] = field(default_factory=set)
+    task_limits: dict[str, int] = field(default_factory=dict)
 
 
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
@@ -492,10 +493,12 @@
     def place_singly(self, step: Step) -> None:
         """Places as many tasks of a step as there is room for, each on its own."""
         waiting = step.waiting_tasks()
+        claimed = 0
         if step.name in self.awaiting_answer:
             # The claim holds the resources of the last tasks.
-            waiting = waiting[: -self.claims[step.name].task_count()]
-        waiting = self.within_cap(step, waiting)
+            claimed = self.claims[step.name].task_count()
+            waiting = waiting[:-claimed]
+        waiting = self.within_cap(step, waiting, claimed)
         if any(task.failed_workers or task.crashes for task in waiting):
             self.add_to_plan(step, self.choose_worker_per_task(step, waiting))
         elif waiting:
@@ -503,11 +506,14 @@
                 step, self.choose_workers(step, waiting, self.ranked_workers(step))
             )
 
-    def within_cap(self, step: Step, tasks: list[Task]) -> list[Task]:
-        """Returns the tasks that the cap of the step's organisation lets start."""
+    def within_cap(self, step: Step, tasks: list[Task], claimed: int = 0) -> list[Task]:
+        """Returns the tasks that the cap of the step's organisation lets start.
+
+        :param claimed: How many other tasks of the step have claims.
+        """
         allowed = tasks[: self.caps.limit(step, len(tasks))]
         if len(allowed) < len(tasks):
-            self.plan.capped.add(step.name)
+            self.plan.task_limits[step.name] = claimed + len(allowed)
         return allowed
 
     def choose_workers(
--- a/lacewinghold/scheduler/searches.py
+++ b/lacewinghold/scheduler/searches.py
@@ -12,7 +12,7 @@
 from lacewinghold.scheduler.policy import fitting_count, has_label
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container
+    from collections.abc import Callable, Container, Mapping
 
     from lacewinghold.ids import Incarnation, WorkerId
     from lacewinghold.scheduler.advice import AdviceBook
@@ -53,6 +53,7 @@
         skipped: Container[str],
         usable: list[WorkerNode],
         now: float,
+        task_limits: Mapping[str, int] | None = None,
     ) -> None:
         """Requests calls for the most urgent steps that need more workers.
 
@@ -64,7 +65,9 @@
             about any worker yet.
         :param usable: Workers on which tasks may be started now.
         :param now: Time on the runtime's clock, in seconds.
+        :param task_limits: How many tasks may start of steps that are limited.
         """
+        limits = task_limits or {}
         self.reset_if_workers_changed(usable, now)
         self.rooms = {}
         max_queued = max(MIN_QUEUED_SEARCHES, len(self.book.lanes))
@@ -77,7 +80,8 @@
                 continue
             if step.name in skipped and self.book.has_answer(step):
                 continue
-            if len(step.waiting_tasks()) <= chosen_task_count(step):
+            needed = len(step.waiting_tasks())
+            if min(needed, limits.get(step.name, needed)) <= chosen_task_count(step):
                 continue
             counts[queue.name] += self.request_search(step, usable, now)
 
--- /dev/null
+++ b/tests/test_organisations/test_caps_in_a_cell.py
@@ -0,0 +1,36 @@
+"""Caps in a whole cell: work beyond a cap waits, and goes on as room becomes free."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+
+from lacewinghold.ids import OrganisationId
+from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import Organisation, Queue, Resources
+from lacewinghold.testing.step_cell import HOST, MANIFEST_KEY, StoredManifest, advised
+from tests.test_scheduler.support import run_cell, step
+
+
+def test_step_wider_than_its_cap_goes_in_waves_also_with_advice():
+    """Guards against a capped step that never asks for permissions (LOST)."""
+    queue = advised(Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1), 0.02, 2.5)
+    name = OrganisationId("a")
+    cap = Resources(cpu_millis=2500)
+    cap_of_all = Resources(cpu_millis=2500, memory_mb=10**6)
+
+    async def program(cell):
+        organisation = Organisation(name, cap=cap)
+        manifest = StoredManifest(2, [queue], {name: organisation})
+        await cell.put(MANIFEST_KEY, msgspec.json.encode(manifest))
+        record = cell.make_job("j", [step(9)])
+        record.organisation = name
+        assert (await cell.members[0].instance.front.submit(record)).is_ok()
+        usage = cell.owner().instance.owner.caps.usage
+        with anyio.fail_after(20):
+            while await cell.state_of("j") is not JobState.COMPLETED:
+                assert usage.used.get(name, Resources()).within(cap_of_all)
+                await anyio.sleep(0.05)
+        assert not usage.used
+
+    run_cell(program, queues=[queue])
