--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -17,6 +17,7 @@
 from lacewinghold.scheduler.admission import Admission, BacklogMonitor
 from lacewinghold.scheduler.advice import AdviceBook, Lane
 from lacewinghold.scheduler.election import Election
+from lacewinghold.scheduler.end_waits import may_end_soon
 from lacewinghold.scheduler.front import JobFront
 from lacewinghold.scheduler.hand_over import HandOver
 from lacewinghold.scheduler.job_store import NO_EPOCH, JobStore
@@ -309,6 +310,14 @@
             return known.state
         return JobState.RUNNING
 
+    async def wait_for_end(self, job: str) -> None:
+        """Waits for a moment if a job is about to end and this is the active owner."""
+        known = self.owned_job(job)
+        limit_s = self.settings.state_wait_ms / 1000
+        if known is not None and limit_s > 0 and may_end_soon(known):
+            assert self.owner is not None
+            await self.owner.end_waits.wait(job, limit_s)
+
     def owned_waiting(self, queue: str) -> int | None:
         """Returns how many jobs of a queue wait, if this is the active owner."""
         owner = self.active_owner()
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -244,6 +244,7 @@
         denied = check_access(self.instance.organisation_of(job) or "", caller)
         if denied is not None:
             return Err(denied)
+        await self.instance.wait_for_end(job)
         known = self.instance.owned_state(job)
         if known is None:
             known = await self.instance.peer_calls.fetch_state(job, caller)
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -172,6 +172,7 @@
     def drop_job(self, job: Job) -> None:
         """Removes a job with its steps and tasks."""
         del self.jobs[job.id]
+        self.owner.end_waits.wake(job.id)
         for step in job.steps:
             self.steps.pop(step.name, None)
             self.open_steps.pop(step.name, None)
@@ -296,6 +297,7 @@
             self.owner.clock.now(),
             organisation=job.record.organisation,
         )
+        self.owner.end_waits.wake(job.id)
 
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and hold no resources."""
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -19,6 +19,7 @@
 from lacewinghold.scheduler.crashes import CrashRecorder
 from lacewinghold.scheduler.election import TERM_KEY
 from lacewinghold.scheduler.end_log import EndLog
+from lacewinghold.scheduler.end_waits import EndWaits
 from lacewinghold.scheduler.ended_jobs import EndedJobs
 from lacewinghold.scheduler.fleet import WORKER_LEASE_S, Fleet
 from lacewinghold.scheduler.job_store import JOBS_PREFIX, ROSTER_PREFIX
@@ -121,6 +122,7 @@
         self.confirmations = OwnershipConfirmations(self)
         self.suspects = Suspects()
         self.caps = CapPolicy()
+        self.end_waits = EndWaits()
         self.crashes = CrashRecorder(self)
         self.fleet = Fleet(self)
         self.runs = RunLifecycle(self)
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -118,9 +118,8 @@
         if owner is None:
             return None
         request = CellJobCall(job, caller)
-        reply = await self.links.call(
-            owner, MessageKind.CELL_STATE, request, OWNER_TIMEOUT_S
-        )
+        limit_s = OWNER_TIMEOUT_S + self.instance.settings.state_wait_ms / 1000
+        reply = await self.links.call(owner, MessageKind.CELL_STATE, request, limit_s)
         if isinstance(reply, Err):
             return None
         try:
@@ -344,6 +343,7 @@
         denied = check_access(owner, self.read_caller(body))
         if denied is not None:
             return Err(denied)
+        await self.instance.wait_for_end(job.ok_value)
         state = self.instance.owned_state(job.ok_value)
         if state is None:
             return Err(
--- a/lacewinghold/testing/step_cell.py
+++ b/lacewinghold/testing/step_cell.py
@@ -142,6 +142,7 @@
     :param make_machine: Returns the machine of a new member; none by default.
     :param lease_ms: Duration of the owner's lease in milliseconds.
     :param job_ids: Format of the jobs' ids; short names by default.
+    :param state_wait_ms: How long queries wait for the end of a job, in milliseconds.
     :param revoke_ms: Limit of strict revocation in milliseconds; 0 is none.
     """
 
@@ -154,6 +155,7 @@
         lease_ms: int = LEASE_MS,
         job_ids: JobIds = JOB_IDS,
         revoke_ms: float = 0,
+        state_wait_ms: float = 0,
     ) -> None:
         self.tasks = tasks
         self.rng = random.Random(seed)
@@ -177,6 +179,7 @@
         self.lease_ms = lease_ms
         self.job_ids = job_ids
         self.revoke_ms = revoke_ms
+        self.state_wait_ms = state_wait_ms
         self.operator = MemoryStore(self.state)
         self.clock = WallClock(start=1_700_000_000.0)
         self.starts = 0
@@ -315,6 +318,7 @@
                 revoke_ms=self.revoke_ms or 5000,
             ),
             machine=described,
+            state_wait_ms=self.state_wait_ms,
         )
         dialer = MemoryWorkerDialer(self.world, gate)
         ports = CellPorts(
