--- a/lacewinghold/placement/split.py
+++ b/lacewinghold/placement/split.py
@@ -36,7 +36,7 @@
     :returns: ``CANNOT_FIT`` if an all-at-once job would not fit even if all workers
         were idle.
     """
-    copies = [count_copies(spec.resources, shard) for shard in shards]
+    copies = [count_copies(spec.resources, shard.workers) for shard in shards]
     if spec.kind is JobKind.ALL_AT_ONCE and sum(copies) < spec.tasks:
         detail = f"{spec.tasks} tasks at once; there is room for {sum(copies)}"
         return Err(Failure(ErrorKind.CANNOT_FIT, detail, "$.tasks"))
@@ -59,9 +59,9 @@
     return Ok(parts if len(parts) > 1 else [])
 
 
-def count_copies(need: Resources, shard: ShardCapacity) -> int:
-    """Returns how many tasks of equal need fit into a shard if it is idle."""
-    return sum(fitting_copies(need, worker) for worker in shard.workers)
+def count_copies(need: Resources, workers: list[Resources]) -> int:
+    """Returns how many tasks of equal need fit on workers of some capacities."""
+    return sum(fitting_copies(need, worker) for worker in workers)
 
 
 def count_workers(need: Resources, shard: ShardCapacity) -> int:
--- a/lacewinghold/shards/jobs.py
+++ b/lacewinghold/shards/jobs.py
@@ -5,12 +5,13 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+import anyio
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.ids import InstanceId, JobId, ShardId, job_shard
-from lacewinghold.placement.split import plan_parts
-from lacewinghold.schema.generated.jobs import JobSpec, JobView, TaskView
+from lacewinghold.placement.split import count_copies, plan_parts
+from lacewinghold.schema.generated.jobs import JobKind, JobSpec, JobView, TaskView
 from lacewinghold.schema.generated.messages import (
     JobCancel,
     JobList,
@@ -36,6 +37,9 @@
     from lacewinghold.shards.model import Job
 
 CALL_TIMEOUT_S = 5.0
+# The instance list is read once a second; one answer may be lost.
+UNKNOWN_WORKERS_TIMEOUT_S = 2.0
+UNKNOWN_WORKERS_RETRY_S = 0.1
 
 
 class JobFront:
@@ -79,13 +83,36 @@
     ) -> Result[JobId, Failure]:
         """Submits a job to a shard that can run it.
 
+        A job that the known shards cannot hold waits until all workers and the owners
+        of their shards are known, for at most ``UNKNOWN_WORKERS_TIMEOUT_S``.
+
         :param idempotency_key: The caller's key, or the empty string.
         :returns: The id of the job, whose record is durable.
         """
         digest = ""
         if idempotency_key:
             digest = hashlib.sha256(f"{team}\0{idempotency_key}".encode()).hexdigest()
+        give_up_at = anyio.current_time() + UNKNOWN_WORKERS_TIMEOUT_S
+        while True:
+            result = await self.submit_to_any(spec, digest)
+            if isinstance(result, Ok):
+                return result
+            if result.err_value.kind is not ErrorKind.CANNOT_FIT:
+                return result
+            if self.is_impossible(spec):
+                return result
+            if anyio.current_time() >= give_up_at:
+                detail = "the workers, or the owners of their shards, are not all known"
+                return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=1.0))
+            await anyio.sleep(UNKNOWN_WORKERS_RETRY_S)
+
+    async def submit_to_any(self, spec: JobSpec, digest: str) -> Result[JobId, Failure]:
+        """Submits a job to the nearest shard that accepts it.
+
+        :returns: ``CANNOT_FIT`` if no shard whose owner is known here can hold the job.
+        """
         failure = Failure(ErrorKind.NOT_RUN, "no shard has an owner", "", 1.0)
+        impossible, possible = None, False
         candidates = self.candidate_shards(spec)
         for shard in candidates:
             others = [other for other in candidates if other != shard]
@@ -96,10 +123,26 @@
             result = await self.submit_to(shard, spec, digest, parts.ok_value)
             if isinstance(result, Ok):
                 return result
-            failure = result.err_value
-            if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
-                return Err(failure)
-        return Err(failure)
+            refusal = result.err_value
+            if refusal.kind is ErrorKind.OUTCOME_UNKNOWN:
+                return Err(refusal)
+            if refusal.kind is ErrorKind.CANNOT_FIT:
+                impossible = refusal
+                continue
+            failure, possible = refusal, True
+        return Err(failure if impossible is None or possible else impossible)
+
+    def is_impossible(self, spec: JobSpec) -> bool:
+        """Returns whether the listed workers could not hold a job even if idle.
+
+        The instance list and the view of the shards' owners lag behind, above all
+        while instances start, so that the known shards alone do not decide this.
+        """
+        listed = self.directory.manager.listed_capacity(spec.where)
+        if listed is None:
+            return False
+        needed = spec.tasks if spec.kind is JobKind.ALL_AT_ONCE else 1
+        return count_copies(spec.resources, listed) < needed
 
     async def submit_to(
         self, shard: ShardId, spec: JobSpec, digest: str, parts: list[PartRecord]
--- a/lacewinghold/shards/manager.py
+++ b/lacewinghold/shards/manager.py
@@ -30,7 +30,7 @@
     from lacewinghold.coordination.rules import RuleGate
     from lacewinghold.coordination.view import LiveView
     from lacewinghold.ids import DataCentreId, InstanceId
-    from lacewinghold.schema.generated.jobs import Resources
+    from lacewinghold.schema.generated.jobs import Resources, Where
     from lacewinghold.schema.generated.settings import Settings
     from lacewinghold.schema.generated.worker import InstanceList, WorkerRecord
     from lacewinghold.shards.part_calls import PartCalls
@@ -153,6 +153,27 @@
             ShardCapacity(shard, found) for shard, found in workers.items() if found
         ]
 
+    def listed_capacity(self, where: Where | None) -> list[Resources] | None:
+        """Returns the capacities of the listed workers that a job may use.
+
+        Workers that are leaving count, since they may be replaced.
+
+        :param where: The job's constraints of place.
+        :returns: ``None`` if the list has not been read or names no worker at all.
+        """
+        if self.instance_list is None or not self.instance_list.workers:
+            return None
+        found = []
+        for record in self.instance_list.workers:
+            if record.state is WorkerState.GONE:
+                continue
+            if where and where.region not in (None, record.region):
+                continue
+            if where and where.data_centre not in (None, record.data_centre):
+                continue
+            found.append(record.capacity)
+        return found
+
     def apply_weights(self) -> None:
         """Sets the operators' placement weights in the shards owned here."""
         weights = self.current_weights()
