--- a/lacewinghold/placement/estimates.py
+++ b/lacewinghold/placement/estimates.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from msgspec import Struct
+from lacewinghold.util.running_stats import RunningMoments
 
 if TYPE_CHECKING:
     from lacewinghold.ids import TeamId
@@ -21,24 +21,16 @@
 DEFAULT_LOWER_RATIO = 0.2  # Before there are enough samples.
 
 
-class RatioEstimate(Struct):
+class RatioEstimate(RunningMoments):
     """Moving mean and variance of the logarithm of a ratio.
 
     The ratio is the observed run time over the declared one.
     """
 
-    samples: int = 0
-    mean: float = 0.0
-    variance: float = 0.0
-
     def observe(self, ratio: float) -> None:
         """Adds one observation, limited to ``MIN_RATIO`` and ``MAX_RATIO``."""
         value = math.log(min(MAX_RATIO, max(MIN_RATIO, ratio)))
-        self.samples += 1
-        rate = max(LEARNING_RATE, 1 / self.samples)
-        deviation = value - self.mean
-        self.mean += rate * deviation
-        self.variance = (1 - rate) * (self.variance + rate * deviation**2)
+        self.add(value, LEARNING_RATE)
 
     def upper_ratio(self) -> float:
         """Returns the ratio that most tasks do not exceed.
--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -68,7 +68,10 @@
         if record.occurrences or any(step.long_running for step in record.steps):
             return 0.0
         rules = record.rules
-        work_s = critical_path_s(record.steps)
+        # Only the owner learns run times; other instances use the caller's estimates.
+        active = self.instance.active_owner()
+        run_times_s = active.durations.expected_path_s(record) if active else ()
+        work_s = critical_path_s(record.steps, run_times_s)
         objective_s = rules.stretch * work_s + rules.slack_s
         bound_s = max(0.0, HOPELESS_MULTIPLE * objective_s - work_s)
         return max(0.0, self.backlog.waits_s.get(record.queue, 0.0) - bound_s)
@@ -89,14 +92,15 @@
     memory_mb_s: float = 0.0
     accelerator_s: float = 0.0
 
-    def add(self, step: Step, *, has_room: bool) -> None:
+    def add(self, step: Step, run_s: float, *, has_room: bool) -> None:
         """Adds the waiting tasks of a step.
 
+        :param run_s: Expected run time of each task in seconds.
         :param has_room: Whether workers have room, so that the tasks only wait for
             the owner to start them.
         """
         count = len(step.waiting_tasks())
-        total_s = count * step.spec.expected_ms / 1000
+        total_s = count * run_s
         self.tasks += count if has_room else 0
         if step.spec.long_running:
             return
@@ -177,7 +181,8 @@
                 continue
             pool = self.pools.setdefault(job.queue.service, WorkerPool())
             work = pool.waiting.setdefault(job.queue.urgency, WaitingWork())
-            work.add(step, has_room=late and self.has_room(step, now))
+            run_s = self.owner.durations.expected(step).mean_s
+            work.add(step, run_s, has_room=late and self.has_room(step, now))
         for service, pool in self.pools.items():
             full = self.used_share(service, now) >= FULL_POOL_SHARE
             pool.consecutive_full_checks = (
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -362,6 +362,8 @@
         self.metrics.deciding.set(owner is not None)
         self.metrics.workers.set(len(owner.fleet.nodes) if owner else 0)
         self.metrics.open_steps.set(len(owner.table.open_steps) if owner else 0)
+        speeds = owner.learning.speed_summary() if owner else (1.0, 1.0, 0)
+        self.metrics.update_worker_speeds(*speeds)
         self.metrics.lag_seconds.set(self.lag.lag_s)
         self.metrics.update_store_calls(self.store.calls)
         return self.metrics.render()
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -295,6 +295,7 @@
         self.release_lapsed_runs(node, reason)
         if self.nodes.get(node.id) is node:
             self.owner.pace.forget(node.id)
+            self.owner.speeds.forget(node.id)
             del self.nodes[node.id]
             del self.drivers[node.id]
             self.roster_due = True
@@ -403,15 +404,8 @@
         self.owner.crashes.record_progress(run)
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
-        spec = run.task.step.spec
-        self.owner.pace.record_progress(
-            node.id,
-            (item.task, item.run),
-            item.percent,
-            spec.expected_ms / 1000,
-            anyio.current_time(),
-        )
-        if item.checkpoint and spec.checkpoints:
+        self.owner.learning.record_progress(node, run, item.percent)
+        if item.checkpoint and run.task.step.spec.checkpoints:
             self.owner.runs.save_checkpoint(run.task, item.checkpoint)
 
     def release_unlisted_runs(
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -191,7 +191,9 @@
         queue = self.find_queue(record)
         age = max(0.0, self.owner.clock.now() - record.accepted_at)
         accepted_at = anyio.current_time() - age
-        job = make_job(record, queue, accepted_at, self.owner.clock.offset_s)
+        run_times_s = self.owner.durations.expected_path_s(record)
+        offset_s = self.owner.clock.offset_s
+        job = make_job(record, queue, accepted_at, offset_s, run_times_s)
         # An earlier owner has started a job that a worker listed before it was known.
         listed_before = record.job in self.owner.unknown_jobs.pending
         job.from_earlier_owner = not self.owner.loaded or listed_before
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -21,6 +21,8 @@
 JOB_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0, 3600.0)
 # From a plan of few steps to one so long that the ownership lapses.
 TURN_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+# From a run that takes a tenth of what was expected to one that takes ten times that.
+RATIO_BUCKETS = (0.1, 0.2, 0.33, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 3.0, 5.0, 10.0)
 # From an empty cell to the backlog of one day.
 COUNT_BUCKETS = (10, 30, 100, 300, 1000, 3000, 10_000, 30_000, 100_000)
 
@@ -165,6 +167,29 @@
             ["reason"],
             registry=registry,
         )
+        self.run_time_ratio = Histogram(
+            "lacewinghold_run_time_ratio",
+            "Run times of finished runs relative to an estimate, by estimate.",
+            ["estimate"],
+            buckets=RATIO_BUCKETS,
+            registry=registry,
+        )
+        self.runs_moved = Counter(
+            "lacewinghold_runs_moved",
+            "Runs stopped on a slow worker to run elsewhere.",
+            registry=registry,
+        )
+        self.worker_speed = Gauge(
+            "lacewinghold_worker_speed",
+            "Learned speed of the slowest and the fastest worker; 1 is typical.",
+            ["worker"],
+            registry=registry,
+        )
+        self.slow_workers = Gauge(
+            "lacewinghold_slow_workers",
+            "Workers that are left alone because they are slow.",
+            registry=registry,
+        )
         self.deciding = Gauge(
             "lacewinghold_deciding",
             "1 if this instance owns the cell and has loaded it.",
@@ -188,6 +213,12 @@
                     return sample.value
         return 0.0
 
+    def update_worker_speeds(self, slowest: float, fastest: float, slow: int) -> None:
+        """Sets the range of the workers' speeds and the number of slow workers."""
+        self.worker_speed.labels("slowest").set(slowest)
+        self.worker_speed.labels("fastest").set(fastest)
+        self.slow_workers.set(slow)
+
     def update_store_calls(self, calls: Counts[CallKind]) -> None:
         """Sets the number of store calls by kind."""
         for kind, count in calls.items():
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -10,7 +10,10 @@
 from lacewinghold.scheduler.ports import Resources
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.durations import StepTimes
     from lacewinghold.scheduler.ports import Queue
     from lacewinghold.scheduler.suspects import WorkerCrash
     from lacewinghold.schema.generated.cell import CellJob, StepSpec
@@ -109,6 +112,7 @@
     :param remaining: How many tasks are not done.
     :param failed_runs: Numbers of the failed runs of an all-at-once step.
     :param crashes: Crashes of workers under the runs of an all-at-once step.
+    :param times: Known run times of its tasks, ``None`` before the first progress.
     """
 
     name: str
@@ -123,6 +127,7 @@
     failed_runs: set[int] = field(default_factory=set)
     crashes: list[WorkerCrash] = field(default_factory=list)
     last_run_number: int = 0
+    times: StepTimes | None = None
 
     def done(self) -> bool:
         """Returns whether all tasks are done."""
@@ -190,24 +195,34 @@
     return f"{job}.{occurrence}.{step}.{index}"
 
 
-def critical_path_s(steps: list[StepSpec]) -> float:
-    """Returns the estimated duration of the longest chain of steps, in seconds."""
+def critical_path_s(steps: list[StepSpec], run_times_s: Sequence[float] = ()) -> float:
+    """Returns the estimated duration of the longest chain of steps, in seconds.
+
+    :param run_times_s: Expected run time of each step; callers' estimates if empty.
+    """
     finish: list[float] = []
-    for spec in steps:
+    for number, spec in enumerate(steps):
+        run_s = run_times_s[number] if run_times_s else spec.expected_ms / 1000
         ready = max((finish[i] for i in spec.after if i < len(finish)), default=0.0)
-        finish.append(ready + spec.expected_ms / 1000)
+        finish.append(ready + run_s)
     return max(finish, default=0.0)
 
 
 def make_job(
-    record: CellJob, queue: Queue, accepted_at: float, wall_clock_offset_s: float
+    record: CellJob,
+    queue: Queue,
+    accepted_at: float,
+    wall_clock_offset_s: float,
+    run_times_s: Sequence[float] = (),
 ) -> Job:
     """Returns a job with all its tasks waiting.
 
     :param accepted_at: The runtime's clock in seconds.
     :param wall_clock_offset_s: Wall time minus the runtime's clock.
+    :param run_times_s: Expected run time of each step; callers' estimates if empty.
     """
-    objective_s = queue.stretch * critical_path_s(record.steps) + queue.slack_s
+    path_s = critical_path_s(record.steps, run_times_s)
+    objective_s = queue.stretch * path_s + queue.slack_s
     job = Job(record, queue, [], accepted_at, objective_s)
     for occurrence in range(max(1, record.occurrences)):
         due_at = accepted_at
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -17,6 +17,7 @@
 from lacewinghold.organisations.caps import CapPolicy
 from lacewinghold.scheduler.confirmation import OwnershipConfirmations
 from lacewinghold.scheduler.crashes import CrashRecorder
+from lacewinghold.scheduler.durations import DurationModel
 from lacewinghold.scheduler.election import TERM_KEY
 from lacewinghold.scheduler.end_log import EndLog
 from lacewinghold.scheduler.ended_jobs import EndedJobs
@@ -31,8 +32,10 @@
 from lacewinghold.scheduler.pace import PaceTracker
 from lacewinghold.scheduler.planning import PlanLoop
 from lacewinghold.scheduler.ports import is_addressable
+from lacewinghold.scheduler.run_learning import RunLearning
 from lacewinghold.scheduler.runs import RunLifecycle
 from lacewinghold.scheduler.slow_workers import SlowWorkers
+from lacewinghold.scheduler.speeds import WorkerSpeeds
 from lacewinghold.scheduler.suspects import Suspects
 from lacewinghold.scheduler.tombstones import TombstoneSweeper
 from lacewinghold.scheduler.unknown_jobs import UnknownJobs
@@ -114,7 +117,10 @@
         self.planning_share = planning_share
         self.lag = lag
         self.log = EndLog(jobs, ownership.epoch, ownership.term)
-        self.pace = PaceTracker()
+        self.durations = DurationModel()
+        self.speeds = WorkerSpeeds()
+        self.pace = PaceTracker(self.speeds)
+        self.learning = RunLearning(self)
         self.ended = EndedJobs(jobs)
         self.table = JobTable(self)
         self.unknown_jobs = UnknownJobs(self)
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -99,13 +99,7 @@
         if end.checkpoint and task.step.spec.checkpoints:
             self.save_checkpoint(task, end.checkpoint)
         if run is not None:
-            if end.kind is EndKind.DONE and not task.checkpoint:
-                self.owner.pace.record_finish(
-                    node.id,
-                    (end.task, end.run),
-                    task.step.spec.expected_ms / 1000,
-                    anyio.current_time(),
-                )
+            self.owner.learning.record_end(node, run, end.kind)
             self.release(node, run, end.kind)
         if task.state is TaskState.DONE or task.step.job.ended():
             return
--- a/lacewinghold/scheduler/slow_workers.py
+++ b/lacewinghold/scheduler/slow_workers.py
@@ -12,14 +12,17 @@
 from lacewinghold.scheduler.pace import STUCK_SHARE
 
 if TYPE_CHECKING:
+    from lacewinghold.scheduler.model import Run
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
 
 logger = structlog.get_logger(__name__)
 CHECK_INTERVAL_S = 0.25
-# Remaining time of a run, as a multiple of its full run time elsewhere, from which
-# a restart is worth it.
+# Remaining time of a run, as a multiple of its full run time on a typical worker, from
+# which a restart is worth it: the estimate may be wrong, and the task may have to wait.
 MIN_MOVE_GAIN = 1.8
+# Share with which a stuck worker counts: even a run that is nearly done is moved.
+MIN_SHARE = 0.001
 
 
 class SlowWorkers:
@@ -46,6 +49,7 @@
                         worker=node.id,
                         slow=node.slow,
                         share=round(slow.get(node.id, 1.0), 3),
+                        speed=round(self.owner.speeds.speed_of(node.id), 3),
                     )
                 if node.slow:
                     self.move_runs_off(node, slow[node.id])
@@ -54,9 +58,8 @@
     def move_runs_off(self, node: WorkerNode, share: float) -> None:
         """Stops the runs of a slow worker that would finish sooner elsewhere.
 
-        :param share: The worker's speed as a share of the median.
+        :param share: The worker's speed as a share of its usual speed.
         """
-        now = anyio.current_time()
         for run in list(node.runs.values()):
             step = run.task.step
             if run.state is not RunState.RUNNING or step.done() or step.job.ended():
@@ -65,15 +68,29 @@
                 continue
             if share > STUCK_SHARE and (step.spec.all_at_once or share >= 1.0):
                 continue
-            expected_s = step.spec.expected_ms / 1000
-            remaining_s = expected_s / max(share, STUCK_SHARE) - (now - run.began_at)
+            expected_s = self.owner.durations.expected(step).mean_s
+            remaining_s = self.remaining_s(node, run, share, expected_s)
             if remaining_s < MIN_MOVE_GAIN * expected_s:
                 continue
+            self.owner.metrics.runs_moved.inc()
             logger.info(
                 Event.RUN_MOVED,
                 task=run.task.name,
                 run=run.number,
                 worker=node.id,
                 share=round(share, 3),
+                expected_s=round(expected_s, 3),
+                remaining_s=round(remaining_s, 3),
             )
             self.owner.fleet.stop_run(run)
+
+    def remaining_s(
+        self, node: WorkerNode, run: Run, share: float, expected_s: float
+    ) -> float:
+        """Returns the seconds that a run still takes on a slow worker.
+
+        :param expected_s: Expected run time on a worker of typical speed, in seconds.
+        """
+        percent = self.owner.pace.progress_percent(node.id, (run.task.name, run.number))
+        speed = self.owner.speeds.speed_of(node.id) * max(share, MIN_SHARE)
+        return (1 - percent / 100) * expected_s / speed
