--- a/lacewinghold/scheduler/durations.py
+++ b/lacewinghold/scheduler/durations.py
@@ -38,6 +38,7 @@
 UPPER_DEVIATIONS = 1.28  # The 90 % quantile of a normal distribution.
 MIN_STEP_FRACTION = 0.5  # Work of a step, in tasks, from which its pace is used.
 
+Key = TypeVar("Key")
 Value = TypeVar("Value")
 GroupKey = tuple[str, str, str]
 
@@ -45,8 +46,9 @@
 class Duration(Struct, frozen=True):
     """Expected run time of a task on a worker of typical speed.
 
-    :param mean_s: Expected run time in seconds; exactly the caller's estimate while
-        there is no data.
+    :param mean_s: Expected run time in seconds, as a mean of logarithms, in which the
+        few runs that take many times as long hardly count. Exactly the caller's
+        estimate while there is no data.
     :param upper_s: Run time in seconds that nine tenths of the runs do not exceed.
     :param samples: Weight of the observations, in steps; the caller's estimate has
         ``PRIOR_WEIGHT``.
@@ -109,17 +111,12 @@
         total = found * weight + PRIOR_VARIANCE * PRIOR_WEIGHT
         return total / (weight + PRIOR_WEIGHT)
 
-    def learned_share(self) -> float:
-        """Returns the weight of observations relative to that of the prior."""
-        return self.residuals.weight / (self.residuals.weight + PRIOR_WEIGHT)
-
 
 class Prediction(Struct):
     """Prediction of the logarithm of the ratio of run time to estimate."""
 
     log_ratio: float = 0.0
     variance: float = PRIOR_VARIANCE
-    learned_share: float = 0.0
     samples: float = 0.0
 
 
@@ -172,7 +169,6 @@
         return Prediction(
             min(MAX_LOG_RATIO, max(MIN_LOG_RATIO, log_ratio)),
             queue.variance(),
-            queue.learned_share(),
             queue.residuals.weight,
         )
 
@@ -202,8 +198,6 @@
         measured = math.log(max(measured_ms, 1.0) / spec.expected_ms)
         found.log_ratio += share * (measured - found.log_ratio)
         found.variance = (1 - share) * between + WITHIN_STEP_VARIANCE
-        # The measured pace is a mean already; that of the queue is one of logarithms.
-        found.learned_share *= 1 - share
         found.samples += times.fraction
         return to_duration(spec, found)
 
@@ -222,19 +216,14 @@
 def to_duration(spec: StepSpec, found: Prediction) -> Duration:
     """Returns the run time that a prediction stands for."""
     estimate_s = spec.expected_ms / 1000
-    # The mean of a log-normal distribution lies above its median.
-    log_mean = found.log_ratio + found.learned_share * found.variance / 2
     upper = found.log_ratio + UPPER_DEVIATIONS * math.sqrt(found.variance)
     return Duration(
-        estimate_s * math.exp(log_mean),
-        estimate_s * math.exp(max(log_mean, upper)),
+        estimate_s * math.exp(found.log_ratio),
+        estimate_s * math.exp(upper),
         found.samples,
     )
 
 
-Key = TypeVar("Key")
-
-
 def renewed(kept: dict[Key, Value], key: Key, new: Value, limit: int) -> Value:
     """Returns the value of a key as the most recently used one.
 
