--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -11,8 +11,8 @@
 
 from lacewinghold.scheduler.election import LATE_THRESHOLD_S
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE, critical_path_s
-from lacewinghold.scheduler.policy import fitting_count
 from lacewinghold.scheduler.ports import Resources
+from lacewinghold.scheduler.room import fitting_count
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.cell import CellInstance
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -12,8 +12,10 @@
 from lacewinghold.scheduler.advice import Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
-from lacewinghold.scheduler.policy import Planner, fullness
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.room import fullness
 from lacewinghold.scheduler.searches import WorkerSearches
+from lacewinghold.scheduler.speed_ranking import any_speed
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
@@ -42,13 +44,18 @@
 
     :param owner: The owner that decides.
     :param timer: Clock in seconds that measures how long a plan takes.
+    :param speed_of: Returns the lasting speed of a worker relative to the usual one.
     """
 
     def __init__(
-        self, owner: CellOwner, timer: Callable[[], float] = anyio.current_time
+        self,
+        owner: CellOwner,
+        timer: Callable[[], float] = anyio.current_time,
+        speed_of: Callable[[WorkerId], float] = any_speed,
     ) -> None:
         self.owner = owner
         self.timer = timer
+        self.speed_of = speed_of
         self.wake_event = anyio.Event()
         self.wait_log = WaitLog(owner)
         self.choice_log = ChoiceLog(owner)
@@ -147,6 +154,7 @@
             self.resume_at,
             suspects=suspects,
             caps=self.make_cap_budget(now),
+            speed_of=self.speed_of,
         )
         plan = planner.make_plan(steps.values())
         self.reserved = plan.reserved
@@ -164,7 +172,7 @@
         waiting = steps.keys() - plan.capped
         in_order = [step for step in planner.order if step.name in waiting]
         self.searches.request_searches(
-            in_order, self.chosen_task_count, plan.skipped, usable, now
+            in_order, self.chosen_task_count, plan.skipped, usable, planner.speeds
         )
         self.wait_log.log_longest_overdue(steps, usable, now)
         self.choice_log.retain(steps)
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -19,7 +19,8 @@
 
 from lacewinghold.organisations.caps import CapBudget
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
-from lacewinghold.scheduler.ports import Resources
+from lacewinghold.scheduler.room import RoomSnapshot, fitting_count, has_label
+from lacewinghold.scheduler.speed_ranking import SpeedRanking, any_speed
 from lacewinghold.scheduler.suspects import Suspects, is_idle, isolates
 
 if TYPE_CHECKING:
@@ -112,82 +113,12 @@
     return urgency_key(step, now), step.name
 
 
-def fitting_count(room: Resources, free: Resources, limit: int) -> int:
-    """Returns how many tasks of equal size fit into the free resources.
-
-    :param room: The resources that each task takes.
-    :param limit: The most to return.
-    """
-    if not room.within(free):
-        return 0
-    count = limit
-    for size, available in (
-        (room.cpu_millis, free.cpu_millis),
-        (room.memory_mb, free.memory_mb),
-        (room.accelerators, free.accelerators),
-    ):
-        if size > 0:
-            count = min(count, available // size)
-    return max(0, count)
-
-
-def has_label(step: Step, node: WorkerNode) -> bool:
-    """Returns whether a worker has the label that a step requires, if any."""
-    label = step.spec.required_label
-    return not label or label in node.entry.labels
-
-
-def fullness(free: Resources, capacity: Resources) -> float:
-    """Returns the used share, 0 to 1, of CPU or memory, whichever is higher."""
-    shares = [0.0]
-    if capacity.cpu_millis:
-        shares.append(1 - free.cpu_millis / capacity.cpu_millis)
-    if capacity.memory_mb:
-        shares.append(1 - free.memory_mb / capacity.memory_mb)
-    return max(shares)
-
-
-def max_free_resources(free_resources: Iterable[Resources]) -> Resources:
-    """Returns the maximum of each resource, which may be on different workers."""
-    cpu = memory = accelerators = 0
-    for free in free_resources:
-        cpu = max(cpu, free.cpu_millis)
-        memory = max(memory, free.memory_mb)
-        accelerators = max(accelerators, free.accelerators)
-    return Resources(cpu, memory, accelerators)
-
-
-class WorkerIndex(Struct):
-    """Index of the workers of a service that have room for tasks of one size.
-
-    :param room: The resources that each task takes.
-    :param applied_changes: How many entries of ``Planner.changed_workers`` the index
-        reflects.
-    :param order: Sort key and id of each worker, fullest first.
-    :param sort_keys: The sort key under which each worker is in ``order``.
-    """
-
-    room: Resources
-    applied_changes: int
-    order: list[tuple[float, WorkerId]] = field(default_factory=list)
-    sort_keys: dict[WorkerId, float] = field(default_factory=dict)
-
-    def update(self, worker: WorkerId, key: float, free: Resources) -> None:
-        """Moves a worker to its new position, or removes it if it has no room."""
-        old = self.sort_keys.pop(worker, None)
-        if old is not None:
-            del self.order[bisect_left(self.order, (old, worker))]
-        if self.room.within(free):
-            self.sort_keys[worker] = key
-            insort(self.order, (key, worker))
-
-
-class Planner:
+class Planner(RoomSnapshot):
     """Makes one plan over a snapshot of the free resources.
 
-    The cost of a plan is bounded, however many steps wait: steps of the same service
-    and task size share one index of the workers with room, the most urgent steps are
-    planned first, and the others take turns over successive plans.
+    The cost of a plan is bounded, however many steps wait: steps share indexes of the
+    workers with room, the most urgent steps are planned first, and the others take
+    turns over successive plans.
 
     :param now: Time on the runtime's clock, in seconds.
     :param nodes: Workers on which tasks may be started now.
@@ -207,6 +138,7 @@
     :param max_evaluations: Work limit of the plan, in evaluations.
     :param suspects: Tasks that are suspected of crashing their workers.
     :param caps: What each organisation may still start.
+    :param speed_of: Returns the lasting speed of a worker relative to the usual one.
     """
 
     def __init__(
@@ -224,7 +156,10 @@
         max_evaluations: int = MAX_EVALUATIONS,
         suspects: Suspects | None = None,
         caps: CapBudget | None = None,
+        speed_of: Callable[[WorkerId], float] = any_speed,
     ) -> None:
+        nodes = list(nodes)
+        super().__init__(nodes, SpeedRanking(now, nodes, speed_of))
         self.now = now
         self.permitted = permitted
         self.has_valid_ticket = has_valid_ticket
@@ -237,21 +172,7 @@
         self.max_evaluations = max_evaluations
         self.suspects = suspects or Suspects()
         self.caps = caps or CapBudget()
-        self.evaluations = 0
         self.blocked_steps: Counter[str] = Counter()
-        self.nodes_by_service: dict[str, list[WorkerNode]] = {}
-        self.free: dict[WorkerId, Resources] = {}
-        self.sort_keys: dict[WorkerId, float] = {}
-        self.changed_workers: list[WorkerId] = []
-        self.indexes: dict[tuple[str, Resources], WorkerIndex] = {}
-        self.nodes = {node.id: node for node in nodes}
-        for worker, node in self.nodes.items():
-            self.nodes_by_service.setdefault(node.entry.service, []).append(node)
-            self.free[worker] = node.free()
-        self.max_free = {
-            service: max_free_resources(self.free[node.id] for node in nodes_of_service)
-            for service, nodes_of_service in self.nodes_by_service.items()
-        }
         for claim in self.claims.values():
             self.allocate_claim(claim)
         self.reserved_urgency: dict[WorkerId, int] = {}
@@ -259,22 +180,6 @@
         self.order: list[Step] = []
         self.plan = Plan()
 
-    def set_free(self, worker: WorkerId, free: Resources) -> None:
-        """Sets the free resources of a worker in the snapshot."""
-        self.free[worker] = free
-        self.sort_keys.pop(worker, None)
-        self.changed_workers.append(worker)
-
-    def release(self, room: Resources, tasks: Mapping[WorkerId, int]) -> None:
-        """Returns the resources of some tasks to the snapshot.
-
-        :param room: The resources that each task takes.
-        :param tasks: How many tasks there are on each worker.
-        """
-        for worker, count in tasks.items():
-            if worker in self.free:
-                self.set_free(worker, self.free[worker].plus(room.times(count)))
-
     def allocate_claim(self, claim: Claim) -> None:
         """Deducts the resources of a claim from the snapshot.
 
@@ -285,10 +190,6 @@
             if worker in self.free:
                 self.allocate(worker, claim.step.room, count)
 
-    def allocate(self, worker: WorkerId, room: Resources, count: int = 1) -> None:
-        """Deducts the resources of tasks on one worker from the snapshot."""
-        self.set_free(worker, self.free[worker].minus(room.times(count)))
-
     def has_room_for(self, renewal: Renewal) -> bool:
         """Returns whether the chosen workers still have room for their tasks."""
         for worker, count in renewal.chosen.items():
@@ -356,49 +257,14 @@
         else:
             self.place_singly(step)
 
-    def worker_index(self, step: Step) -> WorkerIndex:
-        """Returns the up-to-date index of the workers with room for one task."""
-        service = step.job.queue.service
-        index = self.indexes.get((service, step.room))
-        if index is None:
-            index = self.build_index(service, step.room)
-            self.indexes[(service, step.room)] = index
-        for worker in set(self.changed_workers[index.applied_changes :]):
-            if self.nodes[worker].entry.service == service:
-                index.update(worker, self.sort_key(worker), self.free[worker])
-        index.applied_changes = len(self.changed_workers)
-        return index
-
-    def build_index(self, service: str, room: Resources) -> WorkerIndex:
-        """Builds the index of the workers of a service with room for one task."""
-        index = WorkerIndex(room, len(self.changed_workers))
-        if service not in self.max_free or not room.within(self.max_free[service]):
-            return index
-        nodes = self.nodes_by_service[service]
-        self.evaluations += len(nodes)
-        for node in nodes:
-            worker = node.entry.worker
-            if room.within(self.free[worker]):
-                index.sort_keys[worker] = self.sort_key(worker)
-        index.order = sorted((key, worker) for worker, key in index.sort_keys.items())
-        return index
-
-    def sort_key(self, worker: WorkerId) -> float:
-        """Returns the sort key of a worker; the fullest worker has the lowest."""
-        key = self.sort_keys.get(worker)
-        if key is None:
-            capacity = self.nodes[worker].entry.capacity
-            key = self.sort_keys[worker] = -fullness(self.free[worker], capacity)
-        return key
-
     def ranked_workers(
         self, step: Step, *, alone: bool = False
     ) -> Iterator[WorkerNode]:
         """Yields the permitted, eligible workers with room, the best first.
 
         Workers that need no fallback (right rack, valid ticket) are yielded while the
-        index is scanned, fullest first; the others follow in the order of
-        ``preference_key``.
+        index is scanned, those of the preferred speed first and of these the fullest;
+        the others follow in the order of ``preference_key``.
 
         :param alone: Whether to yield only idle workers, also those that are kept free.
         """
@@ -458,7 +324,7 @@
         return step.spec.latency_target_ms > 0 and node.filling_runs > 0
 
     def preference_key(self, step: Step, node: WorkerNode) -> tuple[bool, bool]:
-        """Returns the sort key that precedes fullness; ``False`` sorts first.
+        """Returns the sort key that precedes speed and fullness; ``False`` sorts first.
 
         :returns: Whether the worker is outside the rack of the step's data, and whether
             there is no valid ticket for it.
--- a/lacewinghold/scheduler/searches.py
+++ b/lacewinghold/scheduler/searches.py
@@ -9,7 +9,8 @@
 from zlib import crc32
 
 from lacewinghold.scheduler.advice import MAX_WORKERS_PER_CALL, Purpose
-from lacewinghold.scheduler.policy import fitting_count, has_label
+from lacewinghold.scheduler.room import fitting_count, has_label
+from lacewinghold.scheduler.speed_ranking import SpeedPreference
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container
@@ -19,6 +20,7 @@
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.ports import Resources
+    from lacewinghold.scheduler.speed_ranking import SpeedRanking
 
 MIN_QUEUED_SEARCHES = 8  # Per queue of jobs, also with fewer lanes.
 RECHECK_INTERVAL_S = 0.5  # Until steps that asked about all workers are checked again.
@@ -52,7 +54,7 @@
         chosen_task_count: Callable[[Step], int],
         skipped: Container[str],
         usable: list[WorkerNode],
-        now: float,
+        speeds: SpeedRanking,
     ) -> None:
         """Requests calls for the most urgent steps that need more workers.
 
@@ -63,9 +65,9 @@
             because its work is limited. They get a search only if they have not asked
             about any worker yet.
         :param usable: Workers on which tasks may be started now.
-        :param now: Time on the runtime's clock, in seconds.
+        :param speeds: The workers' speeds in the last plan, with its time.
         """
-        self.reset_if_workers_changed(usable, now)
+        self.reset_if_workers_changed(usable, speeds.now)
         self.rooms = {}
         max_queued = max(MIN_QUEUED_SEARCHES, len(self.book.lanes))
         counts: Counter[str] = Counter()
@@ -79,7 +81,7 @@
                 continue
             if len(step.waiting_tasks()) <= chosen_task_count(step):
                 continue
-            counts[queue.name] += self.request_search(step, usable, now)
+            counts[queue.name] += self.request_search(step, usable, speeds)
 
     def reset_if_workers_changed(self, usable: list[WorkerNode], now: float) -> None:
         """Clears the remembered steps if workers changed or a recheck is due."""
@@ -93,24 +95,32 @@
         self.fully_asked.clear()
         self.requested.clear()
 
-    def request_search(self, step: Step, usable: list[WorkerNode], now: float) -> bool:
+    def request_search(
+        self, step: Step, usable: list[WorkerNode], speeds: SpeedRanking
+    ) -> bool:
         """Requests a call for one step.
 
         :returns: Whether the call waits for a lane now.
         """
         if self.book.search_queued(step) and step.name in self.requested:
             return True
-        unasked = self.next_unasked(step, usable)
+        unasked = self.next_unasked(step, usable, speeds)
         if not unasked:
             self.fully_asked.add(step.name)
             return False
-        self.book.queue_calls(step, unasked, now, Purpose.SEARCH)
+        self.book.queue_calls(step, unasked, speeds.now, Purpose.SEARCH)
         self.requested.add(step.name)
         return self.book.search_queued(step)
 
-    def next_unasked(self, step: Step, usable: list[WorkerNode]) -> list[WorkerNode]:
+    def next_unasked(
+        self, step: Step, usable: list[WorkerNode], speeds: SpeedRanking
+    ) -> list[WorkerNode]:
         """Returns the workers to ask about next, those with the most room first.
 
+        A step that takes the fastest workers asks first about the fastest with room.
+        Others do not ask by speed, or their permissions would all be for workers that
+        fill up with work like theirs.
+
         Among workers with equal room, each step begins with others. In a large cell
         that has room, all steps would otherwise get permissions for the same workers,
         which fill up while the others stay idle.
@@ -121,8 +131,14 @@
         )
         step_hash = crc32(step.name.encode())
 
-        def preference(node: WorkerNode) -> tuple[int, int]:
-            return -room_by_worker[node.id], node.id_hash ^ step_hash
+        wanted = speeds.preference(step)
+        if wanted is SpeedPreference.SLOWEST:
+            wanted = SpeedPreference.ANY
+
+        def preference(node: WorkerNode) -> tuple[bool, int, int, int]:
+            room = room_by_worker[node.id]
+            rank = speeds.rank(node.id, wanted)
+            return room == 0, rank, -room, node.id_hash ^ step_hash
 
         return nsmallest(MAX_WORKERS_PER_CALL, unasked, key=preference)
 
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -11,7 +11,7 @@
 import structlog
 
 from lacewinghold.events import Event
-from lacewinghold.scheduler.policy import fitting_count
+from lacewinghold.scheduler.room import fitting_count
 
 if TYPE_CHECKING:
     from collections.abc import Container, Mapping
--- a/tests/test_scheduler/test_changing_capacity.py
+++ b/tests/test_scheduler/test_changing_capacity.py
@@ -12,8 +12,8 @@
 from lacewinghold.scheduler.admission import BacklogMonitor
 from lacewinghold.scheduler.cell import WORKER_SYNC_INTERVAL_S
 from lacewinghold.scheduler.model import JobState, TaskState
-from lacewinghold.scheduler.policy import fitting_count, fullness
 from lacewinghold.scheduler.ports import Queue, Resources
+from lacewinghold.scheduler.room import fitting_count, fullness
 from lacewinghold.testing.step_cell import CAPACITY, HOST, advised
 from lacewinghold.testing.step_worker import Behaviour, OrderFault
 from tests.test_scheduler.support import run_cell, step
--- a/tests/test_scheduler/test_policy_properties.py
+++ b/tests/test_scheduler/test_policy_properties.py
@@ -42,8 +42,11 @@
     may_ask: dict[str, bool]
     last_reserved: dict[str, list[WorkerId]]
 
-    def make_plan(self) -> Plan:
-        """Returns the plan."""
+    def make_plan(self, **options) -> Plan:
+        """Returns the plan.
+
+        :param options: Further arguments of the planner.
+        """
         planner = Planner(
             NOW,
             self.nodes.values(),
@@ -53,6 +56,7 @@
             lambda renewal: self.may_ask[renewal.step.name],
             self.last_reserved,
             self.awaiting_answer,
+            **options,
         )
         return planner.make_plan(self.steps)
 
--- a/tests/test_scheduler/test_searches.py
+++ b/tests/test_scheduler/test_searches.py
@@ -12,8 +12,8 @@
 
 from bench.plan_cell import ADVICE, PlanCell, make_ready_step
 from lacewinghold.scheduler.advice import MAX_WORKERS_PER_CALL, Purpose
-from lacewinghold.scheduler.policy import fitting_count
 from lacewinghold.scheduler.ports import Queue, Resources
+from lacewinghold.scheduler.room import fitting_count
 from lacewinghold.schema.generated.cell import StepSpec
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.testing.step_cell import HOST, advised
