--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -146,7 +146,6 @@
         self.pace = PaceTracker()
         self.suspects = Suspects()
         self.caps = CapPolicy()
-        self.recovered = True
         self.planning_share = PlanningShare(self.metrics)
         self.ownership = PermanentOwnership()
         self.state = SharedState()
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -134,7 +134,7 @@
         self.crashes = CrashRecorder(self)
         self.fleet = Fleet(self)
         self.runs = RunLifecycle(self)
-        self.planning = PlanLoop(self)
+        self.planning = PlanLoop(self, speed_of=self.speeds.speed_of)
         self.recovered = False
         self.predecessor_stopped = anyio.Event()
         self.loaded = False
