--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -14,6 +14,7 @@
 
 from bench.planner_day import JOB_KINDS, WORKER_CAPACITY, make_nodes
 from lacewinghold.ids import Epoch, WorkerId
+from lacewinghold.organisations.caps import CapPolicy
 from lacewinghold.scheduler.advice import AdviceBook, Lane, Permission, StepAdvice
 from lacewinghold.scheduler.lateness import PlanningShare
 from lacewinghold.scheduler.metrics import CellMetrics
@@ -144,6 +145,7 @@
             self.advice_book.lanes.append(lane)
         self.pace = PaceTracker()
         self.suspects = Suspects()
+        self.caps = CapPolicy()
         self.planning_share = PlanningShare(self.metrics)
         self.ownership = PermanentOwnership()
         self.state = SharedState()
--- a/lacewinghold/organisations/authentication.py
+++ b/lacewinghold/organisations/authentication.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
@@ -22,11 +23,36 @@
     from lacewinghold.organisations.revocation import ManifestConfirmation
     from lacewinghold.scheduler.metrics import CellMetrics
     from lacewinghold.scheduler.ports import Manifest, Queue
+    from lacewinghold.schema.generated.cell import CellJob
 
 logger = structlog.get_logger(__name__)
 RETRY_AFTER_S = 1.0  # An instance that reaches the store again confirms within this.
 
 
+class Caller(Struct, frozen=True):
+    """Who has sent a call.
+
+    :param organisation: Its organisation, empty if none was identified.
+    :param anonymous: Whether its lack of a key was checked. Instances of the previous
+        version check no keys and relay calls without an organisation.
+    """
+
+    organisation: str = ""
+    anonymous: bool = False
+
+    def may_name(self, owner: str) -> bool:
+        """Returns whether the caller may query, change or repeat a job.
+
+        :param owner: Organisation to which the job is bound, or empty.
+        """
+        if not owner or self.organisation == owner:
+            return True
+        return not self.organisation and not self.anonymous
+
+
+UNCHECKED = Caller()
+
+
 class Authenticator:
     """Checks the keys of callers against the manifest in force.
 
@@ -64,17 +90,20 @@
         return current
 
     def authenticate(
-        self, queue: Queue, key: str | None
-    ) -> Result[OrganisationId | None, Failure]:
-        """Returns the organisation of a caller.
+        self, queue: Queue, key: str | None, *, repeated: bool = False
+    ) -> Result[Caller, Failure]:
+        """Identifies a caller.
 
         :param key: The caller's key, ``None`` if it sent none.
-        :returns: ``None`` for an anonymous call, which the queue must allow. Failures:
+        :param repeated: Whether the call was accepted before, and has been counted.
+        :returns: An anonymous caller only if the queue allows it. Failures:
             ``UNAUTHENTICATED`` for a missing or unknown key, ``NOT_RUN`` if a key
             cannot be checked now.
         """
-        if not self.enabled or (key is None and not queue.requires_key):
-            return Ok(None)
+        if not self.enabled:
+            return Ok(UNCHECKED)
+        if key is None and not queue.requires_key:
+            return Ok(Caller(anonymous=True))
         if key is None:
             return self.refuse(ErrorKind.UNAUTHENTICATED, "the call has no key")
         if not self.can_check_keys():
@@ -83,8 +112,9 @@
         organisation = self.find(hash_key(key))
         if organisation is None:
             return self.refuse(ErrorKind.UNAUTHENTICATED, "the key is unknown")
-        self.metrics.authentications.labels("accepted").inc()
-        return Ok(organisation)
+        if not repeated:
+            self.metrics.authentications.labels("accepted").inc()
+        return Ok(Caller(organisation))
 
     def find(self, digest: str) -> OrganisationId | None:
         """Returns the organisation of a key's hash, compared in constant time."""
@@ -102,14 +132,23 @@
         return Err(Failure(kind, detail, retry_after_s=retry_after_s))
 
 
-def check_access(owner: str, caller: str) -> Failure | None:
-    """Returns the failure of a caller that names a job of another organisation.
+def bound_organisation(record: CellJob, manifest: Manifest | None) -> str:
+    """Returns the organisation to which a job is bound, empty if it is to none.
 
-    Anonymous callers and anonymous jobs are not bound to an organisation.
+    Jobs of a queue that requires no key are not bound to the organisation that has
+    submitted them; a queue that the manifest does not name any more did require one.
+    """
+    queue = None if manifest is None else manifest.find(record.host, record.path)
+    if queue is None or not queue.is_job_path(record.path, record.job):
+        return record.organisation
+    return record.organisation if queue.requires_key else ""
+
+
+def check_access(owner: str, caller: Caller) -> Failure | None:
+    """Returns the failure of a caller that names a job of another organisation.
 
-    :param owner: Organisation of the job, or empty.
-    :param caller: Organisation of the caller, or empty.
+    :param owner: Organisation to which the job is bound, or empty.
     """
-    if not owner or not caller or owner == caller:
+    if caller.may_name(owner):
         return None
     return Failure(ErrorKind.FORBIDDEN, "the job belongs to another organisation")
--- a/lacewinghold/organisations/caps.py
+++ b/lacewinghold/organisations/caps.py
@@ -73,7 +73,7 @@
         demand = task_demand(run.task.step.spec).times(count)
         used = self.used.get(organisation, Resources()).plus(demand)
         if used == Resources():
-            del self.used[organisation]
+            self.used.pop(organisation, None)
         else:
             self.used[organisation] = used
 
--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.organisations.authentication import UNCHECKED, Caller
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
 from lacewinghold.util.bearer import read_bearer
 from lacewinghold.util.codec import parse_json
@@ -110,7 +111,6 @@
 
     :param deadline_s: The caller's remaining deadline in seconds, if it sent one.
     :param key: The caller's key, if it sent one.
-    :param organisation: The organisation of the caller, empty if it is anonymous.
     """
 
     method: str
@@ -119,7 +119,7 @@
     body: bytes = b""
     deadline_s: float | None = None
     key: str | None = None
-    organisation: str = ""
+    caller: Caller = UNCHECKED
 
 
 def read_head(scope: dict[str, Any]) -> Call:
@@ -165,17 +165,29 @@
             await self.send_result(send, body)
             return
         call.body = body.ok_value
+        # Meanwhile a manifest may have removed the key, or added the queue.
+        authenticated = self.authenticate(call, repeated=True)
+        if isinstance(authenticated, Err):
+            await self.send_result(send, authenticated)
+            return
         await self.send_result(send, await self.serve(call))
 
-    def authenticate(self, call: Call) -> Result[None, Failure]:
-        """Identifies the organisation of a request; its body is not needed."""
+    def authenticate(
+        self, call: Call, *, repeated: bool = False
+    ) -> Result[None, Failure]:
+        """Identifies the caller of a request; its body is not needed.
+
+        :param repeated: Whether the call was accepted before.
+        """
         found = self.instance.front.find_queue(call.host, call.path)
         if isinstance(found, Err):
             return Ok(None)
-        checked = self.instance.authenticator.authenticate(found.ok_value, call.key)
+        checked = self.instance.authenticator.authenticate(
+            found.ok_value, call.key, repeated=repeated
+        )
         if isinstance(checked, Err):
             return Err(checked.err_value)
-        call.organisation = checked.ok_value or ""
+        call.caller = checked.ok_value
         return Ok(None)
 
     async def run_lifespan(self, receive: Any, send: Any) -> None:
@@ -239,11 +251,11 @@
         if call.method == "POST":
             return await self.submit(call, queue, job)
         if call.method == "DELETE":
-            cancelled = await front.cancel(job, call.organisation)
+            cancelled = await front.cancel(job, call.caller)
             if isinstance(cancelled, Err):
                 return Err(cancelled.err_value)
             return Ok({})
-        state = await front.state(job, call.organisation)
+        state = await front.state(job, call.caller)
         if isinstance(state, Err):
             return Err(state.err_value)
         return Ok({"state": state.ok_value.value})
@@ -268,7 +280,7 @@
             first_due_ms=wire.start_at_ms,
             occurrences=wire.repeat_count,
             interval_ms=wire.interval_ms,
-            organisation=call.organisation,
+            organisation=call.caller.organisation,
         )
         accepted = await self.instance.front.submit(record, call.deadline_s)
         if isinstance(accepted, Err):
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -11,7 +11,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
-from lacewinghold.organisations.authentication import Authenticator
+from lacewinghold.organisations.authentication import Authenticator, bound_organisation
 from lacewinghold.organisations.revocation import ManifestConfirmation
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.scheduler.admission import Admission, BacklogMonitor
@@ -275,7 +275,7 @@
         return max(own, Epoch(followed))
 
     def organisation_of(self, job: str) -> str | None:
-        """Returns the organisation of a stored job, empty if it has none.
+        """Returns the organisation to which a stored job is bound, empty if to none.
 
         :returns: ``None`` if this instance does not know the job.
         """
@@ -284,7 +284,7 @@
             return None
         known = owner.table.jobs.get(job)
         if known is not None:
-            return known.record.organisation
+            return bound_organisation(known.record, self.state.manifest)
         ended = owner.ended.jobs.get(job)
         return None if ended is None else ended.organisation
 
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -11,7 +11,12 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
 from lacewinghold.ids import OrganisationId
-from lacewinghold.organisations.authentication import check_access
+from lacewinghold.organisations.authentication import (
+    UNCHECKED,
+    Caller,
+    bound_organisation,
+    check_access,
+)
 from lacewinghold.organisations.caps import exceeds_cap
 from lacewinghold.scheduler.job_checks import check_job
 from lacewinghold.scheduler.job_store import StoredJob, is_outcome_unknown
@@ -86,11 +91,13 @@
         checked = check_job(record)
         if isinstance(checked, Err):
             return checked
-        capped = self.check_caps(record)
-        if isinstance(capped, Err):
-            return capped
         started = anyio.current_time()
         limit_s = (deadline_s or DEFAULT_DEADLINE_S) - REPLY_MARGIN_S
+        capped = self.check_caps(record)
+        if isinstance(capped, Err) and await self.is_confirmed_absent(
+            record.job, limit_s
+        ):
+            return capped
         if self.instance.store.down and self.instance.owner is None:
             result = await self.submit_via_owner(record, limit_s)
         else:
@@ -154,7 +161,8 @@
     async def is_confirmed_absent(self, job: str, limit_s: float) -> bool:
         """Returns whether the store has confirmed that it does not hold a job.
 
-        A job that is stored already, or will never be, is not refused for a backlog.
+        A job that is stored already, or will never be, is not refused for a backlog or
+        for a cap that was lowered since.
 
         :param limit_s: Time limit in seconds; half of it is used at most.
         """
@@ -177,7 +185,7 @@
         """
         owner = self.instance.organisation_of(record.job)
         if owner is not None:
-            denied = check_access(owner, record.organisation)
+            denied = check_access(owner, Caller(record.organisation))
             return Ok(None) if denied is None else Err(denied)
         if limit_s <= 0:
             return Err(self.out_of_time_failure())
@@ -236,11 +244,10 @@
             took_s=round(took_s, 3),
         )
 
-    async def state(self, job: str, caller: str = "") -> Result[JobState, Failure]:
-        """Returns a job's state; a final state only once it is stored.
-
-        :param caller: Organisation of the caller, empty if it is anonymous.
-        """
+    async def state(
+        self, job: str, caller: Caller = UNCHECKED
+    ) -> Result[JobState, Failure]:
+        """Returns a job's state; a final state only once it is stored."""
         denied = check_access(self.instance.organisation_of(job) or "", caller)
         if denied is not None:
             return Err(denied)
@@ -256,13 +263,19 @@
         stored = reply.ok_value
         if not stored.exists():
             return Err(self.unknown_job_failure(job))
-        denied = check_access(stored.organisation(), caller)
+        denied = check_access(self.organisation_of(stored), caller)
         if denied is not None:
             return Err(denied)
         state = self.state_from_store(stored)
         logger.info(Event.STATE_ANSWERED, job=job, state=state.value, by="store")
         return Ok(state)
 
+    def organisation_of(self, stored: StoredJob) -> str:
+        """Returns the organisation to which a stored job is bound, empty if to none."""
+        if stored.record is None:
+            return stored.organisation()
+        return bound_organisation(stored.record, self.instance.state.manifest)
+
     def state_from_store(self, stored: StoredJob) -> JobState:
         """Returns the state of a stored job, without the owner's knowledge."""
         if stored.outcome is not None:
@@ -275,10 +288,11 @@
             ErrorKind.STORE_UNAVAILABLE, failure.detail, retry_after_s=MIN_RETRY_AFTER_S
         )
 
-    async def cancel(self, job: str, caller: str = "") -> Result[None, Failure]:
+    async def cancel(
+        self, job: str, caller: Caller = UNCHECKED
+    ) -> Result[None, Failure]:
         """Cancels a job; the cancellation is stored before this returns.
 
-        :param caller: Organisation of the caller, empty if it is anonymous.
         :returns: ``NOT_FOUND`` if no such job is stored; none will be.
         """
         if self.instance.store.down:
@@ -288,7 +302,7 @@
         return await self.cancel_in_store(job, caller)
 
     async def cancel_in_store(
-        self, job: str, caller: str = ""
+        self, job: str, caller: Caller = UNCHECKED
     ) -> Result[None, Failure]:
         """Cancels a job by calls to the store from this instance.
 
@@ -303,7 +317,7 @@
             stored = reply.ok_value
             if stored.tombstone:
                 return Err(self.unknown_job_failure(job))
-            denied = check_access(stored.organisation(), caller)
+            denied = check_access(self.organisation_of(stored), caller)
             if denied is not None:
                 return Err(denied)
             if stored.exists():
--- a/lacewinghold/scheduler/job_store.py
+++ b/lacewinghold/scheduler/job_store.py
@@ -14,7 +14,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
-from lacewinghold.organisations.authentication import check_access
+from lacewinghold.organisations.authentication import Caller, check_access
 from lacewinghold.schema.generated.cell import CellJob, JobOutcome
 from lacewinghold.store.base import Compare, CompareTarget, Delete, Put, Transaction
 from lacewinghold.util.codec import from_json, to_json
@@ -159,7 +159,7 @@
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
         found = reply.ok_value
         if found.exists():
-            denied = check_access(found.organisation(), record.organisation)
+            denied = check_access(found.organisation(), Caller(record.organisation))
             return Ok(record) if denied is None else Err(denied)
         if found.tombstone:
             detail = "the job was cancelled before it was stored"
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -10,6 +10,7 @@
 import structlog
 
 from lacewinghold.events import Event
+from lacewinghold.organisations.authentication import bound_organisation
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -273,7 +274,7 @@
             state=state.value,
             at=self.owner.clock.now(),
             reason=reason,
-            organisation=job.record.organisation,
+            organisation=self.bound_organisation(job),
         )
         self.owner.log.append_outcome(job.id, outcome, lambda: self.mark_reported(job))
         logger.info(
@@ -294,9 +295,13 @@
             job.id,
             job.state,
             self.owner.clock.now(),
-            organisation=job.record.organisation,
+            organisation=self.bound_organisation(job),
         )
 
+    def bound_organisation(self, job: Job) -> str:
+        """Returns the organisation whose callers alone may name a job, or empty."""
+        return bound_organisation(job.record, self.owner.state.manifest)
+
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and hold no resources."""
         self.drop_closed_jobs(self.owner.fleet.jobs_with_runs())
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -12,7 +12,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId
-from lacewinghold.organisations.authentication import check_access
+from lacewinghold.organisations.authentication import UNCHECKED, Caller, check_access
 from lacewinghold.scheduler.election import Invitation
 from lacewinghold.scheduler.members import advise_for_peer
 from lacewinghold.scheduler.model import JobState
@@ -108,16 +108,17 @@
                 owner, MessageKind.CELL_CANCELLED, CellJobCall(job), OWNER_TIMEOUT_S
             )
 
-    async def fetch_state(self, job: str, caller: str = "") -> JobState | None:
+    async def fetch_state(
+        self, job: str, caller: Caller = UNCHECKED
+    ) -> JobState | None:
         """Returns a job's state from the owner.
 
-        :param caller: Organisation of the caller, empty if it is anonymous.
         :returns: ``None`` if the owner has none, or the caller may not see it.
         """
         owner = self.remote_owner()
         if owner is None:
             return None
-        request = CellJobCall(job, caller)
+        request = CellJobCall(job, caller.organisation, caller.anonymous)
         reply = await self.links.call(
             owner, MessageKind.CELL_STATE, request, OWNER_TIMEOUT_S
         )
@@ -159,8 +160,10 @@
         )
         return Err(reply.err_value) if isinstance(reply, Err) else Ok(None)
 
-    async def cancel(self, job: str, caller: str = "") -> Result[None, Failure]:
-        """Has the owner cancel a job for a caller of an organisation."""
+    async def cancel(
+        self, job: str, caller: Caller = UNCHECKED
+    ) -> Result[None, Failure]:
+        """Has the owner cancel a job for a caller."""
         owner = self.remote_owner()
         if owner is None:
             return Err(
@@ -168,7 +171,7 @@
                     ErrorKind.UNREACHABLE, "no other instance is known to own the cell"
                 )
             )
-        request = CellJobCall(job, caller)
+        request = CellJobCall(job, caller.organisation, caller.anonymous)
         reply = await self.links.call(
             owner, MessageKind.CELL_CANCEL, request, FORWARD_TIMEOUT_S
         )
@@ -233,9 +236,10 @@
             return Err(Failure(ErrorKind.INVALID, "the call names no job", "job"))
         return Ok(job)
 
-    def read_caller(self, body: bytes) -> str:
-        """Returns the caller's organisation in a call that names a job."""
-        return unpack(body, CellJobCall).organisation
+    def read_caller(self, body: bytes) -> Caller:
+        """Returns the caller of a call that names a job."""
+        request = unpack(body, CellJobCall)
+        return Caller(request.organisation, request.anonymous)
 
     def read_record(self, peer: InstanceId, value: bytes) -> Result[CellJob, Failure]:
         """Decodes the record of a job that a peer has sent."""
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -11,7 +11,7 @@
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.scheduler.advice import Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
-from lacewinghold.scheduler.model import Run, TaskState
+from lacewinghold.scheduler.model import JobState, Run, TaskState
 from lacewinghold.scheduler.policy import Planner, fullness
 from lacewinghold.scheduler.searches import WorkerSearches
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
@@ -151,7 +151,10 @@
         plan = planner.make_plan(steps.values())
         self.reserved = plan.reserved
         self.resume_at = plan.resume_at
-        self.preempt_filling_runs(steps.values())
+        # Filler runs are not stopped for steps that wait for their organisation's cap.
+        self.preempt_filling_runs(
+            step for step in steps.values() if planner.caps.limit(step, 1)
+        )
         self.renewals = self.merge_renewals(planner)
         self.owner.advice_book.retain_renewals(self.renewals.keys() | awaiting_answer)
         for renewal in plan.renewals:
@@ -175,6 +178,7 @@
 
         Before the owner has recovered, any task of an earlier job may be running: its
         worker has not been heard yet, or the end of its predecessors was not stored.
+        That includes jobs which have been cancelled or have failed since.
         """
         caps = self.owner.caps
         if self.owner.state.manifest is not None:
@@ -183,7 +187,7 @@
             return caps.make_budget()
         possible = []
         for job in self.owner.table.jobs.values():
-            if job.from_earlier_owner and not job.ended():
+            if job.from_earlier_owner and job.state is not JobState.COMPLETED:
                 possible += [step for step in job.steps if step.due_at <= now]
         return caps.make_budget(possible)
 
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -78,7 +78,7 @@
         is limited.
     :param deferred: The skipped steps that were not considered at all.
     :param resume_at: The first deferred step; the next plan resumes there.
-    :param capped: Steps of which tasks wait because of the cap of their organisation.
+    :param capped: Steps that could start no task because of their organisation's cap.
     """
 
     placements: list[Placement] = field(default_factory=list)
@@ -506,7 +506,8 @@
     def within_cap(self, step: Step, tasks: list[Task]) -> list[Task]:
         """Returns the tasks that the cap of the step's organisation lets start."""
         allowed = tasks[: self.caps.limit(step, len(tasks))]
-        if len(allowed) < len(tasks):
+        needed = len(tasks) if step.spec.all_at_once else min(1, len(tasks))
+        if len(allowed) < needed:
             self.plan.capped.add(step.name)
         return allowed
 
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -138,8 +138,8 @@
     async def follow(self) -> None:
         """Follows changes until a full load is needed.
 
-        That is when the store has compacted the history, or in a burst of changes
-        with ``newest_only``.
+        That is when the store has compacted the history, in a burst of changes with
+        ``newest_only``, or after a failure if the copy has to be confirmed.
         """
         while True:
             try:
@@ -162,6 +162,9 @@
                     return
                 self.record_failure(error.failure.detail)
                 await anyio.sleep(RETRY_DELAY_S)
+                if self.confirm_s is not None:
+                    # A load is answered, and thereby confirms, without a delay.
+                    return
 
     def record_change(self) -> bool:
         """Records the time of a change.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -74,6 +74,10 @@
 DIVIDED_CONFIRMATIONS = "tests/test_scheduler/test_divided_confirmations.py"
 DIVIDED_INCARNATIONS = "tests/test_scheduler/test_divided_incarnations.py"
 INHERITED_STARTS = "tests/test_scheduler/test_inherited_starts.py"
+KEYS = "tests/test_organisations/test_keys.py"
+ACCESS = "tests/test_organisations/test_access.py"
+CAPS = "tests/test_organisations/test_caps.py"
+ORGANISATIONS = "lacewinghold.organisations."
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
     Mutant(
@@ -636,6 +640,90 @@
         "if False:\n        return",
         (CELL_OWNERSHIP,),
     ),
+    Mutant(
+        "age of the confirmation",
+        ORGANISATIONS + "revocation:ManifestConfirmation.is_current",
+        "self.age_s(now) <= USABLE_SHARE * self.limit_s",
+        "True",
+        (KEYS,),
+    ),
+    Mutant(
+        "unreadable manifest",
+        CELL + "cell:CellInstance.apply_manifest",
+        "self.confirmation.readable = False",
+        "pass",
+        (KEYS,),
+    ),
+    Mutant(
+        "job of another organisation",
+        ORGANISATIONS + "authentication:Caller.may_name",
+        "not owner or self.organisation == owner",
+        "True",
+        (KEYS,),
+    ),
+    Mutant(
+        "anonymous caller of a bound job",
+        ORGANISATIONS + "authentication:Caller.may_name",
+        " and not self.anonymous",
+        "",
+        (ACCESS,),
+    ),
+    Mutant(
+        "key after the body",
+        "lacewinghold.platform.front:PlatformFront.__call__",
+        "authenticated = self.authenticate(call, repeated=True)",
+        "authenticated = Ok(None)",
+        (ACCESS,),
+    ),
+    Mutant(
+        "refusal for a cap",
+        CELL + "front:JobFront.submit",
+        "await self.is_confirmed_absent",
+        "(lambda job, limit_s: True)",
+        (ACCESS,),
+    ),
+    Mutant(
+        "cap in place_singly",
+        CELL + "policy:Planner.place_singly",
+        "waiting = self.within_cap(step, waiting)",
+        "pass",
+        (CAPS,),
+    ),
+    Mutant(
+        "cap in place_together",
+        CELL + "policy:Planner.place_together",
+        "len(self.within_cap(step, tasks))",
+        "len(tasks)",
+        (CAPS,),
+    ),
+    Mutant(
+        "cap of the tasks that a plan starts",
+        CELL + "policy:Planner.add_to_plan",
+        "self.caps.take(step, counts.total())",
+        "pass",
+        (CAPS,),
+    ),
+    Mutant(
+        "cap of claims",
+        CELL + "policy:Planner.allocate_claim",
+        "self.caps.take(claim.step, claim.task_count())",
+        "pass",
+        (CAPS,),
+    ),
+    Mutant(
+        "assumed usage before the recovery",
+        CELL + "planning:PlanLoop.make_cap_budget",
+        "self.owner.recovered or not caps.caps",
+        "True",
+        (CAPS,),
+    ),
+    Mutant(
+        "assumed usage of cancelled jobs",
+        CELL + "planning:PlanLoop.make_cap_budget",
+        "job.state is not JobState.COMPLETED",
+        "not job.ended()",
+        (CAPS,),
+    ),
 ]
 MUTANTS = [
     *CELL_MUTANTS,
