--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -46,6 +46,8 @@
     "log_level",
 )
 STORE_FIELDS_NEEDING_RESTART = ("prefix", "lease_ms")
+# The manifest's watch in progress was requested by these.
+BOUNDS_NEEDING_RESTART = ("strict_revocation", "revoke_ms")
 # The balancer probes once a second and opens no channel after two failed probes.
 BALANCER_NOTICE_S = 2.2
 
@@ -105,6 +107,10 @@
             old = getattr(self.initial_settings.store, name)
             if getattr(settings.store, name) != old:
                 pending.append(f"store.{name}")
+        for name in BOUNDS_NEEDING_RESTART:
+            old = getattr(self.initial_settings.bounds, name)
+            if getattr(settings.bounds, name) != old:
+                pending.append(f"bounds.{name}")
         return pending
 
     def differs(self, settings: EntrySettings, name: str) -> bool:
--- a/tests/test_platform/test_live_settings.py
+++ b/tests/test_platform/test_live_settings.py
@@ -77,6 +77,8 @@
         ({"machine": {"processor_share": 1, "link_mbps": 10}}, ["machine"]),
         ({"advice": ""}, ["advice"]),
         ({"bounds__status_s": 60}, []),
+        ({"bounds__strict_revocation": True}, ["bounds.strict_revocation"]),
+        ({"bounds__revoke_ms": 1000}, ["bounds.revoke_ms"]),
     ],
 )
 def test_fields_that_need_a_restart_are_reported(tmp_path, fields, restart_fields):
