--- a/lacewinghold/cmd/__init__.py
+++ b/lacewinghold/cmd/__init__.py
@@ -20,6 +20,7 @@
         demo,
         document,
         explain,
+        explain_placement,
         jobs,
         serve,
         settings,
@@ -33,7 +34,7 @@
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True)
     modules = (serve, stand_in, demo, settings, jobs, workers, audit, document)
-    for module in (*modules, explain):
+    for module in (*modules, explain, explain_placement):
         module.add_parsers(commands)
     return parser
 
--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -16,6 +16,7 @@
 from lacewinghold.platform.advice import PlatformAdvice
 from lacewinghold.platform.front import JOB_ID_PATTERN, PlatformFront
 from lacewinghold.platform.manifest import MANIFEST_KEY, read_manifest
+from lacewinghold.platform.operators import OperatorsApp
 from lacewinghold.platform.store import PlatformStore
 from lacewinghold.platform.workers import (
     WORKERS_PREFIX,
@@ -27,7 +28,6 @@
 from lacewinghold.util.clock import WallClock
 from lacewinghold.util.http_server import serve_http
 from lacewinghold.util.lag import LagMonitor
-from lacewinghold.util.metrics_http import MetricsApp
 from lacewinghold.util.settings_watch import SettingsWatch
 
 if TYPE_CHECKING:
@@ -154,9 +154,10 @@
 
 
 async def serve_metrics(instance: CellInstance, stop: anyio.Event) -> None:
-    """Serves the metrics until the stop event is set."""
-    app = MetricsApp(instance.render_metrics)
-    await serve_http(app, instance.settings.listen.metrics, stop.wait, 0.0)
+    """Serves the metrics and explanations until the stop event is set."""
+    await serve_http(
+        OperatorsApp(instance), instance.settings.listen.metrics, stop.wait, 0.0
+    )
 
 
 async def watch_signals(
--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -35,6 +35,7 @@
     ErrorKind.INVALID: HTTPStatus.BAD_REQUEST,
     ErrorKind.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     ErrorKind.FORBIDDEN: HTTPStatus.FORBIDDEN,
+    ErrorKind.CONFLICT: HTTPStatus.CONFLICT,
     ErrorKind.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
     ErrorKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ErrorKind.NOT_RUN: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -135,6 +136,29 @@
     return call
 
 
+def to_record(
+    wire: WireJob, call: Call, queue: Queue, job: JobId, accepted_at: float
+) -> CellJob:
+    """Returns the record of a submitted job.
+
+    :param accepted_at: Wall time in seconds.
+    """
+    return CellJob(
+        job=job,
+        queue=queue.name,
+        rules=queue.to_rules(),
+        host=call.host,
+        path=call.path,
+        program=wire.spec,
+        steps=[to_step(step) for step in wire.steps],
+        accepted_at=accepted_at,
+        first_due_ms=wire.start_at_ms,
+        occurrences=wire.repeat_count,
+        interval_ms=wire.interval_ms,
+        organisation=call.caller.organisation,
+    )
+
+
 class PlatformFront:
     """Decodes requests, passes them to the cell's front and encodes the responses.
 
@@ -267,20 +291,8 @@
         parsed = parse_json(call.body, WireJob)
         if isinstance(parsed, Err):
             return Err(parsed.err_value)
-        wire = parsed.ok_value
-        record = CellJob(
-            job=job,
-            queue=queue.name,
-            rules=queue.to_rules(),
-            host=call.host,
-            path=call.path,
-            program=wire.spec,
-            steps=[to_step(step) for step in wire.steps],
-            accepted_at=self.instance.ports.clock.now(),
-            first_due_ms=wire.start_at_ms,
-            occurrences=wire.repeat_count,
-            interval_ms=wire.interval_ms,
-            organisation=call.caller.organisation,
+        record = to_record(
+            parsed.ok_value, call, queue, job, self.instance.ports.clock.now()
         )
         accepted = await self.instance.front.submit(record, call.deadline_s)
         if isinstance(accepted, Err):
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from enum import StrEnum
 from typing import TYPE_CHECKING
 from zlib import crc32
 
@@ -23,6 +24,18 @@
 QUARANTINE_S = 4.0  # Faults that make a worker fail its runs last about this long.
 
 
+class UnusableReason(StrEnum):
+    """Why tasks may not be started on a worker."""
+
+    SILENT = "silent"
+    DRAINING = "draining"
+    REPLACED = "replaced"
+    NOT_IN_ROSTER = "not in the stored roster"
+    UNKNOWN_RUNS = "runs of unknown jobs"
+    QUARANTINED = "quarantined"
+    REFUSED_A_START = "has refused a start for want of room"
+
+
 class WorkerNode:
     """One incarnation of a worker.
 
@@ -75,19 +88,25 @@
 
     def usable(self, now: float) -> bool:
         """Returns whether tasks may be started on the worker."""
-        return (
-            self.listed
-            and self.fenced
-            and self.enrolled
-            and not self.stray_runs
-            and not self.dead
-            and not self.replaced
-            and self.other_entry is None
-            and self.entry.state is ServerState.READY
-            and self.unanswered_calls == 0
-            and now >= self.quarantined_until
-            and now >= self.full_until
-        )
+        return self.unusable_reason(now) is None
+
+    def unusable_reason(self, now: float) -> UnusableReason | None:
+        """Returns why no tasks may be started on the worker, ``None`` if they may."""
+        if self.dead or self.replaced or self.other_entry is not None:
+            return UnusableReason.REPLACED
+        if not self.listed or self.entry.state is not ServerState.READY:
+            return UnusableReason.DRAINING
+        if not self.fenced or self.unanswered_calls != 0:
+            return UnusableReason.SILENT
+        if not self.enrolled:
+            return UnusableReason.NOT_IN_ROSTER
+        if self.stray_runs:
+            return UnusableReason.UNKNOWN_RUNS
+        if now < self.quarantined_until:
+            return UnusableReason.QUARANTINED
+        if now < self.full_until:
+            return UnusableReason.REFUSED_A_START
+        return None
 
     def is_idle(self) -> bool:
         """Returns whether nothing runs, and all that the worker listed is stored."""
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 import structlog
@@ -17,7 +17,7 @@
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.organisations.caps import CapBudget
@@ -25,6 +25,9 @@
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
     from lacewinghold.scheduler.policy import PlanPosition, Renewal
+    from lacewinghold.scheduler.suspects import Suspects
+
+AnyPlanner = TypeVar("AnyPlanner", bound=Planner)
 
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers per term; a task starts far less often.
@@ -120,8 +123,7 @@
         now = anyio.current_time()
         self.owner.fleet.write_roster_if_due()
         self.owner.table.open_due_steps()
-        usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
-        usable = [node for node in usable if not node.slow] or usable
+        usable = self.usable_workers(now)
         steps = self.waiting_steps()
         self.claims.retain(steps)
         finished = self.claims.expired_or_answered(
@@ -134,19 +136,8 @@
         permitted = self.permission_lookup(usable)
         suspects = self.owner.suspects
         suspects.prepare(now, steps, usable, permitted)
-        planner = Planner(
-            now,
-            usable,
-            permitted,
-            self.ticket_check(now),
-            self.claims.claims,
-            lambda renewal: self.may_ask(renewal, now),
-            self.reserved,
-            awaiting_answer,
-            self.ticket_availability_check(now),
-            self.resume_at,
-            suspects=suspects,
-            caps=self.make_cap_budget(now),
+        planner = self.make_planner(
+            Planner, now, usable, permitted, awaiting_answer, suspects
         )
         plan = planner.make_plan(steps.values())
         self.reserved = plan.reserved
@@ -173,6 +164,43 @@
         self.choice_log.retain(steps)
         return plan.deferred
 
+    def usable_workers(self, now: float) -> list[WorkerNode]:
+        """Returns the workers on which tasks may be started.
+
+        Slow workers are among them only if all of them are slow.
+        """
+        usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
+        return [node for node in usable if not node.slow] or usable
+
+    def make_planner(
+        self,
+        kind: type[AnyPlanner],
+        now: float,
+        usable: list[WorkerNode],
+        permitted: Callable[[Step], frozenset[WorkerId] | None],
+        awaiting_answer: Collection[str],
+        suspects: Suspects,
+    ) -> AnyPlanner:
+        """Returns a planner over the present state of the cell.
+
+        :param kind: Class of the planner.
+        :param awaiting_answer: Steps whose claims wait for an answer.
+        """
+        return kind(
+            now,
+            usable,
+            permitted,
+            self.ticket_check(now),
+            self.claims.claims,
+            lambda renewal: self.may_ask(renewal, now),
+            self.reserved,
+            awaiting_answer,
+            self.ticket_availability_check(now),
+            self.resume_at,
+            suspects=suspects,
+            caps=self.make_cap_budget(now),
+        )
+
     def make_cap_budget(self, now: float) -> CapBudget:
         """Returns what the organisations may start in one plan.
 
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -341,6 +341,10 @@
             # use the claimed resources, or choose other workers.
             self.release(step.room, self.claims[step.name].tasks)
             self.caps.take(step, -self.claims[step.name].task_count())
+        self.place_step(step)
+
+    def place_step(self, step: Step) -> None:
+        """Places the tasks of one step, or reserves workers for them."""
         if not self.worker_index(step).order:
             if step.spec.all_at_once:
                 self.reserve_workers(step)
--- a/lacewinghold/scheduler/suspects.py
+++ b/lacewinghold/scheduler/suspects.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import Counter
+from copy import copy
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
@@ -129,6 +130,14 @@
         self.tasks.update((member.name, member) for member in members)
         return add_crash(crashes_of(task), crash)
 
+    def copy(self) -> Suspects:
+        """Returns a copy in which a trial plan can record its placements."""
+        found = copy(self)
+        found.isolated = Counter(self.isolated)
+        found.hosts = set(self.hosts)
+        found.closed = set(self.closed)
+        return found
+
     def must_be_alone(self, task: Task) -> bool:
         """Returns whether a task may start only on an idle worker."""
         return isolates(task) and task.name not in self.overdue
--- a/tests/test_cmd/test_documented_commands.py
+++ b/tests/test_cmd/test_documented_commands.py
@@ -85,6 +85,12 @@
         file = next((EXAMPLES / "terrasvuur").glob("*-1.json"))
         assert main(["settings", "check", str(file)]) == 0
         return
+    if words[0] == "explain-placement":
+        (folder / "job.json").write_text("{}")
+        if len(words) == 1:
+            words += ["--job", VALUES["JOB"]]
+        assert main([*words, *ADDRESS]) == 0
+        return
     if words[0] in SERVER_COMMANDS:
         for name in ("change.json", "FILE"):
             (folder / name).write_text("{}")
