--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.ids import OrganisationId
+from lacewinghold.organisations.authentication import bound_organisation
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -291,7 +292,7 @@
             state=state.value,
             at=self.owner.clock.now(),
             reason=reason,
-            organisation=job.record.organisation,
+            organisation=self.bound_organisation(job),
         )
         self.owner.log.append_outcome(job.id, outcome, lambda: self.mark_reported(job))
         logger.info(
@@ -312,10 +313,14 @@
             job.id,
             job.state,
             self.owner.clock.now(),
-            organisation=job.record.organisation,
+            organisation=self.bound_organisation(job),
         )
         self.owner.end_waits.wake(job.id)
 
+    def bound_organisation(self, job: Job) -> str:
+        """Returns the organisation whose callers alone may name a job, or empty."""
+        return bound_organisation(job.record, self.owner.state.manifest)
+
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and hold no resources."""
         self.drop_closed_jobs(self.owner.fleet.jobs_with_runs())
