--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -87,6 +87,8 @@
     MANIFEST_UNREADABLE = "manifest unreadable"
     KEYS_CONFIRMED = "keys confirmed"
     KEYS_UNCONFIRMED = "keys unconfirmed"
+    EXCESS_REFUSED = "excess refused"
+    EXCESS_ENDED = "excess ended"
 
     # Workers
     WORKER_ENTRY = "worker entry"
--- a/lacewinghold/organisations/caps.py
+++ b/lacewinghold/organisations/caps.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from lacewinghold.scheduler.ports import Resources
 
@@ -18,6 +18,8 @@
     from lacewinghold.scheduler.ports import Manifest
     from lacewinghold.schema.generated.cell import StepSpec
 
+K = TypeVar("K")
+
 
 def task_demand(spec: StepSpec) -> Resources:
     """Returns what a task of a step counts against the cap of its organisation.
@@ -51,11 +53,26 @@
     return count is not None and count < spec.tasks
 
 
+def add_to(account: dict[K, Resources], key: K, amount: Resources) -> None:
+    """Adds an amount to an entry of an account; entries of nothing are removed."""
+    total = account.get(key, Resources()).plus(amount)
+    if total == Resources():
+        account.pop(key, None)
+    else:
+        account[key] = total
+
+
 class UsageAccount:
-    """What each organisation has running, by the runs that are booked on workers."""
+    """What each organisation has running, by the runs that are booked on workers.
+
+    :ivar used: Over all workers, by organisation.
+    :ivar used_by_service: The same by service and organisation. The service is that in
+        force when the job was accepted, which a later manifest does not change.
+    """
 
     def __init__(self) -> None:
         self.used: dict[str, Resources] = {}
+        self.used_by_service: dict[tuple[str, str], Resources] = {}
 
     def add(self, run: Run) -> None:
         """Adds a run that is booked on a worker."""
@@ -67,15 +84,13 @@
 
     def change(self, run: Run, count: int) -> None:
         """Adds the demand of a run, ``count`` times."""
-        organisation = run.task.step.job.record.organisation
-        if not organisation:
+        record = run.task.step.job.record
+        if not record.organisation:
             return
         demand = task_demand(run.task.step.spec).times(count)
-        used = self.used.get(organisation, Resources()).plus(demand)
-        if used == Resources():
-            del self.used[organisation]
-        else:
-            self.used[organisation] = used
+        add_to(self.used, record.organisation, demand)
+        competitor = (record.rules.service, record.organisation)
+        add_to(self.used_by_service, competitor, demand)
 
 
 class CapBudget:
--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -9,6 +9,7 @@
 import anyio
 from msgspec import Struct, field
 
+from lacewinghold.organisations.excess import ExcessEstimator
 from lacewinghold.scheduler.election import LATE_THRESHOLD_S
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE, critical_path_s
 from lacewinghold.scheduler.policy import fitting_count
@@ -37,11 +38,13 @@
     :param received_at: When it was received, on the runtime's clock.
     :param waits_s: Expected seconds until a new job would start, by queue; only
         queues with a long wait are listed.
+    :param excess: Share of the submissions to refuse, 0 to 1, by organisation.
     """
 
     term: int = 0
     received_at: float = -math.inf
     waits_s: dict[str, float] = {}
+    excess: dict[str, float] = {}
 
 
 class Admission:
@@ -51,19 +54,40 @@
         self.instance = instance
         self.backlog = Backlog()
 
-    def update_backlog(self, term: int, waits_s: dict[str, float]) -> None:
+    def update_backlog(
+        self,
+        term: int,
+        waits_s: dict[str, float],
+        excess: dict[str, float] | None = None,
+    ) -> None:
         """Records the backlog that an owner has sent, unless its term is outdated."""
         if term >= self.backlog.term:
-            self.backlog = Backlog(term, anyio.current_time(), waits_s)
+            now = anyio.current_time()
+            self.backlog = Backlog(term, now, waits_s, excess or {})
+
+    def has_valid_backlog(self) -> bool:
+        """Returns whether the backlog is recent and of the owner in office."""
+        owner = self.instance.election.owner
+        if owner is None or owner.term != self.backlog.term:
+            return False
+        return anyio.current_time() - self.backlog.received_at <= BACKLOG_VALID_S
+
+    def is_excess(self, record: CellJob) -> bool:
+        """Returns whether a submission is in the share to refuse.
+
+        Each submission is drawn at random: a caller that returns is not refused for
+        ever, and cannot choose a job id that is always accepted.
+        """
+        share = self.backlog.excess.get(record.organisation, 0.0)
+        if share <= 0 or not self.has_valid_backlog():
+            return False
+        return self.instance.rng.random() < share
 
     def excess_wait_s(self, record: CellJob) -> float:
         """Returns by how many seconds a job would start too late for its caller."""
         if not self.backlog.waits_s:
             return 0.0
-        owner = self.instance.election.owner
-        if owner is None or owner.term != self.backlog.term:
-            return 0.0
-        if anyio.current_time() - self.backlog.received_at > BACKLOG_VALID_S:
+        if not self.has_valid_backlog():
             return 0.0
         if record.occurrences or any(step.long_running for step in record.steps):
             return 0.0
@@ -121,7 +145,7 @@
     """The usable workers of one service.
 
     :param waiting: Waiting work by urgency. Work that has already missed its
-        objective is left out, since it is started after new jobs.
+        objective or is in excess is left out, since it is started after new jobs.
     :param consecutive_full_checks: Number of latest consecutive checks in which the
         pool was full.
     """
@@ -151,19 +175,48 @@
         self.pools: dict[str, WorkerPool] = {}
         self.start_counts: deque[float] = deque(maxlen=RATE_WINDOW_CHECKS + 1)
         self.consecutive_late_checks = 0
+        self.excess = ExcessEstimator(instance.metrics)
+        self.excess_updated_at = anyio.current_time()
 
     async def run(self) -> None:
-        """Checks the backlog until cancelled; notifies members of long waits only."""
+        """Checks the backlog until cancelled.
+
+        Members are notified only while there is a long wait or a share to refuse.
+        """
+        try:
+            await self.check_repeatedly()
+        finally:
+            self.excess.replace({})
+
+    async def check_repeatedly(self) -> None:
+        """Checks the backlog once a second."""
         while True:
             await anyio.sleep(BACKLOG_CHECK_INTERVAL_S)
             if not self.owner.loaded or not self.owner.may_send_orders():
                 continue
             self.record_check()
             waits_s = self.excessive_waits_s()
-            if waits_s:
+            excess = self.update_excess()
+            if waits_s or excess:
                 term = self.owner.ownership.term
-                self.instance.admission.update_backlog(term, waits_s)
-                await self.instance.peer_calls.broadcast_waits(term, waits_s)
+                self.instance.admission.update_backlog(term, waits_s, excess)
+                await self.instance.peer_calls.broadcast_waits(term, waits_s, excess)
+
+    def update_excess(self) -> dict[str, float]:
+        """Returns which share of each organisation's submissions to refuse."""
+        now = anyio.current_time()
+        full_services = set()
+        for service, pool in self.pools.items():
+            if pool.consecutive_full_checks >= MIN_CONSECUTIVE_CHECKS:
+                full_services.add(service)
+        self.excess.update(
+            now - self.excess_updated_at,
+            self.owner.rates.take_counts(),
+            self.owner.state.manifest,
+            full_services,
+        )
+        self.excess_updated_at = now
+        return {str(name): share for name, share in self.excess.shares.items()}
 
     def record_check(self) -> None:
         """Records the waiting work, the pools' use and the number of started tasks."""
@@ -176,6 +229,8 @@
             if now - step.due_at > job.objective_s:
                 continue
             pool = self.pools.setdefault(job.queue.service, WorkerPool())
+            if job.excess:
+                continue
             work = pool.waiting.setdefault(job.queue.urgency, WaitingWork())
             work.add(step, has_room=late and self.has_room(step, now))
         for service, pool in self.pools.items():
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from lacewinghold.events import Event
-from lacewinghold.scheduler.policy import urgency_key
+from lacewinghold.scheduler.ordering import urgency_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Set
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -13,6 +13,7 @@
 from lacewinghold.ids import OrganisationId
 from lacewinghold.organisations.authentication import check_access
 from lacewinghold.organisations.caps import exceeds_cap
+from lacewinghold.organisations.excess import excess_failure
 from lacewinghold.scheduler.job_checks import check_job
 from lacewinghold.scheduler.job_store import StoredJob, is_outcome_unknown
 from lacewinghold.scheduler.model import JobState
@@ -80,8 +81,9 @@
         """Accepts a job once it is stored; submission is idempotent by job id.
 
         :param deadline_s: How long the caller waits for the answer, in seconds.
-        :returns: ``NOT_RUN`` if the job is certainly not stored, ``OUTCOME_UNKNOWN``
-            if it may be, ``NOT_FOUND`` if it was cancelled before it was stored.
+        :returns: ``NOT_RUN`` if the job is certainly not stored, ``OVERLOADED`` if that
+            is because its organisation exceeds its rate, ``OUTCOME_UNKNOWN`` if it may
+            be stored, ``NOT_FOUND`` if it was cancelled before it was stored.
         """
         checked = check_job(record)
         if isinstance(checked, Err):
@@ -132,7 +134,7 @@
         if isinstance(reply, Ok):
             return reply
         failure = reply.err_value
-        if failure.kind in FINAL_SUBMISSION_ERRORS:
+        if is_final_submission_failure(failure):
             return Err(failure)
         detail = f"not accepted: {failure.detail}"
         return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=MIN_RETRY_AFTER_S))
@@ -151,10 +153,22 @@
         retry_after_s = min(max(MIN_RETRY_AFTER_S, excess_s), MAX_RETRY_AFTER_S)
         return Failure(ErrorKind.NOT_RUN, detail, retry_after_s=retry_after_s)
 
+    def find_refusal(self, record: CellJob) -> Failure | None:
+        """Returns the failure of a job that must not be stored now, if it is not yet.
+
+        Each submission is checked once, by the instance that would store it: a member
+        that relays it to the owner leaves the decision to the owner.
+        """
+        if self.instance.admission.is_excess(record):
+            return excess_failure(self.instance.rng)
+        excess_s = self.instance.admission.excess_wait_s(record)
+        return self.backlog_failure(excess_s) if excess_s > 0 else None
+
     async def is_confirmed_absent(self, job: str, limit_s: float) -> bool:
         """Returns whether the store has confirmed that it does not hold a job.
 
-        A job that is stored already, or will never be, is not refused for a backlog.
+        A job that is stored already, or will never be, is not refused for a backlog or
+        for the rate of its organisation.
 
         :param limit_s: Time limit in seconds; half of it is used at most.
         """
@@ -182,9 +196,11 @@
         if limit_s <= 0:
             return Err(self.out_of_time_failure())
         give_up_at = anyio.current_time() + limit_s
-        excess_s = self.instance.admission.excess_wait_s(record)
-        if excess_s > 0 and await self.is_confirmed_absent(record.job, limit_s):
-            return Err(self.backlog_failure(excess_s))
+        refusal = self.find_refusal(record)
+        if refusal and await self.is_confirmed_absent(record.job, limit_s):
+            if refusal.kind is ErrorKind.OVERLOADED:
+                self.instance.metrics.excess_refusals.inc()
+            return Err(refusal)
         sent = False
         failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the store is unavailable")
         while sent or not self.instance.store.down:
@@ -374,6 +390,17 @@
         return Err(self.store_unavailable(failure))
 
 
+def is_final_submission_failure(failure: Failure) -> bool:
+    """Returns whether the caller gets a failure of a relayed submission unchanged.
+
+    The links between instances report ``OVERLOADED`` as well, without a time to retry;
+    only the owner's refusal for the rate of an organisation has one.
+    """
+    if failure.kind is ErrorKind.OVERLOADED:
+        return failure.retry_after_s is not None
+    return failure.kind in FINAL_SUBMISSION_ERRORS
+
+
 def is_final_refusal(failure: Failure) -> bool:
     """Returns whether an instance knows that a job does not exist, or is another's."""
     if failure.kind is ErrorKind.FORBIDDEN:
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -10,6 +10,7 @@
 import structlog
 
 from lacewinghold.events import Event
+from lacewinghold.ids import OrganisationId
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -201,6 +202,8 @@
         job.confirmed = not self.owner.loaded
         self.owner.confirmations.request(job)
         self.jobs[job.id] = job
+        if not job.from_earlier_owner:
+            self.count_against_rate(job)
         for step in job.steps:
             self.steps[step.name] = step
         if self.owner.loaded:
@@ -210,12 +213,24 @@
                 queue=queue.name,
                 steps=len(job.steps),
                 revision=revision,
+                excess=job.excess,
                 epoch=self.owner.epoch,
             )
             if listed_before:
                 self.owner.fleet.apply_withheld_reports()
             self.refresh_job(job)
 
+    def count_against_rate(self, job: Job) -> None:
+        """Counts a new job against its organisation's rate; marks it if in excess."""
+        manifest = self.owner.state.manifest
+        organisations = (manifest and manifest.organisations) or {}
+        organisation = organisations.get(OrganisationId(job.record.organisation))
+        job.excess = self.owner.rates.record_job(
+            organisation, job.queue.service, job.accepted_at
+        )
+        if job.excess:
+            self.owner.metrics.excess_jobs.inc()
+
     def find_queue(self, record: CellJob) -> Queue:
         """Returns a job's queue from the manifest, or else as stored at acceptance.
 
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -50,6 +50,22 @@
             ["result"],
             registry=registry,
         )
+        self.excess_jobs = Counter(
+            "lacewinghold_excess_jobs",
+            "Accepted jobs beyond the rate of their organisation.",
+            registry=registry,
+        )
+        self.excess_refusals = Counter(
+            "lacewinghold_excess_refusals",
+            "Submissions refused because their organisation exceeds its rate.",
+            registry=registry,
+        )
+        self.excess_organisations = Gauge(
+            "lacewinghold_excess_organisations",
+            "Organisations of whose submissions a share is refused, by its size.",
+            ["share"],
+            registry=registry,
+        )
         self.submission_seconds = Histogram(
             "lacewinghold_submission_seconds",
             "Time from a submission to its answer.",
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -148,6 +148,7 @@
     :param confirmed: Whether it was certainly stored before any later owner's claim.
     :param record_removed: Whether the store has reported the removal of its record.
     :param from_earlier_owner: Whether an earlier owner may have started its tasks.
+    :param excess: Whether it was accepted beyond the rate of its organisation.
     """
 
     record: CellJob
@@ -158,6 +159,7 @@
     confirmed: bool = False
     record_removed: bool = False
     from_earlier_owner: bool = False
+    excess: bool = False
     state: JobState = JobState.QUEUED
     reported_state: JobState = JobState.QUEUED
     started: bool = False
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -15,6 +15,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.organisations.caps import CapPolicy
+from lacewinghold.organisations.rates import RateAccount
 from lacewinghold.scheduler.confirmation import OwnershipConfirmations
 from lacewinghold.scheduler.crashes import CrashRecorder
 from lacewinghold.scheduler.election import TERM_KEY
@@ -123,6 +124,7 @@
         self.suspects = Suspects()
         self.caps = CapPolicy()
         self.end_waits = EndWaits()
+        self.rates = RateAccount()
         self.crashes = CrashRecorder(self)
         self.fleet = Fleet(self)
         self.runs = RunLifecycle(self)
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -216,9 +216,15 @@
         )
         return isinstance(reply, Ok)
 
-    async def broadcast_waits(self, term: int, waits_s: dict[str, float]) -> None:
-        """Sends all members the expected waits of new jobs, in seconds."""
-        message = CellWaits(term, waits_s)
+    async def broadcast_waits(
+        self, term: int, waits_s: dict[str, float], excess: dict[str, float]
+    ) -> None:
+        """Sends all members the backlog.
+
+        :param waits_s: Expected waits of new jobs in seconds, by queue.
+        :param excess: Shares of submissions to refuse, 0 to 1, by organisation.
+        """
+        message = CellWaits(term, waits_s, excess)
         for member in list(self.instance.members.members):
             if member != self.instance.instance:
                 await self.links.notify(member, MessageKind.CELL_WAITS, message)
@@ -276,7 +282,9 @@
     ) -> Result[CellReady, Failure]:
         """Applies the waits of the owner's backlog."""
         message = unpack(body, CellWaits)
-        self.instance.admission.update_backlog(message.term, message.waits_s)
+        self.instance.admission.update_backlog(
+            message.term, message.waits_s, message.excess
+        )
         return Ok(CellReady(self.instance.instance))
 
     async def serve_advise(
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -9,6 +9,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.invariants import Invariant, require
+from lacewinghold.organisations.shares import weigh_shares
 from lacewinghold.scheduler.advice import Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
@@ -23,8 +24,9 @@
     from lacewinghold.organisations.caps import CapBudget
     from lacewinghold.scheduler.model import Job, Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.ordering import PlanPosition
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.policy import PlanPosition, Renewal
+    from lacewinghold.scheduler.policy import Renewal
 
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers per term; a task starts far less often.
@@ -147,6 +149,12 @@
             self.resume_at,
             suspects=suspects,
             caps=self.make_cap_budget(now),
+            shares=weigh_shares(
+                self.owner.state.manifest,
+                self.owner.caps.usage,
+                usable,
+                steps.values(),
+            ),
         )
         plan = planner.make_plan(steps.values())
         self.reserved = plan.reserved
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -18,7 +18,7 @@
 from msgspec import Struct, field
 
 from lacewinghold.organisations.caps import CapBudget
-from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
+from lacewinghold.scheduler.ordering import plan_position
 from lacewinghold.scheduler.ports import Resources
 from lacewinghold.scheduler.suspects import Suspects, is_idle, isolates
 
@@ -26,12 +26,12 @@
     from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
     from lacewinghold.ids import WorkerId
+    from lacewinghold.organisations.shares import WeightedShares
     from lacewinghold.scheduler.claims import Claim
     from lacewinghold.scheduler.model import Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.ordering import PlanPosition
 
-# Sort position of a step in a plan: its urgency key and its name.
-PlanPosition = tuple[tuple[int, int, float], str]
 MAX_RESERVING_STEPS = 2  # All-at-once steps that may reserve workers in one plan.
 MAX_RESERVED_SHARE = 0.6  # Of the workers.
 # Work limit of one plan, counted in workers checked for a step: 4000 take a few
@@ -91,28 +91,6 @@
     task_limits: dict[str, int] = field(default_factory=dict)
 
 
-def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
-    """Returns the sort key of a step; lower keys are planned first.
-
-    Steps within their objective precede late ones, and those precede steps that are
-    too late to be worth anything. Within each group the queue's urgency decides (0 is
-    the most urgent), then the time at which the objective is missed.
-    """
-    job = step.job
-    age = now - step.due_at
-    lateness = 0
-    if age > job.objective_s:
-        lateness = 1
-    if age > job.objective_s * HOPELESS_MULTIPLE:
-        lateness = 2
-    return lateness, job.queue.urgency, step.due_at + job.objective_s
-
-
-def plan_position(step: Step, now: float) -> PlanPosition:
-    """Returns the sort position of a step; names make all positions distinct."""
-    return urgency_key(step, now), step.name
-
-
 def fitting_count(room: Resources, free: Resources, limit: int) -> int:
     """Returns how many tasks of equal size fit into the free resources.
 
@@ -208,6 +186,7 @@
     :param max_evaluations: Work limit of the plan, in evaluations.
     :param suspects: Tasks that are suspected of crashing their workers.
     :param caps: What each organisation may still start.
+    :param shares: What the organisations use of their shares.
     """
 
     def __init__(
@@ -225,6 +204,7 @@
         max_evaluations: int = MAX_EVALUATIONS,
         suspects: Suspects | None = None,
         caps: CapBudget | None = None,
+        shares: WeightedShares | None = None,
     ) -> None:
         self.now = now
         self.permitted = permitted
@@ -238,6 +218,7 @@
         self.max_evaluations = max_evaluations
         self.suspects = suspects or Suspects()
         self.caps = caps or CapBudget()
+        self.shares = shares
         self.evaluations = 0
         self.blocked_steps: Counter[str] = Counter()
         self.nodes_by_service: dict[str, list[WorkerNode]] = {}
@@ -305,7 +286,9 @@
         """
         urgent_evaluations = self.max_evaluations * URGENT_EVALUATION_SHARE
         deferred = []
-        ordered = sorted((plan_position(step, self.now), step) for step in steps)
+        ordered = sorted(
+            (plan_position(step, self.now, self.shares), step) for step in steps
+        )
         self.order = [step for _, step in ordered]
         for position, step in ordered:
             # Steps with a claim or a reservation are never deferred: their permissions
