--- a/lacewinghold/organisations/excess.py
+++ b/lacewinghold/organisations/excess.py
@@ -30,9 +30,9 @@
 # small organisation.
 WINDOW_CHECKS = 5
 SMOOTHING = 0.5  # Weight of the newest estimate of a share.
-# Submissions at random times exceed their mean by more than three standard deviations
-# (the root of the expected number) in about one of a thousand windows.
-MAX_DEVIATIONS = 3.0
+# Submissions at random times exceed their mean by more than this many standard
+# deviations in fewer than one of ten thousand windows.
+MAX_DEVIATIONS = 4.0
 MIN_SHARE = 0.02  # Smaller shares are dropped, so that the smoothing ends.
 # The offered rate is the accepted rate divided by what is not refused: beyond this,
 # single jobs would decide the estimate.
@@ -110,7 +110,7 @@
         if weight <= 0 or not offered:
             return None
         expected = weight * duration_s
-        if offered <= expected + MAX_DEVIATIONS * math.sqrt(expected):
+        if offered <= chance_limit(expected):
             return 0.0
         return 1.0 - expected / offered
 
@@ -127,6 +127,16 @@
         self.metrics.excess_organisations.labels("low").set(len(shares) - high)
 
 
+def chance_limit(expected: float) -> float:
+    """Returns how many submissions chance explains where some number is expected.
+
+    The last term corrects for the skewness of the Poisson distribution, which matters
+    for organisations that submit less than a job a second.
+    """
+    skewness = (MAX_DEVIATIONS**2 - 1) / 6
+    return expected + MAX_DEVIATIONS * math.sqrt(expected) + skewness
+
+
 def excess_failure(rng: random.Random) -> Failure:
     """Returns the failure of a job that is refused because it is in excess."""
     detail = "not accepted: its organisation exceeds its rate while the cell is full"
