--- a/bench/planner_day.py
+++ b/bench/planner_day.py
@@ -15,6 +15,7 @@
 from lacewinghold.scheduler.nodes import WorkerNode
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue, Resources, ServerState, WorkerEntry
+from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
 if TYPE_CHECKING:
@@ -116,6 +117,7 @@
         self.rng = random.Random(seed)
         self.load = load * workers / 24
         self.nodes = {node.id: node for node in make_nodes(workers)}
+        self.reservations = Reservations()
         self.steps: dict[str, Step] = {}
         self.eligible_workers: dict[str, frozenset[WorkerId]] = {}
         self.run_times_s: dict[str, float] = {}
@@ -210,13 +212,16 @@
             s for s in self.steps.values() if s.waiting_tasks() and is_ready(s, now)
         ]
         began = time.perf_counter()
+        self.reservations.begin_plan(now)
         planner = self.planner(
             now,
             self.nodes.values(),
             lambda step: self.eligible_workers[step.name],
             lambda step, node: True,
+            reservations=self.reservations,
         )
         plan = planner.make_plan(waiting)
+        self.reservations.update(plan.reserved)
         self.result.plan_s.append(time.perf_counter() - began)
         for placement in plan.placements:
             for task, node in placement.tasks:
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -87,6 +87,11 @@
             ["outcome"],
             registry=registry,
         )
+        self.reservations_ended = Counter(
+            "lacewinghold_reservations_ended",
+            "Reservations for all-at-once steps that ended without their start.",
+            registry=registry,
+        )
         self.advice_seconds = Histogram(
             "lacewinghold_advice_seconds",
             "Duration of calls to the advice service.",
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -50,6 +50,7 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.lapsed_runs: list[LostRun] = []  # Released since the last answer.
         self.used = Resources()
+        self.lasting = Resources()  # Used by long-running tasks.
         self.clock_ms: float | None = None
         self.clock_read_at = 0.0
         self.lease_until_ms = 0.0
@@ -108,17 +109,19 @@
         """
         self.runs[(run.task.name, run.number)] = run
         self.used = self.used.plus(run.room)
-        self.update_kind_counts(run, 1)
+        self.update_kinds(run, 1)
         self.usage.add(run)
 
-    def update_kind_counts(self, run: Run, change: int) -> None:
-        """Adjusts the counts of latency-sensitive and of filler runs.
+    def update_kinds(self, run: Run, change: int) -> None:
+        """Adjusts what is known of latency-sensitive, filler and long-running runs.
 
         :param change: 1 for a run that was added, -1 for one that was removed.
         """
         spec = run.task.step.spec
         self.serving_runs += change * (spec.latency_target_ms > 0)
         self.filling_runs += change * spec.fills
+        if spec.long_running:
+            self.lasting = self.lasting.plus(run.room.times(change))
 
     def is_within_capacity(self) -> bool:
         """Returns whether the runs fit; the capacity may have shrunk beneath them."""
@@ -132,7 +135,7 @@
         """Releases the resources of a run."""
         del self.runs[(run.task.name, run.number)]
         self.used = self.used.minus(run.room)
-        self.update_kind_counts(run, -1)
+        self.update_kinds(run, -1)
         self.usage.remove(run)
 
     def record_clock(self, clock_ms: float, now: float) -> None:
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -13,6 +13,7 @@
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.scheduler.room import fullness
 from lacewinghold.scheduler.searches import WorkerSearches
 from lacewinghold.scheduler.speed_ranking import any_speed
@@ -61,7 +62,7 @@
         self.choice_log = ChoiceLog(owner)
         self.claims = ClaimBook()
         self.renewals: dict[str, Renewal] = {}
-        self.reserved: dict[str, list[WorkerId]] = {}
+        self.reservations = Reservations()
         self.resume_at: PlanPosition | None = None
         self.pending_steps: set[str] = set()
         self.searches = WorkerSearches(owner.advice_book)
@@ -102,8 +103,15 @@
             await anyio.sleep(pause_s)
 
     async def wait_for_change(self) -> None:
-        """Waits for an event, for the next due step or for ``PLAN_INTERVAL_S``."""
-        wait_s = min(PLAN_INTERVAL_S, self.owner.table.seconds_until_due())
+        """Waits for an event, a due step, the end of a reservation or a while.
+
+        The while is ``PLAN_INTERVAL_S``.
+        """
+        wait_s = min(
+            PLAN_INTERVAL_S,
+            self.owner.table.seconds_until_due(),
+            self.reservations.seconds_until_end(anyio.current_time()),
+        )
         with anyio.move_on_after(wait_s):
             await self.wake_event.wait()
 
@@ -141,6 +149,7 @@
         permitted = self.permission_lookup(usable)
         suspects = self.owner.suspects
         suspects.prepare(now, steps, usable, permitted)
+        self.end_reservations(now)
         planner = Planner(
             now,
             usable,
@@ -148,7 +157,7 @@
             self.ticket_check(now),
             self.claims.claims,
             lambda renewal: self.may_ask(renewal, now),
-            self.reserved,
+            self.reservations,
             awaiting_answer,
             self.ticket_availability_check(now),
             self.resume_at,
@@ -157,7 +166,7 @@
             speed_of=self.speed_of,
         )
         plan = planner.make_plan(steps.values())
-        self.reserved = plan.reserved
+        self.reservations.update(plan.reserved)
         self.resume_at = plan.resume_at
         self.preempt_filling_runs(steps.values())
         self.renewals = self.merge_renewals(planner)
@@ -178,6 +187,12 @@
         self.choice_log.retain(steps)
         return plan.deferred
 
+    def end_reservations(self, now: float) -> None:
+        """Ends the reservations that have been in vain for too long."""
+        for name, workers in self.reservations.begin_plan(now).items():
+            self.owner.metrics.reservations_ended.inc()
+            logger.info(Event.RESERVATION_ENDED, step=name, workers=len(workers))
+
     def make_cap_budget(self, now: float) -> CapBudget:
         """Returns what the organisations may start in one plan.
 
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -19,6 +19,11 @@
 
 from lacewinghold.organisations.caps import CapBudget
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
+from lacewinghold.scheduler.reservations import (
+    MAX_RESERVED_SHARE,
+    PlanReservations,
+    Reservations,
+)
 from lacewinghold.scheduler.room import RoomSnapshot, fitting_count, has_label
 from lacewinghold.scheduler.speed_ranking import SpeedRanking, any_speed
 from lacewinghold.scheduler.suspects import Suspects, is_idle, isolates
@@ -33,8 +38,6 @@
 
 # Sort position of a step in a plan: its urgency key and its name.
 PlanPosition = tuple[tuple[int, int, float], str]
-MAX_RESERVING_STEPS = 2  # All-at-once steps that may reserve workers in one plan.
-MAX_RESERVED_SHARE = 0.6  # Of the workers.
 # Work limit of one plan, counted in workers checked for a step: 4000 take a few
 # milliseconds of a core.
 MAX_EVALUATIONS = 4000
@@ -129,7 +132,7 @@
     :param claims: Resources claimed for steps, by the steps' names.
     :param may_ask: Returns whether the permissions of a renewal can be requested at
         once.
-    :param last_reserved: Workers that the last plan reserved, by the steps' names.
+    :param reservations: What the last plans have reserved.
     :param awaiting_answer: Names of the steps that wait for an answer of the advice
         service; their claims stay.
     :param can_get_ticket: Returns whether a step may have a valid ticket, or can
@@ -149,7 +152,7 @@
         has_valid_ticket: Callable[[Step, WorkerNode], bool],
         claims: Mapping[str, Claim] | None = None,
         may_ask: Callable[[Renewal], bool] = lambda renewal: True,
-        last_reserved: Mapping[str, Collection[WorkerId]] | None = None,
+        reservations: Reservations | None = None,
         awaiting_answer: Collection[str] = (),
         can_get_ticket: Callable[[Step], bool] = lambda step: True,
         resume_at: PlanPosition | None = None,
@@ -165,7 +168,6 @@
         self.has_valid_ticket = has_valid_ticket
         self.claims = claims or {}
         self.may_ask = may_ask
-        self.last_reserved = last_reserved or {}
         self.awaiting_answer = awaiting_answer
         self.can_get_ticket = can_get_ticket
         self.resume_at = resume_at
@@ -175,10 +177,12 @@
         self.blocked_steps: Counter[str] = Counter()
         for claim in self.claims.values():
             self.allocate_claim(claim)
-        self.reserved_urgency: dict[WorkerId, int] = {}
-        self.reserving_steps = 0
+        max_reserved = MAX_RESERVED_SHARE * len(self.free)
+        self.reservations = PlanReservations(
+            reservations or Reservations(), max_reserved
+        )
         self.order: list[Step] = []
-        self.plan = Plan()
+        self.plan = Plan(reserved=self.reservations.reserved)
 
     def allocate_claim(self, claim: Claim) -> None:
         """Deducts the resources of a claim from the snapshot.
@@ -210,7 +214,7 @@
         for position, step in ordered:
             # Steps with a claim or a reservation are never deferred: their permissions
             # would expire, and other steps would take the reserved workers.
-            due = step.name in self.claims or step.name in self.last_reserved
+            due = step.name in self.claims or self.was_reserving(step)
             if due or self.evaluations < urgent_evaluations:
                 self.plan_step(step)
             else:
@@ -306,10 +310,7 @@
     def is_eligible(self, step: Step, node: WorkerNode) -> bool:
         """Returns whether a worker suits a step and no more urgent one reserved it."""
         urgency = step.job.queue.urgency
-        if (
-            self.reserved_urgency
-            and self.reserved_urgency.get(node.id, urgency) < urgency
-        ):
+        if self.reservations.keeps_out(node.id, urgency):
             return False
         return has_label(step, node) and not self.mixes_serving_and_filling(step, node)
 
@@ -495,54 +496,19 @@
             racks.setdefault(node.entry.rack, []).append(node)
         return [*(racks[rack] for rack in sorted(racks)), nodes]
 
-    def reserve_workers(self, step: Step) -> None:
-        """Reserves enough workers for all tasks of a step against less urgent work.
+    def was_reserving(self, step: Step) -> bool:
+        """Returns whether workers have been reserved for a step until now."""
+        return step.name in self.reservations.earlier.workers
 
-        Workers that the last plan reserved are preferred: they become free only if the
-        reservation stays on the same workers.
-        """
+    def reserve_workers(self, step: Step) -> None:
+        """Reserves workers for an all-at-once step that cannot start yet."""
         if (
-            self.reserving_steps >= MAX_RESERVING_STEPS
+            not self.reservations.may_reserve(step)
             or len(step.waiting_tasks()) < step.spec.tasks
             or self.caps.limit(step, step.spec.tasks) < step.spec.tasks
         ):
             return
-        nodes = self.eligible_workers(step)
-        if not nodes or not self.fits_idle_workers(step, nodes):
-            return
-        self.reserving_steps += 1
-        max_reserved = MAX_RESERVED_SHARE * len(self.free)
-        needed = step.spec.tasks
-        last_reserved = frozenset(self.last_reserved.get(step.name, ()))
-        by_preference = sorted(
-            nodes,
-            key=lambda node: (
-                node.id not in last_reserved,
-                -self.free[node.id].cpu_millis,
-            ),
-        )
-        reserved = self.plan.reserved.setdefault(step.name, [])
-        for node in by_preference:
-            if needed <= 0 or len(self.reserved_urgency) >= max_reserved:
-                return
-            limit = min(needed, step.spec.max_per_worker or needed)
-            count = fitting_count(step.room, node.entry.capacity, limit)
-            if count == 0:
-                continue
-            needed -= count
-            reserved.append(node.id)
-            urgency = step.job.queue.urgency
-            self.reserved_urgency[node.id] = min(
-                self.reserved_urgency.get(node.id, urgency), urgency
-            )
-
-    def fits_idle_workers(self, step: Step, nodes: list[WorkerNode]) -> bool:
-        """Returns whether all tasks would fit if nothing else ran on the workers."""
-        count = 0
-        for node in nodes:
-            limit = step.spec.max_per_worker or step.spec.tasks
-            count += fitting_count(step.room, node.entry.capacity, limit)
-        return count >= step.spec.tasks
+        self.reservations.reserve(step, self.eligible_workers(step), self.free)
 
     def add_to_plan(self, step: Step, chosen: list[tuple[Task, WorkerNode]]) -> None:
         """Adds the chosen workers to the plan, as a placement or a renewal.
--- a/tests/test_scheduler/test_changing_capacity.py
+++ b/tests/test_scheduler/test_changing_capacity.py
@@ -225,12 +225,12 @@
         await cell.submit("t", [step(4, cpu=4000, all_at_once=True)], queue=1)
         await anyio.sleep(0.5)
         planning = cell.owner().instance.owner.planning
-        reserved = planning.reserved["t.0.0"]
+        reserved = planning.reservations.workers["t.0.0"]
         for worker in reserved[:3]:
             await cell.change_capacity(cell.world.workers[worker], QUARTER)
         await anyio.sleep(0.6)
-        assert not set(planning.reserved["t.0.0"]) & set(reserved[:3])
-        assert len(planning.reserved["t.0.0"]) == 4
+        assert not set(planning.reservations.workers["t.0.0"]) & set(reserved[:3])
+        assert len(planning.reservations.workers["t.0.0"]) == 4
         for number in range(12):
             await cell.submit(f"s{number}", [step(2)])
         assert await cell.wait_for("full", JobState.COMPLETED, 8)
--- a/tests/test_scheduler/test_plan_cost.py
+++ b/tests/test_scheduler/test_plan_cost.py
@@ -25,6 +25,7 @@
 from lacewinghold.scheduler.planning import MAX_PAUSE_S, MAX_PLANNING_SHARE, PlanLoop
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue
+from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.schema.generated.cell import StepSpec
 from lacewinghold.testing.clock import run_paused
 from tests.test_scheduler.support import run_cell, step
@@ -218,7 +219,7 @@
             lambda step: all_workers,
             lambda step, node: False,
             may_ask=lambda renewal: False,
-            last_reserved={wide.name: [node.id for node in nodes[:6]]},
+            reservations=Reservations({wide.name: [node.id for node in nodes[:6]]}),
             max_evaluations=50,
         )
         plan = planner.make_plan([*steps, wide])
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -11,6 +11,7 @@
 from lacewinghold.scheduler.model import Run, make_job
 from lacewinghold.scheduler.policy import Plan, Planner
 from lacewinghold.scheduler.ports import Queue
+from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
 if TYPE_CHECKING:
@@ -149,7 +150,7 @@
             nodes,
             lambda step: all_workers,
             lambda step, node: True,
-            last_reserved=plan.reserved,
+            reservations=Reservations(plan.reserved, now),
         )
         plan = planner.make_plan([*small, wide] if now > 6 else small)
         for placement in plan.placements:
--- a/tests/test_scheduler/test_policy_properties.py
+++ b/tests/test_scheduler/test_policy_properties.py
@@ -17,6 +17,7 @@
 from lacewinghold.scheduler.model import Run, TaskState, make_job
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue, Resources
+from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
 if TYPE_CHECKING:
@@ -54,7 +55,7 @@
             lambda step, node: (step.name, node.id) in self.valid,
             self.claims,
             lambda renewal: self.may_ask[renewal.step.name],
-            self.last_reserved,
+            Reservations(self.last_reserved, NOW),
             self.awaiting_answer,
             **options,
         )
--- /dev/null
+++ b/tests/test_scheduler/test_reservations.py
@@ -0,0 +1,136 @@
+"""Reservations for all-at-once steps must not keep other work waiting without a bound.
+
+The load: an urgent job needs three workers at once and cannot have them, since what
+runs there does not end. Other jobs need what is left on those workers.
+"""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+import pytest
+
+from bench.planner_day import make_nodes
+from lacewinghold.scheduler.model import Run
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.ports import Queue, Resources
+from lacewinghold.scheduler.reservations import MAX_RESERVATION_S, Reservations
+from lacewinghold.testing.step_cell import HOST
+from lacewinghold.testing.step_worker import Behaviour
+from tests.test_scheduler.support import run_cell, step
+from tests.test_scheduler.test_policy import make_step
+
+WORKERS = 5
+STALLED_S = 3.0  # No accepted job may stand still for so long beside free capacity.
+WATCHED_S = 14.0
+URGENT = Queue("urgent", HOST, "/urgent/", "service", 0, 2, 2.0, 1)
+PATIENT = Queue("plain", HOST, "/plain/", "service", 2, 2, 4.0, 3)
+QUEUES = [URGENT, PATIENT]
+
+
+def long_step(tasks, cpu, **fields):
+    """Returns a step that is expected to run for 30 s."""
+    made = step(tasks, cpu=cpu, **fields)
+    return msgspec.structs.replace(made, expected_ms=30_000)
+
+
+async def occupy(cell, **fields):
+    """Starts a small task on each worker, fills two, and submits the urgent job."""
+    for job in ("standing", "long", "large"):
+        cell.behaviours[job] = Behaviour(100.0)
+    small = long_step(WORKERS, 500, max_per_worker=1, **fields)
+    await cell.submit("standing", [small], queue=1)
+    await anyio.sleep(1.0)
+    assert len(cell.world.starts) == WORKERS
+    await cell.submit("long", [long_step(2, 3500)], queue=1)
+    await anyio.sleep(1.0)
+    assert len(cell.world.starts) == WORKERS + 2
+    await cell.submit("large", [long_step(3, 3750, all_at_once=True)])
+    await anyio.sleep(1.0)
+
+
+@pytest.mark.parametrize("long_running", [True, False])
+def test_a_job_that_has_room_starts_beside_a_step_that_cannot(long_running):
+    """Reservations without a limit of time kept it waiting as long as the step."""
+
+    async def program(cell):
+        await occupy(cell, long_running=long_running)
+        waits = []
+        for number in range(4):
+            began = anyio.current_time()
+            await cell.submit(f"small{number}", [step(cpu=1000)], queue=1)
+            while not any(
+                start.task.startswith(f"small{number}.") for start in cell.world.starts
+            ):
+                await anyio.sleep(0.05)
+            waits.append(anyio.current_time() - began)
+            await anyio.sleep(0.7)
+        assert max(waits) < STALLED_S
+
+    run_cell(program, workers=WORKERS, queues=QUEUES, limit_s=60)
+
+
+def test_a_long_running_task_is_restarted_beside_a_step_that_cannot_start():
+    """Its worker ran nothing, and was the only one on which it may run."""
+
+    async def program(cell):
+        cell.behaviours["standing.0.0.4#1"] = Behaviour(8.0, fails=True)
+        await occupy(cell, long_running=True)
+        await anyio.sleep(5.0)
+        failed_at = anyio.current_time()
+        while cell.world.starts[-1].task != "standing.0.0.4":
+            await anyio.sleep(0.05)
+        assert anyio.current_time() - failed_at < STALLED_S
+
+    run_cell(program, workers=WORKERS, queues=QUEUES, limit_s=WATCHED_S + 20)
+
+
+def make_wide(name):
+    """Returns a step that needs three whole workers at once."""
+    queue = msgspec.structs.replace(URGENT, service="s")
+    return make_step(name, queue, 3, 16_000, all_at_once=True)
+
+
+def test_no_worker_is_reserved_for_longer_by_several_steps_in_turn():
+    """Each of them alone keeps the bound, but not what waits for the worker."""
+    nodes = make_nodes(5)
+    blocking = make_step("c", PATIENT, 5, 1000)
+    for task, node in zip(blocking.tasks, nodes, strict=True):
+        node.add(Run(task, 1, node.id, blocking.room, 0.0))
+    everyone = frozenset(node.id for node in nodes)
+    reservations = Reservations()
+    since = {}
+    longest_s = 0.0
+    for tick in range(600):
+        now = tick * 0.05
+        reservations.begin_plan(now)
+        planner = Planner(
+            now,
+            nodes,
+            lambda step: everyone,
+            lambda step, node: True,
+            reservations=reservations,
+        )
+        # Each of four steps waits for a while only, and others follow it.
+        waiting = [
+            make_wide(f"a{number}.{tick // (25 + number)}") for number in range(4)
+        ]
+        reserved = planner.make_plan(waiting).reserved
+        reservations.update(reserved)
+        current = {worker for workers in reserved.values() for worker in workers}
+        since = {worker: since.get(worker, now) for worker in current}
+        longest_s = max([longest_s, *(now - began for began in since.values())])
+    assert longest_s > 0.9 * MAX_RESERVATION_S
+    assert longest_s < MAX_RESERVATION_S
+
+
+def test_workers_are_not_reserved_in_vain_beside_long_running_tasks():
+    """These never end, so that the step could not start whatever else ends."""
+    nodes = make_nodes(3)
+    lasting = make_step("c", PATIENT, 1, 1000, long_running=True)
+    nodes[0].add(Run(lasting.tasks[0], 1, nodes[0].id, lasting.room, 0.0))
+    everyone = frozenset(node.id for node in nodes)
+    planner = Planner(0.0, nodes, lambda step: everyone, lambda step, node: True)
+    assert planner.make_plan([make_wide("a")]).reserved == {}
+    nodes[0].remove(*nodes[0].runs.values())
+    assert nodes[0].lasting == Resources()
