--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -11,7 +11,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.ids import Epoch
-from lacewinghold.organisations.authentication import Authenticator
+from lacewinghold.organisations.authentication import Authenticator, bound_organisation
 from lacewinghold.organisations.revocation import ManifestConfirmation
 from lacewinghold.peers.links import PeerLinks
 from lacewinghold.scheduler.admission import Admission, BacklogMonitor
@@ -276,7 +276,7 @@
         return max(own, Epoch(followed))
 
     def organisation_of(self, job: str) -> str | None:
-        """Returns the organisation of a stored job, empty if it has none.
+        """Returns the organisation to which a stored job is bound, empty if to none.
 
         :returns: ``None`` if this instance does not know the job.
         """
@@ -285,7 +285,7 @@
             return None
         known = owner.table.jobs.get(job)
         if known is not None:
-            return known.record.organisation
+            return bound_organisation(known.record, self.state.manifest)
         ended = owner.ended.jobs.get(job)
         return None if ended is None else ended.organisation
 
@@ -371,6 +371,8 @@
         self.metrics.deciding.set(owner is not None)
         self.metrics.workers.set(len(owner.fleet.nodes) if owner else 0)
         self.metrics.open_steps.set(len(owner.table.open_steps) if owner else 0)
+        speeds = owner.learning.speed_summary() if owner else (1.0, 1.0, 0)
+        self.metrics.update_worker_speeds(*speeds)
         self.metrics.lag_seconds.set(self.lag.lag_s)
         self.metrics.update_store_calls(self.store.calls)
         return self.metrics.render()
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.ids import OrganisationId
+from lacewinghold.organisations.authentication import bound_organisation
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -193,7 +194,9 @@
         queue = self.find_queue(record)
         age = max(0.0, self.owner.clock.now() - record.accepted_at)
         accepted_at = anyio.current_time() - age
-        job = make_job(record, queue, accepted_at, self.owner.clock.offset_s)
+        run_times_s = self.owner.durations.expected_path_s(record)
+        offset_s = self.owner.clock.offset_s
+        job = make_job(record, queue, accepted_at, offset_s, run_times_s)
         # An earlier owner has started a job that a worker listed before it was known.
         listed_before = record.job in self.owner.unknown_jobs.pending
         job.from_earlier_owner = not self.owner.loaded or listed_before
@@ -289,7 +292,7 @@
             state=state.value,
             at=self.owner.clock.now(),
             reason=reason,
-            organisation=job.record.organisation,
+            organisation=self.bound_organisation(job),
         )
         self.owner.log.append_outcome(job.id, outcome, lambda: self.mark_reported(job))
         logger.info(
@@ -310,10 +313,14 @@
             job.id,
             job.state,
             self.owner.clock.now(),
-            organisation=job.record.organisation,
+            organisation=self.bound_organisation(job),
         )
         self.owner.end_waits.wake(job.id)
 
+    def bound_organisation(self, job: Job) -> str:
+        """Returns the organisation whose callers alone may name a job, or empty."""
+        return bound_organisation(job.record, self.owner.state.manifest)
+
     def forget_ended(self, before: float) -> None:
         """Removes jobs that ended before a wall time and hold no resources."""
         self.drop_closed_jobs(self.owner.fleet.jobs_with_runs())
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 import structlog
@@ -12,13 +12,15 @@
 from lacewinghold.organisations.shares import weigh_shares
 from lacewinghold.scheduler.advice import Purpose
 from lacewinghold.scheduler.claims import Claim, ClaimBook
-from lacewinghold.scheduler.model import Run, TaskState
-from lacewinghold.scheduler.policy import Planner, fullness
+from lacewinghold.scheduler.model import JobState, Run, TaskState
+from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.room import fullness
 from lacewinghold.scheduler.searches import WorkerSearches
+from lacewinghold.scheduler.speed_ranking import any_speed
 from lacewinghold.scheduler.waiting import ChoiceLog, WaitLog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.organisations.caps import CapBudget
@@ -27,6 +29,9 @@
     from lacewinghold.scheduler.ordering import PlanPosition
     from lacewinghold.scheduler.owner import CellOwner
     from lacewinghold.scheduler.policy import Renewal
+    from lacewinghold.scheduler.suspects import Suspects
+
+AnyPlanner = TypeVar("AnyPlanner", bound=Planner)
 
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers per term; a task starts far less often.
@@ -44,13 +49,18 @@
 
     :param owner: The owner that decides.
     :param timer: Clock in seconds that measures how long a plan takes.
+    :param speed_of: Returns the lasting speed of a worker relative to the usual one.
     """
 
     def __init__(
-        self, owner: CellOwner, timer: Callable[[], float] = anyio.current_time
+        self,
+        owner: CellOwner,
+        timer: Callable[[], float] = anyio.current_time,
+        speed_of: Callable[[WorkerId], float] = any_speed,
     ) -> None:
         self.owner = owner
         self.timer = timer
+        self.speed_of = speed_of
         self.wake_event = anyio.Event()
         self.wait_log = WaitLog(owner)
         self.choice_log = ChoiceLog(owner)
@@ -122,8 +132,7 @@
         now = anyio.current_time()
         self.owner.fleet.write_roster_if_due()
         self.owner.table.open_due_steps()
-        usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
-        usable = [node for node in usable if not node.slow] or usable
+        usable = self.usable_workers(now)
         steps = self.waiting_steps()
         self.claims.retain(steps)
         finished = self.claims.expired_or_answered(
@@ -136,30 +145,16 @@
         permitted = self.permission_lookup(usable)
         suspects = self.owner.suspects
         suspects.prepare(now, steps, usable, permitted)
-        planner = Planner(
-            now,
-            usable,
-            permitted,
-            self.ticket_check(now),
-            self.claims.claims,
-            lambda renewal: self.may_ask(renewal, now),
-            self.reserved,
-            awaiting_answer,
-            self.ticket_availability_check(now),
-            self.resume_at,
-            suspects=suspects,
-            caps=self.make_cap_budget(now),
-            shares=weigh_shares(
-                self.owner.state.manifest,
-                self.owner.caps.usage,
-                usable,
-                steps.values(),
-            ),
+        planner = self.make_planner(
+            Planner, now, usable, steps.values(), permitted, awaiting_answer, suspects
         )
         plan = planner.make_plan(steps.values())
         self.reserved = plan.reserved
         self.resume_at = plan.resume_at
-        self.preempt_filling_runs(steps.values())
+        # Filler runs are not stopped for steps that wait for their organisation's cap.
+        self.preempt_filling_runs(
+            step for step in steps.values() if planner.caps.limit(step, 1)
+        )
         self.renewals = self.merge_renewals(planner)
         self.owner.advice_book.retain_renewals(self.renewals.keys() | awaiting_answer)
         for renewal in plan.renewals:
@@ -175,18 +170,62 @@
             self.chosen_task_count,
             plan.skipped,
             usable,
-            now,
+            planner.speeds,
             plan.task_limits,
         )
         self.wait_log.log_longest_overdue(steps, usable, now)
         self.choice_log.retain(steps)
         return plan.deferred
 
+    def usable_workers(self, now: float) -> list[WorkerNode]:
+        """Returns the workers on which tasks may be started.
+
+        Slow workers are among them only if all of them are slow.
+        """
+        usable = [node for node in self.owner.fleet.nodes.values() if node.usable(now)]
+        return [node for node in usable if not node.slow] or usable
+
+    def make_planner(
+        self,
+        kind: type[AnyPlanner],
+        now: float,
+        usable: list[WorkerNode],
+        steps: Iterable[Step],
+        permitted: Callable[[Step], frozenset[WorkerId] | None],
+        awaiting_answer: Collection[str],
+        suspects: Suspects,
+    ) -> AnyPlanner:
+        """Returns a planner over the present state of the cell.
+
+        :param kind: Class of the planner.
+        :param steps: Steps with tasks that may be started.
+        :param awaiting_answer: Steps whose claims wait for an answer.
+        """
+        return kind(
+            now,
+            usable,
+            permitted,
+            self.ticket_check(now),
+            self.claims.claims,
+            lambda renewal: self.may_ask(renewal, now),
+            self.reserved,
+            awaiting_answer,
+            self.ticket_availability_check(now),
+            self.resume_at,
+            suspects=suspects,
+            caps=self.make_cap_budget(now),
+            shares=weigh_shares(
+                self.owner.state.manifest, self.owner.caps.usage, usable, steps
+            ),
+            speed_of=self.speed_of,
+        )
+
     def make_cap_budget(self, now: float) -> CapBudget:
         """Returns what the organisations may start in one plan.
 
         Before the owner has recovered, any task of an earlier job may be running: its
         worker has not been heard yet, or the end of its predecessors was not stored.
+        That includes jobs which have been cancelled or have failed since.
         """
         caps = self.owner.caps
         if self.owner.state.manifest is not None:
@@ -195,7 +234,7 @@
             return caps.make_budget()
         possible = []
         for job in self.owner.table.jobs.values():
-            if job.from_earlier_owner and not job.ended():
+            if job.from_earlier_owner and job.state is not JobState.COMPLETED:
                 possible += [step for step in job.steps if step.due_at <= now]
         return caps.make_budget(possible)
 
