--- a/lacewinghold/util/bearer.py
+++ b/lacewinghold/util/bearer.py
@@ -13,8 +13,11 @@
 
 
 def read_bearer(header: bytes) -> str | None:
-    """Returns the key in an ``Authorization`` header, ``None`` if it has none."""
-    scheme, _, key = header.decode("latin-1").partition(" ")
+    """Returns the key in an ``Authorization`` header, ``None`` if it has none.
+
+    Keys are text in UTF-8, as in the manifest.
+    """
+    scheme, _, key = header.decode("utf-8", "replace").partition(" ")
     key = key.strip()
     if scheme.lower() != "bearer" or not 0 < len(key) <= MAX_KEY_BYTES:
         return None
--- a/tests/test_organisations/test_access.py
+++ b/tests/test_organisations/test_access.py
@@ -126,6 +126,15 @@
     run_with_keys(program)
 
 
+def test_key_that_is_not_ascii_is_served():
+    async def program(cell):
+        await put_manifest(cell, 3, organisation("a", "schlüssel-ключ"))
+        found = await call(cell, "GET", "/fast/none", "schlüssel-ключ")
+        assert found[0] == 410
+
+    run_with_keys(program)
+
+
 def wide_job():
     """Returns a job as callers submit it, with an all-at-once step of two cores."""
     gang = {"count": 2, "cpu": 1000, "memMb": 10, "gang": True}
