--- a/lacewinghold/scheduler/durations.py
+++ b/lacewinghold/scheduler/durations.py
@@ -192,11 +192,19 @@
         if not known or times is None or not 0 < spec.expected_ms < math.inf:
             return self.expected_by_queue(record, spec)
         found = self.predict(record, spec)
-        between = max(MIN_BETWEEN_STEPS_VARIANCE, found.variance - WITHIN_STEP_VARIANCE)
-        share = between / (between + WITHIN_STEP_VARIANCE / times.fraction)
         measured_ms = 1000 * times.run_s / times.fraction
         measured = math.log(max(measured_ms, 1.0) / spec.expected_ms)
-        found.log_ratio += share * (measured - found.log_ratio)
+        deviation = measured - found.log_ratio
+        noise = WITHIN_STEP_VARIANCE / times.fraction
+        # A pace beyond two standard deviations shows that the queue tells little of
+        # this step, however alike its earlier steps were.
+        between = max(
+            MIN_BETWEEN_STEPS_VARIANCE,
+            found.variance - WITHIN_STEP_VARIANCE,
+            deviation**2 / 4 - noise,
+        )
+        share = between / (between + noise)
+        found.log_ratio += share * deviation
         found.variance = (1 - share) * between + WITHIN_STEP_VARIANCE
         found.samples += times.fraction
         return to_duration(spec, found)
--- a/lacewinghold/scheduler/pace.py
+++ b/lacewinghold/scheduler/pace.py
@@ -23,7 +23,7 @@
 DECAY_S = 1.5  # Time constant with which earlier progress loses weight.
 MIN_OBSERVED_S = 1.5  # Observed run time before a worker is rated.
 # Share of the usual speed below which a worker is slow. In a trial, workers that became
-# four times slower were noticed after 4.9 s with 0.33 and after 2.9 s with 0.4.
+# four times slower were noticed after 5.0 s with 0.33 and after 2.9 s with 0.4.
 SLOW_SHARE = 0.4
 RECOVERED_SHARE = 0.6  # Share from which a slow worker counts as recovered.
 STUCK_SHARE = 0.05  # Share of the usual speed below which a worker is stuck.
--- a/lacewinghold/scheduler/run_learning.py
+++ b/lacewinghold/scheduler/run_learning.py
@@ -92,10 +92,12 @@
         if len(times.ended) < enough:
             return
         times.compared = True
-        runs = times.ended
+        nodes = self.owner.fleet.nodes
+        # Speeds of workers that have left must not be kept.
+        runs = [(worker, log_s) for worker, log_s in times.ended if worker in nodes]
         times.ended = []
         for run in step.active_runs():
-            node = self.owner.fleet.nodes.get(run.worker)
+            node = nodes.get(run.worker)
             if run is ended or node is None or node.slow:
                 continue
             run_s = self.owner.pace.extrapolated_run_s(
--- a/lacewinghold/scheduler/slow_workers.py
+++ b/lacewinghold/scheduler/slow_workers.py
@@ -92,5 +92,6 @@
         :param expected_s: Expected run time on a worker of typical speed, in seconds.
         """
         percent = self.owner.pace.progress_percent(node.id, (run.task.name, run.number))
-        speed = self.owner.speeds.speed_of(node.id) * max(share, MIN_SHARE)
+        present_share = MIN_SHARE if share < STUCK_SHARE else share
+        speed = self.owner.speeds.speed_of(node.id) * present_share
         return (1 - percent / 100) * expected_s / speed
