--- a/lacewinghold/organisations/authentication.py
+++ b/lacewinghold/organisations/authentication.py
@@ -84,9 +84,11 @@
         current = self.confirmation.is_current(lease_time())
         if current is not self.was_current:
             self.was_current = current
-            event = Event.KEYS_CONFIRMED if current else Event.KEYS_UNCONFIRMED
             age_s = round(self.confirmation.age_s(lease_time()), 3)
-            logger.warning(event, age_s=age_s)
+            if current:
+                logger.warning(Event.KEYS_CONFIRMED, age_s=age_s)
+            else:
+                logger.warning(Event.KEYS_UNCONFIRMED, age_s=age_s)
         return current
 
     def authenticate(
