--- a/tests/test_organisations/test_shares.py
+++ b/tests/test_organisations/test_shares.py
@@ -130,9 +130,17 @@
                 0
             ] == 200
         assert any(job.excess for job in instance.owner.table.jobs.values())
+        count = "lacewinghold_excess_refusals_total"
+        registries = [each.instance.metrics.registry for each in cell.members]
+        assert sum(each.get_sample_value(count) for each in registries) == len(refused)
+        record = cell.make_job("next", [step()])
+        record.organisation = "flood"
+        assert any(instance.admission.is_excess(record) for _ in range(50))
         cell.kill(cell.owner())
         found = (await cell.wait_for_owner()).instance.owner.table.jobs.values()
         assert found
         assert not any(job.excess for job in found)
+        for each in cell.members:
+            assert not any(each.instance.admission.is_excess(record) for _ in range(50))
 
     run_cell(program, queues=queues)
