--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -77,6 +77,7 @@
 KEYS = "tests/test_organisations/test_keys.py"
 ACCESS = "tests/test_organisations/test_access.py"
 CAPS = "tests/test_organisations/test_caps.py"
+SHARES = "tests/test_organisations/test_shares.py"
 ORGANISATIONS = "lacewinghold.organisations."
 CELL = "lacewinghold.scheduler."
 CELL_MUTANTS = [
@@ -724,6 +725,48 @@
         "not job.ended()",
         (CAPS,),
     ),
+    Mutant(
+        "excess in the backlog",
+        "lacewinghold.scheduler.admission:BacklogMonitor.record_check",
+        "if job.excess:",
+        "if False:",
+        (SHARES,),
+    ),
+    Mutant(
+        "excess of an earlier owner",
+        "lacewinghold.scheduler.admission:Admission.is_excess",
+        "share <= 0 or not self.has_valid_backlog()",
+        "share <= 0",
+        (SHARES,),
+    ),
+    Mutant(
+        "refusal of a stored job",
+        "lacewinghold.scheduler.front:JobFront.store_job",
+        "if refusal and await self.is_confirmed_absent(record.job, limit_s):",
+        "if refusal:",
+        (SHARES,),
+    ),
+    Mutant(
+        "excess of loaded jobs",
+        "lacewinghold.scheduler.job_table:JobTable.accept",
+        "if not job.from_earlier_owner:",
+        "if True:",
+        (SHARES,),
+    ),
+    Mutant(
+        "limit of a bucket",
+        ORGANISATIONS + "rates:TokenBucket.take",
+        "if self.tokens < 1.0:",
+        "if False:",
+        (SHARES,),
+    ),
+    Mutant(
+        "weighted share",
+        ORGANISATIONS + "shares:WeightedShares.__init__",
+        "<= entitled",
+        "<= 1.0",
+        (SHARES,),
+    ),
 ]
 MUTANTS = [
     *CELL_MUTANTS,
