--- a/bench/bench_loading.py
+++ b/bench/bench_loading.py
@@ -148,7 +148,7 @@
             elapsed_s = time.process_time() - started
             size = store.bytes_moved
             started = time.process_time()
-            await owner.ended.load()
+            await owner.ended.load(owner.clock.now())
             outcomes_s = time.process_time() - started
             outcomes_size = store.bytes_moved - size
             turn_monitor.record_turn()
--- a/lacewinghold/organisations/caps.py
+++ b/lacewinghold/organisations/caps.py
@@ -142,13 +142,26 @@
         for name in unlimited:
             del self.caps[name]
 
-    def make_budget(self, possible: Iterable[Step] = ()) -> CapBudget:
+    def make_full_budget(self) -> CapBudget:
+        """Returns a budget in which no organisation with a cap may start anything."""
+        return CapBudget(self.caps, self.caps)
+
+    def make_budget(
+        self,
+        possible: Iterable[Step] = (),
+        remaining: Mapping[str, Resources] | None = None,
+    ) -> CapBudget:
         """Returns the budget of a plan.
 
         :param possible: Steps whose waiting tasks an earlier owner may have started.
+        :param remaining: What runs of jobs that have ended under an earlier owner may
+            use, by organisation.
         """
         budget = CapBudget(self.caps, self.usage.used)
         if self.caps:
             for step in possible:
                 budget.take(step, len(step.waiting_tasks()))
+        for organisation, used in (remaining or {}).items():
+            if organisation in budget.used:
+                budget.used[organisation] = budget.used[organisation].plus(used)
         return budget
--- a/lacewinghold/scheduler/ended_jobs.py
+++ b/lacewinghold/scheduler/ended_jobs.py
@@ -13,6 +13,7 @@
 from lacewinghold.events import Event
 from lacewinghold.scheduler.job_store import ENDED_PREFIX
 from lacewinghold.scheduler.model import JobState
+from lacewinghold.scheduler.ports import Resources
 from lacewinghold.schema.generated.cell import JobOutcome
 from lacewinghold.util.codec import from_json
 
@@ -21,6 +22,9 @@
 
 logger = structlog.get_logger(__name__)
 RETRY_DELAY_S = 0.1  # After a failed read.
+# Remaining runs end by then: an earlier owner renews leases for 10 s at most, they last
+# 4 s, and the clocks of two instances differ.
+MAX_REMAINING_RUN_S = 30.0
 OUTCOMES_PER_TURN = 200  # Decoded without yielding: under a millisecond.
 
 
@@ -43,13 +47,16 @@
 class EndedJobs:
     """Outcomes by job; those of earlier owners are loaded after the open jobs.
 
-    :param loaded: Whether the outcomes stored by earlier owners have been loaded.
+    :ivar loaded: Whether the outcomes stored by earlier owners have been loaded.
+    :ivar running: What runs of jobs that ended shortly before may use of the caps, by
+        organisation.
     """
 
     def __init__(self, store: JobStore) -> None:
         self.store = store
         self.jobs: dict[str, EndedJob] = {}
         self.loaded = False
+        self.running: dict[str, Resources] = {}
 
     def has_ended(self, job: str) -> bool:
         """Returns whether a job is known to have ended."""
@@ -73,8 +80,27 @@
         ended = EndedJob(state, at, legacy, organisation=organisation)
         self.jobs.setdefault(job, ended)
 
-    async def load(self) -> None:
-        """Loads the outcomes that earlier owners have stored; retries until read."""
+    def add_running(self, outcome: JobOutcome, now: float) -> None:
+        """Counts the runs of an ended job that may not have ended.
+
+        :param now: Wall time in seconds.
+        """
+        if not outcome.running_of or outcome.at < now - MAX_REMAINING_RUN_S:
+            return
+        used = self.running.get(outcome.running_of, Resources())
+        self.running[outcome.running_of] = used.plus(
+            Resources(
+                outcome.running_cpu_millis,
+                outcome.running_memory_mb,
+                outcome.running_accelerators,
+            )
+        )
+
+    async def load(self, now: float) -> None:
+        """Loads the outcomes that earlier owners have stored; retries until read.
+
+        :param now: Wall time in seconds.
+        """
         prefix = self.store.prefix + ENDED_PREFIX
         while True:
             reply = await self.store.store.range(prefix, prefix=True)
@@ -94,6 +120,7 @@
             except (msgspec.DecodeError, ValueError) as error:
                 logger.error(Event.DAMAGED_RECORD, key=item.key, detail=str(error))
                 continue
+            self.add_running(outcome, now)
             if not outcome.tombstone:
                 self.record(job, state, outcome.at, organisation=outcome.organisation)
         self.loaded = True
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -11,6 +11,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.organisations.authentication import bound_organisation
+from lacewinghold.organisations.caps import task_demand
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -21,7 +22,7 @@
     is_ready,
     make_job,
 )
-from lacewinghold.scheduler.ports import stored_queue
+from lacewinghold.scheduler.ports import Resources, stored_queue
 from lacewinghold.scheduler.suspects import WorkerCrash, crashes_of, is_guilty
 from lacewinghold.schema.generated.cell import JobOutcome
 
@@ -276,6 +277,12 @@
             reason=reason,
             organisation=self.bound_organisation(job),
         )
+        running = self.remaining_usage(job)
+        if running != Resources():
+            outcome.running_of = job.record.organisation
+            outcome.running_cpu_millis = running.cpu_millis
+            outcome.running_memory_mb = running.memory_mb
+            outcome.running_accelerators = running.accelerators
         self.owner.log.append_outcome(job.id, outcome, lambda: self.mark_reported(job))
         logger.info(
             Event.JOB_ENDED,
@@ -298,6 +305,22 @@
             organisation=self.bound_organisation(job),
         )
 
+    def remaining_usage(self, job: Job) -> Resources:
+        """Returns what runs of an ending job may still use of a cap, for a later owner.
+
+        Before the recovery, any waiting task of an earlier job may have a run as well.
+        """
+        found = Resources()
+        if not job.record.organisation:
+            return found
+        unknown = job.from_earlier_owner and not self.owner.recovered
+        for step in job.steps:
+            count = len(step.active_runs())
+            if unknown:
+                count += len(step.waiting_tasks())
+            found = found.plus(task_demand(step.spec).times(count))
+        return found
+
     def bound_organisation(self, job: Job) -> str:
         """Returns the organisation whose callers alone may name a job, or empty."""
         return bound_organisation(job.record, self.owner.state.manifest)
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -181,8 +181,9 @@
 
     async def find_unknown_jobs(self) -> None:
         """Loads the outcomes of ended jobs, then looks up what workers list besides."""
-        await self.ended.load()
+        await self.ended.load(self.clock.now())
         self.fleet.apply_withheld_reports()
+        self.planning.wake()
         await self.unknown_jobs.run()
 
     async def delete_expired_jobs(self) -> None:
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -206,18 +206,21 @@
 
         Before the owner has recovered, any task of an earlier job may be running: its
         worker has not been heard yet, or the end of its predecessors was not stored.
-        That includes jobs which have been cancelled or have failed since.
+        That includes jobs which have been cancelled or have failed since, or shortly
+        before the takeover; no cap has room until these are loaded.
         """
         caps = self.owner.caps
         if self.owner.state.manifest is not None:
             caps.update(self.owner.state.manifest)
         if self.owner.recovered or not caps.caps:
             return caps.make_budget()
+        if not self.owner.ended.loaded:
+            return caps.make_full_budget()
         possible = []
         for job in self.owner.table.jobs.values():
             if job.from_earlier_owner and job.state is not JobState.COMPLETED:
                 possible += [step for step in job.steps if step.due_at <= now]
-        return caps.make_budget(possible)
+        return caps.make_budget(possible, self.owner.ended.running)
 
     def waiting_steps(self) -> dict[str, Step]:
         """Returns the open steps with tasks that may be started, by their names."""
--- a/tests/test_organisations/test_caps.py
+++ b/tests/test_organisations/test_caps.py
@@ -309,6 +309,26 @@
     run_capped(program, {"old", "new"})
 
 
+def test_runs_of_a_job_that_ended_before_the_takeover_count():
+    """Guards against twice the cap: a silent worker still runs a cancelled job."""
+
+    async def program(cell):
+        await submit(cell, "old", [step(3)], 30.0)
+        await anyio.sleep(1.0)
+        silent = [worker for worker in cell.world.workers.values() if worker.runs]
+        for worker in silent:
+            worker.silent = True
+        owner = cell.owner()
+        assert (await owner.instance.front.cancel("old")).is_ok()
+        await anyio.sleep(0.5)
+        cell.kill(owner)
+        await cell.wait_for_owner()
+        await submit(cell, "new", [step(3)])
+        assert await cell.wait_for("new", JobState.COMPLETED, 40)
+
+    run_capped(program, {"old", "new"})
+
+
 def test_fillers_are_not_stopped_for_a_step_that_its_cap_holds_back():
     """Guards against work that is thrown away for a step which cannot start."""
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -717,6 +717,13 @@
         "True",
         (CAPS,),
     ),
+    Mutant(
+        "assumed usage of jobs that have ended",
+        CELL + "planning:PlanLoop.make_cap_budget",
+        "possible, self.owner.ended.running",
+        "possible",
+        (CAPS,),
+    ),
     Mutant(
         "assumed usage of cancelled jobs",
         CELL + "planning:PlanLoop.make_cap_budget",
