--- a/lacewinghold/scheduler/pace.py
+++ b/lacewinghold/scheduler/pace.py
@@ -23,8 +23,8 @@
 DECAY_S = 1.5  # Time constant with which earlier progress loses weight.
 MIN_OBSERVED_S = 1.5  # Observed run time before a worker is rated.
 # Share of the usual speed below which a worker is slow. In a trial, workers that became
-# four times slower were noticed after 5.0 s with 0.33 and after 2.9 s with 0.4.
-SLOW_SHARE = 0.4
+# four times slower were noticed after 3.8 s with 0.4, and after 2.4 s with 0.45.
+SLOW_SHARE = 0.45
 RECOVERED_SHARE = 0.6  # Share from which a slow worker counts as recovered.
 STUCK_SHARE = 0.05  # Share of the usual speed below which a worker is stuck.
 MIN_RATED_WORKERS = 4  # The median of fewer workers is not meaningful.
@@ -33,12 +33,12 @@
 MAX_RATED_RUNS = 32  # Runs of one worker of which the progress is kept.
 MIN_RUN_OBSERVED_S = 0.3  # Observed time, decayed, from which a run is rated.
 MIN_PEAK_OBSERVED_S = (
-    0.75  # Observed time, decayed, that the best speed of a run needs.
+    0.75  # Observed time, decayed, from which a speed may be its best.
 )
 FALLEN_SHARE = 0.5  # Share of its best speed below which a run has slowed down.
-# A run of a few takes many times as long as expected on a sound worker. Several slow
-# runs of different steps, or runs that slowed down, show that the worker is slow.
-MIN_SLOW_STEPS = 2
+# A run of a few takes many times as long as expected on a sound worker. Two such runs
+# at a time are common where a worker has few runs.
+MIN_SLOW_STEPS = 3
 MIN_EXTRAPOLATED_PERCENT = 20.0  # Progress from which a run time is extrapolated.
 
 
@@ -157,7 +157,10 @@
             slow += 1
             steps.add(task.rpartition(".")[0] or task)
             slowed_down = slowed_down or pace.has_slowed_down()
-        return slow > others and (slowed_down or len(steps) >= min_steps)
+        if slowed_down:
+            return slow > others
+        # A single sound run shows that the others are slow for reasons of their own.
+        return not others and len(steps) >= min_steps
 
 
 class PaceTracker:
--- a/tests/test_scheduler/test_durations.py
+++ b/tests/test_scheduler/test_durations.py
@@ -17,7 +17,7 @@
     StepTimes,
 )
 from lacewinghold.scheduler.model import JobState, critical_path_s, make_job
-from lacewinghold.scheduler.ports import Queue, stored_queue
+from lacewinghold.scheduler.ports import stored_queue
 from lacewinghold.schema.generated.cell import CellJob, QueueRules, StepSpec
 from lacewinghold.testing.step_worker import Behaviour
 from tests.test_scheduler.support import run_cell, step
@@ -34,11 +34,7 @@
 
 
 def play_queue(low, high, steps=400, tasks=3):
-    """Plays steps whose estimates are off by a random factor.
-
-    :returns: The mean errors of callers' and learned estimates, as logarithms, and the
-        share of the runs above the upper bound.
-    """
+    """Returns callers' and learned mean errors, and the runs above the upper bound."""
     rng, model = random.Random(1), DurationModel()
     caller = learned = above = 0.0
     for _ in range(steps):
@@ -87,9 +83,12 @@
     assert 0.05 < above < 0.15
 
 
-def test_a_shift_of_the_work_is_learned():
-    """Guards against an average over work that no longer exists."""
-    model = DurationModel()
+def test_a_shift_of_the_work_is_learned_but_not_from_one_step():
+    """Guards against an average over past work, and against one wide step's error."""
+    model, wide = DurationModel(), make_step(1.0, tasks=200)
+    for _ in range(200):
+        model.observe(wide, 5.0)
+    assert model.expected(make_step(1.0)).mean_s < 1.3
     for run_s in [1.0] * 1000 + [3.0] * 300:
         model.observe(make_step(1.0), run_s)
     assert model.expected(make_step(1.0)).mean_s == pytest.approx(3.0, rel=0.15)
@@ -127,7 +126,6 @@
 
 def test_the_owner_learns_from_sound_runs_only_and_sets_objectives_by_them():
     """Guards against failed and stopped runs that make all work look short."""
-    queue = Queue("fast", "jobs.example", "/fast/", "service", 0, 9, 2.0, 1)
 
     async def program(cell):
         cell.behaviours["f"] = Behaviour(0.05, fails=True)
@@ -149,4 +147,4 @@
         assert owner.table.jobs["j0"].objective_s == pytest.approx(3.0)
         assert owner.table.jobs["late"].objective_s > 4.5
 
-    run_cell(program, queues=[queue])
+    run_cell(program)
--- a/tests/test_scheduler/test_speeds.py
+++ b/tests/test_scheduler/test_speeds.py
@@ -16,7 +16,7 @@
 from lacewinghold.scheduler.slow_workers import MIN_MOVE_GAIN, SlowWorkers
 from lacewinghold.scheduler.speeds import WorkerSpeeds
 
-SPEEDS = [0.7, 1.0, 1.0, 1.3, 1.7] * 6
+SPEEDS = [0.4, 1.0, 1.0, 1.3, 1.7] * 6
 WORKERS = [f"w{number}" for number in range(len(SPEEDS))]
 MEAN_LOG_SPEED = sum(math.log(speed) for speed in SPEEDS) / len(SPEEDS)
 POLL_INTERVAL_S = 0.5
@@ -36,13 +36,13 @@
     return speeds
 
 
-def find_slow(actual, seconds):
+def find_slow(actual, seconds, slots=4):
     """Plays runs with wrong estimates, and counts how often each worker is slow."""
     rng, tracker = random.Random(3), PaceTracker(learned_speeds())
     runs, found = {}, Counter()
     for tick in range(1, int(seconds / POLL_INTERVAL_S)):
         now = tick * POLL_INTERVAL_S
-        for index, slot in product(range(len(WORKERS)), range(4)):
+        for index, slot in product(range(len(WORKERS)), range(slots)):
             worker = WORKERS[index]
             run = runs.get((index, slot))
             if run is None or run.done_s >= run.work_s:
@@ -64,8 +64,7 @@
     """Guards against stragglers and unequal steps that hide the speeds."""
     speeds = learned_speeds()
     for worker, speed in zip(WORKERS, SPEEDS, strict=True):
-        error = math.log(speeds.speed_of(worker) / speed) + MEAN_LOG_SPEED
-        assert abs(error) < 0.2
+        assert abs(math.log(speeds.speed_of(worker) / speed) + MEAN_LOG_SPEED) < 0.2
 
 
 def test_few_samples_change_a_speed_little():
@@ -98,9 +97,10 @@
         assert 0.01 < speeds.speed_of(worker) < 100
 
 
-def test_workers_of_unequal_speed_are_not_held_to_be_slow():
+@pytest.mark.parametrize("slots", [1, 2, 4])
+def test_workers_of_unequal_speed_are_not_held_to_be_slow(slots):
     """Guards against moving runs off sound workers, of which 27 were slow at once."""
-    found = find_slow(lambda index, now: SPEEDS[index], 40)
+    found = find_slow(lambda index, now: SPEEDS[index], 40, slots)
     assert sum(found.values()) < 0.01 * 80 * len(WORKERS)
 
 
@@ -124,6 +124,6 @@
     pace.record_progress("w", ("t", 1), percent, 2.0, 1.0)
     owner = SimpleNamespace(pace=pace, speeds=pace.speeds)
     run = SimpleNamespace(task=SimpleNamespace(name="t"), number=1)
-    workers, node = SlowWorkers(owner), SimpleNamespace(id="w")
-    remaining_s = workers.remaining_s(node, run, share, 2.0)
+    node = SimpleNamespace(id="w")
+    remaining_s = SlowWorkers(owner).remaining_s(node, run, share, 2.0)
     assert (remaining_s >= MIN_MOVE_GAIN * 2.0) is moved
