--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -406,6 +406,9 @@
             run.state = RunState.RUNNING
         self.owner.learning.record_progress(node, run, item.percent)
         if item.checkpoint and run.task.step.spec.checkpoints:
+            if item.checkpoint != run.task.checkpoint:
+                now = anyio.current_time()
+                self.owner.planning.preemptor.record_checkpoint(run, now)
             self.owner.runs.save_checkpoint(run.task, item.checkpoint)
 
     def release_unlisted_runs(
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -14,6 +14,7 @@
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import JobState, Run, TaskState
 from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.preemption import Preemptor
 from lacewinghold.scheduler.reservations import BUSY_SHARE, Reservations
 from lacewinghold.scheduler.room import fullness
 from lacewinghold.scheduler.searches import WorkerSearches
@@ -29,7 +30,8 @@
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.ordering import PlanPosition
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.policy import Renewal
+    from lacewinghold.scheduler.pace import ProgressMark
+    from lacewinghold.scheduler.plan import Renewal
     from lacewinghold.scheduler.suspects import Suspects
 
 AnyPlanner = TypeVar("AnyPlanner", bound=Planner)
@@ -68,6 +70,7 @@
         self.claims = ClaimBook()
         self.renewals: dict[str, Renewal] = {}
         self.reservations = Reservations()
+        self.preemptor = Preemptor(lambda step: owner.durations.expected(step).mean_s)
         self.resume_at: PlanPosition | None = None
         self.pending_steps: set[str] = set()
         self.searches = WorkerSearches(owner.advice_book)
@@ -182,6 +185,7 @@
             planner.speeds,
             plan.task_limits,
         )
+        self.preempt_runs(planner, in_order)
         self.wait_log.log_longest_overdue(steps, usable, now)
         self.choice_log.retain(steps)
         return plan.deferred
@@ -344,6 +348,36 @@
         due = self.owner.advice_book.last_answer_due(step, len(renewal.chosen), now)
         self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
 
+    def preempt_runs(self, planner: Planner, steps: list[Step]) -> None:
+        """Stops less urgent runs for urgent steps that have lacked room for too long.
+
+        :param steps: Steps with waiting tasks that no cap blocks, most urgent first.
+        """
+        book = self.owner.advice_book
+        marks = self.owner.pace.progress_marks
+
+        def missing_tasks(step: Step) -> int:
+            # A worker with room may be among those that it still asks about.
+            asking = step.job.queue.advice is not None and book.search_pending(step)
+            if asking or step.name in planner.plan.skipped:
+                return 0
+            return len(step.waiting_tasks()) - self.chosen_task_count(step)
+
+        def progress_of(run: Run) -> ProgressMark | None:
+            return marks.get((run.worker, run.task.name, run.number))
+
+        for stop in self.preemptor.choose(planner, steps, missing_tasks, progress_of):
+            self.owner.metrics.preemptions.inc()
+            logger.info(
+                Event.STOPPED_FOR_URGENT_WORK,
+                task=stop.run.task.name,
+                run=stop.run.number,
+                worker=stop.run.worker,
+                step=stop.step.name,
+                lost_core_s=round(stop.lost_core_s, 2),
+            )
+            self.owner.fleet.stop_run(stop.run)
+
     def preempt_filling_runs(self, steps: Iterable[Step]) -> None:
         """Stops filler runs where a waiting latency-sensitive step could start.
 
