--- a/bench/planner_day.py
+++ b/bench/planner_day.py
@@ -22,7 +22,7 @@
     from collections.abc import Iterable
 
     from lacewinghold.scheduler.model import Step, Task
-    from lacewinghold.scheduler.policy import Plan
+    from lacewinghold.scheduler.plan import Plan
 
 WORKER_CAPACITY = Resources(cpu_millis=16_000, memory_mb=32_768)
 WORKERS_PER_RACK = 8
--- a/lacewinghold/placement/engine.py
+++ b/lacewinghold/placement/engine.py
@@ -169,7 +169,7 @@
             return False
         self.preemptor.record_stopping(chosen)
         self.reserved_workers[work.id] = self.index.mask_of(chosen.worker.record.worker)
-        self.pending_stops += [victim.task for victim in chosen.victims]
+        self.pending_stops += [victim.work for victim in chosen.victims]
         return True
 
     def drain_stops(self) -> list[TaskId]:
--- a/lacewinghold/placement/preemption.py
+++ b/lacewinghold/placement/preemption.py
@@ -7,38 +7,45 @@
 from msgspec import Struct
 
 from lacewinghold.placement.capacity import add, fits, subtract
-from lacewinghold.schema.generated.jobs import JobKind, Priority
+from lacewinghold.schema.generated.jobs import JobKind, Priority, Resources
+from lacewinghold.util.victims import (
+    Arithmetic,
+    Victim,
+    choose_victims,
+    total_lost_core_s,
+)
 
 if TYPE_CHECKING:
     from lacewinghold.ids import TaskId
     from lacewinghold.placement.capacity import WorkerCapacity
     from lacewinghold.placement.index import CapacityIndex
-    from lacewinghold.schema.generated.jobs import Resources
 
 MAX_VICTIMS = 16  # Tasks stopped for one urgent task.
 
 
-class Victim(Struct):
-    """A running task that may be preempted.
+class CapacityArithmetic(Arithmetic[Resources]):
+    """Arithmetic on the resources of workers."""
 
-    :param lost_core_s: Core-seconds of work that would have to be repeated.
-    """
+    def plus(self, left: Resources, right: Resources) -> Resources:
+        return add(left, right)
+
+    def minus(self, left: Resources, right: Resources) -> Resources:
+        return subtract(left, right)
 
-    task: TaskId
-    need: Resources
-    lost_core_s: float
+    def fits(self, need: Resources, free: Resources) -> bool:
+        return fits(need, free)
 
 
 class Preemption(Struct):
     """Tasks of one worker whose stop makes enough room there."""
 
     worker: WorkerCapacity
-    victims: list[Victim]
+    victims: list[Victim[TaskId, Resources]]
 
     @property
     def lost_core_s(self) -> float:
         """Returns the core-seconds of work that would have to be repeated."""
-        return sum(victim.lost_core_s for victim in self.victims)
+        return total_lost_core_s(self.victims)
 
 
 class RunningWork(Struct):
@@ -114,17 +121,14 @@
         for task in worker.bookings:
             if self.stopping.get(task) is worker:
                 free = add(free, worker.bookings[task])
-        victims: list[Victim] = []
-        for victim in self.candidates(worker, now):
-            if fits(need, free):
-                break
-            victims.append(victim)
-            free = add(free, victim.need)
-        if not fits(need, free) or len(victims) > MAX_VICTIMS:
-            return None
-        return Preemption(worker, drop_unneeded(victims, need, free))
-
-    def candidates(self, worker: WorkerCapacity, now: float) -> list[Victim]:
+        victims = choose_victims(
+            self.candidates(worker, now), need, free, CapacityArithmetic(), MAX_VICTIMS
+        )
+        return None if victims is None else Preemption(worker, victims)
+
+    def candidates(
+        self, worker: WorkerCapacity, now: float
+    ) -> list[Victim[TaskId, Resources]]:
         """Returns the preemptible tasks of a worker, by ascending lost work."""
         found = []
         for task, need in worker.bookings.items():
@@ -132,25 +136,9 @@
                 continue
             run_s = max(0.0, now - self.running[task].started_at)
             found.append(Victim(task, need, run_s * max(need.cores, 0.1)))
-        return sorted(found, key=lambda victim: (victim.lost_core_s, victim.task))
+        return sorted(found, key=lambda victim: (victim.lost_core_s, victim.work))
 
     def record_stopping(self, chosen: Preemption) -> None:
         """Records that the chosen tasks are being stopped."""
         for victim in chosen.victims:
-            self.stopping[victim.task] = chosen.worker
-
-
-def drop_unneeded(
-    victims: list[Victim], need: Resources, free: Resources
-) -> list[Victim]:
-    """Returns the victims without those whose stop is not needed.
-
-    Those that would lose most work are left out first.
-    """
-    kept = list(victims)
-    for victim in sorted(victims, key=lambda victim: -victim.lost_core_s):
-        remaining = subtract(free, victim.need)
-        if fits(need, remaining):
-            kept.remove(victim)
-            free = remaining
-    return kept
+            self.stopping[victim.work] = chosen.worker
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -412,6 +412,9 @@
             anyio.current_time(),
         )
         if item.checkpoint and spec.checkpoints:
+            if item.checkpoint != run.task.checkpoint:
+                now = anyio.current_time()
+                self.owner.planning.preemptor.record_checkpoint(run, now)
             self.owner.runs.save_checkpoint(run.task, item.checkpoint)
 
     def release_unlisted_runs(
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -87,6 +87,11 @@
             ["outcome"],
             registry=registry,
         )
+        self.preemptions = Counter(
+            "lacewinghold_preemptions",
+            "Runs stopped so that more urgent work starts.",
+            registry=registry,
+        )
         self.reservations_ended = Counter(
             "lacewinghold_reservations_ended",
             "Reservations for all-at-once steps that ended without their start.",
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -13,6 +13,7 @@
 from lacewinghold.scheduler.claims import Claim, ClaimBook
 from lacewinghold.scheduler.model import Run, TaskState
 from lacewinghold.scheduler.policy import Planner
+from lacewinghold.scheduler.preemption import Preemptor
 from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.scheduler.room import fullness
 from lacewinghold.scheduler.searches import WorkerSearches
@@ -27,7 +28,8 @@
     from lacewinghold.scheduler.model import Job, Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.policy import PlanPosition, Renewal
+    from lacewinghold.scheduler.pace import ProgressMark
+    from lacewinghold.scheduler.plan import PlanPosition, Renewal
 
 logger = structlog.get_logger(__name__)
 RUNS_PER_TERM = 1000  # Run numbers per term; a task starts far less often.
@@ -63,6 +65,7 @@
         self.claims = ClaimBook()
         self.renewals: dict[str, Renewal] = {}
         self.reservations = Reservations()
+        self.preemptor = Preemptor()
         self.resume_at: PlanPosition | None = None
         self.pending_steps: set[str] = set()
         self.searches = WorkerSearches(owner.advice_book)
@@ -183,6 +186,7 @@
         self.searches.request_searches(
             in_order, self.chosen_task_count, plan.skipped, usable, planner.speeds
         )
+        self.preempt_runs(planner, in_order)
         self.wait_log.log_longest_overdue(steps, usable, now)
         self.choice_log.retain(steps)
         return plan.deferred
@@ -295,6 +299,36 @@
         due = self.owner.advice_book.last_answer_due(step, len(renewal.chosen), now)
         self.claims.add(Claim(step, renewal.chosen, due + CLAIM_SLACK_S))
 
+    def preempt_runs(self, planner: Planner, steps: list[Step]) -> None:
+        """Stops less urgent runs for urgent steps that have lacked room for too long.
+
+        :param steps: Steps with waiting tasks that no cap blocks, most urgent first.
+        """
+        book = self.owner.advice_book
+        marks = self.owner.pace.progress_marks
+
+        def missing_tasks(step: Step) -> int:
+            # A worker with room may be among those that it still asks about.
+            asking = step.job.queue.advice is not None and book.search_pending(step)
+            if asking or step.name in planner.plan.skipped:
+                return 0
+            return len(step.waiting_tasks()) - self.chosen_task_count(step)
+
+        def progress_of(run: Run) -> ProgressMark | None:
+            return marks.get((run.worker, run.task.name, run.number))
+
+        for stop in self.preemptor.choose(planner, steps, missing_tasks, progress_of):
+            self.owner.metrics.preemptions.inc()
+            logger.info(
+                Event.STOPPED_FOR_URGENT_WORK,
+                task=stop.run.task.name,
+                run=stop.run.number,
+                worker=stop.run.worker,
+                step=stop.step.name,
+                lost_core_s=round(stop.lost_core_s, 2),
+            )
+            self.owner.fleet.stop_run(stop.run)
+
     def preempt_filling_runs(self, steps: Iterable[Step]) -> None:
         """Stops filler runs where a waiting latency-sensitive step could start.
 
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -15,10 +15,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from msgspec import Struct, field
-
 from lacewinghold.organisations.caps import CapBudget
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE
+from lacewinghold.scheduler.plan import Placement, Plan, Renewal
 from lacewinghold.scheduler.reservations import (
     MAX_RESERVED_SHARE,
     PlanReservations,
@@ -35,9 +34,8 @@
     from lacewinghold.scheduler.claims import Claim
     from lacewinghold.scheduler.model import Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
+    from lacewinghold.scheduler.plan import PlanPosition
 
-# Sort position of a step in a plan: its urgency key and its name.
-PlanPosition = tuple[tuple[int, int, float], str]
 # Work limit of one plan, counted in workers checked for a step: 4000 take a few
 # milliseconds of a core.
 MAX_EVALUATIONS = 4000
@@ -48,52 +46,6 @@
 MAX_BLOCKED_STEPS = 8
 
 
-class Placement(Struct):
-    """Tasks of one step that start now, each with its worker."""
-
-    step: Step
-    tasks: list[tuple[Task, WorkerNode]]
-
-
-class Renewal(Struct):
-    """Workers chosen for a step that needs new permissions before it can start there.
-
-    :param chosen: How many tasks wait for a permission on each worker. For an
-        all-at-once step, this covers all its tasks, on workers with a valid ticket too.
-    :param without_ticket: The workers in ``chosen`` without a valid ticket.
-    """
-
-    step: Step
-    chosen: dict[WorkerId, int]
-    without_ticket: list[WorkerId]
-
-    def task_count(self) -> int:
-        """Returns how many tasks wait for permissions."""
-        return sum(self.chosen.values())
-
-
-class Plan(Struct):
-    """The starts, permission requests and reservations to carry out now.
-
-    :param placements: Tasks that start now: there is room and a valid ticket.
-    :param renewals: Workers chosen for steps that must request permissions first.
-    :param reserved: Workers reserved for all-at-once steps, by the steps' names.
-    :param skipped: Steps for which no workers were chosen because the work of the plan
-        is limited.
-    :param deferred: The skipped steps that were not considered at all.
-    :param resume_at: The first deferred step; the next plan resumes there.
-    :param capped: Steps of which tasks wait because of the cap of their organisation.
-    """
-
-    placements: list[Placement] = field(default_factory=list)
-    renewals: list[Renewal] = field(default_factory=list)
-    reserved: dict[str, list[WorkerId]] = field(default_factory=dict)
-    skipped: set[str] = field(default_factory=set)
-    deferred: set[str] = field(default_factory=set)
-    resume_at: PlanPosition | None = None
-    capped: set[str] = field(default_factory=set)
-
-
 def urgency_key(step: Step, now: float) -> tuple[int, int, float]:
     """Returns the sort key of a step; lower keys are planned first.
 
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -151,6 +151,7 @@
     def release(self, node: WorkerNode, run: Run, kind: EndKind) -> None:
         """Frees a run's resources and requeues its task, unless it is done."""
         node.remove(run)
+        self.owner.planning.preemptor.forget_run(run)
         if node.is_drained():
             self.owner.fleet.roster_due = True
         self.owner.pace.forget_run(node.id, (run.task.name, run.number))
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -20,7 +20,7 @@
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.policy import Renewal
+    from lacewinghold.scheduler.plan import Renewal
 
 logger = structlog.get_logger(__name__)
 FIRST_LOG_DELAY_S = 2.0  # Longer than a step waits in a cell that has room.
--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -41,7 +41,7 @@
     from lacewinghold.scheduler.cell import CellPorts
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.owner import CellOwner
-    from lacewinghold.scheduler.policy import Plan
+    from lacewinghold.scheduler.plan import Plan
     from lacewinghold.scheduler.ports import (
         PollOrder,
         StartOrder,
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -57,15 +57,20 @@
 
     :param seconds: Run time in seconds.
     :param crashes: Whether the worker crashes at its end, and comes back later.
+    :param checkpoint_s: Interval of its checkpoints in seconds; 0 if it writes none.
     """
 
     seconds: float
     fails: bool = False
     crashes: bool = False
+    checkpoint_s: float = 0.0
 
 
 class Execution(Struct, eq=False):
-    """A run in progress."""
+    """A run in progress.
+
+    :param checkpoint: Number of the checkpoint from which it has gone on.
+    """
 
     task: str
     run: int
@@ -75,6 +80,11 @@
     scope: anyio.CancelScope
     group: RunGroup | None = None
     kind: EndKind | None = None
+    checkpoint: int = 0
+
+    def restored_s(self) -> float:
+        """Returns the work of earlier runs that it need not repeat, in seconds."""
+        return self.checkpoint * self.behaviour.checkpoint_s
 
 
 class StartRecord(Struct, frozen=True):
@@ -294,6 +304,7 @@
             self.world.behaviour_of(order.task, order.run),
             anyio.CancelScope(),
             self.world.group_of(order.task, order.run),
+            checkpoint=int(order.checkpoint or 0),
         )
         self.runs[key] = run
         if run.group is not None:
@@ -307,7 +318,7 @@
             if run.group is not None and not await run.group.wait_for_others():
                 self.end(run, EndKind.ALONE)
                 return
-            await anyio.sleep(run.behaviour.seconds)
+            await anyio.sleep(run.behaviour.seconds - run.restored_s())
         if run.kind is not None:
             return
         if run.behaviour.crashes:
@@ -364,9 +375,12 @@
 
     def report(self, run: Execution) -> RunReport:
         """Returns the progress of a run."""
-        worked_s = anyio.current_time() - run.started_at
+        worked_s = run.restored_s() + anyio.current_time() - run.started_at
         percent = 100 * worked_s / run.behaviour.seconds
-        return RunReport(run.task, run.run, "", min(99.0, percent))
+        checkpoint = ""
+        if run.behaviour.checkpoint_s:
+            checkpoint = str(int(worked_s // run.behaviour.checkpoint_s))
+        return RunReport(run.task, run.run, checkpoint, min(99.0, percent))
 
 
 class MemoryWorkerCalls(WorkerCalls):
--- a/tests/test_scheduler/test_policy.py
+++ b/tests/test_scheduler/test_policy.py
@@ -9,7 +9,8 @@
 
 from bench.planner_day import ArrivalOrder, PlannerDay, make_nodes
 from lacewinghold.scheduler.model import Run, make_job
-from lacewinghold.scheduler.policy import Plan, Planner
+from lacewinghold.scheduler.plan import Plan
+from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue
 from lacewinghold.scheduler.reservations import Reservations
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
--- a/tests/test_scheduler/test_policy_properties.py
+++ b/tests/test_scheduler/test_policy_properties.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.nodes import WorkerNode
-    from lacewinghold.scheduler.policy import Plan
+    from lacewinghold.scheduler.plan import Plan
 
 NOW = 1.0
 
