--- a/lacewinghold/scheduler/preemption.py
+++ b/lacewinghold/scheduler/preemption.py
@@ -218,7 +218,7 @@
         """Returns whether a run makes room no later than a further stop would."""
         if run.state is RunState.STOPPING:
             key = run.task.name, run.number
-            stopped_at = self.preemptor.stopped_at.get(key, self.now)
+            stopped_at = self.preemptor.stopped_at.setdefault(key, self.now)
             return self.now - stopped_at < STOP_LIMIT_S
         return not run.task.step.spec.long_running and self.remaining_s(run) <= STOP_S
 
