--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -25,6 +25,7 @@
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
 from lacewinghold.scheduler.job_ids import JobIds
 from lacewinghold.util.clock import WallClock
+from lacewinghold.util.http_limits import ClientLimits, derive_capacity
 from lacewinghold.util.http_server import serve_http
 from lacewinghold.util.lag import LagMonitor
 from lacewinghold.util.metrics_http import MetricsApp
@@ -33,7 +34,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from lacewinghold.schema.generated.entry import EntrySettings
+    from lacewinghold.schema.generated.entry import EntryMachine, EntrySettings
 
 logger = structlog.get_logger(__name__)
 GRACE_MARGIN_S = 1.0  # Reserved at the end of the time before SIGKILL.
@@ -129,28 +130,40 @@
     watch = SettingsWatch(path, settings, live.apply)
     stop = anyio.Event()
     listen = settings.listen
+    limits = make_limits(settings.machine)
     logger.info(Event.STARTED, boot=boot, store=settings.store.address)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch_signals, instance, stop, watch)
         tasks.start_soon(watch.run)
         tasks.start_soon(instance.run)
         if listen.metrics:
-            tasks.start_soon(serve_metrics, instance, stop)
+            tasks.start_soon(serve_metrics, instance, stop, limits)
         await serve_http(
             PlatformFront(instance),
             [listen.callers, listen.ready],
             stop.wait,
             settings.bounds.grace_s - GRACE_MARGIN_S - BALANCER_NOTICE_S,
             started=lambda addresses: logger.info(Event.LISTENING, addresses=addresses),
+            limits=limits,
         )
         tasks.cancel_scope.cancel()
     logger.info(Event.STOPPED)
 
 
-async def serve_metrics(instance: CellInstance, stop: anyio.Event) -> None:
+def make_limits(machine: EntryMachine | None) -> ClientLimits:
+    """Returns the limits of the clients of all HTTP listeners together."""
+    if machine is None:
+        return ClientLimits(derive_capacity(0, 0))
+    return ClientLimits(derive_capacity(machine.memory_mb, machine.max_descriptors))
+
+
+async def serve_metrics(
+    instance: CellInstance, stop: anyio.Event, limits: ClientLimits
+) -> None:
     """Serves the metrics until the stop event is set."""
     app = MetricsApp(instance.render_metrics)
-    await serve_http(app, instance.settings.listen.metrics, stop.wait, 0.0)
+    address = instance.settings.listen.metrics
+    await serve_http(app, address, stop.wait, 0.0, limits=limits)
 
 
 async def watch_signals(
--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -24,6 +24,7 @@
     PROCESS_LATE = "process late"
     PROCESS_ON_TIME_AGAIN = "process on time again"
     UNEXPECTED_ERROR = "unexpected error"
+    CLIENT_REFUSED = "client refused"
 
     # Callers
     JOB_ACCEPTED = "job accepted"
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -9,6 +9,11 @@
 
 from lacewinghold.scheduler.ports import OrderOutcome
 from lacewinghold.util.containment import UNEXPECTED_ERRORS
+from lacewinghold.util.http_limits import (
+    CLOSED_CONNECTIONS,
+    HELD_BYTES,
+    OPEN_CONNECTIONS,
+)
 
 if TYPE_CHECKING:
     from collections import Counter as Counts
@@ -32,6 +37,8 @@
         self.registry = CollectorRegistry()
         registry = self.registry
         registry.register(UNEXPECTED_ERRORS)
+        for collector in (CLOSED_CONNECTIONS, OPEN_CONNECTIONS, HELD_BYTES):
+            registry.register(collector)
         self.submissions = Counter(
             "lacewinghold_submissions",
             "Submissions by result.",
