--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -15,6 +15,7 @@
 from lacewinghold.schema.generated.cell import CellJob, StepSpec
 from lacewinghold.util.bearer import read_bearer
 from lacewinghold.util.codec import parse_json
+from lacewinghold.util.http_limits import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from lacewinghold.ids import JobId
@@ -29,7 +30,6 @@
 DISCARD_TIMEOUT_S = 1.0
 JOB_ID_PATTERN = "[0-9A-Fa-f]{16}"  # Chosen by the caller.
 METHODS = ("GET", "POST", "DELETE")
-MAX_BODY_BYTES = 262_144  # The manifest's limit for bodies.
 STATUS_BY_KIND = {
     ErrorKind.INVALID: HTTPStatus.BAD_REQUEST,
     ErrorKind.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
--- a/tests/test_util/test_http_server.py
+++ b/tests/test_util/test_http_server.py
@@ -12,6 +12,9 @@
 from trio.testing import MockClock
 
 from lacewinghold.schema.generated.settings import Tls
+from lacewinghold.util.containment import UNEXPECTED_ERRORS
+from lacewinghold.util.http_connection import WORK
+from lacewinghold.util.http_limits import ClientLimits, derive_capacity
 from lacewinghold.util.http_server import serve_http
 from lacewinghold.util.tls import RELOAD_INTERVAL_S
 
@@ -44,9 +47,9 @@
         self.url = addresses[0]
         self.up.set()
 
-    async def run(self, tls=None):
+    async def run(self, tls=None, limits=None):
         await serve_http(
-            self.app, "127.0.0.1:0", self.stop.wait, GRACE_S, tls, self.started
+            self.app, "127.0.0.1:0", self.stop.wait, GRACE_S, tls, self.started, limits
         )
         self.down.set()
 
@@ -61,7 +64,7 @@
     anyio.run(bounded, backend="trio", backend_options={"clock": clock})
 
 
-async def graceful(clock):
+async def graceful(clock, limits):
     server = Server()
     answers = []
 
@@ -69,7 +72,7 @@
         answers.append((await client.get(f"{server.url}/slow")).content)
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.run)
+        tasks.start_soon(server.run, None, limits)
         await server.up.wait()
         async with httpx.AsyncClient() as client, httpx.AsyncClient() as idle:
             await idle.get(f"{server.url}/quick")
@@ -91,9 +94,71 @@
     assert answers == [b"whole"]
 
 
-def test_shutdown_completes_requests_and_ignores_idle_connections():
+@pytest.mark.parametrize("limits", [None, ClientLimits(derive_capacity(160, 1638))])
+def test_shutdown_completes_requests_and_ignores_idle_connections(limits):
     """The clock stands still, so that the grace period cannot end the shutdown."""
-    run(graceful)
+    run(graceful, limits)
+
+
+async def exchange(address, parts, answers):
+    """Sends parts one after the other and collects the answers."""
+    async with await anyio.connect_tcp("127.0.0.1", address) as stream:
+        for part in parts:
+            await stream.send(part)
+            answers.append(await stream.receive())
+            end = b"\r\n\r\n" if part.startswith(b"HEAD") else b"whole"
+            while not answers[-1].endswith(end) and b" 500" not in answers[-1]:
+                answers[-1] += await stream.receive()
+
+
+async def keep_alive(clock):
+    server = Server()
+    answers = []
+    parts = (
+        b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"HEAD /b HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /c HTTP/1.1\r\nHost: a\r\n\r\n",
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run, None, ClientLimits(derive_capacity(160, 1638)))
+        await server.up.wait()
+        port = int(server.url.rpartition(":")[2])
+        await exchange(port, parts, answers)
+        server.stop.set()
+    assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * 3
+
+
+def test_limited_connection_is_kept_between_requests():
+    """Guards against a connection that is closed after an answer."""
+    run(keep_alive)
+
+
+async def faulty(clock):
+    server = Server()
+    answers = []
+    whole = server.app
+
+    async def app(scope, receive, send):
+        if scope["path"] == "/fault":
+            raise ValueError("in the application")
+        await whole(scope, receive, send)
+
+    server.app = app
+    before = UNEXPECTED_ERRORS.labels(WORK)._value.get()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run, None, ClientLimits(derive_capacity(160, 1638)))
+        await server.up.wait()
+        port = int(server.url.rpartition(":")[2])
+        await exchange(port, [b"GET /fault HTTP/1.1\r\nHost: a\r\n\r\n"], answers)
+        await exchange(port, [b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"], answers)
+        server.stop.set()
+    assert [answer[:12] for answer in answers] == [b"HTTP/1.1 500", b"HTTP/1.1 200"]
+    assert UNEXPECTED_ERRORS.labels(WORK)._value.get() == before + 1
+
+
+def test_error_of_the_application_is_counted_and_ends_its_connection_only():
+    """Guards against an application's error that ends the server."""
+    run(faulty)
 
 
 def write_files(folder, issued):
