--- a/lacewinghold/scheduler/preemption.py
+++ b/lacewinghold/scheduler/preemption.py
@@ -226,7 +226,7 @@
         """Returns whether a run makes room no later than a further stop would."""
         if run.state is RunState.STOPPING:
             key = run.task.name, run.number
-            stopped_at = self.preemptor.stopped_at.get(key, self.now)
+            stopped_at = self.preemptor.stopped_at.setdefault(key, self.now)
             return self.now - stopped_at < STOP_LIMIT_S
         return not run.task.step.spec.long_running and self.remaining_s(run) <= STOP_S
 
@@ -383,7 +383,7 @@
         if left_s < 0:
             return True
         following_s = self.planner.speeds.remaining_chain_s(step)
-        following_s -= step.spec.expected_ms / 1000
+        following_s -= estimated_run_s(step)
         return RESTART_S + lost_s + self.remaining_s(run) + following_s <= left_s
 
 
