--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -159,8 +159,10 @@
         now = anyio.current_time()
         return now if machine is None else max(now, machine.busy_until)
 
-    def timed_init(loop: PlanLoop, owner: CellOwner) -> None:
-        init(loop, owner, machine_time)
+    def timed_init(
+        loop: PlanLoop, owner: CellOwner, speed_of: Callable[[WorkerId], float]
+    ) -> None:
+        init(loop, owner, machine_time, speed_of)
 
     def charged_make(planner: Planner, steps: Iterable[Step]) -> Plan:
         plan = make_plan(planner, steps)
--- a/tests/test_scheduler/test_preemption.py
+++ b/tests/test_scheduler/test_preemption.py
@@ -64,7 +64,7 @@
                 planner,
                 [self.urgent],
                 lambda step: step.spec.tasks,
-                lambda run, at=at: ProgressMark(at, percent),
+                lambda run, at=at: ProgressMark(at, percent, at),
             )
         return [stop.run for stop in stops]
 
