--- a/lacewinghold/scheduler/pace.py
+++ b/lacewinghold/scheduler/pace.py
@@ -32,9 +32,8 @@
 SLOW_RETRY_DELAY_S = 3.0  # After its last progress a slow worker is used again.
 MAX_RATED_RUNS = 32  # Runs of one worker of which the progress is kept.
 MIN_RUN_OBSERVED_S = 0.3  # Observed time, decayed, from which a run is rated.
-MIN_PEAK_OBSERVED_S = (
-    0.75  # Observed time, decayed, from which a speed may be its best.
-)
+# Observed time, decayed, from which a speed may be the best of its run.
+MIN_PEAK_OBSERVED_S = 0.75
 FALLEN_SHARE = 0.5  # Share of its best speed below which a run has slowed down.
 # A run of a few takes many times as long as expected on a sound worker. Two such runs
 # at a time are common where a worker has few runs.
--- a/lacewinghold/scheduler/run_learning.py
+++ b/lacewinghold/scheduler/run_learning.py
@@ -38,13 +38,14 @@
         :param percent: As the worker reports it, 0 to 100.
         """
         step = run.task.step
-        gain = self.owner.pace.record_progress(
-            node.id,
-            (run.task.name, run.number),
-            percent,
-            self.owner.durations.expected(step).mean_s,
-            anyio.current_time(),
-        )
+        key = (run.task.name, run.number)
+        now = anyio.current_time()
+        pace = self.owner.pace
+        expected_s = self.owner.durations.expected(step).mean_s
+        gain = pace.record_progress(node.id, key, percent, expected_s, now)
+        if run.task.checkpoint and pace.observed_run_s(node.id, key, now) is None:
+            # The percentage of a continued run may be that of the remaining work.
+            return
         self.add_gain(node, step, gain)
 
     def record_end(self, node: WorkerNode, run: Run, kind: EndKind) -> None:
