--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -25,7 +25,7 @@
 from lacewinghold.scheduler.cell import CellInstance, CellPorts, OperatorKeys
 from lacewinghold.scheduler.job_ids import JobIds
 from lacewinghold.util.clock import WallClock
-from lacewinghold.util.http_limits import ClientLimits, derive_capacity
+from lacewinghold.util.http_limits import Capacity, ClientLimits, derive_capacity
 from lacewinghold.util.http_server import serve_http
 from lacewinghold.util.lag import LagMonitor
 from lacewinghold.util.metrics_http import MetricsApp
@@ -56,11 +56,14 @@
     store: PlatformStore,
     advice: PlatformAdvice | None,
     lag: LagMonitor,
+    capacity: Capacity,
 ) -> CellPorts:
     """Returns the adapters to the platform, workers and peers."""
     return CellPorts(
         store=store,
-        transport=NngTransport(settings.listen.peer),
+        transport=NngTransport(
+            settings.listen.peer, max_connections=capacity.peer_connections
+        ),
         dialer=PlatformWorkerDialer(lag),
         advice=advice,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
@@ -124,13 +127,14 @@
     lag = LagMonitor()
     store = PlatformStore(settings.store.address, lag)
     advice = PlatformAdvice(settings.advice, lag) if settings.advice else None
-    ports = make_ports(settings, store, advice, lag)
+    capacity = machine_capacity(settings.machine)
+    ports = make_ports(settings, store, advice, lag, capacity)
     instance = CellInstance(settings, ports, name, random.Random())
     live = LiveSettings(instance, store, advice, settings)
     watch = SettingsWatch(path, settings, live.apply)
     stop = anyio.Event()
     listen = settings.listen
-    limits = make_limits(settings.machine)
+    limits = ClientLimits(capacity)  # Of all HTTP listeners together.
     logger.info(Event.STARTED, boot=boot, store=settings.store.address)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch_signals, instance, stop, watch)
@@ -150,11 +154,11 @@
     logger.info(Event.STOPPED)
 
 
-def make_limits(machine: EntryMachine | None) -> ClientLimits:
-    """Returns the limits of the clients of all HTTP listeners together."""
+def machine_capacity(machine: EntryMachine | None) -> Capacity:
+    """Returns what clients and peers may use of a machine."""
     if machine is None:
-        return ClientLimits(derive_capacity(0, 0))
-    return ClientLimits(derive_capacity(machine.memory_mb, machine.max_descriptors))
+        return derive_capacity(0, 0)
+    return derive_capacity(machine.memory_mb, machine.max_descriptors)
 
 
 async def serve_metrics(
--- a/lacewinghold/peers/nng.py
+++ b/lacewinghold/peers/nng.py
@@ -12,6 +12,7 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.peers.base import PeerTransport
+from lacewinghold.util.http_limits import REFUSED_PEERS
 
 if TYPE_CHECKING:
     from lacewinghold.ids import InstanceId
@@ -23,6 +24,8 @@
 RECONNECT_LIMIT_MS = 2000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 SEND_BUFFER_MESSAGES = 64
+# Each peer opens one. An abandoned one stays until the system notices its end.
+MAX_PEER_CONNECTIONS = 512
 MAX_MESSAGES_PER_TURN = 16  # Keeps a turn of the event loop to a few milliseconds.
 
 
@@ -50,20 +53,35 @@
 
     :param listen: IP address and port to listen on.
     :param tls: Certificate files, or ``None`` for plaintext.
+    :param max_connections: Maximum number of connections from peers; further ones are
+        closed.
     """
 
     name = "nng"
 
-    def __init__(self, listen: str, tls: Tls | None = None) -> None:
+    def __init__(
+        self,
+        listen: str,
+        tls: Tls | None = None,
+        max_connections: int = MAX_PEER_CONNECTIONS,
+    ) -> None:
         self.listen = listen
         self.scheme = "tcp" if tls is None else "tls+tcp"
         self.tls = tls
         self.inbound = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
+        self.max_connections = max_connections
+        self.inbound.add_pre_pipe_connect_cb(self.check_connection)
         self.messages_in_turn = 0
         self.outbound: dict[InstanceId, pynng.Push0] = {}
         if tls is not None:
             self.inbound.tls_config = tls_config(tls, pynng.TLSConfig.MODE_SERVER)
 
+    def check_connection(self, pipe: pynng.Pipe) -> None:
+        """Closes a new connection beyond the limit; called in a thread of nng."""
+        if len(self.inbound.pipes) >= self.max_connections:
+            REFUSED_PEERS.inc()
+            pipe.close()
+
     async def run(self) -> None:
         self.inbound.listen(f"{self.scheme}://{self.listen}")
         try:
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -9,11 +9,7 @@
 
 from lacewinghold.scheduler.ports import OrderOutcome
 from lacewinghold.util.containment import UNEXPECTED_ERRORS
-from lacewinghold.util.http_limits import (
-    CLOSED_CONNECTIONS,
-    HELD_BYTES,
-    OPEN_CONNECTIONS,
-)
+from lacewinghold.util.http_limits import CLIENT_COLLECTORS
 
 if TYPE_CHECKING:
     from collections import Counter as Counts
@@ -37,7 +33,7 @@
         self.registry = CollectorRegistry()
         registry = self.registry
         registry.register(UNEXPECTED_ERRORS)
-        for collector in (CLOSED_CONNECTIONS, OPEN_CONNECTIONS, HELD_BYTES):
+        for collector in CLIENT_COLLECTORS:
             registry.register(collector)
         self.submissions = Counter(
             "lacewinghold_submissions",
--- a/lacewinghold/util/http_limits.py
+++ b/lacewinghold/util/http_limits.py
@@ -38,7 +38,11 @@
 CONNECTION_BYTES = 48 * 1024  # Task, parser and buffers of an open connection.
 DESCRIPTOR_SHARE = 0.5  # The rest is for store, workers, peers and files.
 OWN_DESCRIPTORS = 128  # What they take at least: the store's connections and files.
+UNLIMITED_DESCRIPTORS = 65_536  # Assumed where the system states no limit.
 MIN_CONNECTIONS = 16
+# A cell of 100 instances opens one connection for each, and again after a silence.
+PEER_DESCRIPTOR_SHARE = 0.25
+MIN_PEER_CONNECTIONS = 64
 # Received bytes that the kernel holds for a connection; it allows twice this value
 # including its own overhead. At a round trip of 50 ms, this still fills 5 Mbit/s.
 RECEIVE_BUFFER_BYTES = 32 * 1024
@@ -59,6 +63,12 @@
     "Memory charged for requests that are being received or served.",
     registry=None,
 )
+REFUSED_PEERS = Counter(
+    "lacewinghold_peer_connections_refused",
+    "Connections from peers that were closed because too many were open.",
+    registry=None,
+)
+CLIENT_COLLECTORS = (CLOSED_CONNECTIONS, OPEN_CONNECTIONS, HELD_BYTES, REFUSED_PEERS)
 
 
 class Phase(IntEnum):
@@ -148,23 +158,28 @@
 
     :param held_bytes: Memory for requests that are received or served.
     :param connections: Number of open connections.
+    :param peer_connections: Number of open connections at the peers' listener.
     """
 
     held_bytes: int
     connections: int
+    peer_connections: int = MIN_PEER_CONNECTIONS
 
 
 def derive_capacity(memory_mb: float, max_descriptors: int) -> Capacity:
     """Returns the capacity for a machine; 0 stands for an unknown figure."""
     memory = (memory_mb or DEFAULT_MEMORY_MB) * MIB
     descriptors = max_descriptors or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = UNLIMITED_DESCRIPTORS
     connections = min(
         int(descriptors * DESCRIPTOR_SHARE),
         descriptors - OWN_DESCRIPTORS,
         int(memory * CONNECTION_SHARE / CONNECTION_BYTES),
     )
     held = max(int(memory * BODY_SHARE), 2 * BODY_COST * MAX_BODY_BYTES)
-    return Capacity(held, max(connections, MIN_CONNECTIONS))
+    peers = max(int(descriptors * PEER_DESCRIPTOR_SHARE), MIN_PEER_CONNECTIONS)
+    return Capacity(held, max(connections, MIN_CONNECTIONS), peers)
 
 
 class ClientLimits:
--- a/tests/test_util/test_http_server.py
+++ b/tests/test_util/test_http_server.py
@@ -20,6 +20,8 @@
 
 GRACE_S = 20.0
 MAX_ATTEMPTS = 200
+BROKEN_OFF = 40
+MANY_BYTES = 1_000_000  # More than the buffers of a connection.
 
 
 class Server:
@@ -161,6 +163,48 @@
     run(faulty)
 
 
+async def broken_off():
+    server = Server()
+    first = b"GET /whole HTTP/1.1\r\nHost: a\r\n\r\n"
+    second = b"POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n{"
+    answers = []
+
+    async def app(scope, receive, send):
+        if scope["type"] == "http":
+            while (await receive()).get("more_body"):
+                pass
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            for _ in range(8):
+                part = {"type": "http.response.body", "body": b"a" * MANY_BYTES}
+                await send({**part, "more_body": True})
+            await send({"type": "http.response.body", "body": b"whole"})
+
+    async def one(port):
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(first + second)
+            await stream.send_eof()
+
+    server.app = app
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        await server.up.wait()
+        port = int(server.url.rpartition(":")[2])
+        async with anyio.create_task_group() as clients:
+            for _ in range(BROKEN_OFF):
+                clients.start_soon(one, port)
+        async with httpx.AsyncClient() as client:
+            answers.append((await client.get(server.url)).content[-5:])
+        server.stop.set()
+    assert answers == [b"whole"]
+
+
+def test_error_of_a_connection_ends_only_it_at_the_other_house():
+    """Guards against an error response that coincides with another task's send."""
+    before = UNEXPECTED_ERRORS.labels(WORK)._value.get()
+    anyio.run(broken_off, backend="trio")
+    assert UNEXPECTED_ERRORS.labels(WORK)._value.get() > before
+
+
 def write_files(folder, issued):
     issued.cert_chain_pems[0].write_to_path(folder / "certificate.pem")
     issued.private_key_pem.write_to_path(folder / "key.pem")
