--- a/tests/test_clients/test_untrusted.py
+++ b/tests/test_clients/test_untrusted.py
@@ -17,7 +17,9 @@
     ANSWER_LIMIT_S,
     JOB,
     LEGAL_BODY,
+    MIB,
     Client,
+    ask,
     head,
     play,
 )
@@ -76,6 +78,20 @@
 }
 
 
+PUSH_GREETING = b"\0SP\0\0\x50\0\0"  # Of a peer: protocol SP, socket type push.
+PEER_MESSAGE = MIB
+
+
+def cut_message():
+    """Returns a peer's message without its last byte."""
+    size = PEER_MESSAGE.to_bytes(8, "big")
+    return [PUSH_GREETING, size + b" " * (PEER_MESSAGE - 1)]
+
+
+KINDS["peers"] = lambda: [PUSH_GREETING, PAUSE_S]
+KINDS["cut messages of peers"] = cut_message
+
+
 def pipeline_bodies():
     """Returns whole requests in a row."""
     return (head(SIZED) + b" " * LEGAL_BODY) * 4
@@ -164,6 +180,22 @@
     check(tmp_path, send)
 
 
+@pytest.mark.parametrize("kind", ["whole bodies", "oversized headers"])
+def test_other_protocols_at_the_peers_listener(tmp_path, kind):
+    """Guards against a process that ends or holds what is no message of a peer."""
+    check(tmp_path, send_crowd(kind, "peer"))
+
+
+def test_connections_of_peers_stay_below_the_descriptors(tmp_path):
+    """Guards against connections at the peers' listener that take all descriptors."""
+    check(tmp_path, send_crowd("peers", "peer", MANY))
+
+
+def test_unfinished_messages_of_peers_stay_within_the_memory(tmp_path):
+    """Guards against messages that are held while their last byte is missing."""
+    check(tmp_path, send_crowd("cut messages of peers", "peer"))
+
+
 def send_broken_off(listener):
     """Returns what pipelines requests that break off in the second one's body."""
     rng = random.Random(1)
@@ -233,6 +265,33 @@
     assert [b" 200" in line for line in found] == [True, True], found
 
 
+def test_refused_jobs_never_run(tmp_path):
+    """Guards against a refusal for pressure of a job that has been accepted.
+
+    Whole jobs of legal size arrive at once beside bodies that stop short of their end.
+    """
+    whole = standin.json.dumps(JOB).encode().ljust(LEGAL_BODY)
+    paths = [f"{standin.PREFIX}{number + 16:016x}" for number in range(CROWD)]
+    wrong = []
+
+    async def send(entry):
+        clients = [Client(entry.front) for _ in paths]
+        calls = [
+            client.run([head(SIZED, path=path) + whole])
+            for client, path in zip(clients, paths, strict=True)
+        ]
+        await asyncio.gather(*calls, send_crowd("whole bodies")(entry))
+        for client, path in zip(clients, paths, strict=True):
+            status = client.received[9:12]
+            state = (await ask(entry, "GET", path))[0]
+            if (status, state) not in ((b"200", 200), (b"503", 410), (b"429", 410)):
+                wrong.append((status, state))
+
+    check(tmp_path, send)
+    # A connection may be closed instead; nothing is promised then.
+    assert not [found for found in wrong if found[0]]
+
+
 def sized_job(job):
     """Returns header and body of a job that is as large as allowed."""
     return SIZED, job.ljust(LEGAL_BODY)
