--- a/bench/plan_cell.py
+++ b/bench/plan_cell.py
@@ -16,6 +16,7 @@
 from lacewinghold.ids import Epoch, WorkerId
 from lacewinghold.organisations.caps import CapPolicy
 from lacewinghold.scheduler.advice import AdviceBook, Lane, Permission, StepAdvice
+from lacewinghold.scheduler.durations import DurationModel
 from lacewinghold.scheduler.lateness import PlanningShare
 from lacewinghold.scheduler.metrics import CellMetrics
 from lacewinghold.scheduler.model import Run, make_job
@@ -146,6 +147,7 @@
         self.pace = PaceTracker()
         self.suspects = Suspects()
         self.caps = CapPolicy()
+        self.durations = DurationModel()
         self.planning_share = PlanningShare(self.metrics)
         self.ownership = PermanentOwnership()
         self.state = SharedState()
--- a/lacewinghold/organisations/caps.py
+++ b/lacewinghold/organisations/caps.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
+from lacewinghold.organisations.cap_holds import CapHolds
 from lacewinghold.scheduler.ports import Resources
 
 if TYPE_CHECKING:
@@ -98,14 +99,18 @@
 
     :param caps: The caps by organisation; others have none.
     :param used: What the organisations have running.
+    :param holds: Which blocked steps hold the room of their organisation.
     """
 
     def __init__(
         self,
         caps: Mapping[str, Resources] | None = None,
         used: Mapping[str, Resources] | None = None,
+        holds: CapHolds | None = None,
     ) -> None:
         self.caps = caps or {}
+        self.holds = holds or CapHolds()
+        self.held_by: dict[str, str] = {}
         self.used = {name: (used or {}).get(name, Resources()) for name in self.caps}
 
     def limit(self, step: Step, count: int) -> int:
@@ -118,6 +123,8 @@
         cap = self.caps.get(organisation)
         if cap is None:
             return count
+        if self.held_by.get(organisation, step.name) != step.name:
+            return 0
         used = self.used[organisation]
         below = tasks_below(cap, used, task_demand(step.spec))
         if below is None:
@@ -126,6 +133,22 @@
             return min(1, count)
         return min(below, count)
 
+    def record_blocked(self, step: Step) -> None:
+        """Records that no task of a step may start.
+
+        If it needs more room at once than becomes free by itself, it may hold the room
+        of its organisation against the steps that are planned after it.
+        """
+        organisation = step.job.record.organisation
+        cap = self.caps.get(organisation)
+        if cap is None or exceeds_cap(step.spec, cap):
+            return
+        alone = tasks_below(cap, Resources(), task_demand(step.spec)) == 0
+        if not step.spec.all_at_once and not alone:
+            return
+        if self.holds.may_hold(step.name):
+            self.held_by.setdefault(organisation, step.name)
+
     def take(self, step: Step, count: int) -> None:
         """Counts tasks of a step as running; a negative count returns them."""
         organisation = step.job.record.organisation
@@ -139,6 +162,7 @@
 
     def __init__(self) -> None:
         self.usage = UsageAccount()
+        self.holds = CapHolds()
         self.caps: dict[str, Resources] = {}
         self.version: int | None = None
 
@@ -172,7 +196,7 @@
         :param remaining: What runs of jobs that have ended under an earlier owner may
             use, by organisation.
         """
-        budget = CapBudget(self.caps, self.usage.used)
+        budget = CapBudget(self.caps, self.usage.used, self.holds)
         if self.caps:
             for step in possible:
                 budget.take(step, len(step.waiting_tasks()))
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -157,6 +157,7 @@
         suspects = self.owner.suspects
         suspects.prepare(now, steps, usable, permitted)
         self.end_reservations(usable, now)
+        self.owner.caps.holds.begin_plan(steps, now)
         planner = self.make_planner(
             Planner, now, usable, steps.values(), permitted, awaiting_answer, suspects
         )
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -319,6 +319,8 @@
         """
         allowed = tasks[: self.caps.limit(step, len(tasks))]
         if len(allowed) < len(tasks):
+            if not allowed or step.spec.all_at_once:
+                self.caps.record_blocked(step)
             self.plan.task_limits[step.name] = claimed + len(allowed)
         return allowed
 
--- a/tests/test_organisations/test_caps_in_a_cell.py
+++ b/tests/test_organisations/test_caps_in_a_cell.py
@@ -4,6 +4,7 @@
 
 import anyio
 import msgspec
+import pytest
 
 from lacewinghold.ids import OrganisationId
 from lacewinghold.scheduler.model import JobState
@@ -34,3 +35,28 @@
         assert not usage.used
 
     run_cell(program, queues=[queue])
+
+
+@pytest.mark.parametrize(
+    "wide", [step(3, all_at_once=True), step(1, cpu=3500)], ids=["together", "large"]
+)
+def test_small_tasks_do_not_keep_wide_work_below_the_cap_from_starting(wide):
+    """Guards against a step for which the cap never has room at once (LOST)."""
+    queue = Queue("fast", HOST, "/fast/", "service", 0, 2, 2.0, 1)
+    name = OrganisationId("a")
+
+    async def program(cell):
+        organisation = Organisation(name, cap=Resources(cpu_millis=3000))
+        manifest = StoredManifest(2, [queue], {name: organisation})
+        await cell.put(MANIFEST_KEY, msgspec.json.encode(manifest))
+        front = cell.members[0].instance.front
+        for number in range(60):
+            steps = [wide] if number == 3 else [step()]
+            record = cell.make_job(f"j{number}", steps)
+            record.organisation = name
+            assert (await front.submit(record)).is_ok()
+            await anyio.sleep(0.4)
+        assert await cell.state_of("j3") is JobState.COMPLETED
+        assert await cell.wait_for("j59", JobState.COMPLETED, 20)
+
+    run_cell(program, queues=[queue], limit_s=120)
