--- a/lacewinghold/util/http_connection.py
+++ b/lacewinghold/util/http_connection.py
@@ -35,6 +35,8 @@
 logger = structlog.get_logger(__name__)
 READ_BYTES = 16_384
 EVENTS_PER_TURN = 64  # Keeps a turn of the event loop to about a millisecond.
+# A body of many steps takes 0.06 s to decode at the limit of a body, a part of it here.
+LARGE_BODY_BYTES = 32_768
 # Closing a connection with unread bytes resets it, which could destroy the response.
 LINGER_S = 1.0
 RETRY_AFTER_S = 1
@@ -70,8 +72,9 @@
 
     :param app: An ASGI application.
     :param stopping: Returns whether the server is shutting down.
-    :param small_chunks: Lock under which the bodies of many small chunks are decoded,
-        so that all of them together delay others no more than one does.
+    :param costly_bodies: Lock for a turn of the event loop in which many small chunks
+        or a large body are decoded, so that all of them together delay others no more
+        than one does.
     """
 
     def __init__(
@@ -79,14 +82,14 @@
         app: Any,
         stream: trio.SocketStream,
         limits: ClientLimits,
-        small_chunks: trio.Lock,
+        costly_bodies: trio.Lock,
         stopping: Callable[[], bool],
     ) -> None:
         super().__init__(trio.current_time())
         self.app = app
         self.stream = stream
         self.limits = limits
-        self.small_chunks = small_chunks
+        self.costly_bodies = costly_bodies
         self.stopping = stopping
         self.reading = trio.CancelScope()
         self.parser = h11.Connection(
@@ -317,6 +320,8 @@
             if isinstance(event, h11.EndOfMessage):
                 self.progress.content += len(content)
                 self.charge(BODY_COST * len(content))
+                if self.progress.content > LARGE_BODY_BYTES:
+                    await self.take_turn()
                 self.finish_body()
                 return bytes(content)
             if not isinstance(event, h11.Data):
@@ -324,9 +329,7 @@
             content += event.data
             events += 1
             if events == EVENTS_PER_TURN:
-                async with self.small_chunks:
-                    await trio.lowlevel.checkpoint()
-                self.check_cut()
+                await self.take_turn()
                 break
         self.progress.content += len(content)
         if not self.progress.within_overhead(len(self.parser.trailing_data[0])):
@@ -335,6 +338,12 @@
         self.charge(BODY_COST * len(content))
         return bytes(content)
 
+    async def take_turn(self) -> None:
+        """Waits for the turn of this connection among those with costly bodies."""
+        async with self.costly_bodies:
+            await trio.lowlevel.checkpoint()
+        self.check_cut()
+
     async def send(self, message: dict[str, Any]) -> None:
         """Sends a part of the response, as ASGI's ``send``."""
         if message["type"] == "http.response.start":
--- a/lacewinghold/util/http_server.py
+++ b/lacewinghold/util/http_server.py
@@ -168,7 +168,7 @@
         super().__init__(config)
         self.app = app
         self.limits = limits
-        self.small_chunks = trio.Lock()
+        self.costly_bodies = trio.Lock()
         self.connections: set[HttpConnection] = set()
 
     def listen(self, bound: socket.socket) -> trio.SocketListener:
@@ -177,7 +177,7 @@
 
     async def handle(self, stream: Any) -> None:
         connection = HttpConnection(
-            self.app, stream, self.limits, self.small_chunks, lambda: self.stopping
+            self.app, stream, self.limits, self.costly_bodies, lambda: self.stopping
         )
         self.connections.add(connection)
         try:
