--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -116,14 +116,14 @@
     memory_mb_s: float = 0.0
     accelerator_s: float = 0.0
 
-    def add(self, step: Step, run_s: float, *, has_room: bool) -> None:
-        """Adds the waiting tasks of a step.
+    def add(self, step: Step, count: int, run_s: float, *, has_room: bool) -> None:
+        """Adds waiting tasks of a step.
 
+        :param count: Number of the tasks.
         :param run_s: Expected run time of each task in seconds.
         :param has_room: Whether workers have room, so that the tasks only wait for
             the owner to start them.
         """
-        count = len(step.waiting_tasks())
         total_s = count * run_s
         self.tasks += count if has_room else 0
         if step.spec.long_running:
@@ -228,6 +228,7 @@
         late = self.instance.lag.lag_s > LATE_THRESHOLD_S
         for pool in self.pools.values():
             pool.waiting.clear()
+        budget = self.owner.caps.make_budget()
         for step in self.owner.table.open_steps.values():
             job = step.job
             if now - step.due_at > job.objective_s:
@@ -235,9 +236,15 @@
             pool = self.pools.setdefault(job.queue.service, WorkerPool())
             if job.excess:
                 continue
+            # What waits for its organisation's cap delays no other organisation.
+            count = budget.limit(step, len(step.waiting_tasks()))
+            budget.take(step, count)
+            if not count:
+                continue
             work = pool.waiting.setdefault(job.queue.urgency, WaitingWork())
             run_s = self.owner.durations.expected(step).mean_s
-            work.add(step, run_s, has_room=late and self.has_room(step, now))
+            has_room = late and self.has_room(step, now)
+            work.add(step, count, run_s, has_room=has_room)
         for service, pool in self.pools.items():
             full = self.used_share(service, now) >= FULL_POOL_SHARE
             pool.consecutive_full_checks = (
--- a/tests/test_organisations/test_caps_in_a_cell.py
+++ b/tests/test_organisations/test_caps_in_a_cell.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lacewinghold.ids import OrganisationId
+from lacewinghold.scheduler.admission import BacklogMonitor
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.ports import Organisation, Queue, Resources
 from lacewinghold.testing.step_cell import HOST, MANIFEST_KEY, StoredManifest, advised
@@ -60,3 +61,25 @@
         assert await cell.wait_for("j59", JobState.COMPLETED, 20)
 
     run_cell(program, queues=[queue], limit_s=120)
+
+
+def test_work_that_waits_for_its_cap_is_not_ahead_of_other_organisations():
+    """Guards against refusals of others for the backlog of a capped organisation."""
+    queue = Queue("fast", HOST, "/fast/", "service", 0, 2, 20.0, 1)
+    name = OrganisationId("a")
+
+    async def program(cell):
+        organisation = Organisation(name, cap=Resources(cpu_millis=2000))
+        manifest = StoredManifest(2, [queue], {name: organisation})
+        await cell.put(MANIFEST_KEY, msgspec.json.encode(manifest))
+        for number in range(20):
+            record = cell.make_job(f"j{number}", [step(4)])
+            record.organisation = name
+            assert (await cell.members[0].instance.front.submit(record)).is_ok()
+        await anyio.sleep(0.5)
+        instance = cell.owner().instance
+        monitor = BacklogMonitor(instance, instance.owner)
+        monitor.record_check()
+        assert not monitor.pools["service"].work_ahead(0).cpu_milli_s
+
+    run_cell(program, queues=[queue], limit_s=60)
