--- a/tests/test_clients/crowd.py
+++ b/tests/test_clients/crowd.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import os
+import socket
 from pathlib import Path
 
 from review import standin
@@ -31,6 +34,9 @@
 MANIFEST = {"version": 3, "routes": [ROUTE], "services": SERVICES, "limits": {}}
 JOB = {"spec": json.dumps({"ms": 10}), "steps": [STEP]}
 MIB = 1024 * 1024
+PORTS_OF_A_RUN = 120
+FIRST_PORT = 20_000 + os.getpid() % 100 * PORTS_OF_A_RUN
+PORTS = itertools.cycle(range(FIRST_PORT, FIRST_PORT + PORTS_OF_A_RUN))
 
 
 def head(*lines, method="POST", path=standin.PREFIX + "00000000000000ff"):
@@ -39,6 +45,21 @@
     return (first + "".join(line + "\r\n" for line in lines) + "\r\n").encode()
 
 
+def find_ports(count):
+    """Returns free ports that the system gives to no outgoing connection.
+
+    With ports that it does, a process once failed to start: address already in use.
+    """
+    found = []
+    for port in itertools.islice(PORTS, PORTS_OF_A_RUN):
+        with socket.socket() as trial, contextlib.suppress(OSError):
+            trial.bind(("127.0.0.1", port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise standin.CannotRunError("too few free ports")
+
+
 def socket_inodes(pid):
     """Returns the descriptors of a process, those of sockets as inodes."""
     found = []
@@ -55,6 +76,7 @@
     """
 
     def __init__(self, cell, folder):
+        standin.free_ports = find_ports
         super().__init__(cell, "front-1", "zone-a", folder)
         settings = json.loads(self.settings.read_text())
         settings["machine"]["memory_mb"] = MEMORY_MB
