--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -249,8 +249,7 @@
 
     def is_eligible(self, step: Step, node: WorkerNode) -> bool:
         """Returns whether a worker suits a step and no more urgent one reserved it."""
-        urgency = step.job.queue.urgency
-        if self.reservations.keeps_out(node.id, urgency):
+        if self.reservations.keeps_out(node.id, step):
             return False
         return has_label(step, node) and not self.mixes_serving_and_filling(step, node)
 
--- a/lacewinghold/scheduler/reservations.py
+++ b/lacewinghold/scheduler/reservations.py
@@ -100,6 +100,10 @@
         """Returns whether a worker may be reserved now."""
         return self.now - self.worker_since.get(worker, self.now) < self.limit_s
 
+    def reserved_s(self, worker: WorkerId) -> float:
+        """Returns for how long a worker has been reserved, in seconds."""
+        return self.now - self.worker_since.get(worker, self.now)
+
     def seconds_until_end(self, now: float) -> float:
         """Returns when the first worker's reservation ends.
 
@@ -126,9 +130,17 @@
         self.urgency: dict[WorkerId, int] = {}
         self.reserved: dict[str, list[WorkerId]] = {}
 
-    def keeps_out(self, worker: WorkerId, urgency: int) -> bool:
-        """Returns whether a worker is reserved for a more urgent step."""
-        return bool(self.urgency) and self.urgency.get(worker, urgency) < urgency
+    def keeps_out(self, worker: WorkerId, step: Step) -> bool:
+        """Returns whether a worker is reserved for a more urgent step than this one.
+
+        Long-running tasks must be restarted soon, however busy the cell is.
+        """
+        urgency = step.job.queue.urgency
+        if not self.urgency or self.urgency.get(worker, urgency) >= urgency:
+            return False
+        if not step.spec.long_running:
+            return True
+        return self.earlier.reserved_s(worker) < MAX_RESERVATION_S
 
     def may_reserve(self, step: Step) -> bool:
         """Returns whether workers may be reserved for a step now."""
--- a/tests/test_scheduler/test_reservations.py
+++ b/tests/test_scheduler/test_reservations.py
@@ -10,7 +10,11 @@
 from lacewinghold.scheduler.model import JobState, Run
 from lacewinghold.scheduler.policy import Planner
 from lacewinghold.scheduler.ports import Queue, Resources
-from lacewinghold.scheduler.reservations import MAX_RESERVATION_S, Reservations
+from lacewinghold.scheduler.reservations import (
+    MAX_RESERVATION_S,
+    PlanReservations,
+    Reservations,
+)
 from lacewinghold.testing.step_cell import HOST
 from lacewinghold.testing.step_worker import Behaviour
 from tests.test_scheduler.support import run_cell, step
@@ -106,3 +110,22 @@
     assert reserve(nodes, 0.0, ["a"]) == {}
     nodes[0].remove(*nodes[0].runs.values())
     assert nodes[0].lasting == Resources()
+
+
+def test_a_busy_cell_keeps_out_long_running_tasks_no_longer_than_others():
+    """Guards against a long-running task that is not restarted for 8 s (LOST)."""
+    nodes = make_nodes(3)
+    patient = msgspec.structs.replace(PATIENT, service="s")
+    batch = make_step("b", patient, 1, 1000)
+    lasting = make_step("c", patient, 1, 1000, long_running=True)
+    reservations = Reservations()
+    for now in (0.0, 1.5, 3.0, 7.5, 8.5):
+        reservations.begin_plan(now, busy=True)
+        plan = PlanReservations(reservations, 3)
+        step = make_step("a", URGENT, 3, 16_000, all_at_once=True)
+        if plan.may_reserve(step):
+            plan.reserve(step, nodes, {node.id: node.free() for node in nodes})
+        reservations.update(plan.reserved)
+        worker = nodes[0].id
+        assert plan.keeps_out(worker, batch) is (now < 8)
+        assert plan.keeps_out(worker, lasting) is (now < MAX_RESERVATION_S)
