--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -235,7 +235,7 @@
         )
 
     def end_reservations(self, usable: list[WorkerNode], now: float) -> None:
-        """Ends the reservations that have been in vain for too long."""
+        """Ends the reservations that have lasted too long without a start."""
         used = sum(node.used.cpu_millis for node in usable)
         capacity = sum(node.entry.capacity.cpu_millis for node in usable)
         busy = used > BUSY_SHARE * capacity
--- a/tests/test_util/test_http_server.py
+++ b/tests/test_util/test_http_server.py
@@ -198,7 +198,7 @@
     assert answers == [b"whole"]
 
 
-def test_error_of_a_connection_ends_only_it_at_the_other_house():
+def test_error_of_a_connection_ends_only_it_with_hypercorn():
     """Guards against an error response that coincides with another task's send."""
     before = UNEXPECTED_ERRORS.labels(WORK)._value.get()
     anyio.run(broken_off, backend="trio")
