--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -12,6 +12,7 @@
 
 from lacewinghold.events import Event
 from lacewinghold.ids import InstanceId
+from lacewinghold.peers.limits import make_limits
 from lacewinghold.peers.nng import NngTransport
 from lacewinghold.platform.advice import PlatformAdvice
 from lacewinghold.platform.front import JOB_ID_PATTERN, PlatformFront
@@ -63,9 +64,7 @@
     """Returns the adapters to the platform, workers and peers."""
     return CellPorts(
         store=store,
-        transport=NngTransport(
-            settings.listen.peer, max_connections=capacity.peer_connections
-        ),
+        transport=NngTransport(settings.listen.peer, limits=make_limits(capacity)),
         dialer=PlatformWorkerDialer(lag),
         advice=advice,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -25,6 +25,7 @@
     PROCESS_ON_TIME_AGAIN = "process on time again"
     UNEXPECTED_ERROR = "unexpected error"
     CLIENT_REFUSED = "client refused"
+    PEER_REFUSED = "peer refused"
 
     # Callers
     JOB_ACCEPTED = "job accepted"
--- a/lacewinghold/peers/base.py
+++ b/lacewinghold/peers/base.py
@@ -22,8 +22,15 @@
         """Receives messages until cancelled."""
 
     @abstractmethod
-    async def receive(self) -> bytes:
-        """Returns the next message for this instance."""
+    async def receive(self) -> bytes | bytearray:
+        """Returns the next message for this instance.
+
+        The message before has been handled by then.
+        """
+
+    @abstractmethod
+    def confirm_sender(self) -> None:
+        """Records that the last received message came from a known instance."""
 
     @abstractmethod
     async def send(
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -122,7 +122,7 @@
             finally:
                 self.stopped = True
 
-    def dispatch(self, data: bytes, tasks: TaskGroup) -> None:
+    def dispatch(self, data: bytes | bytearray, tasks: TaskGroup) -> None:
         """Decodes a message and passes it to its handler or to the waiting caller."""
         try:
             self.deliver(decode_envelope(data), tasks)
@@ -135,6 +135,7 @@
         :raises DecodeError: If the body of a control message is malformed.
         """
         if self.address(envelope.sender) is not None:
+            self.transport.confirm_sender()
             self.versions[envelope.sender] = envelope.highest
             if envelope.narrow:
                 self.narrow_peers.add(envelope.sender)
@@ -347,7 +348,7 @@
         return False
 
 
-def decode_envelope(data: bytes) -> Envelope:
+def decode_envelope(data: bytes | bytearray) -> Envelope:
     """Decodes a message and decompresses its body.
 
     :raises DecodeError: If the message is malformed.
--- a/lacewinghold/peers/nng.py
+++ b/lacewinghold/peers/nng.py
@@ -1,18 +1,18 @@
-"""Transport over pynng: one pull socket, one push socket for each peer."""
+"""Transport over pynng: a push socket for each peer, and a receiver with limits."""
 
 from __future__ import annotations
 
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import anyio
 import pynng
 import structlog
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.peers.base import PeerTransport
-from lacewinghold.util.http_limits import REFUSED_PEERS
+from lacewinghold.peers.limits import PeerLimits, make_limits
+from lacewinghold.peers.receiver import PeerReceiver
 
 if TYPE_CHECKING:
     from lacewinghold.ids import InstanceId
@@ -22,20 +22,16 @@
 SEND_TIMEOUT_MS = 500
 RECONNECT_FIRST_MS = 100
 RECONNECT_LIMIT_MS = 2000
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 SEND_BUFFER_MESSAGES = 64
-# Each peer opens one. An abandoned one stays until the system notices its end.
-MAX_PEER_CONNECTIONS = 512
-MAX_MESSAGES_PER_TURN = 16  # Keeps a turn of the event loop to a few milliseconds.
 
 
-def tls_config(tls: Tls, mode: int, host: str | None = None) -> pynng.TLSConfig:
+def client_tls_config(tls: Tls, host: str) -> pynng.TLSConfig:
     """Returns nng's TLS settings; both ends must present a certificate.
 
     :param host: IP address that the other end's certificate must be valid for.
     """
     return pynng.TLSConfig(
-        mode,
+        pynng.TLSConfig.MODE_CLIENT,
         server_name=host,
         ca_string=Path(tls.authority).read_text(),
         own_key_string=Path(tls.key).read_text(),
@@ -45,69 +41,39 @@
 
 
 class NngTransport(PeerTransport):
-    """Carries messages with nng over TCP, with TLS unless plaintext is allowed.
+    """Carries messages in nng's format over TCP, with TLS unless plaintext is allowed.
 
-    Messages are sent and received without blocking where possible. An asynchronous
-    operation of nng ends in a thread of nng, which then waits for the interpreter: on
-    a machine with little CPU, messages would be late although the event loop is not.
+    Messages are sent without blocking where possible. An asynchronous operation of nng
+    ends in a thread of nng, which then waits for the interpreter: on a machine with
+    little CPU, messages would be late although the event loop is not.
 
     :param listen: IP address and port to listen on.
     :param tls: Certificate files, or ``None`` for plaintext.
-    :param max_connections: Maximum number of connections from peers; further ones are
-        closed.
+    :param limits: Limits of the connections from peers.
     """
 
     name = "nng"
 
     def __init__(
-        self,
-        listen: str,
-        tls: Tls | None = None,
-        max_connections: int = MAX_PEER_CONNECTIONS,
+        self, listen: str, tls: Tls | None = None, limits: PeerLimits | None = None
     ) -> None:
-        self.listen = listen
         self.scheme = "tcp" if tls is None else "tls+tcp"
         self.tls = tls
-        self.inbound = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
-        self.max_connections = max_connections
-        self.inbound.add_pre_pipe_connect_cb(self.check_connection)
-        self.messages_in_turn = 0
+        self.receiver = PeerReceiver(listen, tls, limits or make_limits(None))
         self.outbound: dict[InstanceId, pynng.Push0] = {}
-        if tls is not None:
-            self.inbound.tls_config = tls_config(tls, pynng.TLSConfig.MODE_SERVER)
-
-    def check_connection(self, pipe: pynng.Pipe) -> None:
-        """Closes a new connection beyond the limit; called in a thread of nng."""
-        if len(self.inbound.pipes) >= self.max_connections:
-            REFUSED_PEERS.inc()
-            pipe.close()
 
     async def run(self) -> None:
-        self.inbound.listen(f"{self.scheme}://{self.listen}")
         try:
-            await anyio.sleep_forever()
+            await self.receiver.run()
         finally:
-            self.inbound.close()
             for socket in self.outbound.values():
                 socket.close()
 
-    async def receive(self) -> bytes:
-        while True:
-            if self.messages_in_turn >= MAX_MESSAGES_PER_TURN:
-                self.messages_in_turn = 0
-                await anyio.sleep(0)
-            try:
-                try:
-                    message = bytes(self.inbound.recv(block=False))
-                except pynng.TryAgain:
-                    self.messages_in_turn = 0
-                    await anyio.wait_readable(self.inbound.recv_fd)
-                    continue
-            except pynng.Closed:
-                # The transport is being closed; its receiver is cancelled next.
-                await anyio.sleep_forever()
-            self.messages_in_turn += 1
-            return message
+    async def receive(self) -> bytes | bytearray:
+        return await self.receiver.receive()
+
+    def confirm_sender(self) -> None:
+        self.receiver.confirm_sender()
 
     def open(self, address: str) -> pynng.Push0:
         """Opens a socket to an address; it connects in the background."""
@@ -119,7 +85,7 @@
         )
         if self.tls is not None:
             host = address.rpartition(":")[0]
-            socket.tls_config = tls_config(self.tls, pynng.TLSConfig.MODE_CLIENT, host)
+            socket.tls_config = client_tls_config(self.tls, host)
         socket.dial(f"{self.scheme}://{address}", block=False)
         return socket
 
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from lacewinghold.peers.limits import PEER_COLLECTORS
 from lacewinghold.scheduler.ports import OrderOutcome
 from lacewinghold.util.containment import UNEXPECTED_ERRORS
 from lacewinghold.util.http_limits import CLIENT_COLLECTORS
@@ -35,7 +36,7 @@
         self.registry = CollectorRegistry()
         registry = self.registry
         registry.register(UNEXPECTED_ERRORS)
-        for collector in CLIENT_COLLECTORS:
+        for collector in (*CLIENT_COLLECTORS, *PEER_COLLECTORS):
             registry.register(collector)
         self.submissions = Counter(
             "lacewinghold_submissions",
--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -375,12 +375,15 @@
         with off_machine():
             await self.inner.run()
 
-    async def receive(self) -> bytes:
+    async def receive(self) -> bytes | bytearray:
         message = await self.inner.receive()
         await self.machine.receive(len(message))
         await self.machine.compute(MESSAGE_S)
         return message
 
+    def confirm_sender(self) -> None:
+        self.inner.confirm_sender()
+
     async def send(
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -103,6 +103,9 @@
         await self.gate.pass_through()
         return message
 
+    def confirm_sender(self) -> None:
+        """Does nothing: this transport has no strangers."""
+
     async def send(
         self, peer: InstanceId, address: str, message: bytes
     ) -> Result[None, Failure]:
--- a/lacewinghold/util/codec.py
+++ b/lacewinghold/util/codec.py
@@ -52,7 +52,7 @@
     return msgspec.msgpack.encode(value)
 
 
-def unpack(data: bytes, kind: type[P]) -> P:
+def unpack(data: bytes | bytearray, kind: type[P]) -> P:
     """Decodes a MessagePack message from another entry instance.
 
     :raises msgspec.DecodeError: If the data is malformed.
--- a/lacewinghold/util/http_limits.py
+++ b/lacewinghold/util/http_limits.py
@@ -43,6 +43,8 @@
 # A cell of 100 instances opens one connection for each, and again after a silence.
 PEER_DESCRIPTOR_SHARE = 0.25
 MIN_PEER_CONNECTIONS = 64
+# Of the memory, for messages of peers: the largest message on the smallest machine.
+PEER_SHARE = 0.1
 # Received bytes that the kernel holds for a connection; it allows twice this value
 # including its own overhead. At a round trip of 50 ms, this still fills 5 Mbit/s.
 RECEIVE_BUFFER_BYTES = 32 * 1024
@@ -63,12 +65,7 @@
     "Memory charged for requests that are being received or served.",
     registry=None,
 )
-REFUSED_PEERS = Counter(
-    "lacewinghold_peer_connections_refused",
-    "Connections from peers that were closed because too many were open.",
-    registry=None,
-)
-CLIENT_COLLECTORS = (CLOSED_CONNECTIONS, OPEN_CONNECTIONS, HELD_BYTES, REFUSED_PEERS)
+CLIENT_COLLECTORS = (CLOSED_CONNECTIONS, OPEN_CONNECTIONS, HELD_BYTES)
 
 
 class Phase(IntEnum):
@@ -159,11 +156,13 @@
     :param held_bytes: Memory for requests that are received or served.
     :param connections: Number of open connections.
     :param peer_connections: Number of open connections at the peers' listener.
+    :param peer_bytes: Memory for received messages of peers.
     """
 
     held_bytes: int
     connections: int
     peer_connections: int = MIN_PEER_CONNECTIONS
+    peer_bytes: int = int(DEFAULT_MEMORY_MB * MIB * PEER_SHARE)
 
 
 def derive_capacity(memory_mb: float, max_descriptors: int) -> Capacity:
@@ -179,7 +178,8 @@
     )
     held = max(int(memory * BODY_SHARE), 2 * BODY_COST * MAX_BODY_BYTES)
     peers = max(int(descriptors * PEER_DESCRIPTOR_SHARE), MIN_PEER_CONNECTIONS)
-    return Capacity(held, max(connections, MIN_CONNECTIONS), peers)
+    peer_bytes = int(memory * PEER_SHARE)
+    return Capacity(held, max(connections, MIN_CONNECTIONS), peers, peer_bytes)
 
 
 class ClientLimits:
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -22,7 +22,7 @@
     SILENCE_TIMEOUT_S,
 )
 from lacewinghold.peers.links import MESSAGE_VERSION, PeerLinks
-from lacewinghold.peers.nng import MAX_MESSAGES_PER_TURN, NngTransport
+from lacewinghold.peers.nng import NngTransport
 from lacewinghold.schema.generated.messages import JobList, MessageKind, Views
 from lacewinghold.schema.generated.settings import Tls
 from lacewinghold.testing.clock import run_paused
@@ -32,6 +32,7 @@
 
 CERTIFICATES = Path(__file__).parent / "certificates"
 REPLACED_WITHIN_S = SILENCE_TIMEOUT_S + 2 * HEARTBEAT_INTERVAL_S
+MAX_MESSAGES_PER_TURN = 16
 
 
 class EnvelopeV1(Struct, array_like=True):
