--- a/lacewinghold/peers/base.py
+++ b/lacewinghold/peers/base.py
@@ -12,10 +12,14 @@
     from lacewinghold.ids import InstanceId
 
 
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+
 class PeerTransport(ABC):
     """Carries complete messages between entry instances; messages may be lost."""
 
     name: ClassVar[str]
+    max_message_bytes = MAX_MESSAGE_BYTES  # Also of a decompressed one.
 
     @abstractmethod
     async def run(self) -> None:
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -22,7 +22,7 @@
     Heartbeat,
     MessageKind,
 )
-from lacewinghold.util.codec import pack, unpack
+from lacewinghold.util.codec import decompress, pack, unpack
 from lacewinghold.util.containment import contained
 from lacewinghold.util.lag import LagMonitor
 
@@ -45,7 +45,6 @@
 NO_REPLY = 0
 MIN_COMPRESSED_BYTES = 512
 COMPRESSION_LEVEL = 3
-MAX_BODY_BYTES = 256 * 1024 * 1024
 MAX_ACTIVE_REQUESTS = 4096
 
 
@@ -125,7 +124,8 @@
     def dispatch(self, data: bytes | bytearray, tasks: TaskGroup) -> None:
         """Decodes a message and passes it to its handler or to the waiting caller."""
         try:
-            self.deliver(decode_envelope(data), tasks)
+            envelope = decode_envelope(data, self.transport.max_message_bytes)
+            self.deliver(envelope, tasks)
         except (DecodeError, zstandard.ZstdError) as error:
             logger.warning(Event.DAMAGED_MESSAGE, detail=str(error))
 
@@ -348,16 +348,16 @@
         return False
 
 
-def decode_envelope(data: bytes | bytearray) -> Envelope:
+def decode_envelope(data: bytes | bytearray, max_body_bytes: int) -> Envelope:
     """Decodes a message and decompresses its body.
 
+    :param max_body_bytes: Maximum size of the decompressed body.
     :raises DecodeError: If the message is malformed.
     :raises zstandard.ZstdError: If the body cannot be decompressed.
     """
     envelope = unpack(data, Envelope)
     if envelope.compressed:
-        unpacker = zstandard.ZstdDecompressor()
-        envelope.body = unpacker.decompress(envelope.body, MAX_BODY_BYTES)
+        envelope.body = decompress(envelope.body, max_body_bytes)
     return envelope
 
 
--- a/lacewinghold/peers/nng.py
+++ b/lacewinghold/peers/nng.py
@@ -12,7 +12,7 @@
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.peers.base import PeerTransport
 from lacewinghold.peers.limits import PeerLimits, make_limits
-from lacewinghold.peers.receiver import PeerReceiver
+from lacewinghold.peers.receiver import PeerReceiver, max_message_bytes
 
 if TYPE_CHECKING:
     from lacewinghold.ids import InstanceId
@@ -59,7 +59,9 @@
     ) -> None:
         self.scheme = "tcp" if tls is None else "tls+tcp"
         self.tls = tls
-        self.receiver = PeerReceiver(listen, tls, limits or make_limits(None))
+        limits = limits or make_limits(None)
+        self.max_message_bytes = max_message_bytes(limits)
+        self.receiver = PeerReceiver(listen, tls, limits)
         self.outbound: dict[InstanceId, pynng.Push0] = {}
 
     async def run(self) -> None:
--- a/lacewinghold/peers/receiver.py
+++ b/lacewinghold/peers/receiver.py
@@ -15,6 +15,7 @@
 import trio
 
 from lacewinghold.events import Event
+from lacewinghold.peers.base import MAX_MESSAGE_BYTES
 from lacewinghold.peers.limits import Inbound, PeerLimits
 from lacewinghold.util.containment import contained
 from lacewinghold.util.tls import make_server_context
@@ -26,7 +27,6 @@
 PUSH_GREETING = b"\0SP\0\0\x50\0\0"
 PULL_GREETING = b"\0SP\0\0\x51\0\0"
 SIZE_BYTES = 8
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
 # Twice as much is held by the kernel. At a round trip of 50 ms, it fills 10 Mbit/s.
 RECEIVE_BUFFER_BYTES = 64 * 1024
@@ -50,6 +50,11 @@
     return context
 
 
+def max_message_bytes(limits: PeerLimits) -> int:
+    """Returns the size of the largest message within the limits."""
+    return min(MAX_MESSAGE_BYTES, limits.held_bytes - SIZE_BYTES)
+
+
 class PeerConnection(Inbound):
     """One connection from a peer, which only receives.
 
@@ -111,7 +116,7 @@
         while True:
             await self.read_until(SIZE_BYTES)
             size = int.from_bytes(self.buffer[:SIZE_BYTES])
-            if size > min(MAX_MESSAGE_BYTES, self.limits.held_bytes - SIZE_BYTES):
+            if size > max_message_bytes(self.limits):
                 raise ProtocolError(f"a message of {size} bytes")
             self.take(SIZE_BYTES)
             await self.read_until(size)
--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -369,6 +369,7 @@
 
     def __init__(self, inner: PeerTransport, machine: Machine) -> None:
         self.inner = inner
+        self.max_message_bytes = inner.max_message_bytes
         self.machine = machine
 
     async def run(self) -> None:
--- a/lacewinghold/util/codec.py
+++ b/lacewinghold/util/codec.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
+import zstandard
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
@@ -47,6 +48,19 @@
         return Err(Failure(ErrorKind.INVALID, text, path + field.rstrip("`")[1:]))
 
 
+def decompress(data: bytes, max_bytes: int) -> bytes:
+    """Decompresses one frame of Zstandard.
+
+    The library's own limit holds only for frames that do not state their size.
+
+    :raises zstandard.ZstdError: If the data is malformed, or larger than allowed.
+    """
+    size = zstandard.frame_content_size(data)
+    if size > max_bytes:
+        raise zstandard.ZstdError(f"{size} bytes, at most {max_bytes} are allowed")
+    return zstandard.ZstdDecompressor().decompress(data, max_bytes)
+
+
 def pack(value: PackedStruct) -> bytes:
     """Returns a message as MessagePack."""
     return msgspec.msgpack.encode(value)
--- a/tests/test_clients/test_peers_listener.py
+++ b/tests/test_clients/test_peers_listener.py
@@ -10,6 +10,7 @@
 import random
 
 import pytest
+import zstandard
 
 from lacewinghold.ids import InstanceId
 from lacewinghold.schema.generated.messages import Envelope, MessageKind
@@ -20,6 +21,7 @@
 MANY = 200
 BLOCK = 65_536
 PUSH_GREETING = b"\0SP\0\0\x50\0\0"
+BOMB_BYTES = 200 * MIB
 
 
 def message(content):
@@ -27,10 +29,13 @@
     return len(content).to_bytes(8, "big") + content
 
 
-def envelope(kind, body):
+def envelope(kind, body, compressed=False):
     """Returns a message from an instance that no store lists."""
     sender = InstanceId("front-9.00000000")
-    return message(pack(Envelope(1, kind, sender, 1, body)))
+    version = 2 if compressed else 1
+    return message(
+        pack(Envelope(version, kind, sender, 1, body, compressed=compressed))
+    )
 
 
 def claimed(size, sent):
@@ -59,6 +64,12 @@
     return [PUSH_GREETING, *[message(content)] * 16]
 
 
+def bombs():
+    """Returns small messages that claim to be large when they are decompressed."""
+    body = zstandard.compress(bytes(BOMB_BYTES))
+    return [PUSH_GREETING, *[envelope(MessageKind.CELL_WAITS, body, True)] * 4]
+
+
 def requests():
     """Returns whole requests of all kinds with large bodies."""
     kinds = [kind for kind in MessageKind if kind is not MessageKind.HEARTBEAT]
@@ -77,6 +88,7 @@
     "dripping": dripping,
     "changing": changing,
     "garbage": garbage,
+    "bombs": bombs,
     "requests": requests,
 }
 
@@ -106,7 +118,7 @@
     check(tmp_path, kind)
 
 
-@pytest.mark.parametrize("kind", ["garbage", "requests"])
+@pytest.mark.parametrize("kind", ["garbage", "requests", "bombs"])
 def test_whole_messages_of_strangers_stay_within_the_memory(tmp_path, kind):
     """Guards against what a message takes while and after it is decoded."""
     check(tmp_path, kind)
