--- a/bench/planner_day.py
+++ b/bench/planner_day.py
@@ -191,6 +191,7 @@
         task = run.task
         task.run, task.state = None, TaskState.DONE
         task.step.remaining -= 1
+        task.step.tasks.retire(task)
         if task.step.done():
             self.steps.pop(task.step.name, None)
             self.score_job(task.step.job, now)
@@ -209,7 +210,7 @@
     def plan(self, now: float) -> None:
         """Makes one plan and starts what it places."""
         waiting = [
-            s for s in self.steps.values() if s.waiting_tasks() and is_ready(s, now)
+            s for s in self.steps.values() if s.has_waiting_tasks() and is_ready(s, now)
         ]
         began = time.perf_counter()
         self.reservations.begin_plan(now)
--- a/lacewinghold/organisations/caps.py
+++ b/lacewinghold/organisations/caps.py
@@ -199,7 +199,7 @@
         budget = CapBudget(self.caps, self.usage.used, self.holds)
         if self.caps:
             for step in possible:
-                budget.take(step, len(step.waiting_tasks()))
+                budget.take(step, step.waiting_count())
         for organisation, used in (remaining or {}).items():
             if organisation in budget.used:
                 budget.used[organisation] = budget.used[organisation].plus(used)
--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -237,7 +237,7 @@
             if job.excess:
                 continue
             # What waits for its organisation's cap delays no other organisation.
-            count = budget.limit(step, len(step.waiting_tasks()))
+            count = budget.limit(step, step.waiting_count())
             budget.take(step, count)
             if not count:
                 continue
--- a/lacewinghold/scheduler/advice.py
+++ b/lacewinghold/scheduler/advice.py
@@ -269,7 +269,7 @@
         for call in sorted(calls, key=lambda call: urgency_key(call.step, now)):
             step = call.step
             rules = step.job.queue.advice
-            if rules is None or not step.waiting_tasks():
+            if rules is None or not step.has_waiting_tasks():
                 self.dequeue(call)
                 continue
             free = self.free_lanes(now)
--- a/lacewinghold/scheduler/end_waits.py
+++ b/lacewinghold/scheduler/end_waits.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from lacewinghold.scheduler.model import JobState, TaskState
+from lacewinghold.scheduler.model import JobState
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.model import Job
@@ -27,7 +27,7 @@
             continue
         if step.spec.long_running:
             return False
-        if any(task.state is TaskState.WAITING for task in step.tasks):
+        if step.has_waiting_tasks():
             return False
     return True
 
--- a/lacewinghold/scheduler/explanation.py
+++ b/lacewinghold/scheduler/explanation.py
@@ -204,7 +204,7 @@
     return StepExplanation(
         step=step.name,
         state=state,
-        tasks=len(step.waiting_tasks()),
+        tasks=step.waiting_count(),
         cpu_millis=step.room.cpu_millis,
         memory_mb=step.room.memory_mb,
         accelerators=step.room.accelerators,
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -39,7 +39,8 @@
 
 logger = structlog.get_logger(__name__)
 MAX_ORDER_DELAY_S = 10.0  # An unanswered start may still be carried out until then.
-MAX_TASKS_PER_TURN = 200  # Tasks built without yielding: under a millisecond.
+MAX_WORK_PER_TURN = 200  # Steps built without yielding: under a millisecond.
+RECORD_WORK = 9  # To decode a record, compared with building a step.
 
 
 class TurnBudget:
@@ -51,7 +52,7 @@
     async def spend(self, work: int) -> None:
         """Counts work, and yields once it reaches the limit of one turn."""
         self.spent += work
-        if self.spent >= MAX_TASKS_PER_TURN:
+        if self.spent >= MAX_WORK_PER_TURN:
             self.spent = 0
             await anyio.sleep(0)
 
@@ -137,8 +138,7 @@
             if record is None:
                 continue
             self.accept(record)
-            tasks = sum(step.tasks for step in record.steps)
-            await turn.spend(tasks * max(1, record.occurrences))
+            await turn.spend(RECORD_WORK + len(record.steps))
         self.unread_records = {}
         for entry in ends:
             self.replay(entry)
@@ -208,14 +208,13 @@
         self.jobs[job.id] = job
         if not job.from_earlier_owner:
             self.count_against_rate(job)
-        for step in job.steps:
-            self.steps[step.name] = step
+        self.register(job.steps)
         if self.owner.loaded:
             logger.info(
                 Event.JOB_TAKEN,
                 job=job.id,
                 queue=queue.name,
-                steps=len(job.steps),
+                steps=len(record.steps) * job.occurrence_count(),
                 revision=revision,
                 excess=job.excess,
                 epoch=self.owner.epoch,
@@ -224,6 +223,11 @@
                 self.owner.fleet.apply_withheld_reports()
             self.refresh_job(job)
 
+    def register(self, steps: list[Step]) -> None:
+        """Makes new steps known by their names."""
+        for step in steps:
+            self.steps[step.name] = step
+
     def count_against_rate(self, job: Job) -> None:
         """Counts a new job against its organisation's rate; marks it if in excess."""
         manifest = self.owner.state.manifest
@@ -257,10 +261,15 @@
         """Opens the steps that are ready, or completes the job if all are done."""
         if job.ended():
             return
+        now = anyio.current_time()
+        if job.is_scheduled():
+            self.register(job.build_due(now))
         if all(step.done() for step in job.steps):
             self.end_job(job, JobState.COMPLETED, "")
             return
-        now = anyio.current_time()
+        if now < job.next_due_at() < math.inf:
+            self.jobs_due_later[job.id] = job
+            self.next_due = min(self.next_due, job.next_due_at())
         for step in job.steps:
             if step.done() or step.name in self.open_steps:
                 continue
@@ -336,8 +345,12 @@
         for step in job.steps:
             count = len(step.active_runs())
             if unknown:
-                count += len(step.waiting_tasks())
+                count += step.waiting_count()
             found = found.plus(task_demand(step.spec).times(count))
+        if unknown:
+            for step in job.unbuilt_steps(anyio.current_time()):
+                demand = task_demand(step.spec).times(step.waiting_count())
+                found = found.plus(demand)
         return found
 
     def bound_organisation(self, job: Job) -> str:
@@ -411,20 +424,27 @@
             if member.state is not TaskState.DONE:
                 member.state = TaskState.DONE
                 step.remaining -= 1
+            step.tasks.retire(member)
         if step.done():
             self.open_steps.pop(step.name, None)
             self.owner.advice_book.forget(step)
+            self.drop_occurrence(step)
+
+    def drop_occurrence(self, step: Step) -> None:
+        """Drops the steps of a step's occurrence if nothing of it is left to do."""
+        for dropped in step.job.drop_occurrence(step):
+            self.steps.pop(dropped.name, None)
 
     def count_failure(self, task: Task, run: int) -> int:
         """Counts a failed attempt; repeated reports of the same run count once.
 
         :returns: The number of failed attempts.
         """
-        failed_runs = task.failed_runs
         if task.step.spec.all_at_once:
-            failed_runs = task.step.failed_runs
-        failed_runs.add(run)
-        return len(failed_runs)
+            task.step.failed_runs |= {run}
+            return len(task.step.failed_runs)
+        task.failed_runs.add(run)
+        return len(task.failed_runs)
 
     def replay(self, entry: TaskEndEntry) -> None:
         """Applies the end of a task that an earlier owner has stored."""
@@ -465,7 +485,7 @@
         """Ends a job whose attempts were used up under earlier owners."""
         for step in job.steps:
             failures = len(step.failed_runs)
-            for task in step.tasks:
+            for task in step.tasks.objects():
                 if task.state is not TaskState.DONE:
                     failures = max(failures, len(task.failed_runs))
             if step.done() or failures < job.queue.max_attempts or job.ended():
@@ -477,11 +497,22 @@
         if self.owner.job_store.ids.job_of_task(name) is None:
             return None
         step_name, _, index = name.rpartition(".")
-        step = self.steps.get(step_name)
+        step = self.steps.get(step_name) or self.find_step(step_name)
         if step is None or int(index) >= len(step.tasks):
             return None
         return step.tasks[int(index)]
 
+    def find_step(self, name: str) -> Step | None:
+        """Returns a step of a scheduled job that has not been built, or was dropped."""
+        job_id, occurrence, number = name.rsplit(".", 2)
+        job = self.jobs.get(job_id)
+        if job is None or not job.is_scheduled():
+            return None
+        if int(occurrence) >= job.occurrence_count():
+            return None
+        self.register(job.build_occurrence(int(occurrence)))
+        return job.find_step(int(occurrence), int(number))
+
     def count_waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue wait for their first start."""
         count = 0
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Sequence
 from enum import Enum
-from typing import TYPE_CHECKING
+from itertools import islice
+from typing import TYPE_CHECKING, overload
 
-from msgspec import Struct, field
+import msgspec
+from msgspec import UNSET, Struct, field
 
 from lacewinghold.scheduler.ports import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.durations import StepTimes
@@ -18,6 +22,7 @@
     from lacewinghold.scheduler.suspects import WorkerCrash
     from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
+MAX_WAITING_STEPS = 64  # Of one scheduled job, beyond those of one occurrence.
 HOPELESS_MULTIPLE = 3.0  # A job later than this many times its objective is worthless.
 
 
@@ -102,6 +107,97 @@
     checkpoint: str = ""
 
 
+class TaskList(Sequence[Task]):
+    """The tasks of a step, as objects only while they differ from the others.
+
+    A task that waits and has no history has no object, nor one that is done and has no
+    run. An object that has been returned stays until its task is retired.
+
+    :ivar size: Number of tasks.
+    :ivar known: The tasks with an object, by index.
+    :ivar retired: The tasks that are done and have no object, as bits.
+    :ivar first: All tasks before this index are retired.
+    """
+
+    __slots__ = ("first", "known", "retired", "size", "step")
+
+    def __init__(self, step: Step) -> None:
+        self.step = step
+        self.size = step.spec.tasks
+        self.known: dict[int, Task] = {}
+        self.retired = 0
+        self.first = 0
+
+    def __len__(self) -> int:
+        return self.size
+
+    @overload
+    def __getitem__(self, index: int) -> Task: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> list[Task]: ...
+
+    def __getitem__(self, index: int | slice) -> Task | list[Task]:
+        if isinstance(index, slice):
+            return [self[at] for at in range(self.size)[index]]
+        index = range(self.size)[index]
+        task = self.known.get(index)
+        if task is not None:
+            return task
+        task = Task(name=f"{self.step.name}.{index}", step=self.step, index=index)
+        if self.is_retired(index):
+            task.state = TaskState.DONE
+        else:
+            self.known[index] = task
+        return task
+
+    def is_retired(self, index: int) -> bool:
+        """Returns whether a task is done and has no object."""
+        return bool(self.retired >> index & 1)
+
+    def retire(self, task: Task) -> None:
+        """Drops the object of a task, if it is done and has no run."""
+        if task.state is not TaskState.DONE or task.run is not None:
+            return
+        self.known.pop(task.index, None)
+        self.retired |= 1 << task.index
+        while self.is_retired(self.first):
+            self.first += 1
+
+    def retire_all(self) -> None:
+        """Drops all objects; all tasks are done and have no runs."""
+        self.known.clear()
+        self.retired = (1 << self.size) - 1
+        self.first = self.size
+
+    def objects(self) -> list[Task]:
+        """Returns the tasks with an object, in the order of their indices."""
+        return [self.known[index] for index in sorted(self.known)]
+
+    def waiting(self) -> Iterator[Task]:
+        """Yields the tasks that have no run, in the order of their indices."""
+        for index in range(self.first, self.size):
+            if self.is_retired(index):
+                continue
+            task = self[index]
+            if task.state is TaskState.WAITING:
+                yield task
+
+    def waiting_count(self) -> int:
+        """Returns how many tasks have no run."""
+        count = self.size - self.retired.bit_count()
+        for task in self.known.values():
+            count -= task.state is not TaskState.WAITING
+        return count
+
+    def has_history(self) -> bool:
+        """Returns whether a waiting task avoids workers, or is avoided by them."""
+        return any(
+            task.state is TaskState.WAITING and (task.failed_workers or task.crashes)
+            for task in self.known.values()
+        )
+
+
 class Step(Struct, eq=False):
     """One step of a job, or of one of its occurrences.
 
@@ -117,43 +213,56 @@
 
     name: str
     job: Job
+    occurrence: int
     number: int
     spec: StepSpec
-    tasks: list[Task]
     room: Resources
     due_at: float
     predecessors: list[Step]
     remaining: int = 0
-    failed_runs: set[int] = field(default_factory=set)
+    failed_runs: frozenset[int] = frozenset()
     crashes: list[WorkerCrash] = field(default_factory=list)
     last_run_number: int = 0
     times: StepTimes | None = None
+    tasks: TaskList = UNSET  # type: ignore[assignment]  # Set on construction.
+
+    def __post_init__(self) -> None:
+        self.tasks = TaskList(self)
 
     def done(self) -> bool:
         """Returns whether all tasks are done."""
         return self.remaining == 0
 
-    def waiting_tasks(self) -> list[Task]:
-        """Returns the tasks that have no run."""
-        return [task for task in self.tasks if task.state is TaskState.WAITING]
+    def waiting_count(self) -> int:
+        """Returns how many tasks have no run."""
+        return self.tasks.waiting_count()
+
+    def waiting_tasks(self, limit: int | None = None) -> list[Task]:
+        """Returns the first tasks that have no run, in the order of their indices."""
+        return list(islice(self.tasks.waiting(), limit))
 
     def has_waiting_tasks(self) -> bool:
         """Returns whether any task has no run."""
-        return any(task.state is TaskState.WAITING for task in self.tasks)
+        return self.waiting_count() > 0
 
     def active_runs(self) -> list[Run]:
         """Returns the runs that still hold resources."""
-        return [task.run for task in self.tasks if task.run is not None]
+        return [task.run for task in self.tasks.objects() if task.run is not None]
 
 
 class Job(Struct, eq=False):
     """One accepted job.
 
+    :param steps: Steps of the occurrences that have been built and not dropped.
     :param objective_s: Time from acceptance to completion that callers expect.
+    :param first_due_at: When its first occurrence is due, on the runtime's clock.
     :param confirmed: Whether it was certainly stored before any later owner's claim.
     :param record_removed: Whether the store has reported the removal of its record.
     :param from_earlier_owner: Whether an earlier owner may have started its tasks.
     :param excess: Whether it was accepted beyond the rate of its organisation.
+    :param built: The occurrences in ``steps``, by number.
+    :param dropped: The occurrences that are done and have no steps any more, as bits.
+    :param next_occurrence: All occurrences before this one have been built.
     """
 
     record: CellJob
@@ -168,6 +277,10 @@
     state: JobState = JobState.QUEUED
     reported_state: JobState = JobState.QUEUED
     started: bool = False
+    first_due_at: float = 0.0
+    built: dict[int, list[Step]] = field(default_factory=dict)
+    dropped: int = 0
+    next_occurrence: int = 0
 
     @property
     def id(self) -> str:
@@ -182,6 +295,98 @@
         """Returns whether the job has occurrences that are due at set times."""
         return self.record.occurrences > 0
 
+    def occurrence_count(self) -> int:
+        """Returns how often the steps run."""
+        return max(1, self.record.occurrences)
+
+    def due_at(self, occurrence: int) -> float:
+        """Returns when an occurrence is due, on the runtime's clock in seconds."""
+        return self.first_due_at + occurrence * self.record.interval_ms / 1000
+
+    def next_due_at(self) -> float:
+        """Returns when the next occurrence to build is due, infinite without one."""
+        if self.next_occurrence >= self.occurrence_count():
+            return math.inf
+        return self.due_at(self.next_occurrence)
+
+    def is_dropped(self, occurrence: int) -> bool:
+        """Returns whether an occurrence is done and has no steps any more."""
+        return bool(self.dropped >> occurrence & 1)
+
+    def build_occurrence(self, occurrence: int) -> list[Step]:
+        """Builds the steps of an occurrence, unless that has been done before.
+
+        :returns: The new steps.
+        """
+        if occurrence in self.built or self.is_dropped(occurrence):
+            return []
+        steps = make_steps(self, occurrence, self.due_at(occurrence))
+        self.built[occurrence] = steps
+        self.steps += steps
+        return steps
+
+    def build_due(self, now: float) -> list[Step]:
+        """Builds the occurrences that are due, and always one that is not done.
+
+        While many of them wait, no further ones are built.
+
+        :returns: The new steps.
+        """
+        found: list[Step] = []
+        waiting = open_count = 0
+        for steps in self.built.values():
+            open_count += not all(step.done() for step in steps)
+            waiting += any(step.has_waiting_tasks() for step in steps)
+        while self.next_occurrence < self.occurrence_count():
+            due = self.next_due_at() <= now
+            full = waiting * len(self.record.steps) >= MAX_WAITING_STEPS
+            if open_count and (not due or full):
+                break
+            steps = self.build_occurrence(self.next_occurrence)
+            self.next_occurrence += 1
+            open_count += bool(steps)
+            waiting += bool(steps)
+            found += steps
+        return found
+
+    def unbuilt_steps(self, now: float) -> list[Step]:
+        """Returns a step for each one of the occurrences that are due and not built.
+
+        Each occurrence is stood for by the same steps.
+        """
+        count = 0
+        for occurrence in range(self.next_occurrence, self.occurrence_count()):
+            if self.due_at(occurrence) > now:
+                break
+            count += occurrence not in self.built and not self.is_dropped(occurrence)
+        return make_steps(self, 0, self.due_at(0)) * count
+
+    def drop_occurrence(self, step: Step) -> list[Step]:
+        """Drops the steps of a step's occurrence, if it is done and has no runs.
+
+        :returns: The dropped steps.
+        """
+        steps = self.built.get(step.occurrence, [])
+        if not self.is_scheduled() or not steps:
+            return []
+        if any(other.tasks.known or not other.done() for other in steps):
+            return []
+        del self.built[step.occurrence]
+        self.dropped |= 1 << step.occurrence
+        self.steps = [other for other in self.steps if other not in steps]
+        return steps
+
+    def find_step(self, occurrence: int, number: int) -> Step | None:
+        """Returns a step of an occurrence that is built, or was and is done."""
+        if self.is_dropped(occurrence):
+            steps = make_steps(self, occurrence, self.due_at(occurrence))
+            for step in steps:
+                step.remaining = 0
+                step.tasks.retire_all()
+        else:
+            steps = self.built.get(occurrence, [])
+        return steps[number] if number < len(steps) else None
+
 
 def task_room(spec: StepSpec) -> Resources:
     """Returns the resources that one task of a step takes.
@@ -210,6 +415,12 @@
     return max(finish, default=0.0)
 
 
+def share_equal_specs(steps: list[StepSpec]) -> list[StepSpec]:
+    """Returns steps of which equal ones are the same object."""
+    known: dict[bytes, StepSpec] = {}
+    return [known.setdefault(msgspec.msgpack.encode(step), step) for step in steps]
+
+
 def make_job(
     record: CellJob,
     queue: Queue,
@@ -217,21 +428,19 @@
     wall_clock_offset_s: float,
     run_times_s: Sequence[float] = (),
 ) -> Job:
-    """Returns a job with all its tasks waiting.
+    """Returns a job with all its tasks waiting; due occurrences are built.
 
     :param accepted_at: The runtime's clock in seconds.
     :param wall_clock_offset_s: Wall time minus the runtime's clock.
     :param run_times_s: Expected run time of each step; callers' estimates if empty.
     """
+    record.steps = share_equal_specs(record.steps)
     path_s = critical_path_s(record.steps, run_times_s)
     objective_s = queue.stretch * path_s + queue.slack_s
-    job = Job(record, queue, [], accepted_at, objective_s)
-    for occurrence in range(max(1, record.occurrences)):
-        due_at = accepted_at
-        if record.occurrences:
-            due_ms = record.first_due_ms + occurrence * record.interval_ms
-            due_at = due_ms / 1000 - wall_clock_offset_s
-        job.steps += make_steps(job, occurrence, due_at)
+    job = Job(record, queue, [], accepted_at, objective_s, first_due_at=accepted_at)
+    if record.occurrences:
+        job.first_due_at = record.first_due_ms / 1000 - wall_clock_offset_s
+    job.build_due(accepted_at)
     return job
 
 
@@ -242,17 +451,14 @@
         step = Step(
             name=f"{job.id}.{occurrence}.{number}",
             job=job,
+            occurrence=occurrence,
             number=number,
             spec=spec,
-            tasks=[],
             room=task_room(spec),
             due_at=due_at,
             predecessors=[steps[earlier] for earlier in spec.after],
             remaining=spec.tasks,
         )
-        for index in range(spec.tasks):
-            name = task_name(job.id, occurrence, number, index)
-            step.tasks.append(Task(name=name, step=step, index=index))
         steps.append(step)
     return steps
 
--- a/lacewinghold/scheduler/placement_query.py
+++ b/lacewinghold/scheduler/placement_query.py
@@ -131,6 +131,6 @@
             cap=owner.caps.caps.get(organisation),
             used=used,
             assumed=budget.used.get(organisation, used).minus(used),
-            step_count=len(job.steps),
+            step_count=len(job.record.steps) * job.occurrence_count(),
             steps=explain_steps(owner.planning, job, now),
         )
--- a/lacewinghold/scheduler/planning.py
+++ b/lacewinghold/scheduler/planning.py
@@ -175,7 +175,7 @@
         self.claims.drop(finished)
         for placement in plan.placements:
             self.start_tasks(placement.step, placement.tasks, now)
-            if not placement.step.waiting_tasks():
+            if not placement.step.has_waiting_tasks():
                 del steps[placement.step.name]
         in_order = [step for step in planner.order if step.name in steps]
         self.searches.request_searches(
@@ -262,6 +262,7 @@
         for job in self.owner.table.jobs.values():
             if job.from_earlier_owner and job.state is not JobState.COMPLETED:
                 possible += [step for step in job.steps if step.due_at <= now]
+                possible += job.unbuilt_steps(now)
         return caps.make_budget(possible, self.owner.ended.running)
 
     def waiting_steps(self) -> dict[str, Step]:
@@ -272,6 +273,8 @@
                 continue
             if not step.has_waiting_tasks():
                 del self.owner.table.open_steps[name]
+                if step.job.next_due_at() <= anyio.current_time():
+                    self.owner.table.refresh_job(step.job)
                 continue
             steps[name] = step
         return steps
@@ -362,7 +365,7 @@
             asking = step.job.queue.advice is not None and book.search_pending(step)
             if asking or step.name in planner.plan.skipped:
                 return 0
-            return len(step.waiting_tasks()) - self.chosen_task_count(step)
+            return step.waiting_count() - self.chosen_task_count(step)
 
         def progress_of(run: Run) -> ProgressMark | None:
             return marks.get((run.worker, run.task.name, run.number))
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -13,6 +13,7 @@
 
 from bisect import bisect_left
 from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from lacewinghold.organisations.caps import CapBudget
@@ -25,7 +26,7 @@
 )
 from lacewinghold.scheduler.room import RoomSnapshot, fitting_count, has_label
 from lacewinghold.scheduler.speed_ranking import SpeedRanking, any_speed
-from lacewinghold.scheduler.suspects import Suspects, is_idle, isolates
+from lacewinghold.scheduler.suspects import Suspects, is_idle, isolates, suspects_first
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
@@ -297,64 +298,65 @@
 
     def place_singly(self, step: Step) -> None:
         """Places as many tasks of a step as there is room for, each on its own."""
-        waiting = step.waiting_tasks()
+        count = step.waiting_count()
         claimed = 0
         if step.name in self.awaiting_answer:
             # The claim holds the resources of the last tasks.
             claimed = self.claims[step.name].task_count()
-            waiting = waiting[:-claimed]
-        waiting = self.within_cap(step, waiting, claimed)
-        if any(task.failed_workers or task.crashes for task in waiting):
-            self.add_to_plan(step, self.choose_worker_per_task(step, waiting))
-        elif waiting:
-            self.add_to_plan(
-                step, self.choose_workers(step, waiting, self.ranked_workers(step))
-            )
-
-    def within_cap(self, step: Step, tasks: list[Task], claimed: int = 0) -> list[Task]:
-        """Returns the tasks that the cap of the step's organisation lets start.
-
+            count = max(0, count - claimed)
+        count = self.within_cap(step, count, claimed)
+        if count and step.tasks.has_history():
+            self.add_to_plan(step, self.choose_worker_per_task(step, count))
+        elif count:
+            nodes = self.choose_workers(step, count, self.ranked_workers(step))
+            tasks = step.waiting_tasks(len(nodes))
+            self.add_to_plan(step, list(zip(tasks, nodes, strict=True)))
+
+    def within_cap(self, step: Step, count: int, claimed: int = 0) -> int:
+        """Returns how many tasks the cap of the step's organisation lets start.
+
+        :param count: How many tasks wait.
         :param claimed: How many other tasks of the step have claims.
         """
-        allowed = tasks[: self.caps.limit(step, len(tasks))]
-        if len(allowed) < len(tasks):
+        allowed = min(count, self.caps.limit(step, count))
+        if allowed < count:
             if not allowed or step.spec.all_at_once:
                 self.caps.record_blocked(step)
-            self.plan.task_limits[step.name] = claimed + len(allowed)
+            self.plan.task_limits[step.name] = claimed + allowed
         return allowed
 
     def choose_workers(
-        self, step: Step, tasks: list[Task], ranked: Iterable[WorkerNode]
-    ) -> list[tuple[Task, WorkerNode]]:
-        """Chooses workers for as many tasks as there is room for.
+        self, step: Step, count: int, ranked: Iterable[WorkerNode]
+    ) -> list[WorkerNode]:
+        """Chooses workers for as many of a number of tasks as there is room for.
 
         Each worker gets as many tasks as fit before the next one is used: with every
         task it becomes fuller, and so remains the best choice.
         """
         placed = self.runs_per_worker(step)
-        chosen: list[tuple[Task, WorkerNode]] = []
+        chosen: list[WorkerNode] = []
         for node in ranked:
-            limit = min(len(tasks) - len(chosen), self.max_tasks_on(step, node, placed))
-            for _ in range(fitting_count(step.room, self.free[node.id], limit)):
-                chosen.append((tasks[len(chosen)], node))
-            if len(chosen) == len(tasks):
+            limit = min(count - len(chosen), self.max_tasks_on(step, node, placed))
+            chosen += [node] * fitting_count(step.room, self.free[node.id], limit)
+            if len(chosen) == count:
                 break
         return chosen
 
     def choose_worker_per_task(
-        self, step: Step, tasks: list[Task]
+        self, step: Step, count: int
     ) -> list[tuple[Task, WorkerNode]]:
         """Chooses a worker for each task separately, avoiding those on which it failed.
 
         A task that has failed on as many workers as are eligible avoids none.
+
+        :param count: For how many tasks at the most.
         """
         placed = self.runs_per_worker(step)
-        count = len(self.eligible_workers(step))
-        # A suspected task may use a worker that is closed to the others.
-        tasks = sorted(tasks, key=lambda task: not task.crashes)
+        eligible = len(self.eligible_workers(step))
         chosen: list[tuple[Task, WorkerNode]] = []
-        for task in tasks:
-            avoided = task.failed_workers if len(task.failed_workers) < count else set()
+        for task in islice(suspects_first(step), count):
+            failed = task.failed_workers
+            avoided = failed if len(failed) < eligible else set()
             node = self.choose_worker(step, task, avoided, placed)
             if node is not None:
                 placed[node.id] += 1
@@ -404,14 +406,12 @@
         Workers on which a task of the step failed are used only if the tasks do not fit
         elsewhere.
         """
-        tasks = step.waiting_tasks()
-        if len(tasks) < step.spec.tasks or len(self.within_cap(step, tasks)) < len(
-            tasks
-        ):
+        count = step.spec.tasks
+        if step.waiting_count() < count or self.within_cap(step, count) < count:
             return
-        avoided = set().union(*(task.failed_workers for task in tasks))
+        avoided = set().union(*(task.failed_workers for task in step.tasks.objects()))
         worker_groups: list[Iterable[WorkerNode]] = [self.ranked_workers(step)]
-        alone = self.suspects.must_be_alone(tasks[0])
+        alone = self.suspects.must_be_alone(step.tasks[0])
         if avoided or alone or step.spec.one_rack:
             nodes = list(self.ranked_workers(step, alone=alone))
             not_avoided = [node for node in nodes if node.id not in avoided]
@@ -420,8 +420,9 @@
                 *self.worker_groups(step, nodes),
             ]
         for group in worker_groups:
-            chosen = self.choose_workers(step, tasks, group)
-            if len(chosen) == len(tasks):
+            chosen_nodes = self.choose_workers(step, count, group)
+            if len(chosen_nodes) == count:
+                chosen = list(zip(step.waiting_tasks(), chosen_nodes, strict=True))
                 for task, node in chosen:
                     self.suspects.record_placement(task, node)
                 self.add_to_plan(step, chosen)
@@ -450,7 +451,7 @@
         """Reserves workers for an all-at-once step that cannot start yet."""
         if (
             not self.reservations.may_reserve(step)
-            or len(step.waiting_tasks()) < step.spec.tasks
+            or step.waiting_count() < step.spec.tasks
             or self.caps.limit(step, step.spec.tasks) < step.spec.tasks
         ):
             return
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -153,9 +153,12 @@
         if task.run is not run:
             return
         task.run = None
+        step = task.step
         if task.state is TaskState.PLACED:
             task.state = TaskState.WAITING
-        step = task.step
+        step.tasks.retire(task)
+        if step.done():
+            self.table.drop_occurrence(step)
         if step.spec.all_at_once and kind is not EndKind.DONE:
             self.stop_members(step)
         if step.job.ended() or step.done():
--- a/lacewinghold/scheduler/searches.py
+++ b/lacewinghold/scheduler/searches.py
@@ -82,7 +82,7 @@
                 continue
             if step.name in skipped and self.book.has_answer(step):
                 continue
-            needed = len(step.waiting_tasks())
+            needed = step.waiting_count()
             if min(needed, limits.get(step.name, needed)) <= chosen_task_count(step):
                 continue
             counts[queue.name] += self.request_search(step, usable, speeds)
--- a/lacewinghold/scheduler/speed_ranking.py
+++ b/lacewinghold/scheduler/speed_ranking.py
@@ -163,18 +163,7 @@
         own_s = chains[step.number]
         if own_s <= step.spec.expected_ms / 1000:
             return False
-        # The steps of one occurrence follow each other in the list of the job's steps.
-        first = occurrence_start(step, count)
-        for other in step.job.steps[first : first + count]:
+        for other in step.job.built[step.occurrence]:
             if not other.done() and chains[other.number] > own_s:
                 return False
         return True
-
-
-def occurrence_start(step: Step, count: int) -> int:
-    """Returns where the steps of a step's occurrence begin in those of its job.
-
-    :param count: How many steps an occurrence has.
-    """
-    _, occurrence, _ = step.name.rsplit(".", 2)
-    return int(occurrence) * count
--- a/lacewinghold/scheduler/suspects.py
+++ b/lacewinghold/scheduler/suspects.py
@@ -17,7 +17,7 @@
 from lacewinghold.scheduler.model import TaskState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from lacewinghold.ids import WorkerId
     from lacewinghold.scheduler.model import Step, Task
@@ -85,6 +85,19 @@
     return confirmed >= proof or len(crashes) >= MAX_CRASHES
 
 
+def suspects_first(step: Step) -> Iterator[Task]:
+    """Yields the waiting tasks of a step, those that crashed workers first.
+
+    A suspected task may use a worker that is closed to the others.
+    """
+    for task in step.tasks.objects():
+        if task.state is TaskState.WAITING and task.crashes:
+            yield task
+    for task in step.tasks.waiting():
+        if not task.crashes:
+            yield task
+
+
 def outlives(crashes: list[WorkerCrash], age_s: float) -> bool:
     """Returns whether a run has worked well beyond the age at which it was lost."""
     return age_s > AGE_TOLERANCE_S + max(crash.age_s for crash in crashes)
--- a/lacewinghold/scheduler/waiting.py
+++ b/lacewinghold/scheduler/waiting.py
@@ -60,7 +60,7 @@
         logger.info(
             Event.PERMISSIONS_LACKING,
             step=step.name,
-            tasks=len(step.waiting_tasks()),
+            tasks=step.waiting_count(),
             chosen=len(chosen),
             lacking=len(renewal.without_ticket),
             **{change.value: changes[change] for change in ChoiceChange},
@@ -132,7 +132,7 @@
             Event.STEP_WAITS,
             step=step.name,
             age_s=round(now - step.due_at, 3),
-            tasks=len(step.waiting_tasks()),
+            tasks=step.waiting_count(),
             runs=len(step.active_runs()),
             together=step.spec.all_at_once,
             workers=len(nodes),
