--- a/lacewinghold/platform/front.py
+++ b/lacewinghold/platform/front.py
@@ -189,6 +189,7 @@
             await self.send_result(send, body)
             return
         call.body = body.ok_value
+        del body
         # Meanwhile a manifest may have removed the key, or added the queue.
         authenticated = self.authenticate(call, repeated=True)
         if isinstance(authenticated, Err):
@@ -288,17 +289,25 @@
         self, call: Call, queue: Queue, job: JobId
     ) -> Result[object, Failure]:
         """Decodes a job and submits it."""
-        parsed = parse_json(call.body, WireJob)
-        if isinstance(parsed, Err):
-            return Err(parsed.err_value)
-        record = to_record(
-            parsed.ok_value, call, queue, job, self.instance.ports.clock.now()
-        )
-        accepted = await self.instance.front.submit(record, call.deadline_s)
+        record = self.read_job(call, queue, job)
+        if isinstance(record, Err):
+            return Err(record.err_value)
+        call.body = b""  # Not kept while the job is being stored.
+        accepted = await self.instance.front.submit(record.ok_value, call.deadline_s)
         if isinstance(accepted, Err):
             return Err(accepted.err_value)
         return Ok({})
 
+    def read_job(
+        self, call: Call, queue: Queue, job: JobId
+    ) -> Result[CellJob, Failure]:
+        """Decodes a job."""
+        parsed = parse_json(call.body, WireJob)
+        if isinstance(parsed, Err):
+            return Err(parsed.err_value)
+        accepted_at = self.instance.ports.clock.now()
+        return Ok(to_record(parsed.ok_value, call, queue, job, accepted_at))
+
     async def send_result(
         self, send: Any, result: Result[object, Failure], unread: Any = None
     ) -> None:
--- a/lacewinghold/scheduler/admission.py
+++ b/lacewinghold/scheduler/admission.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,8 +15,12 @@
 from lacewinghold.scheduler.model import HOPELESS_MULTIPLE, critical_path_s
 from lacewinghold.scheduler.ports import Resources
 from lacewinghold.scheduler.room import fitting_count
+from lacewinghold.scheduler.state_account import STATE_SHARE, group_of, job_bytes
+from lacewinghold.util.http_limits import DEFAULT_MEMORY_MB, MIB
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from lacewinghold.scheduler.cell import CellInstance
     from lacewinghold.scheduler.model import Step
     from lacewinghold.scheduler.owner import CellOwner
@@ -28,6 +33,7 @@
 MIN_CONSECUTIVE_CHECKS = 3  # A burst fills the cell for a shorter time.
 RATE_WINDOW_CHECKS = 5  # Checks over which the rate of starts is computed.
 FULL_POOL_SHARE = 0.8  # Large tasks do not fit into the remaining capacity.
+STORING_SHARE = 0.5  # Of the memory for jobs, for those that are being stored.
 MAX_EXPECTED_WAIT_S = 60.0  # Longer waits cannot be predicted.
 
 
@@ -39,12 +45,15 @@
     :param waits_s: Expected seconds until a new job would start, by queue; only
         queues with a long wait are listed.
     :param excess: Share of the submissions to refuse, 0 to 1, by organisation.
+    :param full_s: Seconds until the owner has room in memory, by organisation or queue;
+        only those without room are listed.
     """
 
     term: int = 0
     received_at: float = -math.inf
     waits_s: dict[str, float] = {}
     excess: dict[str, float] = {}
+    full_s: dict[str, float] = {}
 
 
 class Admission:
@@ -53,17 +62,21 @@
     def __init__(self, instance: CellInstance) -> None:
         self.instance = instance
         self.backlog = Backlog()
+        memory_mb = instance.memory_mb or DEFAULT_MEMORY_MB
+        self.storing_limit = int(STORING_SHARE * STATE_SHARE * memory_mb * MIB)
+        self.storing_bytes = 0
 
     def update_backlog(
         self,
         term: int,
         waits_s: dict[str, float],
         excess: dict[str, float] | None = None,
+        full_s: dict[str, float] | None = None,
     ) -> None:
         """Records the backlog that an owner has sent, unless its term is outdated."""
         if term >= self.backlog.term:
             now = anyio.current_time()
-            self.backlog = Backlog(term, now, waits_s, excess or {})
+            self.backlog = Backlog(term, now, waits_s, excess or {}, full_s or {})
 
     def has_valid_backlog(self) -> bool:
         """Returns whether the backlog is recent and of the owner in office."""
@@ -72,6 +85,34 @@
             return False
         return anyio.current_time() - self.backlog.received_at <= BACKLOG_VALID_S
 
+    @contextmanager
+    def storing(self, record: CellJob) -> Iterator[bool]:
+        """Counts the memory of a job that is being stored.
+
+        :returns: Whether there is room; a single job always has it.
+        """
+        size = job_bytes(record)
+        if self.storing_bytes and self.storing_bytes + size > self.storing_limit:
+            yield False
+            return
+        self.storing_bytes += size
+        try:
+            yield True
+        finally:
+            self.storing_bytes -= size
+
+    def full_wait_s(self, record: CellJob) -> float:
+        """Returns the seconds until the owner has room for a job, 0 if it has now."""
+        group = group_of(record)
+        active = self.instance.active_owner()
+        if active is not None:
+            account = active.state_account
+            full = account.is_full(group, job_bytes(record))
+            return account.wait_s() if full else 0.0
+        if group not in self.backlog.full_s or not self.has_valid_backlog():
+            return 0.0
+        return self.backlog.full_s[group]
+
     def is_excess(self, record: CellJob) -> bool:
         """Returns whether a submission is in the share to refuse.
 
@@ -181,6 +222,7 @@
         self.consecutive_late_checks = 0
         self.excess = ExcessEstimator(instance.metrics)
         self.excess_updated_at = anyio.current_time()
+        self.state_updated_at = anyio.current_time()
 
     async def run(self) -> None:
         """Checks the backlog until cancelled.
@@ -201,10 +243,26 @@
             self.record_check()
             waits_s = self.excessive_waits_s()
             excess = self.update_excess()
-            if waits_s or excess:
-                term = self.owner.ownership.term
-                self.instance.admission.update_backlog(term, waits_s, excess)
-                await self.instance.peer_calls.broadcast_waits(term, waits_s, excess)
+            full_s = self.update_state()
+            if waits_s or excess or full_s:
+                found = (self.owner.ownership.term, waits_s, excess, full_s)
+                self.instance.admission.update_backlog(*found)
+                await self.instance.peer_calls.broadcast_waits(*found)
+
+    def update_state(self) -> dict[str, float]:
+        """Returns the seconds until there is room in memory, by full group."""
+        now = anyio.current_time()
+        account = self.owner.state_account
+        members = self.instance.members.members.values()
+        account.set_limit(
+            [self.instance.memory_mb, *(member.memory_mb for member in members)]
+        )
+        full_s = account.update(now - self.state_updated_at)
+        self.state_updated_at = now
+        metrics = self.instance.metrics
+        metrics.state_bytes.set(account.total)
+        metrics.state_limit_bytes.set(account.limit)
+        return full_s
 
     def update_excess(self) -> dict[str, float]:
         """Returns which share of each organisation's submissions to refuse."""
--- a/lacewinghold/scheduler/cell.py
+++ b/lacewinghold/scheduler/cell.py
@@ -124,6 +124,7 @@
         self.jobs = JobStore(self.store, prefix, ports.job_ids)
         self.state = CellState()
         self.strength = strength_of(settings.machine)
+        self.memory_mb = settings.machine.memory_mb if settings.machine else 0.0
         self.election = Election(
             self.store,
             prefix,
@@ -149,6 +150,7 @@
             region=settings.region,
             data_centre=settings.data_centre,
             strength=self.strength,
+            memory_mb=self.memory_mb,
         )
         self.membership = Membership(self.store, prefix, member, self.lag)
         self.members = Members(self.store, prefix, self.update_advice_lane)
--- a/lacewinghold/scheduler/ended_jobs.py
+++ b/lacewinghold/scheduler/ended_jobs.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from lacewinghold.scheduler.job_store import JobStore
+    from lacewinghold.scheduler.state_account import StateAccount
 
 logger = structlog.get_logger(__name__)
 RETRY_DELAY_S = 0.1  # After a failed read.
@@ -35,6 +36,7 @@
     :param legacy: Whether an earlier version has kept the job's record beside it.
     :param removal_pending: Whether its removal from the store is queued.
     :param organisation: Organisation that submitted it, empty if none was identified.
+    :param group: Whose memory it is counted as.
     """
 
     state: JobState
@@ -42,6 +44,7 @@
     legacy: bool = False
     removal_pending: bool = False
     organisation: str = ""
+    group: str = ""
 
 
 class EndedJobs:
@@ -52,8 +55,9 @@
         organisation.
     """
 
-    def __init__(self, store: JobStore) -> None:
+    def __init__(self, store: JobStore, account: StateAccount) -> None:
         self.store = store
+        self.account = account
         self.jobs: dict[str, EndedJob] = {}
         self.loaded = False
         self.running: dict[str, Resources] = {}
@@ -75,10 +79,14 @@
         *,
         legacy: bool = False,
         organisation: str = "",
+        group: str = "",
     ) -> None:
         """Records a durable outcome, unless one is known already."""
-        ended = EndedJob(state, at, legacy, organisation=organisation)
-        self.jobs.setdefault(job, ended)
+        if job in self.jobs:
+            return
+        ended = EndedJob(state, at, legacy, False, organisation, group or organisation)
+        self.jobs[job] = ended
+        self.account.add_ended(ended)
 
     def add_running(self, outcome: JobOutcome, now: float) -> None:
         """Counts the runs of an ended job that may not have ended.
@@ -127,4 +135,6 @@
 
     def forget(self, job: str) -> None:
         """Removes a job whose retention period has passed."""
-        self.jobs.pop(job, None)
+        ended = self.jobs.pop(job, None)
+        if ended is not None:
+            self.account.remove_ended(ended)
--- a/lacewinghold/scheduler/front.py
+++ b/lacewinghold/scheduler/front.py
@@ -168,6 +168,12 @@
         """
         if self.instance.admission.is_excess(record):
             return excess_failure(self.instance.rng)
+        full_s = self.instance.admission.full_wait_s(record)
+        if full_s > 0:
+            detail = (
+                "not accepted: too many jobs are kept for its organisation or queue"
+            )
+            return Failure(ErrorKind.NOT_RUN, detail, retry_after_s=full_s)
         excess_s = self.instance.admission.excess_wait_s(record)
         return self.backlog_failure(excess_s) if excess_s > 0 else None
 
@@ -208,6 +214,19 @@
             if refusal.kind is ErrorKind.OVERLOADED:
                 self.instance.metrics.excess_refusals.inc()
             return Err(refusal)
+        with self.instance.admission.storing(record) as has_room:
+            if has_room or not await self.is_confirmed_absent(record.job, limit_s):
+                return await self.write_job(record, give_up_at)
+        detail = "not accepted: too many large jobs are being stored"
+        return Err(Failure(ErrorKind.NOT_RUN, detail, retry_after_s=MIN_RETRY_AFTER_S))
+
+    async def write_job(
+        self, record: CellJob, give_up_at: float
+    ) -> Result[None, Failure]:
+        """Writes a job to the store until the outcome is known.
+
+        :param give_up_at: When to stop, on the runtime's clock in seconds.
+        """
         sent = False
         failure = Failure(ErrorKind.STORE_UNAVAILABLE, "the store is unavailable")
         while sent or not self.instance.store.down:
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -24,6 +24,7 @@
     make_job,
 )
 from lacewinghold.scheduler.ports import Resources, stored_queue
+from lacewinghold.scheduler.state_account import group_of
 from lacewinghold.scheduler.suspects import WorkerCrash, crashes_of, is_guilty
 from lacewinghold.schema.generated.cell import JobOutcome
 
@@ -175,6 +176,7 @@
     def drop_job(self, job: Job) -> None:
         """Removes a job with its steps and tasks."""
         del self.jobs[job.id]
+        self.owner.state_account.remove_job(job.record)
         self.owner.end_waits.wake(job.id)
         for step in job.steps:
             self.steps.pop(step.name, None)
@@ -206,6 +208,7 @@
         job.confirmed = not self.owner.loaded
         self.owner.confirmations.request(job)
         self.jobs[job.id] = job
+        self.owner.state_account.add_job(record)
         if not job.from_earlier_owner:
             self.count_against_rate(job)
         self.register(job.steps)
@@ -330,6 +333,7 @@
             job.state,
             self.owner.clock.now(),
             organisation=self.bound_organisation(job),
+            group=group_of(job.record),
         )
         self.owner.end_waits.wake(job.id)
 
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -44,6 +44,16 @@
             ["result"],
             registry=registry,
         )
+        self.state_bytes = Gauge(
+            "lacewinghold_state_bytes",
+            "Approximate memory of the jobs that this instance holds as the owner.",
+            registry=registry,
+        )
+        self.state_limit_bytes = Gauge(
+            "lacewinghold_state_limit_bytes",
+            "Memory of jobs beyond which further jobs are refused.",
+            registry=registry,
+        )
         self.tombstones = Counter(
             "lacewinghold_tombstones",
             "Cancellations of jobs that are not stored, by result.",
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -38,6 +38,7 @@
 from lacewinghold.scheduler.runs import RunLifecycle
 from lacewinghold.scheduler.slow_workers import SlowWorkers
 from lacewinghold.scheduler.speeds import WorkerSpeeds
+from lacewinghold.scheduler.state_account import StateAccount
 from lacewinghold.scheduler.suspects import Suspects
 from lacewinghold.scheduler.tombstones import TombstoneSweeper
 from lacewinghold.scheduler.unknown_jobs import UnknownJobs
@@ -123,7 +124,8 @@
         self.speeds = WorkerSpeeds()
         self.pace = PaceTracker(self.speeds)
         self.learning = RunLearning(self)
-        self.ended = EndedJobs(jobs)
+        self.state_account = StateAccount()
+        self.ended = EndedJobs(jobs, self.state_account)
         self.table = JobTable(self)
         self.unknown_jobs = UnknownJobs(self)
         self.confirmations = OwnershipConfirmations(self)
--- a/lacewinghold/scheduler/peer_calls.py
+++ b/lacewinghold/scheduler/peer_calls.py
@@ -220,14 +220,19 @@
         return isinstance(reply, Ok)
 
     async def broadcast_waits(
-        self, term: int, waits_s: dict[str, float], excess: dict[str, float]
+        self,
+        term: int,
+        waits_s: dict[str, float],
+        excess: dict[str, float],
+        full_s: dict[str, float],
     ) -> None:
         """Sends all members the backlog.
 
         :param waits_s: Expected waits of new jobs in seconds, by queue.
         :param excess: Shares of submissions to refuse, 0 to 1, by organisation.
+        :param full_s: Seconds until there is room in memory, by organisation or queue.
         """
-        message = CellWaits(term, waits_s, excess)
+        message = CellWaits(term, waits_s, excess, full_s)
         for member in list(self.instance.members.members):
             if member != self.instance.instance:
                 await self.links.notify(member, MessageKind.CELL_WAITS, message)
@@ -287,7 +292,7 @@
         """Applies the waits of the owner's backlog."""
         message = unpack(body, CellWaits)
         self.instance.admission.update_backlog(
-            message.term, message.waits_s, message.excess
+            message.term, message.waits_s, message.excess, message.full_s
         )
         return Ok(CellReady(self.instance.instance))
 
--- a/tests/test_clients/crowd.py
+++ b/tests/test_clients/crowd.py
@@ -75,12 +75,15 @@
     :param peak_mb: Highest resident memory with the unread bytes of its sockets, in MB.
     """
 
-    def __init__(self, cell, folder):
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
+
+    def __init__(self, cell, folder, name="front-1", zone="zone-a"):
         standin.free_ports = find_ports
-        super().__init__(cell, "front-1", "zone-a", folder)
+        super().__init__(cell, name, zone, folder)
         settings = json.loads(self.settings.read_text())
-        settings["machine"]["memory_mb"] = MEMORY_MB
-        settings["machine"]["max_descriptors"] = MAX_DESCRIPTORS
+        settings["machine"]["memory_mb"] = self.memory_mb
+        settings["machine"]["max_descriptors"] = self.max_descriptors
         self.settings.write_text(json.dumps(settings))
         self.metrics = settings["listen"]["metrics"]
         self.peak_mb = 0.0
@@ -132,6 +135,7 @@
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(hold_s):
                 reader, writer = await asyncio.open_connection(ip, int(port))
+                self.transport = writer.transport
                 reading = asyncio.create_task(self.read(reader))
                 for part in parts:
                     if isinstance(part, float):
--- a/tests/test_clients/test_accepted_work.py
+++ b/tests/test_clients/test_accepted_work.py
@@ -13,16 +13,28 @@
 import pytest
 
 from review import standin
+from tests.test_clients import crowd
 from tests.test_clients.crowd import ask, play
 
 CLIENTS = 10
 JOBS = 40
 TASKS = 9000
+SMALL_JOBS = 12_000
+PIPELINES = 20
+PIPELINE_S = 45.0
 IN_AN_HOUR_MS = 3_600_000
 STEP = {"count": 1, "cpu": 8000, "memMb": 16, "estRuntimeMs": 1000}
 SPEC = json.dumps({"ms": 1000})
 
 
+class UnreadingClient(crowd.Client):
+    """A client that does not read what it receives."""
+
+    async def read(self, reader):
+        self.transport.pause_reading()
+        await asyncio.sleep(PIPELINE_S)
+
+
 def wide():
     """Returns a job with many tasks in one step."""
     return {"spec": SPEC, "steps": [{**STEP, "count": TASKS}]}
@@ -46,6 +58,19 @@
     return {"spec": SPEC, "steps": [STEP], **times}
 
 
+def long():
+    """Returns a job of nearly the largest legal size, with many steps."""
+    return {"spec": SPEC, "steps": [STEP] * 3900}
+
+
+def pipeline(client):
+    """Returns small jobs that a client sends ahead on one connection."""
+    body = json.dumps({"spec": json.dumps({"ms": 10}), "steps": [crowd.STEP]}).encode()
+    line = f"Content-Length: {len(body)}"
+    for number in range(client, SMALL_JOBS, PIPELINES):
+        yield crowd.head(line, path=f"{standin.PREFIX}{number + 16:016x}") + body
+
+
 async def submit(entry, job, numbers):
     """Hands jobs in one after the other and reads the answers."""
     for number in numbers:
@@ -77,7 +102,24 @@
     assert not faults
 
 
-@pytest.mark.parametrize("make_job", [wide, together, repeated, overdue])
+@pytest.mark.parametrize("make_job", [wide, together, repeated, overdue, long])
 def test_small_requests_for_much_work_stay_within_the_memory(tmp_path, make_job):
     """Guards against state in proportion to the tasks of a request."""
     check(tmp_path, make_job)
+
+
+@pytest.mark.parametrize("listener", ["front", "ready"])
+def test_jobs_sent_ahead_stay_within_the_memory(tmp_path, listener):
+    """Guards against what jobs leave behind whose answers nobody reads."""
+
+    async def send(entry):
+        address = getattr(entry, listener)
+        clients = [UnreadingClient(address) for _ in range(PIPELINES)]
+        calls = [
+            client.run(pipeline(number), PIPELINE_S)
+            for number, client in enumerate(clients)
+        ]
+        await asyncio.gather(*calls)
+
+    _, faults = asyncio.run(play(tmp_path, send))
+    assert not faults
