--- a/tests/test_clients/crowd.py
+++ b/tests/test_clients/crowd.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import json
+import math
 import os
 import socket
 from pathlib import Path
@@ -16,6 +17,7 @@
 MAX_DESCRIPTORS = 160
 ANSWER_LIMIT_S = 30.0
 HOLD_S = 4.0  # Unfinished requests stay open for this long.
+ENDLESS_HOLD_S = 8.0  # So do connections on which requests are sent ahead.
 SAMPLE_S = 0.02
 LEGAL_BODY = 262_144
 STEP = {"count": 1, "cpu": 100, "memMb": 16, "estRuntimeMs": 10}
@@ -158,6 +160,14 @@
                 self.received += data
 
 
+class UnreadingClient(Client):
+    """A client that does not read what it receives."""
+
+    async def read(self, reader):
+        self.transport.pause_reading()
+        await asyncio.sleep(math.inf)
+
+
 async def ask(entry, method, path, body=None):
     """Makes an ordinary request until it is answered other than 429 or 503."""
     for _ in range(round(ANSWER_LIMIT_S)):
--- a/tests/test_clients/test_accepted_work.py
+++ b/tests/test_clients/test_accepted_work.py
@@ -27,14 +27,6 @@
 SPEC = json.dumps({"ms": 1000})
 
 
-class UnreadingClient(crowd.Client):
-    """A client that does not read what it receives."""
-
-    async def read(self, reader):
-        self.transport.pause_reading()
-        await asyncio.sleep(PIPELINE_S)
-
-
 def wide():
     """Returns a job with many tasks in one step."""
     return {"spec": SPEC, "steps": [{**STEP, "count": TASKS}]}
@@ -114,7 +106,7 @@
 
     async def send(entry):
         address = getattr(entry, listener)
-        clients = [UnreadingClient(address) for _ in range(PIPELINES)]
+        clients = [crowd.UnreadingClient(address) for _ in range(PIPELINES)]
         calls = [
             client.run(pipeline(number), PIPELINE_S)
             for number, client in enumerate(clients)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -77,6 +77,7 @@
 KEYS = "tests/test_organisations/test_keys.py"
 ACCESS = "tests/test_organisations/test_access.py"
 CAPS = "tests/test_organisations/test_caps.py"
+STATE_ACCOUNT = "tests/test_scheduler/test_state_account.py"
 SHARES = "tests/test_organisations/test_shares.py"
 ORGANISATIONS = "lacewinghold.organisations."
 CELL = "lacewinghold.scheduler."
@@ -965,6 +966,8 @@
 SPREAD = "lacewinghold.document.spread:DocumentSpread."
 VIEW = "lacewinghold.coordination.view:LiveView."
 PEER_LINK = "lacewinghold.peers.link:PeerLink."
+PEER_LIMITS = "lacewinghold.peers.limits:PeerLimits."
+PEER_LIMIT_TESTS = ("tests/test_peers/test_peer_limits.py",)
 MUTANTS += [
     Mutant(
         "repeated edit", EDITOR + "attempt", "earlier is not None", "False", EDITING
@@ -1056,6 +1059,48 @@
         "False",
         LINKS,
     ),
+    Mutant(
+        "known instances before strangers",
+        PEER_LIMITS + "admit",
+        "if not other.known",
+        "",
+        PEER_LIMIT_TESTS,
+    ),
+    Mutant(
+        "bytes of all peers",
+        PEER_LIMITS + "charge",
+        "self.held > self.held_bytes",
+        "False",
+        PEER_LIMIT_TESTS,
+    ),
+    Mutant(
+        "bytes of strangers first",
+        PEER_LIMITS + "first_to_cut",
+        "not connection.known",
+        "connection.known",
+        PEER_LIMIT_TESTS,
+    ),
+    Mutant(
+        "memory of the owner's jobs",
+        CELL + "admission:Admission.full_wait_s",
+        "account.wait_s() if full else 0.0",
+        "0.0",
+        (STATE_ACCOUNT,),
+    ),
+    Mutant(
+        "memory told by the owner",
+        CELL + "admission:Admission.full_wait_s",
+        "return self.backlog.full_s[group]",
+        "return 0.0",
+        (STATE_ACCOUNT,),
+    ),
+    Mutant(
+        "memory by group",
+        CELL + "state_account:StateAccount.is_full",
+        "return self.held[group] * len(others) >= sum(others)",
+        "return True",
+        (STATE_ACCOUNT,),
+    ),
     Mutant(
         "queue bound",
         PEER_LINK + "enqueue",
