--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 
 import pytest
 import structlog
+import trustme
 
 KNOWN_FAILURES = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY = re.compile(r"^- pytest (tests/\S+?):? (\(unsteady\))?", re.MULTILINE)
@@ -49,3 +50,16 @@
     """Undoes the logging of a test, which may hold its captured output open."""
     yield
     structlog.reset_defaults()
+
+
+@pytest.fixture
+def certificates(tmp_path):
+    """Returns the paths of a certificate, its key and its authority, by setting."""
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    names = ("certificate", "key", "authority")
+    files = {name: str(tmp_path / f"{name}.pem") for name in names}
+    issued.cert_chain_pems[0].write_to_path(files["certificate"])
+    issued.private_key_pem.write_to_path(files["key"])
+    authority.cert_pem.write_to_path(files["authority"])
+    return files
