--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -45,6 +45,7 @@
 
     if is_platform_settings(options.settings):
         return run_on_platform(options.settings)
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     loaded = load_checked(options.settings)
     if isinstance(loaded, Err):
         failure = loaded.err_value
@@ -66,6 +67,8 @@
 
 def run_on_platform(path: Path) -> int:
     """Runs ``serve`` with settings for the users' platform."""
+    # Without a handler, it would end the process before it watches the settings.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from lacewinghold.cmd import fail
     from lacewinghold.cmd.settings import load
     from lacewinghold.schema.generated.entry import EntrySettings
--- a/tests/test_cmd/test_settings.py
+++ b/tests/test_cmd/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import typing
 
 import pytest
@@ -97,3 +98,25 @@
     assert len(files) == 14
     for file in files:
         assert main(["settings", "check", str(file)]) == 0
+
+
+def test_a_sighup_before_the_settings_are_read_does_not_end_the_process(
+    tmp_path, monkeypatch
+):
+    """Guards against the default action while a process starts."""
+    settings = tmp_path / "entry.json"
+    settings.write_text('{"bounds": {}}')
+    found = []
+
+    def load(path, kind):
+        found.append(signal.getsignal(signal.SIGHUP))
+        raise SystemExit
+
+    monkeypatch.setattr("lacewinghold.cmd.settings.load", load)
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        with pytest.raises(SystemExit):
+            main(["serve", "--settings", str(settings)])
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert found == [signal.SIG_IGN]
