--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -448,7 +448,7 @@
     ),
     Mutant(
         "unknown is not refused",
-        CELL + "front:JobFront.store_job",
+        CELL + "front:JobFront.write_job",
         "if sent:",
         "if False:",
         (STORE_OUTAGE,),
@@ -687,15 +687,15 @@
     Mutant(
         "cap in place_singly",
         CELL + "policy:Planner.place_singly",
-        "waiting = self.within_cap(step, waiting, claimed)",
+        "count = self.within_cap(step, count, claimed)",
         "pass",
         (CAPS,),
     ),
     Mutant(
         "cap in place_together",
         CELL + "policy:Planner.place_together",
-        "len(self.within_cap(step, tasks))",
-        "len(tasks)",
+        "self.within_cap(step, count)",
+        "count",
         (CAPS,),
     ),
     Mutant(
