--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -12,7 +12,6 @@
 from lacewinghold.events import Event
 from lacewinghold.ids import OrganisationId
 from lacewinghold.organisations.authentication import bound_organisation
-from lacewinghold.organisations.caps import task_demand
 from lacewinghold.scheduler.job_store import JobKey
 from lacewinghold.scheduler.model import (
     Job,
@@ -24,8 +23,10 @@
     make_job,
 )
 from lacewinghold.scheduler.ports import Resources, stored_queue
+from lacewinghold.scheduler.remaining_usage import remaining_usage
 from lacewinghold.scheduler.state_account import group_of
 from lacewinghold.scheduler.suspects import WorkerCrash, crashes_of, is_guilty
+from lacewinghold.scheduler.turn_budget import RECORD_WORK, TurnBudget
 from lacewinghold.schema.generated.cell import JobOutcome
 
 if TYPE_CHECKING:
@@ -40,22 +41,6 @@
 
 logger = structlog.get_logger(__name__)
 MAX_ORDER_DELAY_S = 10.0  # An unanswered start may still be carried out until then.
-MAX_WORK_PER_TURN = 200  # Steps built without yielding: under a millisecond.
-RECORD_WORK = 9  # To decode a record, compared with building a step.
-
-
-class TurnBudget:
-    """Yields to the event loop each time a limited amount of work is done."""
-
-    def __init__(self) -> None:
-        self.spent = 0
-
-    async def spend(self, work: int) -> None:
-        """Counts work, and yields once it reaches the limit of one turn."""
-        self.spent += work
-        if self.spent >= MAX_WORK_PER_TURN:
-            self.spent = 0
-            await anyio.sleep(0)
 
 
 class JobTable:
@@ -310,7 +295,7 @@
             reason=reason,
             organisation=self.bound_organisation(job),
         )
-        running = self.remaining_usage(job)
+        running = remaining_usage(job, recovered=self.owner.recovered)
         if running != Resources():
             outcome.running_of = job.record.organisation
             outcome.running_cpu_millis = running.cpu_millis
@@ -340,26 +325,6 @@
         )
         self.owner.end_waits.wake(job.id)
 
-    def remaining_usage(self, job: Job) -> Resources:
-        """Returns what runs of an ending job may still use of a cap, for a later owner.
-
-        Before the recovery, any waiting task of an earlier job may have a run as well.
-        """
-        found = Resources()
-        if not job.record.organisation:
-            return found
-        unknown = job.from_earlier_owner and not self.owner.recovered
-        for step in job.steps:
-            count = len(step.active_runs())
-            if unknown:
-                count += step.waiting_count()
-            found = found.plus(task_demand(step.spec).times(count))
-        if unknown:
-            for step in job.unbuilt_steps(anyio.current_time()):
-                demand = task_demand(step.spec).times(step.waiting_count())
-                found = found.plus(demand)
-        return found
-
     def bound_organisation(self, job: Job) -> str:
         """Returns the organisation whose callers alone may name a job, or empty."""
         return bound_organisation(job.record, self.owner.state.manifest)
@@ -517,8 +482,6 @@
         job = self.jobs.get(job_id)
         if job is None or not job.is_scheduled():
             return None
-        if int(occurrence) >= job.occurrence_count():
-            return None
         self.register(job.build_occurrence(int(occurrence)))
         return job.find_step(int(occurrence), int(number))
 
@@ -526,12 +489,9 @@
         """Returns how many jobs of a queue wait for their first start."""
         count = 0
         for job in self.jobs.values():
-            if (
-                job.queue.name != queue
-                or job.started
-                or job.ended()
-                or job.is_scheduled()
-            ):
+            if job.queue.name != queue or job.started:
+                continue
+            if job.ended() or job.is_scheduled():
                 continue
             count += 1
         return count
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -318,7 +318,8 @@
 
         :returns: The new steps.
         """
-        if occurrence in self.built or self.is_dropped(occurrence):
+        known = occurrence in self.built or self.is_dropped(occurrence)
+        if known or occurrence >= self.occurrence_count():
             return []
         steps = make_steps(self, occurrence, self.due_at(occurrence))
         self.built[occurrence] = steps
