--- a/review/platform_3/cell.py
+++ b/review/platform_3/cell.py
@@ -156,12 +156,16 @@
         self.fleet = Fleet(self.store, self.record, behaviour, gangs)
         self.ticking = asyncio.create_task(self.fleet.run())
         for number in range(count):
-            instance = Instance(self, f"front-{number + 1}", "zone-a")
-            self.instances.append(instance)
-            instance.start()
+            self.add_instance(f"front-{number + 1}").start()
         for instance in self.instances:
             await instance.wait_until_ready()
 
+    def add_instance(self, name, zone="zone-a"):
+        """Returns a further entry instance, which is not started yet."""
+        instance = Instance(self, name, zone)
+        self.instances.append(instance)
+        return instance
+
     async def submit(self, prefix, job, steps, instance=0, **more):
         """Submits a job until it is accepted."""
         client = Client(self.instances[instance].callers)
