--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -132,3 +132,4 @@
     RELAY_SILENT = "relay silent"
     SILENT_LINK_REPLACED = "silent link replaced"
     DAMAGED_MESSAGE = "damaged message"
+    UNMATCHED_MESSAGE = "unmatched message"
--- a/lacewinghold/peers/link.py
+++ b/lacewinghold/peers/link.py
@@ -57,8 +57,8 @@
         self.queue: deque[OutgoingMessage] = deque()
         self.queued_bytes = 0
         self.wake_event = anyio.Event()
-        self.heartbeat_number = 0
-        self.echoed_number = 0
+        self.heartbeat_number = links.calls.last_number
+        self.echoed_number = self.heartbeat_number
         self.silent_since = anyio.current_time()
         self.last_used_at = anyio.current_time()
         self.last_heartbeat_at = anyio.current_time()
@@ -113,7 +113,7 @@
             self.queued_bytes -= len(outgoing.message)
             sent = await self.send(outgoing)
             if isinstance(sent, Err) and outgoing.correlation:
-                self.links.fail_request(outgoing.correlation, sent.err_value)
+                self.links.calls.fail(outgoing.correlation, sent.err_value)
 
     async def send(self, outgoing: OutgoingMessage) -> Result[None, Failure]:
         """Sends one message and counts its bytes."""
@@ -146,12 +146,15 @@
         if not waiting:
             self.silent_since = now
         self.last_heartbeat_at = now
-        self.heartbeat_number += 1
+        self.heartbeat_number = self.links.calls.next_number()
         self.links.send_heartbeat(self.peer, number=self.heartbeat_number, echo=0)
 
     def record_echo(self, echo: int) -> None:
-        """Records that the peer has echoed a heartbeat of this link."""
-        if echo <= self.echoed_number:
+        """Records that the peer has echoed a heartbeat of this link.
+
+        Echoes of the heartbeats of an earlier process at this address are ignored.
+        """
+        if not self.echoed_number < echo <= self.heartbeat_number:
             return
         silent = self.replacements and self.backoff.attempt
         self.echoed_number = echo
@@ -169,7 +172,7 @@
             if outgoing.correlation:
                 detail = f"link to {self.peer} closed before the request was sent"
                 failure = Failure(ErrorKind.UNREACHABLE, detail)
-                self.links.fail_request(outgoing.correlation, failure)
+                self.links.calls.fail(outgoing.correlation, failure)
 
 
 def pack_heartbeat(number: int, echo: int, revision: int, *, leaving: bool) -> bytes:
--- a/lacewinghold/peers/links.py
+++ b/lacewinghold/peers/links.py
@@ -15,7 +15,9 @@
 
 from lacewinghold.errors import ErrorKind, Failure
 from lacewinghold.events import Event
+from lacewinghold.ids import InstanceId
 from lacewinghold.peers.link import OutgoingMessage, PeerLink, pack_heartbeat
+from lacewinghold.peers.pending import PendingCall, PendingCalls
 from lacewinghold.schema.generated.messages import (
     Envelope,
     FailureBody,
@@ -31,7 +33,6 @@
 
     from anyio.abc import TaskGroup
 
-    from lacewinghold.ids import InstanceId
     from lacewinghold.peers.base import PeerTransport
     from lacewinghold.schema.base import PackedStruct
 
@@ -43,6 +44,8 @@
 PLAIN_VERSION = 1
 COMPRESSED_VERSION = 2
 NO_REPLY = 0
+NO_RECIPIENT = InstanceId("")
+REPLY_KINDS = (MessageKind.REPLY, MessageKind.FAILURE)
 MIN_COMPRESSED_BYTES = 512
 COMPRESSION_LEVEL = 3
 MAX_ACTIVE_REQUESTS = 4096
@@ -79,9 +82,7 @@
         self.rng = rng or random.Random(0)
         self.lag = lag or LagMonitor()
         self.handlers: dict[MessageKind, Handler] = {}
-        self.next_correlation = 1
-        self.replies: dict[int, Result[bytes, Failure]] = {}
-        self.reply_events: dict[int, anyio.Event] = {}
+        self.calls = PendingCalls(instance)
         self.links: dict[InstanceId, PeerLink] = {}
         self.versions: dict[InstanceId, int] = {}
         self.narrow = False
@@ -106,6 +107,10 @@
         """Returns the address of a peer, or ``None`` if it is unknown."""
         return self.addresses(peer) or self.learned_addresses.get(peer)
 
+    def process_at(self, peer: InstanceId) -> InstanceId | None:
+        """Returns a peer's id, or ``None`` if the peer is only known by its address."""
+        return None if self.address(peer) == peer else peer
+
     async def run(self) -> None:
         """Receives messages and serves requests until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -140,13 +145,23 @@
             if envelope.narrow:
                 self.narrow_peers.add(envelope.sender)
         self.on_document_revision(envelope.document_revision)
+        if not self.calls.check_recipient(envelope):
+            self.refuse_request(envelope)
+            return
         if envelope.kind is MessageKind.HEARTBEAT:
             self.handle_heartbeat(envelope)
             return
-        if envelope.kind not in (MessageKind.REPLY, MessageKind.FAILURE):
+        if envelope.kind not in REPLY_KINDS:
             tasks.start_soon(self.serve_request, envelope)
             return
-        self.resolve(envelope.correlation, to_result(envelope))
+        self.calls.settle(envelope, to_result(envelope))
+
+    def refuse_request(self, envelope: Envelope) -> None:
+        """Answers a request that is for another process, which does not get it."""
+        if envelope.kind in REPLY_KINDS or envelope.correlation == NO_REPLY:
+            return
+        detail = f"{envelope.recipient} is gone; {self.instance} has its address"
+        self.reply(envelope, Err(Failure(ErrorKind.UNREACHABLE, detail)))
 
     def handle_heartbeat(self, envelope: Envelope) -> None:
         """Records the echo in a heartbeat, and echoes its number."""
@@ -164,18 +179,6 @@
         )
         self.queue(peer, MessageKind.HEARTBEAT, NO_REPLY, body)
 
-    def resolve(self, correlation: int, result: Result[bytes, Failure]) -> None:
-        """Passes a result to the caller that waits for it, if any."""
-        event = self.reply_events.get(correlation)
-        if event is None:
-            return
-        self.replies[correlation] = result
-        event.set()
-
-    def fail_request(self, correlation: int, failure: Failure) -> None:
-        """Fails a request that certainly was not sent."""
-        self.resolve(correlation, Err(failure))
-
     async def serve_request(self, envelope: Envelope) -> None:
         """Runs the handler of a request and sends its reply."""
         self.active_requests += 1
@@ -183,8 +186,11 @@
             result = await self.run_handler(envelope)
         finally:
             self.active_requests -= 1
-        if envelope.correlation == NO_REPLY:
-            return
+        if envelope.correlation != NO_REPLY:
+            self.reply(envelope, result)
+
+    def reply(self, envelope: Envelope, result: Result[PackedStruct, Failure]) -> None:
+        """Queues the reply to a request."""
         if isinstance(result, Ok):
             kind, body = MessageKind.REPLY, pack(result.ok_value)
         else:
@@ -242,9 +248,10 @@
             False,
             MESSAGE_VERSION,
             self.narrow,
+            self.process_at(peer) or NO_RECIPIENT,
         )
         self.compress(peer, envelope)
-        request = kind not in (MessageKind.REPLY, MessageKind.FAILURE)
+        request = kind not in REPLY_KINDS
         outgoing = OutgoingMessage(
             kind, pack(envelope), correlation if request else NO_REPLY
         )
@@ -312,40 +319,30 @@
             ``OUTCOME_UNKNOWN`` if no reply arrived in time, else the handler's
             failure.
         """
-        correlation = self.next_correlation
-        self.next_correlation += 1
-        event = anyio.Event()
-        self.reply_events[correlation] = event
+        call = self.calls.open(kind, self.process_at(peer))
         try:
-            queued = self.queue(peer, kind, correlation, pack(body))
+            queued = self.queue(peer, kind, call.number, pack(body))
             if isinstance(queued, Err):
                 return Err(queued.err_value)
-            if await self.wait_for_reply(event, timeout_s):
-                return self.replies.pop(correlation)
-            return Err(
-                Failure(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    f"no reply from {peer} before the time-out",
-                )
-            )
+            await self.wait_for_reply(call, timeout_s)
         finally:
-            del self.reply_events[correlation]
-            self.replies.pop(correlation, None)
-
-    async def wait_for_reply(self, reply: anyio.Event, timeout_s: float) -> bool:
-        """Waits for a reply; own lag extends the time-out.
+            self.calls.close(call)
+        if call.result is not None:
+            return call.result
+        return Err(
+            Failure(
+                ErrorKind.OUTCOME_UNKNOWN, f"no reply from {peer} before the time-out"
+            )
+        )
 
-        :returns: Whether the reply arrived in time.
-        """
+    async def wait_for_reply(self, call: PendingCall, timeout_s: float) -> None:
+        """Waits for the reply to a call; own lag extends the time-out."""
         started_at = anyio.current_time()
         deadline = started_at + timeout_s
-        while anyio.current_time() < deadline:
+        while not call.settled.is_set() and anyio.current_time() < deadline:
             with anyio.CancelScope(deadline=deadline):
-                await reply.wait()
-            if reply.is_set():
-                return True
+                await call.settled.wait()
             deadline = self.lag.deadline(started_at, timeout_s)
-        return False
 
 
 def decode_envelope(data: bytes | bytearray, max_body_bytes: int) -> Envelope:
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.exposition import generate_latest
 
 from lacewinghold.peers.limits import PEER_COLLECTORS
+from lacewinghold.peers.pending import UNMATCHED_MESSAGES
 from lacewinghold.scheduler.ports import OrderOutcome
 from lacewinghold.util.containment import UNEXPECTED_ERRORS
 from lacewinghold.util.http_limits import CLIENT_COLLECTORS
@@ -38,6 +39,7 @@
         registry.register(UNEXPECTED_ERRORS)
         for collector in (*CLIENT_COLLECTORS, *PEER_COLLECTORS):
             registry.register(collector)
+        registry.register(UNMATCHED_MESSAGES)
         self.submissions = Counter(
             "lacewinghold_submissions",
             "Submissions by result.",
--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -47,6 +47,11 @@
         default_factory=Counter
     )
 
+    def replace(self, earlier: InstanceId, later: InstanceId) -> None:
+        """Gives the address of a process that has ended to another one."""
+        del self.nodes[earlier]
+        self.addresses[earlier] = later
+
     def count(self, sender: InstanceId, receiver: InstanceId, size: int) -> None:
         """Counts the bytes that cross between regions."""
         pair = (self.regions[sender], self.regions[receiver])
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -957,6 +957,39 @@
     ),
 ]
 
+UNMATCHED = ("tests/test_peers/test_unmatched.py",)
+PENDING = "lacewinghold.peers.pending:"
+MUTANTS += [
+    Mutant(
+        "reply of another process",
+        PENDING + "PendingCalls.settle",
+        "not call.may_be_answered_by(envelope.sender, result)",
+        "False",
+        UNMATCHED,
+    ),
+    Mutant(
+        "message for another process",
+        PENDING + "PendingCalls.check_recipient",
+        "return False",
+        "return True",
+        UNMATCHED,
+    ),
+    Mutant(
+        "call numbers of a process",
+        PENDING + "PendingCalls.__init__",
+        "first_number(instance)",
+        "0",
+        UNMATCHED,
+    ),
+    Mutant(
+        "echo for another process",
+        "lacewinghold.peers.link:PeerLink.record_echo",
+        "< echo <= self.heartbeat_number",
+        "< echo",
+        UNMATCHED,
+    ),
+]
+
 EDITING = ("tests/test_document/test_editing.py",)
 FORCE = ("tests/test_document/test_force.py",)
 NEVER_BACK = ("tests/test_document/test_never_back.py",)
