--- a/lacewinghold/entry.py
+++ b/lacewinghold/entry.py
@@ -65,7 +65,7 @@
     return CellPorts(
         store=store,
         transport=NngTransport(settings.listen.peer, limits=make_limits(capacity)),
-        dialer=PlatformWorkerDialer(lag),
+        dialer=PlatformWorkerDialer(lag, link_mbps(settings)),
         advice=advice,
         keys=OperatorKeys(MANIFEST_KEY, WORKERS_PREFIX, read_manifest, read_worker),
         clock=WallClock(),
@@ -130,8 +130,9 @@
     boot = secrets.token_hex(4)
     name = InstanceId(f"{settings.instance}.{boot}")
     lag = LagMonitor()
-    store = PlatformStore(settings.store.address, lag)
-    advice = PlatformAdvice(settings.advice, lag) if settings.advice else None
+    link = link_mbps(settings)
+    store = PlatformStore(settings.store.address, lag, link)
+    advice = PlatformAdvice(settings.advice, lag, link) if settings.advice else None
     capacity = machine_capacity(settings.machine)
     ports = make_ports(settings, store, advice, lag, capacity)
     instance = CellInstance(settings, ports, name, random.Random())
@@ -159,6 +160,11 @@
     logger.info(Event.STOPPED)
 
 
+def link_mbps(settings: EntrySettings) -> float | None:
+    """Returns the bandwidth of the machine's link in Mbit/s, if it is stated."""
+    return None if settings.machine is None else settings.machine.link_mbps
+
+
 def machine_capacity(machine: EntryMachine | None) -> Capacity:
     """Returns what clients and peers may use of a machine."""
     if machine is None:
--- a/lacewinghold/events.py
+++ b/lacewinghold/events.py
@@ -115,6 +115,7 @@
     STORE_REGRESSED = "store regressed"
     STORE_BEHIND_ITS_PAST = "store behind its past"
     HISTORY_GONE = "history gone"
+    CHANGES_SKIPPED = "changes skipped"
     WATCH_BROKE = "watch broke"
     WATCH_IS_SILENT = "watch is silent"
     LEASE_OPENED = "lease opened"
--- a/lacewinghold/platform/advice.py
+++ b/lacewinghold/platform/advice.py
@@ -33,12 +33,18 @@
 
     :param address: IP address and port.
     :param lag: Measures this process's scheduling lag; ``None`` assumes no lag.
+    :param link_mbps: Bandwidth of this machine's link in Mbit/s, ``None`` if unknown.
     """
 
     name = "platform"
 
-    def __init__(self, address: str, lag: LagMonitor | None = None) -> None:
-        self.client = JsonClient(address, MAX_CONNECTIONS, lag)
+    def __init__(
+        self,
+        address: str,
+        lag: LagMonitor | None = None,
+        link_mbps: float | None = None,
+    ) -> None:
+        self.client = JsonClient(address, MAX_CONNECTIONS, lag, link_mbps=link_mbps)
 
     async def ask(
         self, step: str, workers: Sequence[WorkerId], timeout_s: float
--- a/lacewinghold/platform/http_connections.py
+++ b/lacewinghold/platform/http_connections.py
@@ -11,7 +11,11 @@
 from anyio.abc import SocketAttribute
 from msgspec import Struct
 
+from lacewinghold.util.transfer import DISCARDED_BYTES, Transfer, TransferLimits
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import SocketStream
 
     from lacewinghold.util.turns import TurnGate
@@ -19,7 +23,8 @@
 KEEPALIVE_EXPIRY_S = 14.0  # Shorter than the platform's idle time-out of 15 s.
 READ_SIZE_BYTES = 65536
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+LENGTH_HEADER = b"content-length"
+FRAMING_HEADERS = (LENGTH_HEADER, b"transfer-encoding")
 
 
 class NotSentError(Exception):
@@ -34,6 +39,23 @@
     """Raised if a request may have been sent and no complete response arrived."""
 
 
+class ResponseTooLargeError(NoResponseError):
+    """Raised if a response is larger than the caller allows."""
+
+
+class Timeouts(Struct, frozen=True):
+    """Time limits of one call.
+
+    :param connect_s: For opening a connection, in seconds.
+    :param exchange_s: For sending the request and receiving its response, in seconds;
+        ``transfer`` extends it while a large response arrives.
+    """
+
+    connect_s: float
+    exchange_s: float
+    transfer: TransferLimits
+
+
 class HttpReply(Struct, frozen=True):
     """A complete response."""
 
@@ -42,9 +64,14 @@
 
 
 class ResponseParser:
-    """Collects one response; its methods are the callbacks of ``httptools``."""
+    """Collects one response; its methods are the callbacks of ``httptools``.
+
+    :param max_bytes: Maximum size of the body.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_RESPONSE_BYTES) -> None:
+        self.max_bytes = max_bytes
+        self.stated_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.complete = False
@@ -61,6 +88,8 @@
         """Records whether the length of the body is known from the headers."""
         if name.lower() in FRAMING_HEADERS:
             self.ends_with_connection = False
+        if name.lower() == LENGTH_HEADER:
+            self.stated_bytes = int(value)  # The parser has checked it.
 
     def on_headers_complete(self) -> None:
         """Records the end of the headers."""
@@ -91,8 +120,11 @@
             raise NoResponseError(f"malformed response: {error}") from error
         if self.surplus:
             raise NoResponseError("more than one response to a request")
-        if len(self.body) > MAX_RESPONSE_BYTES:
-            raise NoResponseError("response exceeds the size limit")
+        size = max(self.stated_bytes, len(self.body))
+        if size > self.max_bytes:
+            raise ResponseTooLargeError(
+                f"response of {size} bytes or more, at most {self.max_bytes} allowed"
+            )
 
     def reply(self) -> HttpReply:
         """Returns the complete response."""
@@ -129,13 +161,20 @@
         self.reusable = False
         self.checked = False
 
-    async def exchange(self, request: bytes) -> HttpReply:
+    async def exchange(
+        self,
+        request: bytes,
+        transfer: Transfer | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> HttpReply:
         """Sends a request and receives its response.
 
+        :param transfer: Records the progress of the response.
+        :param max_bytes: Maximum size of the response's body.
         :raises NoResponseError: If the response does not arrive completely.
         """
         self.reusable = False
-        parser = ResponseParser()
+        parser = ResponseParser(max_bytes)
         try:
             await self.stream.send(request)
             while not parser.complete:
@@ -143,6 +182,8 @@
                     data = await self.stream.receive(READ_SIZE_BYTES)
                 except anyio.EndOfStream:
                     data = b""
+                if transfer is not None:
+                    transfer.record(len(data))
                 parser.feed(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise NoResponseError(type(error).__name__) from error
@@ -204,44 +245,53 @@
     async def request(
         self,
         request: bytes,
-        connect_s: float,
-        exchange_s: float,
+        timeouts: Timeouts,
         check: ConnectionCheck | None = None,
+        on_progress: Callable[[], object] = lambda: None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpReply:
         """Sends a request over an idle or new connection.
 
         A connection whose response is late or lost is closed, so that a delayed
         response cannot be matched to a later request.
 
-        :param connect_s: Timeout for opening a connection, in seconds. The wait at the
-            gate does not count.
-        :param exchange_s: Timeout for a free connection, and again for the check,
-            sending the request and receiving its response, in seconds.
+        :param timeouts: The wait at the gate does not count towards ``connect_s``;
+            ``exchange_s`` also limits the wait for a free connection.
         :param check: Check that the connection must have passed, ``None`` if any
             connection will do.
+        :param on_progress: Called whenever a part of the response arrives.
+        :param max_bytes: Maximum size of the response's body.
         :raises NotSentError: If no connection was free, could be opened or passed the
             check.
         :raises NoResponseError: If no complete response arrived in time.
         """
         try:
-            with anyio.fail_after(exchange_s):
+            with anyio.fail_after(timeouts.exchange_s):
                 await self.slots.acquire()
         except TimeoutError as error:
             raise NotSentError("all connections are in use") from error
         try:
-            connection = await self.take_idle() or await self.open(connect_s)
+            connection = await self.take_idle() or await self.open(timeouts.connect_s)
             checked = check is None or connection.checked
+            transfer: Transfer | None = None
+            complete = False
             try:
-                with anyio.fail_after(exchange_s):
+                with anyio.fail_after(timeouts.exchange_s) as scope:
                     if check is not None and not checked:
                         await connection.check(check)
                         checked = True
-                    return await connection.exchange(request)
+                    transfer = Transfer(scope, timeouts.transfer, on_progress)
+                    reply = await connection.exchange(request, transfer, max_bytes)
+                    complete = True
+                    return reply
             except TimeoutError as error:
-                if not checked:
+                if transfer is None:
                     raise NotSentError("no response to the check") from error
-                raise NoResponseError("no response before the timeout") from error
+                detail = f"no response before the timeout: {transfer.describe()}"
+                raise NoResponseError(detail) from error
             finally:
+                if transfer is not None and not complete:
+                    DISCARDED_BYTES.inc(transfer.received)
                 if connection.reusable and not self.retired:
                     self.idle.append(connection)
                 else:
--- a/lacewinghold/platform/store.py
+++ b/lacewinghold/platform/store.py
@@ -15,6 +15,7 @@
 from lacewinghold.errors import ErrorKind, Failure, FailureError
 from lacewinghold.ids import LeaseId, Revision
 from lacewinghold.platform.http import JsonClient
+from lacewinghold.platform.http_connections import MAX_RESPONSE_BYTES
 from lacewinghold.store.base import (
     CallKind,
     Delete,
@@ -30,7 +31,7 @@
 from lacewinghold.util.codec import from_json
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from lacewinghold.platform.http_connections import HttpReply
     from lacewinghold.util.lag import LagMonitor
@@ -44,6 +45,7 @@
 # Enough for overlapping renewals of two leases, each taking up to CALL_TIMEOUT_S.
 MAX_LEASE_CONNECTIONS = 8
 MAX_PAGES = 10_000
+BASE64_BYTES, BASE64_CHARACTERS = 3, 4  # So many bytes become so many characters.
 
 
 class WireItem(Struct):
@@ -111,13 +113,20 @@
 
     :param address: IP address and port.
     :param lag: Measures this process's scheduling lag; ``None`` assumes no lag.
+    :param link_mbps: Bandwidth of this machine's link in Mbit/s, ``None`` if unknown.
     """
 
     name = "platform"
 
-    def __init__(self, address: str, lag: LagMonitor | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        lag: LagMonitor | None = None,
+        link_mbps: float | None = None,
+    ) -> None:
         super().__init__()
-        self.client = JsonClient(address, MAX_CONNECTIONS, lag)
+        self.client = JsonClient(address, MAX_CONNECTIONS, lag, link_mbps=link_mbps)
+        self.client.on_progress = lambda: self.on_progress()
         self.lease_client = JsonClient(address, MAX_LEASE_CONNECTIONS, lag)
 
     def set_address(self, address: str) -> None:
@@ -132,16 +141,18 @@
         path: str,
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> Result[HttpReply, Failure]:
         """Makes one call.
 
+        :param max_bytes: Maximum size of the response's body.
         :returns: The response, or a failure: ``STORE_UNAVAILABLE`` if the store refused
-            the call or was unreachable, so that the call had no effect, else
-            ``OUTCOME_UNKNOWN``.
+            the call or was unreachable, so that the call had no effect, ``TOO_LARGE``
+            if the response is, else ``OUTCOME_UNKNOWN``.
         """
         self.calls[kind] += 1
         client = self.lease_client if kind is CallKind.LEASE else self.client
-        reply = await client.call(method, path, timeout_s, body)
+        reply = await client.call(method, path, timeout_s, body, max_bytes=max_bytes)
         if isinstance(reply, Err):
             failure = reply.err_value
             if failure.kind is ErrorKind.UNREACHABLE:
@@ -273,19 +284,32 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         wait_ms = WATCH_WAIT_MS if confirm_s is None else round(confirm_s * 1000)
-        yield self.changes(prefix, after, min(wait_ms, WATCH_WAIT_MS))
+        wait_ms = min(wait_ms, WATCH_WAIT_MS)
+        yield self.changes(prefix, after, wait_ms, max_value_bytes)
 
     async def changes(
-        self, prefix: str, after: int, wait_ms: int
+        self,
+        prefix: str,
+        after: int,
+        wait_ms: int,
+        max_value_bytes: Callable[[], int] | None,
     ) -> AsyncIterator[WatchBatch]:
         """Yields batches of changes by long polling.
 
         :param wait_ms: How long an answer without changes is held back.
+        :param max_value_bytes: As for ``watch``.
         """
+        max_bytes = MAX_RESPONSE_BYTES
         while True:
+            if max_value_bytes is not None:
+                max_bytes = max_value_bytes() * BASE64_CHARACTERS // BASE64_BYTES
             query = {"pathPrefix": prefix, "after": after, "waitMs": wait_ms}
             asked_at = lease_time()
             reply = await self.call(
@@ -293,6 +317,7 @@
                 "GET",
                 "/kv-watch?" + urlencode(query),
                 timeout_s=wait_ms / 1000 + CALL_TIMEOUT_S,
+                max_bytes=max_bytes,
             )
             if isinstance(reply, Err):
                 raise FailureError(reply.err_value)
--- a/lacewinghold/platform/workers.py
+++ b/lacewinghold/platform/workers.py
@@ -221,9 +221,10 @@
         entry: WorkerEntry,
         lag: LagMonitor | None = None,
         gate: TurnGate | None = None,
+        link_mbps: float | None = None,
     ) -> None:
         self.entry = entry
-        self.client = JsonClient(entry.address, MAX_CONNECTIONS, lag, gate)
+        self.client = JsonClient(entry.address, MAX_CONNECTIONS, lag, gate, link_mbps)
         self.headers = {EXPECT_INSTANCE_HEADER: str(entry.worker)}
 
     async def send_order(
@@ -341,13 +342,17 @@
     """Creates clients for the platform's workers.
 
     :param lag: Measures this process's scheduling lag; ``None`` assumes no lag.
+    :param link_mbps: Bandwidth of this machine's link in Mbit/s, ``None`` if unknown.
     """
 
     name = "platform"
 
-    def __init__(self, lag: LagMonitor | None = None) -> None:
+    def __init__(
+        self, lag: LagMonitor | None = None, link_mbps: float | None = None
+    ) -> None:
         self.lag = lag
+        self.link_mbps = link_mbps
         self.gate = TurnGate(MAX_CONNECTS_PER_TURN)
 
     def open(self, entry: WorkerEntry) -> WorkerCalls:
-        return PlatformWorkerCalls(entry, self.lag, self.gate)
+        return PlatformWorkerCalls(entry, self.lag, self.gate, self.link_mbps)
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -12,6 +12,7 @@
 from lacewinghold.scheduler.ports import OrderOutcome
 from lacewinghold.util.containment import UNEXPECTED_ERRORS
 from lacewinghold.util.http_limits import CLIENT_COLLECTORS
+from lacewinghold.util.transfer import DISCARDED_BYTES
 
 if TYPE_CHECKING:
     from collections import Counter as Counts
@@ -39,7 +40,8 @@
         registry.register(UNEXPECTED_ERRORS)
         for collector in (*CLIENT_COLLECTORS, *PEER_COLLECTORS):
             registry.register(collector)
-        registry.register(UNMATCHED_MESSAGES)
+        for collector in (UNMATCHED_MESSAGES, DISCARDED_BYTES):
+            registry.register(collector)
         self.submissions = Counter(
             "lacewinghold_submissions",
             "Submissions by result.",
--- a/lacewinghold/store/base.py
+++ b/lacewinghold/store/base.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
     from contextlib import AbstractAsyncContextManager
 
     from result import Result
@@ -109,12 +109,15 @@
     with ``succeeded`` false (a condition failed), and ``Err`` with
     ``ErrorKind.OUTCOME_UNKNOWN``. ``Err`` with ``STORE_UNAVAILABLE`` means
     that the call certainly had no effect.
+
+    ``on_progress`` is called whenever a part of a response arrives.
     """
 
     name: ClassVar[str]
 
     def __init__(self) -> None:
         self.calls: Counter[CallKind] = Counter()
+        self.on_progress: Callable[[], object] = lambda: None
 
     @abstractmethod
     async def range(
@@ -149,12 +152,20 @@
 
     @abstractmethod
     def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AbstractAsyncContextManager[AsyncIterator[WatchBatch]]:
         """Streams the changes under a prefix with a revision above ``after``.
 
         :param confirm_s: Yields a batch at least this often, if need be an empty one,
             with ``asked_at``; ``None`` leaves that to the store.
+        :param max_value_bytes: Returns the maximum size of the values in one answer of
+            the store. A larger one is not received; the watch raises ``TOO_LARGE``
+            instead. ``None`` sets no limit, and a store that sends each change by
+            itself ignores it.
         :raises FailureError: While iterating, when the stream breaks.
         """
 
--- a/lacewinghold/store/etcd.py
+++ b/lacewinghold/store/etcd.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator, Callable, Sequence
 
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 LEASE_NOT_FOUND_CODE = 5
@@ -171,7 +171,11 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         self.calls[CallKind.WATCH] += 1
         body = {
--- a/lacewinghold/store/guarded.py
+++ b/lacewinghold/store/guarded.py
@@ -202,12 +202,18 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         if not self.breaker.admit():
             self.refused += 1
             detail = "call rejected: circuit breaker open after repeated store failures"
             raise FailureError(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
         self.breaker.probing = False
-        async with self.inner.watch(prefix, after, confirm_s) as changes:
+        async with self.inner.watch(
+            prefix, after, confirm_s, max_value_bytes
+        ) as changes:
             yield changes
--- a/lacewinghold/store/health.py
+++ b/lacewinghold/store/health.py
@@ -21,7 +21,7 @@
 from lacewinghold.util.lag import LagMonitor
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from lacewinghold.errors import Failure
     from lacewinghold.ids import LeaseId, Revision
@@ -51,6 +51,7 @@
         self.last_answer_at = anyio.current_time()
         self.outstanding: dict[int, float] = {}
         self.next_call_number = 0
+        inner.on_progress = self.record_progress
 
     @property
     def down(self) -> bool:
@@ -94,6 +95,10 @@
         if self.failures == FAILURE_THRESHOLD:
             logger.warning(Event.STORE_DOES_NOT_SERVE, detail=failure.detail)
 
+    def record_progress(self) -> None:
+        """Records that a part of a response has arrived: the store is not silent."""
+        self.last_answer_at = anyio.current_time()
+
     async def track_call(
         self, call: Awaitable[Result[T, Failure]]
     ) -> Result[T, Failure]:
@@ -132,10 +137,16 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         try:
-            async with self.inner.watch(prefix, after, confirm_s) as batches:
+            async with self.inner.watch(
+                prefix, after, confirm_s, max_value_bytes
+            ) as batches:
                 yield self.track_batches(batches)
         except FailureError as error:
             self.record_outcome(error.failure, self.last_answer_at)
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -26,6 +26,12 @@
 KEYS_PER_TURN = 50  # Keeps a turn of the event loop to a few milliseconds.
 # Changes closer together than this are a burst: three polls at the usual interval.
 BURST_INTERVAL_S = 1.0
+# With ``newest_only``, a watch may return changes of a part more than the known state
+# has, and some bytes; a single version that has grown further is loaded.
+MAX_CHANGES_RATIO = 1.5
+MAX_CHANGES_BYTES = 128 * 1024
+RETRY_PAUSE_SHARE = 0.25  # Of the failed load, so that others can use the link.
+MAX_RETRY_DELAY_S = 2.0
 
 
 class Mirror:
@@ -61,6 +67,7 @@
         self.on_delete = on_delete
         self.min_poll_interval_s = min_poll_interval_s
         self.revisions: dict[str, int] = {}
+        self.value_sizes: dict[str, int] = {}
         self.revision = Revision(0)
         self.synced = anyio.Event()
         self.last_contact_at = -1.0
@@ -94,6 +101,8 @@
         if self.revisions.get(item.key, 0) >= item.mod_revision:
             return
         self.revisions[item.key] = item.mod_revision
+        if self.newest_only:
+            self.value_sizes[item.key] = len(item.value)
         with contained("entry in the store", key=item.key):
             self.on_put(item)
 
@@ -101,9 +110,19 @@
         """Reports a removal, unless the copy does not have the key."""
         if self.revisions.pop(key, None) is None:
             return
+        self.value_sizes.pop(key, None)
         with contained("entry in the store", key=key):
             self.on_delete(key)
 
+    def max_value_bytes(self) -> int:
+        """Returns the size of changes beyond which loading transfers less, in bytes.
+
+        Changes are then likely to hold several versions.
+        """
+        return round(
+            MAX_CHANGES_RATIO * sum(self.value_sizes.values()) + MAX_CHANGES_BYTES
+        )
+
     def apply(self, batch: WatchBatch) -> None:
         """Applies a batch of changes to the copy and reports them."""
         self.last_contact_at = anyio.current_time()
@@ -117,12 +136,14 @@
     async def load_until_done(self) -> None:
         """Reads all keys, retrying until the store responds."""
         while True:
+            started_at = anyio.current_time()
             loaded = await self.load()
             if isinstance(loaded, Ok):
                 self.record_contact()
                 return
             self.record_failure(loaded.err_value.detail)
-            await anyio.sleep(RETRY_DELAY_S)
+            pause_s = RETRY_PAUSE_SHARE * (anyio.current_time() - started_at)
+            await anyio.sleep(min(max(pause_s, RETRY_DELAY_S), MAX_RETRY_DELAY_S))
 
     async def run(self) -> None:
         """Loads the keys and follows their changes until cancelled."""
@@ -138,12 +159,18 @@
     async def follow(self) -> None:
         """Follows changes until a full load is needed.
 
-        That is when the store has compacted the history, in a burst of changes with
-        ``newest_only``, or after a failure if the copy has to be confirmed.
+        That is when the store has compacted the history, in a burst or a large answer
+        of changes with ``newest_only``, or after a failure if the copy has to be
+        confirmed.
         """
         while True:
             try:
-                watch = self.store.watch(self.prefix, self.revision, self.confirm_s)
+                watch = self.store.watch(
+                    self.prefix,
+                    self.revision,
+                    self.confirm_s,
+                    self.max_value_bytes if self.newest_only else None,
+                )
                 async with watch as batches:
                     async for batch in batches:
                         self.record_contact()
@@ -157,6 +184,13 @@
                         if in_burst and self.newest_only:
                             return
             except FailureError as error:
+                if error.failure.kind is ErrorKind.TOO_LARGE:
+                    logger.info(
+                        Event.CHANGES_SKIPPED,
+                        prefix=self.prefix,
+                        detail=error.failure.detail,
+                    )
+                    return
                 if error.failure.kind is ErrorKind.HISTORY_GONE:
                     logger.warning(Event.HISTORY_GONE, prefix=self.prefix)
                     return
--- a/lacewinghold/testing/machine.py
+++ b/lacewinghold/testing/machine.py
@@ -463,9 +463,14 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
-        async with self.inner.watch(prefix, after, confirm_s) as batches:
+        watch = self.inner.watch(prefix, after, confirm_s, max_value_bytes)
+        async with watch as batches:
             yield self.receive_batches(batches)
 
     async def receive_batches(
--- a/lacewinghold/testing/store.py
+++ b/lacewinghold/testing/store.py
@@ -360,7 +360,11 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, after: Revision, confirm_s: float | None = None
+        self,
+        prefix: str,
+        after: Revision,
+        confirm_s: float | None = None,
+        max_value_bytes: Callable[[], int] | None = None,
     ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
         self.calls[CallKind.WATCH] += 1
         if confirm_s is None:
--- a/tests/test_platform/support.py
+++ b/tests/test_platform/support.py
@@ -25,7 +25,9 @@
         self.replies = list(replies)
         self.calls = []
 
-    async def call(self, method, path, timeout_s, body=None, headers=None, check=None):
+    async def call(
+        self, method, path, timeout_s, body=None, headers=None, check=None, max_bytes=0
+    ):
         """Records a call and returns the next response."""
         self.calls.append((method, path, body, headers))
         return self.replies.pop(0)
--- a/tests/test_platform/test_http_lateness.py
+++ b/tests/test_platform/test_http_lateness.py
@@ -27,7 +27,7 @@
     def __init__(self):
         self.reusable = False
 
-    async def exchange(self, request):
+    async def exchange(self, request, transfer, max_bytes):
         return HttpReply(200, b"{}")
 
     async def close(self):
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -94,7 +94,7 @@
 class ExhaustedClient(ScriptedClient):
     """A client whose connection pool is exhausted."""
 
-    async def call(self, method, path, timeout_s, body=None, headers=None):
+    async def call(self, method, path, timeout_s, *others, **limits):
         """Times out waiting for a connection."""
         await anyio.sleep(timeout_s)
         return UNREACHABLE
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -959,6 +959,8 @@
 
 UNMATCHED = ("tests/test_peers/test_unmatched.py",)
 PENDING = "lacewinghold.peers.pending:"
+THIN_LINKS = ("tests/test_platform/test_thin_links.py",)
+TRANSFER = "lacewinghold.util.transfer:Transfer."
 MUTANTS += [
     Mutant(
         "reply of another process",
@@ -988,6 +990,34 @@
         "< echo",
         UNMATCHED,
     ),
+    Mutant(
+        "large answer",
+        TRANSFER + "record",
+        "max(self.first_deadline, unless_stalled)",
+        "self.first_deadline",
+        THIN_LINKS,
+    ),
+    Mutant(
+        "dripping answer",
+        TRANSFER + "record",
+        "self.first_deadline + self.received / self.limits.bytes_per_s",
+        "float('inf')",
+        THIN_LINKS,
+    ),
+    Mutant(
+        "several versions in an answer",
+        "lacewinghold.store.mirror:Mirror.follow",
+        "self.max_value_bytes if self.newest_only else None",
+        "None",
+        THIN_LINKS,
+    ),
+    Mutant(
+        "progress of a read",
+        "lacewinghold.store.health:HealthCheckedStore.record_progress",
+        "self.last_answer_at = anyio.current_time()",
+        "pass",
+        THIN_LINKS,
+    ),
 ]
 
 EDITING = ("tests/test_document/test_editing.py",)
