--- a/lacewinghold/platform/http.py
+++ b/lacewinghold/platform/http.py
@@ -79,8 +79,8 @@
             as ``UNREACHABLE``.
         :param max_bytes: Maximum size of the response's body.
         :returns: The response, or a failure: ``UNREACHABLE`` if the request certainly
-            was not sent, ``TOO_LARGE`` if the response exceeds ``max_bytes``,
-            ``OUTCOME_UNKNOWN`` if no complete response arrived.
+            was not sent, ``TOO_LARGE`` if the response exceeds a ``max_bytes`` that the
+            caller has set, ``OUTCOME_UNKNOWN`` if no complete response arrived.
         """
         started_at = anyio.current_time()
         content = b"" if body is None else msgspec.json.encode(body)
@@ -98,10 +98,11 @@
         except NotSentError as error:
             detail = f"{self.address}: {error}"
             return Err(Failure(ErrorKind.UNREACHABLE, detail))
-        except ResponseTooLargeError as error:
-            return Err(Failure(ErrorKind.TOO_LARGE, f"{self.address}: {error}"))
         except NoResponseError as error:
             detail = f"{self.address}: {error}"
+            limited = max_bytes < MAX_RESPONSE_BYTES
+            if limited and isinstance(error, ResponseTooLargeError):
+                return Err(Failure(ErrorKind.TOO_LARGE, detail))
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
 
     def encode(
--- a/lacewinghold/store/mirror.py
+++ b/lacewinghold/store/mirror.py
@@ -26,8 +26,8 @@
 KEYS_PER_TURN = 50  # Keeps a turn of the event loop to a few milliseconds.
 # Changes closer together than this are a burst: three polls at the usual interval.
 BURST_INTERVAL_S = 1.0
-# With ``newest_only``, a watch may return changes of a part more than the known state
-# has, and some bytes; a single version that has grown further is loaded.
+# With ``newest_only``, larger changes are not received: they are likely to hold several
+# versions, and loading transfers one.
 MAX_CHANGES_RATIO = 1.5
 MAX_CHANGES_BYTES = 128 * 1024
 RETRY_PAUSE_SHARE = 0.25  # Of the failed load, so that others can use the link.
@@ -115,10 +115,7 @@
             self.on_delete(key)
 
     def max_value_bytes(self) -> int:
-        """Returns the size of changes beyond which loading transfers less, in bytes.
-
-        Changes are then likely to hold several versions.
-        """
+        """Returns the size of changes beyond which the state is loaded, in bytes."""
         return round(
             MAX_CHANGES_RATIO * sum(self.value_sizes.values()) + MAX_CHANGES_BYTES
         )
--- a/tests/test_platform/test_http_connections.py
+++ b/tests/test_platform/test_http_connections.py
@@ -143,6 +143,25 @@
     assert body_of(after) == b"{}"
 
 
+def test_a_response_beyond_the_callers_limit_is_not_received():
+    async def program(client, server):
+        limited = await client.call("GET", "/", 2.0, max_bytes=1)
+        return limited, await client.call("GET", "/", 2.0), server.connections
+
+    limited, whole, connections = use([PLAIN] * 2, program)
+    assert limited.err_value.kind is ErrorKind.TOO_LARGE
+    assert body_of(whole) == b"{}"
+    assert connections == 2
+
+
+def test_a_response_beyond_the_general_limit_leaves_the_outcome_unknown(monkeypatch):
+    monkeypatch.setattr("lacewinghold.platform.http.MAX_RESPONSE_BYTES", 1)
+    reply = use(
+        [PLAIN], lambda client, server: client.call("POST", "/", 2.0, max_bytes=1)
+    )
+    assert reply.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
 def test_a_refused_connection_was_certainly_not_used():
     async def session():
         return await JsonClient("127.0.0.1:1", 1).call("POST", "/", 1.0)
