--- a/lacewinghold/testing/peers.py
+++ b/lacewinghold/testing/peers.py
@@ -10,13 +10,19 @@
 from result import Err, Ok, Result
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import RegionId
 from lacewinghold.peers.base import PeerTransport
+from lacewinghold.peers.links import PeerLinks
 from lacewinghold.testing.gate import Gate
+from lacewinghold.util.codec import pack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lacewinghold.ids import InstanceId, RegionId
+    from anyio.abc import TaskGroup
+
+    from lacewinghold.ids import InstanceId
+    from lacewinghold.schema.generated.messages import Envelope
 
 INBOX_MESSAGES = 10_000
 
@@ -52,6 +58,17 @@
         del self.nodes[earlier]
         self.addresses[earlier] = later
 
+    def start(self, process: InstanceId, tasks: TaskGroup) -> PeerLinks:
+        """Starts the links of a process, which takes every name for a peer's."""
+        transport = MemoryTransport(self, process, RegionId("r1"))
+        links = PeerLinks(process, transport, lambda peer: "memory")
+        tasks.start_soon(links.run)
+        return links
+
+    def deliver(self, process: InstanceId, envelope: Envelope) -> None:
+        """Delivers a message at once, as it is."""
+        self.nodes[process].sender.send_nowait(pack(envelope))
+
     def count(self, sender: InstanceId, receiver: InstanceId, size: int) -> None:
         """Counts the bytes that cross between regions."""
         pair = (self.regions[sender], self.regions[receiver])
--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -5,10 +5,12 @@
 times; they overlap and come in series. Faults are signals, restarts, frozen processes,
 crashed workers, a store that restarts, changes of manifest and settings, and crowds of
 clients that keep to no limit. Ordinary callers keep their connections open until the
-process at the other end is gone.
+process at the other end is gone. In some runs the manifest is large and one entry
+reaches the store over a link of low bandwidth.
 
 A run says what it does and in which time it ends. It fails if a task runs twice, an
-accepted job does not complete, a process ends by itself, does not end at SIGTERM,
+accepted job does not complete, a running job is said to be completed, a confirmed route
+stays unknown, a process ends by itself, does not end at SIGTERM,
 exceeds the memory or the descriptors of its settings, or an ordinary request is not
 answered in the end. The exit code is 1 then. Settings, logs and the record of each run
 stay in ``--folder``.
@@ -29,6 +31,7 @@
 from pathlib import Path
 
 from review import standin
+from review.platform_3.link import Link
 from tests.test_clients import crowd, test_peers_listener, test_untrusted
 
 SECONDS = 25.0
@@ -39,6 +42,11 @@
 ENTRIES = (2, 5)
 MANY_ENTRIES = 24
 MANY_EVERY = 10  # Seeds that are a multiple of it use many processes.
+THIN_EVERY = 4  # One in so many seeds uses a large manifest and a thin link.
+THIN_MBPS = 5.0
+LARGE_ROUTES = 1500
+ROUTE_LIMIT_S = 9.0  # `configApplyMs` and `contactMs` of the sheets.
+LASTING_MS = 600_000
 WORKERS = 6
 CALLERS = 6
 JOB_INTERVAL_S = 0.8
@@ -98,6 +106,8 @@
         self.rng = random.Random(f"{run.seed}-caller-{number}")
         self.number = number
         self.accepted = []
+        self.lasting_job = f"ffff{number:012x}"
+        self.lasts = False
 
     async def work(self):
         """Makes requests until cancelled."""
@@ -113,9 +123,10 @@
         reader, writer = await asyncio.open_connection(ip, int(port))
         try:
             for turn in itertools.count():
+                await self.ask_lasting(reader, writer)
                 job = f"{self.number:04x}{count:06x}{turn:06x}"
                 body = self.draw_job()
-                status = await self.request(reader, writer, "POST", job, body)
+                status, _ = await self.request(reader, writer, "POST", job, body)
                 if status == 200:
                     self.accepted.append(job)
                     await self.request(reader, writer, "GET", job)
@@ -123,8 +134,20 @@
         finally:
             writer.close()
 
+    async def ask_lasting(self, reader, writer):
+        """Asks for a job that runs longer than the soak; submits it first."""
+        if not self.lasts:
+            body = {"spec": json.dumps({"ms": LASTING_MS}), "steps": [crowd.STEP]}
+            job = self.lasting_job
+            status, _ = await self.request(reader, writer, "POST", job, body)
+            self.lasts = status == 200
+            return
+        status, answer = await self.request(reader, writer, "GET", self.lasting_job)
+        if status == 200 and json.loads(answer)["state"] == "completed":
+            self.run.wrong.append(f"running job {self.lasting_job} is completed")
+
     async def request(self, reader, writer, method, job, body=None):
-        """Makes one request and returns its status."""
+        """Makes one request and returns its status and body."""
         content = b"" if body is None else json.dumps(body).encode()
         path = standin.PREFIX + job
         line = f"Content-Length: {len(content)}"
@@ -133,7 +156,7 @@
             message = await standin.read_message(reader)
         if message is None:
             raise EOFError
-        return int(message[0].split(" ")[1])
+        return int(message[0].split(" ")[1]), message[2]
 
     def draw_job(self):
         """Returns a job of one or two steps."""
@@ -158,6 +181,8 @@
         self.folder = folder
         self.began = time.monotonic()
         self.version = 3
+        self.wrong = []
+        self.thin = seed % THIN_EVERY == THIN_EVERY - 1
         self.store_busy = asyncio.Lock()
         self.faults = {
             "sigterm": self.restart,
@@ -190,15 +215,45 @@
             name = f"front-{number + 1}"
             entry = Entry(self.cell, name, ZONES[number % 3], self.folder)
             self.cell.entries.append(entry)
+            if self.thin and number == count - 1:
+                await self.use_thin_link(entry)
             await entry.start()
         await self.cell.wait_until_ready()
         self.say(f"{count} entries and {WORKERS} workers are ready")
 
-    def manifest(self):
-        """Returns the manifest of the present version."""
+    async def use_thin_link(self, entry):
+        """Puts a link of low bandwidth between an entry and the store."""
+        link = Link(self.cell.store.server.address, THIN_MBPS)
+        await link.start()
+        settings = json.loads(entry.settings.read_text())
+        settings["store"]["address"] = link.address
+        settings["machine"]["link_mbps"] = THIN_MBPS
+        entry.settings.write_text(json.dumps(settings))
+        self.say(f"{entry.name} has {THIN_MBPS} Mbit/s to the store")
+
+    def manifest(self, *more):
+        """Returns the manifest of the present version.
+
+        :param more: Names of further routes.
+        """
         latency_ms = 3000 + self.version
-        route = {**crowd.ROUTE, "targetLatencyMs": latency_ms}
-        return {**crowd.MANIFEST, "version": self.version, "routes": [route]}
+        routes = [{**crowd.ROUTE, "targetLatencyMs": latency_ms}]
+        names = [f"large-{number}" for number in range(LARGE_ROUTES * self.thin)]
+        for name in (*names, *more):
+            routes.append({**routes[0], "name": name, "pathPrefix": f"/{name}/"})
+        return {**crowd.MANIFEST, "version": self.version, "routes": routes}
+
+    async def check_added_route(self):
+        """Returns the entries that do not know a route in time."""
+        self.version += 1
+        self.cell.store.put("op/config", self.manifest("added"))
+        await asyncio.sleep(ROUTE_LIMIT_S)
+        found = []
+        for entry in self.cell.entries:
+            status, _ = await crowd.ask(entry, "GET", "/added/")
+            if status != 200:
+                found.append(f"{entry.name} answers {status} for a new route")
+        return found
 
     async def play(self):
         """Plays the run and returns what went wrong."""
@@ -228,7 +283,7 @@
     async def check(self, jobs):
         """Returns what went wrong."""
         left = set(jobs)
-        found = list(self.cell.twice)
+        found = [*self.cell.twice, *self.wrong, *await self.check_added_route()]
         ends = time.monotonic() + END_LIMIT_S
         while left and time.monotonic() < ends:
             for job in sorted(left):
@@ -343,7 +398,7 @@
     """Runs one seed and returns what went wrong."""
     folder = Path(folder or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
-    limit_s = START_LIMIT_S + seconds + 2 * END_LIMIT_S
+    limit_s = START_LIMIT_S + seconds + ROUTE_LIMIT_S + 2 * END_LIMIT_S
     print(f"seed {seed}: {seconds:.0f} s of faults, ends within {limit_s:.0f} s")
     print(f"seed {seed}: files in {folder}", flush=True)
 
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -6,7 +6,7 @@
 
 from tests.processes.soak import run_seed
 
-SEEDS = (1, 22, 24)
+SEEDS = (1, 3, 22, 24)  # 3 has a large manifest and a link of low bandwidth.
 SECONDS = 15.0
 
 
--- a/tests/test_peers/test_unmatched.py
+++ b/tests/test_peers/test_unmatched.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import anyio
 import pytest
 from result import Err, Ok
 
 from lacewinghold.errors import ErrorKind, Failure
-from lacewinghold.ids import InstanceId, RegionId
-from lacewinghold.peers.links import PeerLinks
+from lacewinghold.ids import InstanceId
+from lacewinghold.peers.pending import PendingCalls
 from lacewinghold.schema.generated.messages import (
     Envelope,
     Heartbeat,
@@ -17,8 +19,8 @@
     Views,
 )
 from lacewinghold.testing.clock import run_paused
-from lacewinghold.testing.peers import MemoryNetwork, MemoryTransport
-from lacewinghold.util.codec import pack, unpack
+from lacewinghold.testing.peers import MemoryNetwork
+from lacewinghold.util.codec import pack
 
 OWNER, EARLIER, LATER, STRANGER = map(InstanceId, ("o.1", "x.1", "x.2", "y.1"))
 REQUESTS = sorted(
@@ -32,15 +34,7 @@
     async def session():
         network = MemoryNetwork(lambda sender, receiver: 0.01)
         async with anyio.create_task_group() as tasks:
-
-            def start(process, kind=MessageKind.JOB_LIST, handler=None):
-                transport = MemoryTransport(network, process, RegionId("r1"))
-                links = PeerLinks(process, transport, lambda peer: "memory")
-                if handler is not None:
-                    links.on(kind, handler)
-                tasks.start_soon(links.run)
-                return links
-
+            start = partial(network.start, tasks=tasks)
             result = await program(network, start)
             tasks.cancel_scope.cancel()
         return result
@@ -52,10 +46,8 @@
     return await links.call(peer, kind, JobList("t"), timeout_s)
 
 
-def deliver(network, kind, sender, number, body, recipient=""):
-    """Delivers a message as a peer of some program version would send it."""
-    envelope = Envelope(1, kind, sender, number, pack(body), recipient=recipient)
-    network.nodes[LATER].sender.send_nowait(pack(envelope))
+async def ask(links, results):
+    results.append(await call(links, OWNER, MessageKind.CELL_STATE))
 
 
 # Guards against a restarted instance that takes the reply to an earlier process's call.
@@ -69,7 +61,7 @@
         return Ok(Views([sender.encode()]))
 
     async def program(network, start):
-        start(OWNER, kind, answer)
+        start(OWNER).on(kind, answer)
         earlier = start(EARLIER)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(call, earlier, OWNER, kind)
@@ -78,10 +70,9 @@
             return await call(start(LATER), OWNER, kind)
 
     result = run_network(program)
-    if failing:
-        assert result.err_value == Failure(ErrorKind.NOT_FOUND, LATER)
-    else:
-        assert unpack(result.ok_value, Views).views == [LATER.encode()]
+    own = Failure(ErrorKind.NOT_FOUND, LATER)
+    expected = Err(own) if failing else Ok(pack(Views([LATER.encode()])))
+    assert result == expected
 
 
 # Guards against a process that acts on requests for one that had its address before.
@@ -98,7 +89,7 @@
         owner = start(OWNER)
         start(EARLIER)
         network.replace(EARLIER, later)
-        start(later, kind, serve)
+        start(later).on(kind, serve)
         await owner.notify(EARLIER, kind, JobList("t"))
         return await call(owner, EARLIER, kind, timeout_s=0.5)
 
@@ -131,15 +122,13 @@
         network.cut.add((LATER, OWNER))
         async with anyio.create_task_group() as tasks:
             results = []
-
-            async def ask():
-                results.append(await call(links, OWNER, MessageKind.CELL_STATE))
-
-            tasks.start_soon(ask)
+            tasks.start_soon(ask, links, results)
             await anyio.sleep(0.1)
             number = links.calls.last_number + offset
-            reply = MessageKind.REPLY
-            deliver(network, reply, sender, number, Views([]), recipient)
+            body = pack(Views([]))
+            reply = Envelope(1, MessageKind.REPLY, sender, number, body)
+            reply.recipient = recipient
+            network.deliver(LATER, reply)
         return results[0]
 
     assert isinstance(run_network(program), Ok) is taken
@@ -148,8 +137,8 @@
 def test_processes_share_no_numbers():
     numbers = set()
     for boot in range(50):
-        links = PeerLinks(InstanceId(f"x.{boot:08x}"), None, lambda peer: None)
-        numbers.update(links.calls.next_number() for _ in range(1000))
+        calls = PendingCalls(InstanceId(f"x.{boot:08x}"))
+        numbers.update(calls.next_number() for _ in range(1000))
     assert len(numbers) == 50_000
     assert max(numbers) < 2**63
 
@@ -161,8 +150,8 @@
         await call(links, OWNER, MessageKind.JOB_LIST, timeout_s=0.1)
         before = links.links[OWNER].echoed_number
         for echo in (1, 2**62):
-            body = Heartbeat(0, echo, 0, leaving=False)
-            deliver(network, MessageKind.HEARTBEAT, OWNER, 0, body)
+            body = pack(Heartbeat(0, echo, 0, leaving=False))
+            network.deliver(LATER, Envelope(1, MessageKind.HEARTBEAT, OWNER, 0, body))
         await anyio.sleep(0.1)
         return links.links[OWNER].echoed_number == before
 
--- a/tests/test_platform/support.py
+++ b/tests/test_platform/support.py
@@ -6,7 +6,9 @@
 from result import Err, Ok
 
 from lacewinghold.errors import ErrorKind, Failure
+from lacewinghold.ids import Incarnation, WorkerId
 from lacewinghold.platform.http_connections import HttpReply
+from lacewinghold.scheduler.ports import Resources, ServerState, WorkerEntry
 
 LOST = Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "no answer"))
 UNREACHABLE = Err(Failure(ErrorKind.UNREACHABLE, "no connection"))
@@ -34,3 +36,17 @@
 
     async def close(self):
         """Does nothing; there are no connections."""
+
+
+def make_entry(name):
+    """Returns the entry of a worker."""
+    return WorkerEntry(
+        worker=WorkerId(name),
+        incarnation=Incarnation(1),
+        service="service",
+        address=f"{name}:1",
+        data_centre="dc",
+        state=ServerState.READY,
+        capacity=Resources(),
+        labels=frozenset(),
+    )
--- a/tests/test_platform/test_http_lateness.py
+++ b/tests/test_platform/test_http_lateness.py
@@ -7,7 +7,6 @@
 from result import Ok
 
 from lacewinghold.errors import ErrorKind
-from lacewinghold.ids import Incarnation, WorkerId
 from lacewinghold.platform.http import CONNECT_TIMEOUT_S, JsonClient
 from lacewinghold.platform.http_connections import (
     Connection,
@@ -15,10 +14,10 @@
     HttpReply,
 )
 from lacewinghold.platform.workers import PlatformWorkerDialer
-from lacewinghold.scheduler.ports import Resources, ServerState, WorkerEntry
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.util.lag import LagMonitor, LagPeriod
 from lacewinghold.util.turns import TurnGate
+from tests.test_platform.support import make_entry
 
 
 class AnsweringConnection(Connection):
@@ -128,18 +127,6 @@
 
 
 def test_all_worker_clients_share_one_connection_gate():
-    def entry(name):
-        return WorkerEntry(
-            worker=WorkerId(name),
-            incarnation=Incarnation(1),
-            service="service",
-            address=f"{name}:1",
-            data_centre="dc",
-            state=ServerState.READY,
-            capacity=Resources(),
-            labels=frozenset(),
-        )
-
     dialer = PlatformWorkerDialer()
-    gates = {id(dialer.open(entry(name)).client.gate) for name in ("one", "two")}
+    gates = {id(dialer.open(make_entry(name)).client.gate) for name in ("one", "two")}
     assert len(gates) == 1
--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -10,21 +10,16 @@
 from result import Err, Ok
 
 from lacewinghold.errors import ErrorKind
-from lacewinghold.ids import Epoch, Incarnation, LeaseId, Revision, WorkerId
+from lacewinghold.ids import Epoch, LeaseId, Revision
 from lacewinghold.platform.advice import PlatformAdvice
 from lacewinghold.platform.store import CALL_TIMEOUT_S, PlatformStore
 from lacewinghold.platform.workers import PlatformWorkerDialer
-from lacewinghold.scheduler.ports import (
-    PollOrder,
-    Resources,
-    ServerState,
-    WorkerEntry,
-    WorkerReport,
-)
+from lacewinghold.scheduler.ports import PollOrder, WorkerReport
 from lacewinghold.store.health import HealthCheckedStore
 from lacewinghold.store.mirror import Mirror
 from lacewinghold.testing.clock import run_paused
 from lacewinghold.testing.thin_link import ThinLink
+from tests.test_platform.support import make_entry
 
 ADDRESS = "10.0.0.1:1"
 MAX_VALUE_BYTES = 1_048_576  # `valueBytes` of the settings.
@@ -82,11 +77,8 @@
 async def poll_worker(platform):
     listed = {"clockMs": 1, "running": [RUN] * 30_000, "ended": []}
     platform.answers["/hold"] = listed
-    name, ready = WorkerId("w"), ServerState.READY
-    entry = WorkerEntry(
-        name, Incarnation(1), "", ADDRESS, "", ready, Resources(), frozenset()
-    )
-    calls = PlatformWorkerDialer(link_mbps=platform.link.mbps).open(entry)
+    dialer = PlatformWorkerDialer(link_mbps=platform.link.mbps)
+    calls = dialer.open(make_entry("w"))
     platform.link.attach(calls.client)
     report = await calls.poll(PollOrder(Epoch(1), 0, None, 0.0), CALL_TIMEOUT_S)
     return Ok(report) if isinstance(report, WorkerReport) else Err(report)
