--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import random
 import secrets
 import signal
@@ -43,6 +44,8 @@
     from lacewinghold.util.logging import configure_logging
     from lacewinghold.util.runtime import load_trio
 
+    # Native code runs in threads of its own; a crash there leaves no other trace.
+    faulthandler.enable(all_threads=True)
     if is_platform_settings(options.settings):
         return run_on_platform(options.settings)
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
--- a/tests/test_cmd/test_serve.py
+++ b/tests/test_cmd/test_serve.py
@@ -134,6 +134,18 @@
     assert all(event["epoch"] > 0 and event["shard"] for event in taken)
 
 
+def test_a_segmentation_fault_leaves_the_stack_of_each_thread(cell):
+    """Guards against an end with code 139 that no log explains."""
+    process, _ = cell()
+    process.wait_event("listening")
+    process.process.send_signal(signal.SIGSEGV)
+    text = process.process.stderr.read()
+    assert process.process.wait(LIMIT_S) == -signal.SIGSEGV
+    assert "Fatal Python error: Segmentation fault" in text
+    assert "most recent call first" in text
+    assert "lacewinghold/cmd/serve.py" in text
+
+
 def test_commands_over_tls(cell, certificates, tmp_path, capsys):
     tls = certificates
     process, url = cell(tls=tls, plaintext=False, balancer_delay_s=0)
