--- a/lacewinghold/scheduler/crashes.py
+++ b/lacewinghold/scheduler/crashes.py
@@ -103,7 +103,12 @@
         run = item.run
         task = run.task
         crash = WorkerCrash(
-            run.number, str(node.id), item.age_s, alone, confirmed=run.confirmed
+            run.number,
+            str(node.id),
+            item.age_s,
+            alone,
+            confirmed=run.confirmed,
+            task=task.name,
         )
         if run.adopted or task.state is TaskState.DONE or task.step.job.ended():
             return
@@ -128,6 +133,7 @@
             alone=alone,
             confirmed=run.confirmed,
             crashes=len(crashes_of(task)),
+            counted=[known.describe() for known in crashes_of(task)],
         )
         self.owner.table.end_if_guilty(task)
 
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -441,7 +441,12 @@
             crashes_of(task).clear()
             return
         crash = WorkerCrash(
-            entry.run, entry.worker, entry.age_s, entry.alone, entry.confirmed
+            entry.run,
+            entry.worker,
+            entry.age_s,
+            entry.alone,
+            entry.confirmed,
+            entry.task,
         )
         self.owner.suspects.add(task, crash)
 
--- a/lacewinghold/scheduler/suspects.py
+++ b/lacewinghold/scheduler/suspects.py
@@ -37,6 +37,7 @@
 class WorkerCrash(Struct, frozen=True):
     """A crash of a worker under a run of a task.
 
+    :param task: Name of the task.
     :param run: Number of the run.
     :param age_s: How long the run had been ordered when the worker was last heard from.
     :param alone: Whether it was confirmed, and nothing else ran on the worker.
@@ -48,6 +49,11 @@
     age_s: float
     alone: bool
     confirmed: bool
+    task: str = ""
+
+    def describe(self) -> str:
+        """Returns the crash as it is logged."""
+        return f"{self.task} run {self.run} on {self.worker} at {self.age_s} s"
 
 
 def crashes_of(task: Task) -> list[WorkerCrash]:
