--- a/lacewinghold/scheduler/crashes.py
+++ b/lacewinghold/scheduler/crashes.py
@@ -13,9 +13,10 @@
 from msgspec import Struct
 
 from lacewinghold.events import Event
+from lacewinghold.scheduler.crash_evidence import Doubt, WorkerCrash
 from lacewinghold.scheduler.model import TaskState
 from lacewinghold.scheduler.ports import ServerState
-from lacewinghold.scheduler.suspects import WorkerCrash, crashes_of, outlives
+from lacewinghold.scheduler.verdicts import judge_crashes
 from lacewinghold.schema.generated.cell import CrashEvidence
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from lacewinghold.scheduler.ports import WorkerEntry
 
 logger = structlog.get_logger(__name__)
+MAX_ANSWER_INTERVAL_S = 1.5  # A worker that works answers a poll at least as often.
 MAX_SILENT_WORKERS = 200  # Removed workers whose next incarnation may still register.
 
 
@@ -34,10 +36,12 @@
 
     :param age_s: How long it had been ordered when the worker was last heard from; 0
         if it was ordered later.
+    :param doubt: Why it may not have been at work when the worker crashed, if it did.
     """
 
     run: Run
     age_s: float
+    doubt: Doubt
 
 
 def lost_runs(node: WorkerNode) -> list[LostRun]:
@@ -45,7 +49,7 @@
     found = list(node.lapsed_runs)
     for run in node.runs.values():
         age_s = max(0.0, node.last_answer_at - run.began_at)
-        found.append(LostRun(run, round(age_s, 3)))
+        found.append(LostRun(run, round(age_s, 3), doubt_of(node, run)))
     return found
 
 
@@ -89,30 +93,31 @@
             incarnation=node.entry.incarnation,
             runs=len(lost),
         )
-        # The tasks of an all-at-once step on one worker are one suspect.
-        suspects = {id(crashes_of(item.run.task)) for item in lost}
-        alone = len(suspects) == 1 and not node.stray_runs
+        jobs = {item.run.task.step.job.id for item in lost}
+        alone = len(jobs) == 1 and not node.stray_runs
         for item in lost:
-            self.record_lost_run(node, item, alone=alone and item.run.confirmed)
+            self.record_lost_run(node, item, alone=alone)
 
     def record_lost_run(self, node: WorkerNode, item: LostRun, *, alone: bool) -> None:
         """Counts a crash for the task of a run, and gives up a task that causes them.
 
-        A run that an earlier owner started is older than this owner can tell.
+        :param alone: Whether only runs of its job were on the worker.
         """
         run = item.run
         task = run.task
+        if task.state is TaskState.DONE or task.step.job.ended():
+            return
+        doubt = item.doubt
         crash = WorkerCrash(
             run.number,
             str(node.id),
             item.age_s,
-            alone,
-            confirmed=run.confirmed,
+            alone and doubt is Doubt.NONE,
+            confirmed=doubt is Doubt.NONE,
             task=task.name,
+            age_known=not run.adopted,
         )
-        if run.adopted or task.state is TaskState.DONE or task.step.job.ended():
-            return
-        if not self.owner.suspects.add(task, crash):
+        if not self.owner.suspects.add(task, crash) or task.crash_history is None:
             return
         self.owner.log.append_evidence(
             CrashEvidence(
@@ -120,34 +125,112 @@
                 run=run.number,
                 worker=crash.worker,
                 age_s=crash.age_s,
-                alone=alone,
-                confirmed=run.confirmed,
+                alone=crash.alone,
+                confirmed=crash.confirmed,
+                adopted=run.adopted,
             )
         )
+        self.owner.metrics.lost_runs.labels(doubt.name.lower()).inc()
         logger.info(
             Event.RUN_LOST,
             task=task.name,
             run=run.number,
             worker=node.id,
             age_s=item.age_s,
-            alone=alone,
-            confirmed=run.confirmed,
-            crashes=len(crashes_of(task)),
-            counted=[known.describe() for known in crashes_of(task)],
+            adopted=run.adopted,
+            alone=crash.alone,
+            confirmed=crash.confirmed,
+            doubt=doubt.value,
+            crashes=len(task.crashes),
+            counted=[known.describe() for known in task.crash_history.total],
+        )
+        self.give_up_if_proved(task)
+
+    def give_up_if_proved(self, task: Task) -> None:
+        """Ends the job of a task that has been proved to crash its workers."""
+        verdict = None if task.step.job.ended() else judge_crashes(task)
+        if verdict is not None:
+            self.owner.table.end_job(task.step.job, verdict)
+
+    def replay(self, entry: CrashEvidence) -> None:
+        """Applies what an earlier owner has stored about crashes under a task."""
+        task = self.owner.table.find_task(entry.task)
+        if task is None or task.state is TaskState.DONE:
+            return
+        task.last_run_number = max(task.last_run_number, entry.run)
+        if entry.survived or entry.acquitted:
+            if task.crash_history is not None:
+                task.crash_history.clear(all_ages=entry.acquitted)
+            return
+        crash = WorkerCrash(
+            entry.run,
+            entry.worker,
+            entry.age_s,
+            entry.alone,
+            entry.confirmed,
+            entry.task,
+            age_known=not entry.adopted,
         )
-        self.owner.table.end_if_guilty(task)
+        self.owner.suspects.add(task, crash)
+
+    def record_answer(self, node: WorkerNode) -> None:
+        """Records that a worker has answered: its runs have not been lost."""
+        node.lapsed_runs = []
+        node.entry_current = self.owner.knows_current_entries()
+
+    def record_presence(self, task: Task, run: int, percent: float = 0) -> None:
+        """Records that a worker has told of a run of a task.
+
+        :param percent: How far the run has got.
+        """
+        presence = task.step.presence
+        if presence is not None:
+            now = anyio.current_time()
+            presence.record(task.index, run, now, working=percent > 0)
 
-    def record_progress(self, run: Run) -> None:
+    def record_progress(self, run: Run, percent: float) -> None:
         """Clears a task once its run has worked beyond the age at which it was lost."""
-        crashes = crashes_of(run.task)
-        if crashes and outlives(crashes, anyio.current_time() - run.began_at):
-            self.clear(run.task, run.number)
+        self.record_presence(run.task, run.number, percent)
+        history = run.task.crash_history
+        if history is None:
+            return
+        age_s = anyio.current_time() - run.began_at
+        if history.refuted_by(age_s):
+            self.clear(run.task, run.number, all_ages=True)
+        elif history.outlived_by(age_s):
+            self.clear(run.task, run.number, all_ages=False)
+
+    def clear(self, task: Task, run: int, *, all_ages: bool) -> None:
+        """Clears a task of which a run has ended, or gone on, without a crash.
 
-    def clear(self, task: Task, run: int) -> None:
-        """Clears a task of which a run has ended, or gone on, without a crash."""
-        if not crashes_of(task) or task.step.job.ended():
+        :param all_ages: Whether crashes at other ages of the runs do not count either.
+        """
+        history = task.crash_history
+        if history is None or not history.total or task.step.job.ended():
             return
-        logger.info(Event.SUSPECT_CLEARED, task=task.name, run=run)
-        crashes_of(task).clear()
-        evidence = CrashEvidence(task=task.name, run=run, survived=True)
+        logger.info(
+            Event.SUSPECT_CLEARED,
+            task=task.name,
+            run=run,
+            kept=0 if all_ages else len(history.total),
+        )
+        history.clear(all_ages=all_ages)
+        evidence = CrashEvidence(
+            task=task.name, run=run, survived=True, acquitted=all_ages
+        )
         self.owner.log.append_evidence(evidence)
+
+
+def doubt_of(node: WorkerNode, run: Run) -> Doubt:
+    """Returns why a crash of a worker may not have been under a run at work."""
+    if not (run.confirmed or run.listed):
+        return Doubt.START_UNCONFIRMED
+    presence = run.task.step.presence
+    crashed_by = min(node.silent_since, node.last_answer_at + MAX_ANSWER_INTERVAL_S)
+    if presence is not None and not presence.is_complete(run.number, crashed_by):
+        return Doubt.TASKS_MISSING
+    if run.stop_ordered_at < node.last_answer_at:
+        return Doubt.STOP_ORDERED
+    if not node.entry_current:
+        return Doubt.END_ANNOUNCED
+    return Doubt.NONE
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -380,6 +380,7 @@
         if run.state is RunState.STOPPING or self.task_group is None:
             return
         run.state = RunState.STOPPING
+        run.stop_ordered_at = min(run.stop_ordered_at, anyio.current_time())
         run.orders_settled = False
         self.task_group.start_soon(self.order_stop, run)
 
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -18,12 +18,10 @@
 from lacewinghold.scheduler.job_store import ROSTER_PREFIX
 from lacewinghold.scheduler.job_table import MAX_ORDER_DELAY_S
 from lacewinghold.scheduler.model import JobState, Run, RunState, TaskState
-from lacewinghold.scheduler.nodes import WorkerNode
+from lacewinghold.scheduler.nodes import WorkerNode, unlisted_entry
 from lacewinghold.scheduler.ports import (
     MAX_LISTED_ENDS,
     EndKind,
-    Resources,
-    ServerState,
     WorkerEntry,
 )
 from lacewinghold.schema.generated.cell import EnrolledWorker, WorkerRoster
@@ -215,6 +213,7 @@
         later owner may have renewed the lease and acknowledged ends.
         """
         node = driver.node
+        node.silent_since = min(node.silent_since, anyio.current_time())
         if node.unanswered_calls == 1:
             logger.info(Event.WORKER_SILENT, worker=node.id, runs=len(node.runs))
         if not node.listed and node.is_idle():
@@ -314,7 +313,7 @@
         usable, used = node.usable(now), node.used
         node.record_clock(report.clock_ms, now)
         node.ends_cut_off = len(report.ends) >= MAX_LISTED_ENDS
-        node.lapsed_runs = []
+        self.owner.crashes.record_answer(node)
         if not node.fenced:
             self.record_first_report(node, report)
         running = {(item.task, item.run) for item in report.runs}
@@ -401,7 +400,7 @@
         """Updates a known run from a worker's report."""
         run.missed_polls = 0
         run.listed = True
-        self.owner.crashes.record_progress(run)
+        self.owner.crashes.record_progress(run, item.percent)
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
         self.owner.learning.record_progress(node, run, item.percent)
@@ -470,6 +469,7 @@
         )
         node.add(run)
         task.last_run_number = max(task.last_run_number, number)
+        self.owner.crashes.record_presence(task, number)
         if task.state is not TaskState.WAITING or task.step.job.ended():
             logger.info(
                 Event.SUPERFLUOUS_RUN, task=task.name, run=number, worker=node.id
@@ -546,19 +546,3 @@
             if not all(self.belongs_to_ended_job(task) for task, _ in node.stray_runs):
                 return False
         return True
-
-
-def unlisted_entry(
-    known: EnrolledWorker | WorkerEntry, incarnation: Incarnation
-) -> WorkerEntry:
-    """Returns an entry for a worker without one. It counts as draining."""
-    return WorkerEntry(
-        worker=WorkerId(known.worker),
-        incarnation=incarnation,
-        service=known.service,
-        address=known.address,
-        data_centre=known.data_centre,
-        state=ServerState.DRAINING,
-        capacity=Resources(),
-        labels=frozenset(),
-    )
--- a/lacewinghold/scheduler/job_table.py
+++ b/lacewinghold/scheduler/job_table.py
@@ -25,8 +25,13 @@
 from lacewinghold.scheduler.ports import Resources, stored_queue
 from lacewinghold.scheduler.remaining_usage import remaining_usage
 from lacewinghold.scheduler.state_account import group_of
-from lacewinghold.scheduler.suspects import WorkerCrash, crashes_of, is_guilty
 from lacewinghold.scheduler.turn_budget import RECORD_WORK, TurnBudget
+from lacewinghold.scheduler.verdicts import (
+    CANCELLATION,
+    COMPLETION,
+    Verdict,
+    judge_attempts,
+)
 from lacewinghold.schema.generated.cell import JobOutcome
 
 if TYPE_CHECKING:
@@ -34,7 +39,6 @@
     from lacewinghold.scheduler.ports import Queue
     from lacewinghold.schema.generated.cell import (
         CellJob,
-        CrashEvidence,
         TaskEndEntry,
     )
     from lacewinghold.store.base import KeyValue
@@ -130,7 +134,7 @@
             self.replay(entry)
             await turn.spend(1)
         for evidence in self.owner.log.earlier_evidence:
-            self.replay_evidence(evidence)
+            self.owner.crashes.replay(evidence)
             await turn.spend(1)
         for job in list(self.jobs.values()):
             if job.id in self.unread_cancellations:
@@ -140,8 +144,7 @@
             await turn.spend(len(job.steps))
         self.unread_cancellations = set()
         for task in list(self.owner.suspects.tasks.values()):
-            if task.state is not TaskState.DONE:
-                self.end_if_guilty(task)
+            self.owner.crashes.give_up_if_proved(task)
 
     def apply_record_removal(self, key: str) -> None:
         """Applies the removal of a job's record, and drops the job if it is open.
@@ -256,7 +259,7 @@
         if job.is_scheduled():
             self.register(job.build_due(now))
         if all(step.done() for step in job.steps):
-            self.end_job(job, JobState.COMPLETED, "")
+            self.end_job(job, COMPLETION)
             return
         if now < job.next_due_at() < math.inf:
             self.jobs_due_later[job.id] = job
@@ -284,9 +287,12 @@
         """Returns the seconds until an occurrence is due, infinite if there is none."""
         return max(0.0, self.next_due - anyio.current_time())
 
-    def end_job(self, job: Job, state: JobState, reason: str) -> None:
+    def end_job(self, job: Job, verdict: Verdict) -> None:
         """Ends a job; callers see the outcome once it is durable."""
+        state, reason = verdict.state, verdict.reason
         job.state = state
+        if state is JobState.FAILED:
+            self.owner.metrics.jobs_given_up.labels(verdict.ground.value).inc()
         age_s = anyio.current_time() - job.accepted_at
         self.owner.metrics.job_seconds.labels(state.value).observe(age_s)
         outcome = JobOutcome(
@@ -307,7 +313,9 @@
             job=job.id,
             queue=job.queue.name,
             state=state.value,
+            ground=verdict.ground.value,
             reason=reason,
+            crashes=[crash.describe() for crash in verdict.crashes],
             age_s=round(age_s, 3),
             objective_s=round(job.objective_s, 3),
         )
@@ -383,7 +391,7 @@
     def end_cancelled(self, job: Job) -> None:
         """Ends a job whose cancellation is stored, unless it has ended."""
         if not job.ended():
-            self.end_job(job, JobState.CANCELLED, "cancelled by its caller")
+            self.end_job(job, CANCELLATION)
 
     def complete(self, task: Task) -> None:
         """Marks a task as done.
@@ -431,45 +439,12 @@
         else:
             self.count_failure(task, entry.run)
 
-    def replay_evidence(self, entry: CrashEvidence) -> None:
-        """Applies what an earlier owner has stored about crashes under a task."""
-        task = self.find_task(entry.task)
-        if task is None or task.state is TaskState.DONE:
-            return
-        task.last_run_number = max(task.last_run_number, entry.run)
-        if entry.survived:
-            crashes_of(task).clear()
-            return
-        crash = WorkerCrash(
-            entry.run,
-            entry.worker,
-            entry.age_s,
-            entry.alone,
-            entry.confirmed,
-            entry.task,
-        )
-        self.owner.suspects.add(task, crash)
-
-    def end_if_guilty(self, task: Task) -> None:
-        """Ends the job of a task that has been proved to crash its workers."""
-        crashes = crashes_of(task)
-        earlier = task.step.job.from_earlier_owner
-        if task.step.job.ended() or not is_guilty(crashes, from_earlier_owner=earlier):
-            return
-        workers = ", ".join(crash.worker for crash in crashes)
-        reason = f"{task.name} crashed the workers {workers}"
-        self.end_job(task.step.job, JobState.FAILED, reason)
-
     def end_if_exhausted(self, job: Job) -> None:
         """Ends a job whose attempts were used up under earlier owners."""
         for step in job.steps:
-            failures = len(step.failed_runs)
-            for task in step.tasks.objects():
-                if task.state is not TaskState.DONE:
-                    failures = max(failures, len(task.failed_runs))
-            if step.done() or failures < job.queue.max_attempts or job.ended():
-                continue
-            self.end_job(job, JobState.FAILED, f"{step.name} failed {failures} times")
+            verdict = judge_attempts(step, step.tasks.objects())
+            if verdict is not None and not job.ended():
+                self.end_job(job, verdict)
 
     def find_task(self, name: str) -> Task | None:
         """Returns a task by its name."""
--- a/lacewinghold/scheduler/metrics.py
+++ b/lacewinghold/scheduler/metrics.py
@@ -70,6 +70,18 @@
             ["result"],
             registry=registry,
         )
+        self.lost_runs = Counter(
+            "lacewinghold_lost_runs",
+            "Runs on workers that crashed, by why the crash is in doubt as evidence.",
+            ["doubt"],
+            registry=registry,
+        )
+        self.jobs_given_up = Counter(
+            "lacewinghold_jobs_given_up",
+            "Jobs that were shown as failed, by the ground.",
+            ["ground"],
+            registry=registry,
+        )
         self.excess_jobs = Counter(
             "lacewinghold_excess_jobs",
             "Accepted jobs beyond the rate of their organisation.",
--- a/lacewinghold/scheduler/model.py
+++ b/lacewinghold/scheduler/model.py
@@ -11,15 +11,17 @@
 import msgspec
 from msgspec import UNSET, Struct, field
 
+from lacewinghold.scheduler.crash_evidence import CrashHistory
 from lacewinghold.scheduler.ports import Resources
+from lacewinghold.scheduler.presence import Presence
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.crash_evidence import WorkerCrash
     from lacewinghold.scheduler.durations import StepTimes
     from lacewinghold.scheduler.ports import Queue
-    from lacewinghold.scheduler.suspects import WorkerCrash
     from lacewinghold.schema.generated.cell import CellJob, StepSpec
 
 MAX_WAITING_STEPS = 64  # Of one scheduled job, beyond those of one occurrence.
@@ -63,6 +65,7 @@
     :param start_unanswered: Whether a start order of the run has no answer.
     :param confirmed: Whether the worker has answered that it started the run.
     :param adopted: Whether an earlier owner has started it.
+    :param stop_ordered_at: When its first stop was ordered.
     """
 
     task: Task
@@ -78,6 +81,7 @@
     start_unanswered: bool = False
     confirmed: bool = False
     adopted: bool = False
+    stop_ordered_at: float = math.inf
 
     def may_start_later(self) -> bool:
         """Returns whether the worker's next incarnation may still start the run.
@@ -92,7 +96,7 @@
 
     :param failed_runs: Numbers of the failed runs, unless the step is all-at-once.
     :param failed_workers: Workers on which a run failed; other workers are preferred.
-    :param crashes: Crashes of workers under its runs, unless the step is all-at-once.
+    :param crash_history: Crashes of workers under its own runs, ``None`` without any.
     """
 
     name: str
@@ -103,9 +107,23 @@
     last_run_number: int = 0
     failed_runs: set[int] = field(default_factory=set)
     failed_workers: set[WorkerId] = field(default_factory=set)
-    crashes: list[WorkerCrash] = field(default_factory=list)
+    crash_history: CrashHistory | None = None
     checkpoint: str = ""
 
+    @property
+    def crashes(self) -> list[WorkerCrash]:
+        """Returns the recent crashes under its runs, which make it a suspect."""
+        return [] if self.crash_history is None else self.crash_history.recent
+
+    def add_crash(self, crash: WorkerCrash) -> bool:
+        """Adds a crash under one of its runs.
+
+        :returns: Whether it is new.
+        """
+        if self.crash_history is None:
+            self.crash_history = CrashHistory()
+        return self.crash_history.add(crash)
+
 
 class TaskList(Sequence[Task]):
     """The tasks of a step, as objects only while they differ from the others.
@@ -207,7 +225,7 @@
     :param predecessors: Steps that must be done first.
     :param remaining: How many tasks are not done.
     :param failed_runs: Numbers of the failed runs of an all-at-once step.
-    :param crashes: Crashes of workers under the runs of an all-at-once step.
+    :param presence: Which tasks have been started, ``None`` unless all at once.
     :param times: Known run times of its tasks, ``None`` before the first progress.
     """
 
@@ -221,13 +239,15 @@
     predecessors: list[Step]
     remaining: int = 0
     failed_runs: frozenset[int] = frozenset()
-    crashes: list[WorkerCrash] = field(default_factory=list)
+    presence: Presence | None = None
     last_run_number: int = 0
     times: StepTimes | None = None
     tasks: TaskList = UNSET  # type: ignore[assignment]  # Set on construction.
 
     def __post_init__(self) -> None:
         self.tasks = TaskList(self)
+        if self.spec.all_at_once:
+            self.presence = Presence(self.spec.tasks)
 
     def done(self) -> bool:
         """Returns whether all tasks are done."""
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -7,15 +7,17 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
+from lacewinghold.ids import WorkerId
 from lacewinghold.invariants import Invariant, require
 from lacewinghold.organisations.caps import UsageAccount
-from lacewinghold.scheduler.ports import Resources, ServerState
+from lacewinghold.scheduler.ports import Resources, ServerState, WorkerEntry
 
 if TYPE_CHECKING:
-    from lacewinghold.ids import WorkerId
+    from lacewinghold.ids import Incarnation
     from lacewinghold.scheduler.crashes import LostRun
     from lacewinghold.scheduler.model import Run
-    from lacewinghold.scheduler.ports import EndReport, WorkerEntry
+    from lacewinghold.scheduler.ports import EndReport
+    from lacewinghold.schema.generated.cell import EnrolledWorker
 
 MAX_CLOCK_DRIFT_SHARE = 0.02  # Most that workers' clocks lose, by the platform's rules.
 LAPSE_MARGIN_MS = 100  # A worker may notice the end of its lease a little late.
@@ -70,6 +72,9 @@
         # Until when a start order for the earlier incarnation may hold a lease here.
         self.inherited_lease_until = -math.inf
         self.last_answer_at = -math.inf
+        self.silent_since = math.inf
+        # Whether its entry was known to be current then.
+        self.entry_current = False
         self.unanswered_calls = 0
         self.failed_jobs: list[str] = []
         self.quarantined_until = -math.inf
@@ -166,6 +171,7 @@
         :param now: Time on the runtime's clock, in seconds.
         """
         self.last_answer_at = now
+        self.silent_since = math.inf
         self.unanswered_calls = 0
         if self.clock_ms is not None and clock_ms < self.earliest_clock_ms(now):
             return
@@ -217,3 +223,19 @@
     def record_success(self) -> None:
         """Records a run that succeeded."""
         self.failed_jobs.clear()
+
+
+def unlisted_entry(
+    known: EnrolledWorker | WorkerEntry, incarnation: Incarnation
+) -> WorkerEntry:
+    """Returns an entry for a worker without one. It counts as draining."""
+    return WorkerEntry(
+        worker=WorkerId(known.worker),
+        incarnation=incarnation,
+        service=known.service,
+        address=known.address,
+        data_centre=known.data_centre,
+        state=ServerState.DRAINING,
+        capacity=Resources(),
+        labels=frozenset(),
+    )
--- a/lacewinghold/scheduler/owner.py
+++ b/lacewinghold/scheduler/owner.py
@@ -73,6 +73,7 @@
 LOAD_RETRY_DELAY_S = 0.1
 FENCE_CHECK_INTERVAL_S = 0.01
 EXPIRY_CHECK_INTERVAL_S = 5.0
+MAX_ENTRY_AGE_S = 2.0  # Workers announce their end earlier than that.
 
 
 class CellState(Struct):
@@ -170,6 +171,12 @@
         """Returns whether orders may be sent to workers."""
         return self.may_renew_leases() and not self.ownership.lost.is_set()
 
+    def knows_current_entries(self) -> bool:
+        """Returns whether the workers' entries are known as the store has them."""
+        if self.worker_mirror.failing:
+            return False
+        return lease_time() < self.ownership.confirmed_at + MAX_ENTRY_AGE_S
+
     async def run(self) -> None:
         """Recovers the cell and schedules until the ownership is lost."""
         async with anyio.create_task_group() as tasks:
--- a/lacewinghold/scheduler/policy.py
+++ b/lacewinghold/scheduler/policy.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from lacewinghold.organisations.caps import CapBudget
+from lacewinghold.scheduler.all_at_once import choose_for_all, isolated_tasks
 from lacewinghold.scheduler.ordering import plan_position
 from lacewinghold.scheduler.plan import Placement, Plan, Renewal
 from lacewinghold.scheduler.reservations import (
@@ -411,18 +412,18 @@
             return
         avoided = set().union(*(task.failed_workers for task in step.tasks.objects()))
         worker_groups: list[Iterable[WorkerNode]] = [self.ranked_workers(step)]
-        alone = self.suspects.must_be_alone(step.tasks[0])
-        if avoided or alone or step.spec.one_rack:
-            nodes = list(self.ranked_workers(step, alone=alone))
+        isolated = isolated_tasks(step, self.suspects)
+        if avoided or isolated or step.spec.one_rack:
+            nodes = list(self.ranked_workers(step))
             not_avoided = [node for node in nodes if node.id not in avoided]
             worker_groups = [
                 *self.worker_groups(step, not_avoided),
                 *self.worker_groups(step, nodes),
             ]
+        idle = list(self.ranked_workers(step, alone=True)) if isolated else []
         for group in worker_groups:
-            chosen_nodes = self.choose_workers(step, count, group)
-            if len(chosen_nodes) == count:
-                chosen = list(zip(step.waiting_tasks(), chosen_nodes, strict=True))
+            chosen = choose_for_all(self, step, group, isolated, idle)
+            if len(chosen) == count:
                 for task, node in chosen:
                     self.suspects.record_placement(task, node)
                 self.add_to_plan(step, chosen)
--- a/lacewinghold/scheduler/preemption.py
+++ b/lacewinghold/scheduler/preemption.py
@@ -17,7 +17,6 @@
 from lacewinghold.scheduler.model import RunState, TaskState
 from lacewinghold.scheduler.ports import Resources
 from lacewinghold.scheduler.room import fitting_count
-from lacewinghold.scheduler.suspects import crashes_of
 from lacewinghold.util.victims import (
     Arithmetic,
     Victim,
@@ -370,7 +369,7 @@
             return False
         if spec.all_at_once or task.run is not run or run.state is not RunState.RUNNING:
             return False
-        if crashes_of(task) or task.name in self.preemptor.preempted:
+        if task.crashes or task.name in self.preemptor.preempted:
             return False
         if not spec.checkpoints and lost_s > JUST_STARTED_S:
             return False
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -10,6 +10,7 @@
 from lacewinghold.events import Event
 from lacewinghold.scheduler.model import JobState, TaskState
 from lacewinghold.scheduler.ports import EndKind, OrderOutcome
+from lacewinghold.scheduler.verdicts import judge_attempts
 from lacewinghold.schema.generated.cell import TaskEndEntry
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     def record_start(self, run: Run) -> None:
         """Records that a worker has started a run."""
         run.confirmed = True
+        self.owner.crashes.record_presence(run.task, run.number)
         self.owner.metrics.starts.labels(OrderOutcome.DONE.value).inc()
         logger.info(
             Event.RUN_STARTED,
@@ -98,6 +100,7 @@
             return
         if end.checkpoint and task.step.spec.checkpoints:
             self.save_checkpoint(task, end.checkpoint)
+        self.owner.crashes.record_presence(task, end.run)
         if run is not None:
             self.owner.learning.record_end(node, run, end.kind)
             self.release(node, run, end.kind)
@@ -112,7 +115,7 @@
         elif end.kind is EndKind.FAILED and not task.step.spec.long_running:
             entry = TaskEndEntry(task=end.task, run=end.run, done=False)
             self.owner.log.append_end(entry)
-            self.owner.crashes.clear(task, end.run)
+            self.owner.crashes.clear(task, end.run, all_ages=True)
             self.apply_failure(node, task, end.run)
 
     def apply_failure(self, node: WorkerNode, task: Task, run: int) -> None:
@@ -128,10 +131,9 @@
         logger.info(
             Event.RUN_FAILED, task=task.name, run=run, worker=node.id, failures=failures
         )
-        if failures >= job.queue.max_attempts:
-            self.table.end_job(
-                job, JobState.FAILED, f"{task.name} failed {failures} times"
-            )
+        verdict = judge_attempts(task.step, [task])
+        if verdict is not None:
+            self.table.end_job(job, verdict)
 
     def save_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Saves the newest checkpoint of a task.
--- a/lacewinghold/scheduler/suspects.py
+++ b/lacewinghold/scheduler/suspects.py
@@ -1,8 +1,9 @@
 """Tasks that are suspected of crashing their workers, and where they may start.
 
-The module does no input or output. A task that crashes its workers does so at about the
-same age of its runs. A task that was lost twice in this way starts on a worker on which
-nothing else runs, so that a further crash proves its guilt and costs no other run.
+The module does no input or output. A task that crashes its workers mostly does so at
+about the same age of its runs. A task that was lost twice in this way starts on a
+worker on which nothing else runs, so that a further crash proves its guilt and costs no
+other run. The other tasks of an all-at-once step start wherever there is room.
 """
 
 from __future__ import annotations
@@ -12,85 +13,24 @@
 from copy import copy
 from typing import TYPE_CHECKING
 
-from msgspec import Struct
-
+from lacewinghold.scheduler.crash_evidence import MAX_CRASHES, PROOF_CRASHES
 from lacewinghold.scheduler.model import TaskState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from lacewinghold.ids import WorkerId
+    from lacewinghold.scheduler.crash_evidence import WorkerCrash
     from lacewinghold.scheduler.model import Step, Task
     from lacewinghold.scheduler.nodes import WorkerNode
     from lacewinghold.scheduler.ports import Resources
 
-AGE_TOLERANCE_S = 2.0  # Polls tell the age of a run at a crash to about a second.
 ISOLATION_CRASHES = 2  # After so many, a task starts on an idle worker.
-PROOF_CRASHES = 3  # So many prove a task's guilt if it was alone in one of them.
-MAX_CONFIRMED_CRASHES = 4  # So many prove it in any case.
-MAX_CRASHES = 5  # Also those under runs that the worker may not have started.
 ISOLATION_WAIT_S = 2.5  # Then a task starts where it costs the fewest runs.
 LAST_ISOLATION_WAIT_S = 6.0  # The same if the next crash proves its guilt.
 MAX_ISOLATED_SHARE = 0.25  # Of a service's workers.
 
 
-class WorkerCrash(Struct, frozen=True):
-    """A crash of a worker under a run of a task.
-
-    :param task: Name of the task.
-    :param run: Number of the run.
-    :param age_s: How long the run had been ordered when the worker was last heard from.
-    :param alone: Whether it was confirmed, and nothing else ran on the worker.
-    :param confirmed: Whether the worker had answered that it started the run.
-    """
-
-    run: int
-    worker: str
-    age_s: float
-    alone: bool
-    confirmed: bool
-    task: str = ""
-
-    def describe(self) -> str:
-        """Returns the crash as it is logged."""
-        return f"{self.task} run {self.run} on {self.worker} at {self.age_s} s"
-
-
-def crashes_of(task: Task) -> list[WorkerCrash]:
-    """Returns the crashes under a task; tasks of an all-at-once step share theirs."""
-    return task.step.crashes if task.step.spec.all_at_once else task.crashes
-
-
-def add_crash(crashes: list[WorkerCrash], crash: WorkerCrash) -> bool:
-    """Adds a crash to those under a task and drops those at another age.
-
-    :returns: Whether it is new; a crash that is seen twice counts once.
-    """
-    if any(known.run == crash.run for known in crashes):
-        return False
-    crashes.append(crash)
-    crashes[:] = [
-        known for known in crashes if abs(known.age_s - crash.age_s) <= AGE_TOLERANCE_S
-    ]
-    return True
-
-
-def is_guilty(crashes: list[WorkerCrash], *, from_earlier_owner: bool = False) -> bool:
-    """Returns whether the crashes under a task prove that it causes them.
-
-    A run that its worker has not confirmed may have been ordered after the crash.
-
-    :param from_earlier_owner: Whether earlier owners may have started the task. They
-        may have ended before they saw a further crash.
-    """
-    alone = any(crash.alone for crash in crashes)
-    confirmed = sum(crash.confirmed for crash in crashes)
-    if from_earlier_owner and confirmed >= PROOF_CRASHES - 1:
-        return len(crashes) >= PROOF_CRASHES
-    proof = PROOF_CRASHES if alone else MAX_CONFIRMED_CRASHES
-    return confirmed >= proof or len(crashes) >= MAX_CRASHES
-
-
 def suspects_first(step: Step) -> Iterator[Task]:
     """Yields the waiting tasks of a step, those that crashed workers first.
 
@@ -104,21 +44,24 @@
             yield task
 
 
-def outlives(crashes: list[WorkerCrash], age_s: float) -> bool:
-    """Returns whether a run has worked well beyond the age at which it was lost."""
-    return age_s > AGE_TOLERANCE_S + max(crash.age_s for crash in crashes)
-
-
 def isolates(task: Task) -> bool:
     """Returns whether nothing may start beside a task."""
-    return len(crashes_of(task)) >= ISOLATION_CRASHES
+    if not task.crashes:
+        return False
+    return len(task.crashes) >= ISOLATION_CRASHES or is_near_proof(task)
+
+
+def is_near_proof(task: Task) -> bool:
+    """Returns whether the next crash may prove a task's guilt."""
+    history = task.crash_history
+    if history is None:
+        return False
+    return len(history.recent) >= PROOF_CRASHES or len(history.total) >= MAX_CRASHES - 1
 
 
 def isolation_wait_s(task: Task) -> float:
     """Returns for how long a task waits for an idle worker, in seconds."""
-    if len(crashes_of(task)) >= PROOF_CRASHES:
-        return LAST_ISOLATION_WAIT_S
-    return ISOLATION_WAIT_S
+    return LAST_ISOLATION_WAIT_S if is_near_proof(task) else ISOLATION_WAIT_S
 
 
 class Suspects:
@@ -145,9 +88,8 @@
 
         :returns: Whether it is new.
         """
-        members = task.step.tasks if task.step.spec.all_at_once else [task]
-        self.tasks.update((member.name, member) for member in members)
-        return add_crash(crashes_of(task), crash)
+        self.tasks[task.name] = task
+        return task.add_crash(crash)
 
     def copy(self) -> Suspects:
         """Returns a copy in which a trial plan can record its placements."""
@@ -171,7 +113,7 @@
 
     def record_placement(self, task: Task, node: WorkerNode) -> None:
         """Records that the plan has chosen a worker for a suspected task."""
-        if not crashes_of(task):
+        if not task.crashes:
             return
         self.hosts.add(node.id)
         if isolates(task) and node.id not in self.closed:
@@ -203,7 +145,7 @@
         waiting = []
         for name, task in list(self.tasks.items()):
             step = task.step
-            if not crashes_of(task) or step.job.ended() or task.state is TaskState.DONE:
+            if not task.crashes or step.job.ended() or task.state is TaskState.DONE:
                 del self.tasks[name]
                 continue
             if task.run is not None and task.run.worker in nodes:
--- a/lacewinghold/testing/step_group.py
+++ b/lacewinghold/testing/step_group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,12 +19,14 @@
     """The members (gang) of one run of an all-at-once step.
 
     :param size: Number of tasks of the step.
+    :ivar working_since: When the last member joined; the members work from then on.
     """
 
     def __init__(self, size: int) -> None:
         self.size = size
         self.members: dict[str, tuple[StepWorker, Execution]] = {}
         self.all_joined = anyio.Event()
+        self.working_since = math.inf
         self.finished: set[str] = set()
         self.ended = False
 
@@ -31,6 +34,7 @@
         """Adds a member; the last one releases all members to work."""
         self.members[run.task] = (worker, run)
         if len(self.members) == self.size:
+            self.working_since = anyio.current_time()
             self.all_joined.set()
 
     async def wait_for_others(self) -> bool:
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -86,6 +86,10 @@
         """Returns the work of earlier runs that it need not repeat, in seconds."""
         return self.checkpoint * self.behaviour.checkpoint_s
 
+    def working_since(self) -> float:
+        """Returns when its work began, infinity while it waits for its group."""
+        return self.started_at if self.group is None else self.group.working_since
+
 
 class StartRecord(Struct, frozen=True):
     """A start recorded by the world."""
@@ -96,6 +100,19 @@
     worker: WorkerId
 
 
+class CrashRecord(Struct, frozen=True):
+    """A run that ended with a crash of its worker, as recorded by the world.
+
+    :param working: Whether its work had begun.
+    """
+
+    at: float
+    task: str
+    run: int
+    worker: WorkerId
+    working: bool
+
+
 class World(Struct):
     """State that all stand-in workers share, with the violations that they detected.
 
@@ -123,6 +140,7 @@
     groups: dict[tuple[str, int], RunGroup] = field(default_factory=dict)
     workers: dict[WorkerId, StepWorker] = field(default_factory=dict)
     starts: list[StartRecord] = field(default_factory=list)
+    crashes: list[CrashRecord] = field(default_factory=list)
     done: set[str] = field(default_factory=set)
     failures: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
@@ -234,7 +252,12 @@
         self.discard_unacknowledged_ends()
         runs = list(self.runs.values())
         self.runs.clear()
+        now = anyio.current_time()
         for run in runs:
+            working = run.working_since() <= now
+            self.world.crashes.append(
+                CrashRecord(now, run.task, run.run, self.id, working)
+            )
             run.kind = EndKind.LAPSED
             run.scope.cancel()
             if run.group is not None:
@@ -375,7 +398,8 @@
 
     def report(self, run: Execution) -> RunReport:
         """Returns the progress of a run."""
-        worked_s = run.restored_s() + anyio.current_time() - run.started_at
+        worked_s = max(0.0, anyio.current_time() - run.working_since())
+        worked_s += run.restored_s()
         percent = 100 * worked_s / run.behaviour.seconds
         checkpoint = ""
         if run.behaviour.checkpoint_s:
--- a/tests/test_scheduler/test_deadly_tasks.py
+++ b/tests/test_scheduler/test_deadly_tasks.py
@@ -8,9 +8,14 @@
 import msgspec
 import pytest
 
+from lacewinghold.scheduler.crash_evidence import (
+    CrashHistory,
+    Proof,
+    WorkerCrash,
+    find_proof,
+)
 from lacewinghold.scheduler.model import JobState
 from lacewinghold.scheduler.ports import ServerState
-from lacewinghold.scheduler.suspects import WorkerCrash, add_crash, is_guilty
 from lacewinghold.schema.generated.cell import EndBatch
 from lacewinghold.testing.step_cell import WORKERS_PREFIX
 from lacewinghold.testing.step_worker import Behaviour
@@ -257,8 +262,8 @@
     run_cell(program)
 
 
-def test_a_run_of_an_earlier_owner_is_no_evidence():
-    """Its age is not known, so that it would count with any other crash."""
+def test_a_crash_under_a_run_of_an_earlier_owner_counts_at_no_age():
+    """Its age is not known, so that it would prove guilt with any other crash."""
 
     async def program(cell):
         cell.behaviours["a"] = Behaviour(20)
@@ -271,43 +276,68 @@
         assert find_task(cell, "a.0.0.0").run is not None
         await cell.restart_worker(worker)
         await anyio.sleep(0.5)
-        assert find_task(cell, "a.0.0.0").last_run_number > 1
-        assert find_task(cell, "a.0.0.0").crashes == []
+        task = find_task(cell, "a.0.0.0")
+        assert task.last_run_number > 1
+        assert [found.age_known for found in task.crashes] == [False]
+        assert await cell.wait_for("a", JobState.COMPLETED, LIMIT_S)
 
     run_cell(program)
 
 
-def crash(run, age_s=0.1, *, alone=False, confirmed=True):
-    return WorkerCrash(run, f"w{run}", age_s, alone, confirmed)
+def crash(run, age_s=0.1, *, alone=False, confirmed=True, age_known=True):
+    return WorkerCrash(
+        run, f"w{run}", age_s, alone, confirmed, "a.0.0.0", age_known=age_known
+    )
+
+
+def history_of(crashes):
+    history = CrashHistory()
+    for found in crashes:
+        history.add(found)
+    return history
 
 
 def test_a_crash_that_is_seen_twice_counts_once():
-    crashes = []
-    assert add_crash(crashes, crash(1))
-    assert not add_crash(crashes, crash(1))
-    assert crashes == [crash(1)]
+    history = history_of([crash(1)])
+    assert not history.add(crash(1))
+    assert history.recent == history.total == [crash(1)]
 
 
-def test_crashes_at_other_ages_of_the_runs_do_not_add_up():
-    crashes = []
-    for number, age_s in enumerate([0.1, 7.0, 0.2, 0.4]):
-        add_crash(crashes, crash(number, age_s))
-    assert [known.run for known in crashes] == [2, 3]
+def test_crashes_at_other_ages_of_the_runs_do_not_make_a_suspect():
+    ages = enumerate([0.1, 7.0, 0.2, 0.4])
+    history = history_of([crash(number, age_s) for number, age_s in ages])
+    assert [known.run for known in history.recent] == [2, 3]
+    assert [known.run for known in history.total] == [0, 1, 2, 3]
+    assert find_proof(history) is None
 
 
 @pytest.mark.parametrize(
-    ("crashes", "guilty"),
+    ("crashes", "proof"),
     [
-        ([crash(1, alone=True), crash(2, alone=True)], False),
-        ([crash(1), crash(2), crash(3)], False),
-        ([crash(1), crash(2), crash(3, alone=True)], True),
-        ([crash(1), crash(2), crash(3), crash(4)], True),
-        ([crash(1), crash(2), crash(3), crash(4, confirmed=False)], False),
-        ([crash(run, confirmed=False) for run in range(5)], True),
+        ([crash(1, alone=True), crash(2, alone=True)], None),
+        ([crash(1), crash(2), crash(3)], None),
+        ([crash(1), crash(2), crash(3, alone=True)], Proof.AT_ONE_AGE),
+        ([crash(1), crash(2), crash(3), crash(4)], Proof.AT_ONE_AGE),
+        ([crash(1), crash(2), crash(3), crash(4, confirmed=False)], None),
+        ([crash(run, confirmed=run > 2) for run in range(5)], Proof.AT_ANY_AGE),
+        ([crash(run, 5.0 * run) for run in range(4)], None),
+        ([crash(run, 5.0 * run) for run in range(5)], Proof.AT_ANY_AGE),
+        ([crash(run, alone=True, age_known=False) for run in range(4)], None),
     ],
 )
-def test_a_task_is_guilty_by_a_crash_alone_or_by_four(crashes, guilty):
-    assert is_guilty(crashes) is guilty
+def test_a_task_is_guilty_by_a_crash_alone_by_four_or_at_any_age_by_five(
+    crashes, proof
+):
+    assert find_proof(history_of(crashes)) is proof
+
+
+@pytest.mark.parametrize("from_earlier_owner", [False, True])
+@pytest.mark.parametrize("confirmed", [0, 1])
+def test_crashes_in_doubt_never_prove_a_task_guilty(confirmed, from_earlier_owner):
+    """Guards against a job that fails for crashes before its runs had begun."""
+    crashes = [crash(run, confirmed=run <= confirmed) for run in range(1, 12)]
+    found = find_proof(history_of(crashes), from_earlier_owner=from_earlier_owner)
+    assert found is None
 
 
 @pytest.mark.parametrize(
@@ -317,12 +347,16 @@
         ([crash(2001), crash(2002), crash(2003)], True),
         ([crash(2001, confirmed=False), crash(2002), crash(2003, alone=True)], True),
         ([crash(run, confirmed=run > 2002) for run in (2001, 2002, 2003)], False),
+        ([crash(run, 5.0 * run) for run in (1, 2, 3)], False),
+        ([crash(run, age_known=False) for run in (1, 2, 3)], True),
     ],
 )
 def test_a_task_of_an_earlier_owner_is_guilty_by_three_crashes(crashes, guilty):
     """An owner that dies may not have seen a crash; the budget still counts it."""
-    assert not is_guilty(crashes)
-    assert is_guilty(crashes, from_earlier_owner=True) is guilty
+    history = history_of(crashes)
+    assert find_proof(history) is None
+    proof = Proof.AFTER_TAKEOVER if guilty else None
+    assert find_proof(history, from_earlier_owner=True) is proof
 
 
 def test_ends_of_the_previous_version_decode_without_evidence():
--- a/tests/test_scheduler/test_preemption.py
+++ b/tests/test_scheduler/test_preemption.py
@@ -8,6 +8,7 @@
 
 from bench.planner_day import make_nodes
 from lacewinghold.organisations.caps import CapBudget
+from lacewinghold.scheduler.crash_evidence import WorkerCrash
 from lacewinghold.scheduler.model import JobState, Run, RunState
 from lacewinghold.scheduler.pace import ProgressMark
 from lacewinghold.scheduler.policy import Planner
@@ -18,7 +19,6 @@
     Preemptor,
     wait_limit_s,
 )
-from lacewinghold.scheduler.suspects import WorkerCrash
 from lacewinghold.testing.step_cell import HOST
 from lacewinghold.testing.step_worker import Behaviour
 from tests.test_scheduler.support import run_cell, step
@@ -107,7 +107,7 @@
 def test_suspected_and_preempted_tasks_and_runs_of_unknown_age_are_spared():
     """A crash must be told apart, and no task may be kept from its end for ever."""
     cell = FullCell()
-    cell.runs[0].task.crashes.append(WorkerCrash(1, "w", 1.0, False, True))
+    cell.runs[0].task.add_crash(WorkerCrash(1, "w", 1.0, False, True))
     cell.preemptor.preempted[cell.runs[1].task.name] = cell.runs[1].task
     cell.runs[2].adopted = True
     cell.preemptor.forget_run(cell.runs[2])
