--- a/lacewinghold/scheduler/crashes.py
+++ b/lacewinghold/scheduler/crashes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -27,7 +28,7 @@
     from lacewinghold.scheduler.ports import WorkerEntry
 
 logger = structlog.get_logger(__name__)
-MAX_ANSWER_INTERVAL_S = 1.5  # A worker that works answers a poll at least as often.
+MAX_REPORT_INTERVAL_S = 1.5  # A worker that is up reports at least as often.
 MAX_SILENT_WORKERS = 200  # Removed workers whose next incarnation may still register.
 
 
@@ -48,7 +49,7 @@
     """Returns the runs that a crash of a worker ends."""
     found = list(node.lapsed_runs)
     for run in node.runs.values():
-        age_s = max(0.0, node.last_answer_at - run.began_at)
+        age_s = max(0.0, node.last_report_at - run.began_at)
         found.append(LostRun(run, round(age_s, 3), doubt_of(node, run)))
     return found
 
@@ -173,8 +174,10 @@
         )
         self.owner.suspects.add(task, crash)
 
-    def record_answer(self, node: WorkerNode) -> None:
-        """Records that a worker has answered: its runs have not been lost."""
+    def record_report(self, node: WorkerNode) -> None:
+        """Records that a worker has reported: its runs have not been lost."""
+        node.last_report_at = anyio.current_time()
+        node.silent_since = math.inf
         node.lapsed_runs = []
         node.entry_current = self.owner.knows_current_entries()
 
@@ -226,10 +229,10 @@
     if not (run.confirmed or run.listed):
         return Doubt.START_UNCONFIRMED
     presence = run.task.step.presence
-    crashed_by = min(node.silent_since, node.last_answer_at + MAX_ANSWER_INTERVAL_S)
+    crashed_by = min(node.silent_since, node.last_report_at + MAX_REPORT_INTERVAL_S)
     if presence is not None and not presence.is_complete(run.number, crashed_by):
         return Doubt.TASKS_MISSING
-    if run.stop_ordered_at < node.last_answer_at:
+    if run.stop_ordered_at < node.last_report_at:
         return Doubt.STOP_ORDERED
     if not node.entry_current:
         return Doubt.END_ANNOUNCED
--- a/lacewinghold/scheduler/fleet.py
+++ b/lacewinghold/scheduler/fleet.py
@@ -313,7 +313,7 @@
         usable, used = node.usable(now), node.used
         node.record_clock(report.clock_ms, now)
         node.ends_cut_off = len(report.ends) >= MAX_LISTED_ENDS
-        self.owner.crashes.record_answer(node)
+        self.owner.crashes.record_report(node)
         if not node.fenced:
             self.record_first_report(node, report)
         running = {(item.task, item.run) for item in report.runs}
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -71,9 +71,10 @@
         self.lease_until_ms = 0.0
         # Until when a start order for the earlier incarnation may hold a lease here.
         self.inherited_lease_until = -math.inf
-        self.last_answer_at = -math.inf
+        # Replies to starts and stops may be of its next incarnation, reports are not.
+        self.last_report_at = -math.inf
         self.silent_since = math.inf
-        # Whether its entry was known to be current then.
+        # Whether its entry was known to be current at the last report.
         self.entry_current = False
         self.unanswered_calls = 0
         self.failed_jobs: list[str] = []
@@ -170,8 +171,6 @@
         :param clock_ms: The reading, in ms on the worker's clock.
         :param now: Time on the runtime's clock, in seconds.
         """
-        self.last_answer_at = now
-        self.silent_since = math.inf
         self.unanswered_calls = 0
         if self.clock_ms is not None and clock_ms < self.earliest_clock_ms(now):
             return
--- a/tests/test_scheduler/test_crashes_under_gangs.py
+++ b/tests/test_scheduler/test_crashes_under_gangs.py
@@ -189,3 +189,40 @@
         assert history is None or not any(crash.confirmed for crash in history.total)
 
     run_cell(program)
+
+
+def test_a_reply_of_the_next_incarnation_does_not_excuse_a_crash():
+    """Guards against a crash in doubt, as its gang was stopped at the new worker."""
+
+    async def program(cell):
+        cell.behaviours["gang"] = Behaviour(20)
+        await cell.submit("gang", [step(3, ALONE_CPU, all_at_once=True)])
+        await wait_until_all_run(cell, ["gang"])
+        await anyio.sleep(1.2)
+        run = find_task(cell, "gang.0.0.0").run
+        worker = cell.world.workers[run.worker]
+        began_at = run.began_at
+        crashed_at = anyio.current_time()
+        await cell.restart_worker(worker)
+        await anyio.sleep(3)
+        [crash] = find_task(cell, "gang.0.0.0").crash_history.total
+        assert crash.confirmed
+        assert crash.age_s <= crashed_at - began_at
+
+    run_cell(program, workers=3)
+
+
+def test_a_crash_before_the_reply_to_a_start_is_in_doubt():
+    async def program(cell):
+        await cell.submit("a", [step(1)])
+        for worker in cell.world.workers.values():
+            worker.faults = [OrderFault.CARRIED_OUT_LATE]
+        while not cell.world.workers["w0"].late_starts:
+            await anyio.sleep(0.01)
+        await cell.restart_worker(cell.world.workers["w0"])
+        await anyio.sleep(1)
+        [crash] = find_task(cell, "a.0.0.0").crash_history.total
+        assert not crash.confirmed
+        assert await cell.wait_for("a", JobState.COMPLETED, LIMIT_S)
+
+    run_cell(program, workers=1)
