--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,8 @@
 class Mutant(Struct, frozen=True):
     """A change of source text that disables one guard.
 
-    :param target: The method that has the guard, as ``module:Class.method``.
+    :param target: The method or function that has the guard, as
+        ``module:Class.method`` or ``module:function``.
     :param old: Source text of the guard.
     :param new: Replacement text.
     :param tests: Test files in which at least one test must fail.
@@ -56,6 +57,7 @@
 TAKEOVER = "tests/test_scheduler/test_takeover.py"
 WORKER_FAULTS = "tests/test_scheduler/test_worker_faults.py"
 DRAINED_WORKERS = "tests/test_scheduler/test_drained_workers.py"
+CRASHES_UNDER_GANGS = "tests/test_scheduler/test_crashes_under_gangs.py"
 DEADLY_TASKS = "tests/test_scheduler/test_deadly_tasks.py"
 WITHHELD_ENDS = "tests/test_scheduler/test_withheld_ends.py"
 WORKER_INCARNATIONS = "tests/test_platform/test_worker_incarnations.py"
@@ -371,15 +373,15 @@
     ),
     Mutant(
         "crashes after a takeover",
-        CELL + "job_table:JobTable.replay_evidence",
+        CELL + "crashes:CrashRecorder.replay",
         "self.owner.suspects.add(task, crash)",
         "pass",
         (DEADLY_TASKS,),
     ),
     Mutant(
         "cleared task after a takeover",
-        CELL + "job_table:JobTable.replay_evidence",
-        "crashes_of(task).clear()",
+        CELL + "crashes:CrashRecorder.replay",
+        "task.crash_history.clear(all_ages=entry.acquitted)",
         "pass",
         (DEADLY_TASKS,),
     ),
@@ -392,7 +394,7 @@
     ),
     Mutant(
         "silence is no crash",
-        CELL + "fleet:Fleet.apply_report",
+        CELL + "crashes:CrashRecorder.record_report",
         "node.lapsed_runs = []",
         "pass",
         (DEADLY_TASKS,),
@@ -407,24 +409,67 @@
     Mutant(
         "run of an earlier owner",
         CELL + "crashes:CrashRecorder.record_lost_run",
-        "run.adopted or ",
-        "",
+        "age_known=not run.adopted",
+        "age_known=True",
         (DEADLY_TASKS,),
     ),
     Mutant(
         "task that works on",
-        CELL + "crashes:CrashRecorder.record_progress",
-        "crashes and outlives",
-        "False and outlives",
+        CELL + "crash_evidence:CrashHistory.outlived_by",
+        "not self.recent",
+        "True",
         (DEADLY_TASKS,),
     ),
     Mutant(
         "proof of guilt",
-        CELL + "job_table:JobTable.end_if_guilty",
-        "not is_guilty(crashes, from_earlier_owner=earlier)",
+        CELL + "crashes:CrashRecorder.give_up_if_proved",
+        "task.step.job.ended()",
         "True",
         (DEADLY_TASKS,),
     ),
+    Mutant(
+        "crashes in doubt only",
+        CELL + "crash_evidence:count_confirmed",
+        "sum(crash.confirmed for crash in crashes)",
+        "len(crashes)",
+        (DEADLY_TASKS,),
+    ),
+    Mutant(
+        "start that is not confirmed",
+        CELL + "crashes:doubt_of",
+        "not (run.confirmed or run.listed)",
+        "False",
+        (DEADLY_TASKS,),
+    ),
+    Mutant(
+        "gang that is not complete",
+        CELL + "crashes:doubt_of",
+        "presence is not None",
+        "False",
+        (CRASHES_UNDER_GANGS,),
+    ),
+    Mutant(
+        "end announced without the store",
+        CELL + "crashes:doubt_of",
+        "not node.entry_current",
+        "False",
+        (CRASHES_UNDER_GANGS,),
+    ),
+    Mutant(
+        "crashes of other tasks of the gang",
+        CELL + "model:Task.add_crash",
+        "self.crash_history = CrashHistory()",
+        "self.step.tasks[0].crash_history = self.step.tasks[0].crash_history or "
+        "CrashHistory(); self.crash_history = self.step.tasks[0].crash_history",
+        (CRASHES_UNDER_GANGS,),
+    ),
+    Mutant(
+        "crashes at many ages",
+        CELL + "crashes:CrashRecorder.record_progress",
+        "self.clear(run.task, run.number, all_ages=False)",
+        "self.clear(run.task, run.number, all_ages=True)",
+        (CRASHES_UNDER_GANGS,),
+    ),
     Mutant(
         "start beside a suspect",
         CELL + "policy:Planner.ranked_workers",
@@ -1176,14 +1221,14 @@
 
 @contextlib.contextmanager
 def apply_mutant(mutant: Mutant) -> Iterator[None]:
-    """Replaces a method by its mutated source until the context ends.
+    """Replaces a method or function by its mutated source until the context ends.
 
     :raises ValueError: If the text of the guard is not in the source.
     """
     module_name, _, path = mutant.target.partition(":")
-    class_name, _, method_name = path.partition(".")
+    class_name, _, method_name = path.rpartition(".")
     module = importlib.import_module(module_name)
-    owner = getattr(module, class_name)
+    owner = getattr(module, class_name) if class_name else module
     method = getattr(owner, method_name)
     source = textwrap.dedent(inspect.getsource(method))
     if mutant.old not in source:
