--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -6,14 +6,17 @@
 crashed workers, a store that restarts, changes of manifest and settings, and crowds of
 clients that keep to no limit. Ordinary callers keep their connections open until the
 process at the other end is gone. In some runs the manifest is large and one entry
-reaches the store over a link of low bandwidth.
+reaches the store over a link of low bandwidth. In some, gangs run: through the faults,
+and afterwards one whose workers crash in turn, and one with a member that crashes its
+workers.
 
 A run says what it does and in which time it ends. It fails if a task runs twice, an
 accepted job does not complete, a running job is said to be completed, a confirmed route
 stays unknown, a process ends by itself, does not end at SIGTERM,
-exceeds the memory or the descriptors of its settings, or an ordinary request is not
-answered in the end. The exit code is 1 then. Settings, logs and the record of each run
-stay in ``--folder``.
+exceeds the memory or the descriptors of its settings, an ordinary request is not
+answered in the end, a job fails under none of whose tasks two workers crashed, or a
+task that crashes its workers is started more than twice after three crashes. The exit
+code is 1 then. Settings, logs and the record of each run stay in ``--folder``.
 """
 
 from __future__ import annotations
@@ -32,6 +35,7 @@
 
 from review import standin
 from review.platform_3.link import Link
+from tests.processes import gangs
 from tests.test_clients import crowd, test_peers_listener, test_untrusted
 
 SECONDS = 25.0
@@ -45,6 +49,14 @@
 THIN_EVERY = 4  # One in so many seeds uses a large manifest and a thin link.
 THIN_MBPS = 5.0
 LARGE_ROUTES = 1500
+GANGS_EVERY = 5  # Seeds that are a multiple of it run gangs.
+GANG_STEP = {"cpu": 7000, "memMb": 64, "estRuntimeMs": 2000, "gang": True}
+GANG_SIZES = (3, 8)  # Two members fit on a worker.
+GANG_JOB = 0xA0000000
+GANG_INTERVAL_S = 4.0
+GANG_LIMIT_S = 60.0
+CRASHES_IN_TURN = 4
+CRASH_GAP_S = 2.5
 ROUTE_LIMIT_S = 9.0  # `configApplyMs` and `contactMs` of the sheets.
 LASTING_MS = 600_000
 WORKERS = 6
@@ -182,6 +194,8 @@
         self.began = time.monotonic()
         self.version = 3
         self.wrong = []
+        self.gang_rng = random.Random(f"{seed}-gangs")
+        self.gang_jobs = []
         self.thin = seed % THIN_EVERY == THIN_EVERY - 1
         self.store_busy = asyncio.Lock()
         self.faults = {
@@ -208,7 +222,7 @@
         await self.cell.store.start()
         self.cell.store.put("op/config", self.manifest())
         for number in range(WORKERS):
-            worker = standin.Worker(self.cell, number + 1, ZONES[number % 3])
+            worker = gangs.Worker(self.cell, number + 1, ZONES[number % 3])
             self.cell.workers.append(worker)
             await worker.start()
         for number in range(count):
@@ -261,12 +275,21 @@
             await self.start()
             callers = [Caller(self, number) for number in range(CALLERS)]
             calling = [asyncio.create_task(caller.work()) for caller in callers]
+            if self.seed % GANGS_EVERY == 0:
+                calling.append(asyncio.create_task(self.send_gangs()))
             await self.make_faults()
             await asyncio.sleep(CALM_S)
             for task in calling:
                 task.cancel()
             jobs = [job for caller in callers for job in caller.accepted]
-            return await self.check(jobs)
+            found = await self.check(jobs)
+            if self.seed % GANGS_EVERY == 0:
+                # Their slow progress makes workers look slow, so that runs are moved.
+                for caller in callers:
+                    entry = self.rng.choice(self.cell.entries)
+                    await self.cell.cancel(entry, caller.lasting_job)
+                found += await self.check_gangs()
+            return found
         finally:
             await self.cell.stop()
 
@@ -307,6 +330,68 @@
         self.say(f"{len(jobs)} jobs accepted, {peak_mb:.0f} MB at most, {found=}")
         return found
 
+    # Gangs
+
+    async def submit_gang(self, size, ms, **spec):
+        """Submits a gang; returns its job once it has been accepted."""
+        while True:
+            job = f"{GANG_JOB + self.gang_rng.randrange(1 << 28):016x}"
+            body = {"ms": ms, "gang": size, **spec}
+            entry = self.gang_rng.choice(self.cell.entries)
+            step = {**GANG_STEP, "count": size}
+            if await self.cell.submit(entry, job, body, [step]) == 200:
+                return job
+            await asyncio.sleep(0.5)
+
+    async def send_gangs(self):
+        """Submits gangs until cancelled."""
+        while True:
+            size = self.gang_rng.randint(*GANG_SIZES)
+            self.gang_jobs.append(await self.submit_gang(size, 2000))
+            await asyncio.sleep(GANG_INTERVAL_S)
+
+    async def wait_for_end(self, job):
+        """Returns the state in which a job has ended, the last one after a while."""
+        ends = time.monotonic() + GANG_LIMIT_S
+        while True:
+            state = await self.cell.state(self.gang_rng.choice(self.cell.entries), job)
+            if state in ("completed", "failed") or time.monotonic() > ends:
+                return state
+            await asyncio.sleep(0.5)
+
+    async def check_gangs(self):
+        """Returns what went wrong with the gangs of the run, and with two more."""
+        found = []
+        for job in self.gang_jobs:
+            state = await self.wait_for_end(job)
+            if state == "failed":
+                found += gangs.judge_failed(self.cell, job)
+            elif state != "completed":
+                found.append(f"gang {job} is {state}")
+        in_turn = await self.crash_in_turn()
+        deadly = await self.submit_gang(3, 5000, deadly=self.gang_rng.randint(50, 1500))
+        found += in_turn
+        found += gangs.judge_deadly(self.cell, deadly, await self.wait_for_end(deadly))
+        self.say(f"{len(self.gang_jobs)} gangs, {found=}")
+        return found
+
+    async def crash_in_turn(self):
+        """Crashes workers under different members of a gang; it must complete."""
+        size = len(self.cell.workers) - 1
+        job = await self.submit_gang(size, 6000)
+        met = set()
+        for _ in range(CRASHES_IN_TURN):
+            await asyncio.sleep(CRASH_GAP_S)
+            for worker in self.cell.workers:
+                tasks = {task for task, _ in worker.running if task.startswith(job)}
+                if worker.up and tasks and not tasks & met:
+                    met |= tasks
+                    self.say(f"crash of worker {worker.id} under {sorted(tasks)}")
+                    await worker.crash_and_return()
+                    break
+        state = await self.wait_for_end(job)
+        return [] if state == "completed" else [f"gang {job} is {state}"]
+
     # Faults
 
     async def restart(self):
@@ -354,9 +439,7 @@
         if not worker.up:
             return
         self.say(f"crash of worker {worker.id}")
-        await worker.crash()
-        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
-        await worker.start()
+        await worker.crash_and_return(self.rng.uniform(0.1, 3.0))
 
     async def restart_store(self):
         """Resets all connections to the store, which is away for a moment."""
@@ -399,6 +482,8 @@
     folder = Path(folder or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
     limit_s = START_LIMIT_S + seconds + ROUTE_LIMIT_S + 2 * END_LIMIT_S
+    if seed % GANGS_EVERY == 0:
+        limit_s += 3 * GANG_LIMIT_S
     print(f"seed {seed}: {seconds:.0f} s of faults, ends within {limit_s:.0f} s")
     print(f"seed {seed}: files in {folder}", flush=True)
 
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -6,7 +6,8 @@
 
 from tests.processes.soak import run_seed
 
-SEEDS = (1, 3, 22, 24)  # 3 has a large manifest and a link of low bandwidth.
+# 3 has a large manifest and a link of low bandwidth, 5 has gangs.
+SEEDS = (1, 3, 5, 22, 24)
 SECONDS = 15.0
 
 
