--- a/lacewinghold/scheduler/crash_evidence.py
+++ b/lacewinghold/scheduler/crash_evidence.py
@@ -25,7 +25,7 @@
 PROOF_CRASHES = 3  # At one age, if only runs of the job were on the worker in one.
 MAX_CONFIRMED_CRASHES = 4  # At one age, in any case.
 MAX_CRASHES = 5  # At any age, also those that are in doubt.
-MAX_CRASHES_AFTER_TAKEOVER = 4  # The same; an earlier owner may have missed one.
+MAX_CRASHES_AFTER_TAKEOVER = 3  # The same; earlier owners may have missed two.
 ACQUITTAL_S = 30.0  # A run that works on for as long clears its task of all crashes.
 ACQUITTAL_MULTIPLE = 3.0  # It also has to be this many times older than the lost runs.
 
@@ -44,7 +44,6 @@
     """Why crashes suffice to give a task up."""
 
     AT_ONE_AGE = "at one age of its runs"
-    AFTER_TAKEOVER = "at one age of its runs, some of an earlier owner"
     AT_ANY_AGE = "again and again"
 
 
@@ -143,7 +142,7 @@
     Crashes in doubt never suffice by themselves: their runs may not have begun.
 
     :param from_earlier_owner: Whether earlier owners may have started the task. They
-        may have ended before they saw a further crash.
+        may have ended before they saw further crashes.
     """
     if count_confirmed(history.total) < MIN_CONFIRMED_CRASHES:
         return None
@@ -152,11 +151,5 @@
     needed = PROOF_CRASHES if alone else MAX_CONFIRMED_CRASHES
     if count_confirmed(of_known_age) >= needed:
         return Proof.AT_ONE_AGE
-    if (
-        from_earlier_owner
-        and len(history.recent) >= PROOF_CRASHES
-        and count_confirmed(history.recent) >= MIN_CONFIRMED_CRASHES
-    ):
-        return Proof.AFTER_TAKEOVER
     limit = MAX_CRASHES_AFTER_TAKEOVER if from_earlier_owner else MAX_CRASHES
     return Proof.AT_ANY_AGE if len(history.total) >= limit else None
--- a/lacewinghold/testing/step_worker.py
+++ b/lacewinghold/testing/step_worker.py
@@ -124,6 +124,8 @@
     :param accepts_ticket: Returns whether a ticket permits a step on a worker.
     :param shrink_grace_s: How long the capacity of a worker that has shrunk still
         counts for starts, in seconds.
+    :param done: Tasks that must not start again.
+    :param finished: Tasks of which a run has been done, whether or not it was heard.
     :param guards_capacity: Whether the workers refuse what does not fit.
     :param refusals: How many starts they have refused for that.
     :param binds_orders: Whether orders reach only the incarnation that they are meant
@@ -142,6 +144,7 @@
     starts: list[StartRecord] = field(default_factory=list)
     crashes: list[CrashRecord] = field(default_factory=list)
     done: set[str] = field(default_factory=set)
+    finished: set[str] = field(default_factory=set)
     failures: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     shrink_grace_s: float = 0.0
@@ -363,6 +366,7 @@
             run.group.leave(run.task)
         if kind is EndKind.DONE and not self.world.is_long_running(run.task):
             self.world.done.add(run.task)
+            self.world.finished.add(run.task)
         if kind is EndKind.FAILED:
             self.world.failures[run.task] += 1
         self.ends.append(EndReport(self.next_end, run.task, run.run, kind, ""))
