--- a/lacewinghold/scheduler/crash_evidence.py
+++ b/lacewinghold/scheduler/crash_evidence.py
@@ -25,6 +25,7 @@
 PROOF_CRASHES = 3  # At one age, if only runs of the job were on the worker in one.
 MAX_CONFIRMED_CRASHES = 4  # At one age, in any case.
 MAX_CRASHES = 5  # At any age, also those that are in doubt.
+MAX_CRASHES_ONCE_ALONE = 4  # The same, if only runs of the job were on it in one.
 MAX_CRASHES_AFTER_TAKEOVER = 3  # The same; earlier owners may have missed two.
 ACQUITTAL_S = 30.0  # A run that works on for as long clears its task of all crashes.
 ACQUITTAL_MULTIPLE = 3.0  # It also has to be this many times older than the lost runs.
@@ -151,5 +152,9 @@
     needed = PROOF_CRASHES if alone else MAX_CONFIRMED_CRASHES
     if count_confirmed(of_known_age) >= needed:
         return Proof.AT_ONE_AGE
-    limit = MAX_CRASHES_AFTER_TAKEOVER if from_earlier_owner else MAX_CRASHES
+    limit = MAX_CRASHES
+    if from_earlier_owner:
+        limit = MAX_CRASHES_AFTER_TAKEOVER
+    elif any(crash.alone for crash in history.total):
+        limit = MAX_CRASHES_ONCE_ALONE
     return Proof.AT_ANY_AGE if len(history.total) >= limit else None
--- a/lacewinghold/scheduler/suspects.py
+++ b/lacewinghold/scheduler/suspects.py
@@ -13,7 +13,7 @@
 from copy import copy
 from typing import TYPE_CHECKING
 
-from lacewinghold.scheduler.crash_evidence import MAX_CRASHES, PROOF_CRASHES
+from lacewinghold.scheduler.crash_evidence import MAX_CRASHES_ONCE_ALONE, PROOF_CRASHES
 from lacewinghold.scheduler.model import TaskState
 
 if TYPE_CHECKING:
@@ -56,7 +56,8 @@
     history = task.crash_history
     if history is None:
         return False
-    return len(history.recent) >= PROOF_CRASHES or len(history.total) >= MAX_CRASHES - 1
+    total = len(history.total)
+    return len(history.recent) >= PROOF_CRASHES or total >= MAX_CRASHES_ONCE_ALONE - 1
 
 
 def isolation_wait_s(task: Task) -> float:
