--- a/lacewinghold/cmd/serve.py
+++ b/lacewinghold/cmd/serve.py
@@ -29,6 +29,7 @@
 
 logger = structlog.get_logger(__name__)
 MAX_IDLE_CONNECTIONS = 256
+STDERR_DESCRIPTOR = 2
 
 
 def add_parsers(commands: Any) -> None:
@@ -45,7 +46,8 @@
     from lacewinghold.util.runtime import load_trio
 
     # Native code runs in threads of its own; a crash there leaves no other trace.
-    faulthandler.enable(all_threads=True)
+    # Callers in this process may have replaced `sys.stderr` by a buffer.
+    faulthandler.enable(file=STDERR_DESCRIPTOR, all_threads=True)
     if is_platform_settings(options.settings):
         return run_on_platform(options.settings)
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
--- a/lacewinghold/scheduler/verdicts.py
+++ b/lacewinghold/scheduler/verdicts.py
@@ -7,8 +7,8 @@
 ground             state      the platform's rule
 =================  =========  =======================================================
 all tasks done     completed  "all tasks have ended as done"
-attempts used up   failed     "a task, or a gang, has failed ``maxAttempts`` times";
-                              only ends that a worker reports as failed are attempts
+attempts used up   failed     "a task, or a gang, has failed" as often as its queue
+                              allows; only ends that a worker reports as failed count
 crashed workers    failed     "A task under which two workers have crashed may be given
                               up": see ``crash_evidence``
 cancelled          cancelled  a caller's DELETE, which is stored
