--- a/lacewinghold/scheduler/crashes.py
+++ b/lacewinghold/scheduler/crashes.py
@@ -181,6 +181,11 @@
         node.lapsed_runs = []
         node.entry_current = self.owner.knows_current_entries()
 
+    def record_start(self, node: WorkerNode, run: Run) -> None:
+        """Records that a worker has answered that it started a run."""
+        node.entry_current = self.owner.knows_current_entries()
+        self.record_presence(run.task, run.number)
+
     def record_presence(self, task: Task, run: int, percent: float = 0) -> None:
         """Records that a worker has told of a run of a task.
 
--- a/lacewinghold/scheduler/driver.py
+++ b/lacewinghold/scheduler/driver.py
@@ -356,7 +356,7 @@
         if outcome is OrderOutcome.DONE:
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
-            self.owner.runs.record_start(run)
+            self.owner.runs.record_start(self.node, run)
         elif outcome is OrderOutcome.FENCED:
             self.owner.record_fenced(self.node)
         elif outcome is OrderOutcome.OTHER_INCARNATION:
--- a/lacewinghold/scheduler/nodes.py
+++ b/lacewinghold/scheduler/nodes.py
@@ -74,7 +74,7 @@
         # Replies to starts and stops may be of its next incarnation, reports are not.
         self.last_report_at = -math.inf
         self.silent_since = math.inf
-        # Whether its entry was known to be current at the last report.
+        # Whether its entry was known to be current at the last report or start.
         self.entry_current = False
         self.unanswered_calls = 0
         self.failed_jobs: list[str] = []
--- a/lacewinghold/scheduler/runs.py
+++ b/lacewinghold/scheduler/runs.py
@@ -38,10 +38,10 @@
         """Returns the owner's jobs."""
         return self.owner.table
 
-    def record_start(self, run: Run) -> None:
+    def record_start(self, node: WorkerNode, run: Run) -> None:
         """Records that a worker has started a run."""
         run.confirmed = True
-        self.owner.crashes.record_presence(run.task, run.number)
+        self.owner.crashes.record_start(node, run)
         self.owner.metrics.starts.labels(OrderOutcome.DONE.value).inc()
         logger.info(
             Event.RUN_STARTED,
--- a/tests/test_scheduler/test_crash_histories.py
+++ b/tests/test_scheduler/test_crash_histories.py
@@ -15,7 +15,7 @@
 
 import anyio
 import msgspec
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from lacewinghold.scheduler.model import JobState
@@ -181,6 +181,14 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=40)
+@example(  # Two crashes come before a report that follows the outages.
+    jobs=[("gang", ("crashes", [1.5, 0.05, 0.05]))],
+    events=[
+        *[(0.3, ("crash", 0))] * 3,
+        *[(0.3, ("outage", LONG_OUTAGE_S))] * 2,
+        (0.3, ("outage", 0.5)),
+    ],
+)
 @given(jobs=st.lists(JOBS, min_size=1, max_size=3), events=HISTORIES)
 def test_jobs_fail_only_as_the_platform_allows(jobs, events):
     run_cell(lambda cell: play(cell, jobs, events), workers=WORKERS)
